--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"linnetlift"
+	"linnetlift/internal/config"
 	"linnetlift/internal/wire"
 )
 
@@ -82,7 +83,7 @@
 		h.current, h.named = e.Instance, false
 		return nil
 	case wire.Up:
-		s, err := parseSettings(e.Settings)
+		s, err := config.ParseSettings(e.Settings)
 		if err != nil {
 			return fmt.Errorf("settings at offset 18: %w", err)
 		}
--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"linnetlift"
+
+	"linnetlift/internal/config"
 )
 
 const testSettings = `{"Balancers": 2, "MyNumber": 1, "RoundMs": 5, "UnknownKey": {"x": [1]},
@@ -19,7 +21,7 @@
  "Rules": {"AnswerSlackMs": 20, "AskWithinMs": 10000}, "RegistryMode": "subscribe"}`
 
 func TestParseSettings(t *testing.T) {
-	s, err := parseSettings([]byte(testSettings))
+	s, err := config.ParseSettings([]byte(testSettings))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -33,7 +35,7 @@
 		t.Errorf("fields %v", f)
 	}
 	for _, bad := range []string{`{`, `[]`, `{"Classes": [{"Semantics": "often"}]}`} {
-		if _, err := parseSettings([]byte(bad)); err == nil {
+		if _, err := config.ParseSettings([]byte(bad)); err == nil {
 			t.Errorf("%s accepted", bad)
 		}
 	}
--- /dev/null
+++ b/internal/broker/broker.go
@@ -0,0 +1,593 @@
+// Package broker is the core: it takes requests from the fronts, asks the
+// decision module what to do with each, and hands every front one final answer.
+//
+// It owns the module (one goroutine calls it, in rounds), its clock and timers,
+// the list of workers as last told, the contracts and budgets of teams, and
+// these promises: exactly one final answer for a request, one attempt out at a
+// time, and an answer by the deadline even if the module were silent.
+//
+// It must never know a wire: no HTTP, no JSON, no addresses that it reads. It
+// must never decide where a request goes or when it is given up; the module
+// does, and nothing here delays what the module has decided.
+package broker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"linnetlift"
+	"linnetlift/internal/invariant"
+)
+
+// Margin is how long before a request's deadline its last attempt is ended:
+// room for the answer's way through a busy core and the network. Time is
+// counted from when the client sent the request, a little before we saw it.
+const Margin = 15 * time.Millisecond
+
+// grace is how long past Margin the module may take to word the final answer.
+const grace = 10 * time.Millisecond
+
+// ErrClosed is returned by calls on a broker that has been closed.
+var ErrClosed = errors.New("broker: closed")
+
+// Request is a job as the core knows it.
+type Request struct {
+	Class, Tenant int
+	Deadline      time.Time // when the one who asked gives up
+	Slots, Memory float64
+	Retry         bool
+	Team          string // whose contract it comes under; empty: none
+}
+
+// Code is how an attempt ended.
+type Code = linnetlift.Code
+
+// The codes of outcomes, as the module words them.
+const (
+	OK            = linnetlift.OK
+	Failed        = linnetlift.Failed
+	Full          = linnetlift.Full
+	TimedOut      = linnetlift.TimedOut
+	ConnectFailed = linnetlift.ConnectFailed
+	Broken        = linnetlift.Broken
+	Cancelled     = linnetlift.Cancelled
+	NeverSent     = linnetlift.NeverSent
+)
+
+// Outcome is the end of one attempt.
+type Outcome struct {
+	Code   Code
+	Load   []float64 // in the order of the settings' columns; may be empty
+	Result []byte    // the answer, for OK
+}
+
+// Verdict is the kind of a final answer.
+type Verdict uint8
+
+const (
+	Served  Verdict = iota
+	Refused         // trying again is harmless
+	Failure         // promises nothing
+	Gone            // nobody waits any longer
+)
+
+// Answer is the one final answer of a request.
+type Answer struct {
+	Verdict  Verdict
+	Result   []byte
+	ComeBack time.Duration // with Refused: advice; 0: none
+	Over     bool          // with Refused: a contract's budget was exceeded
+	Late     bool          // with Failure: the deadline passed
+}
+
+// Attempt is one try at a worker, handed to the front's attempt function.
+type Attempt struct {
+	Worker string // its id in the list
+	Addr   string // opaque here
+	N      int    // number within the request
+	s      *session
+	id     linnetlift.WorkerID
+}
+
+// Started tells that the worker has begun.
+func (a *Attempt) Started() { a.note(linnetlift.NoteStarted, 0) }
+
+// Progress tells the share done.
+func (a *Attempt) Progress(share float64) { a.note(linnetlift.NoteProgress, share) }
+
+func (a *Attempt) note(kind linnetlift.NoteKind, share float64) {
+	n := linnetlift.Note{ID: a.s.id, Attempt: a.N, Worker: a.id, Kind: kind, Share: share}
+	a.s.b.post(func(now time.Duration, out linnetlift.Actions) { a.s.b.module.Note(now, n, out) })
+}
+
+// Allowed tells whether the worker may still be sent new work. A front asks
+// again once its connection is up: connecting takes time, and what the list
+// has told meanwhile counts.
+func (a *Attempt) Allowed() bool { return a.s.b.allowed(a.id) }
+
+// Do carries one attempt to its end and reports it. When ctx ends it must give
+// the attempt up, and return only once the worker can no longer see it as out.
+type Do func(ctx context.Context, a *Attempt) Outcome
+
+// Worker is one entry of the worker list.
+type Worker struct {
+	ID, Addr         string
+	Zone, Kind, Cell int
+	State            linnetlift.WorkerState
+	Weight           float64
+	Started          time.Time // zero: long ago
+}
+
+type event func(now time.Duration, out linnetlift.Actions)
+
+type place struct {
+	name, addr string
+	ready      bool
+}
+
+// Broker is the core. Its methods may be called from any goroutine.
+type Broker struct {
+	settings linnetlift.Settings
+	module   linnetlift.Dispatcher // touched by run alone
+	log      func(string)
+	budgets  map[string]*budget
+
+	anchor     time.Time // with its monotonic reading: the clock never runs back
+	anchorUnix time.Duration
+
+	mu     sync.Mutex
+	queue  []event
+	places map[linnetlift.WorkerID]*place
+	lastID linnetlift.RequestID
+	closed bool
+
+	open  map[linnetlift.RequestID]*session // run's alone
+	count atomic.Int64                      // of open
+
+	poke  chan struct{} // something is queued
+	ask   chan struct{} // the module wants the list
+	done  chan struct{}
+	timer []wake // run's alone
+}
+
+type wake struct {
+	at  time.Duration
+	tag uint64
+}
+
+// New makes a broker and starts its goroutine; Close ends it.
+func New(s linnetlift.Settings, seed uint64, contracts []Contract, log func(string)) (*Broker, error) {
+	m, err := linnetlift.New(s, seed)
+	if err != nil {
+		return nil, err
+	}
+	b := &Broker{settings: s, module: m, log: log, budgets: map[string]*budget{},
+		open: map[linnetlift.RequestID]*session{}, places: map[linnetlift.WorkerID]*place{},
+		poke: make(chan struct{}, 1), ask: make(chan struct{}, 1), done: make(chan struct{})}
+	// Workers' start times are Unix time, so the module's clock has that base:
+	// read once, and carried on by the monotonic clock alone.
+	b.anchor = time.Now()
+	b.anchorUnix = time.Duration(b.anchor.UnixNano())
+	for _, c := range contracts {
+		b.budgets[c.Team] = newBudget(c)
+	}
+	go b.run()
+	return b, nil
+}
+
+// Close stops the broker's goroutine. Requests still open get no more decisions.
+func (b *Broker) Close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.closed {
+		b.closed = true
+		close(b.done)
+	}
+}
+
+func (b *Broker) now() time.Duration { return b.anchorUnix + time.Since(b.anchor) }
+
+// post queues one event for the module.
+func (b *Broker) post(e event) {
+	b.mu.Lock()
+	b.queue = append(b.queue, e)
+	b.mu.Unlock()
+	select {
+	case b.poke <- struct{}{}:
+	default:
+	}
+}
+
+// run is the module's one owner. What has come in is handled in rounds no
+// closer than the settings' round, all of a round at one clock reading, as the
+// module was built for.
+func (b *Broker) run() {
+	var batch []event
+	last := b.now() - b.settings.Round
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	for {
+		wait := time.Hour
+		if due, ok := b.nextWake(); ok {
+			wait = due - b.now()
+		}
+		alarm.Reset(max(wait, 0))
+		select {
+		case <-b.done:
+			return
+		case <-b.poke:
+		case <-alarm.C:
+		}
+		if rest := last + b.settings.Round - b.now(); rest > 0 {
+			time.Sleep(rest)
+		}
+		now := max(b.now(), last)
+		last = now
+		b.mu.Lock()
+		batch, b.queue = b.queue, batch[:0]
+		b.mu.Unlock()
+		for i, e := range batch {
+			e(now, sink{b, now})
+			batch[i] = nil
+		}
+		b.tick(now)
+	}
+}
+
+func (b *Broker) nextWake() (at time.Duration, ok bool) {
+	for _, w := range b.timer {
+		if !ok || w.at < at {
+			at, ok = w.at, true
+		}
+	}
+	return at, ok
+}
+
+// tick hands the module its timers that are due.
+func (b *Broker) tick(now time.Duration) {
+	var due []wake
+	rest := b.timer[:0]
+	for _, w := range b.timer {
+		if w.at <= now {
+			due = append(due, w)
+		} else {
+			rest = append(rest, w)
+		}
+	}
+	b.timer = rest
+	for _, w := range due {
+		b.module.Timer(now, w.tag, sink{b, now})
+	}
+}
+
+// Stats are figures of the present state.
+type Stats struct{ Open, Queued, Workers, Ready int }
+
+// Stats returns the present figures.
+func (b *Broker) Stats() Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := Stats{Open: int(b.count.Load()), Queued: len(b.queue), Workers: len(b.places)}
+	for _, p := range b.places {
+		if p.ready {
+			s.Ready++
+		}
+	}
+	return s
+}
+
+// ---- the worker list
+
+// workerID is the same at every dispatcher, wherever it reaches the worker:
+// the module lays workers on a circle by their ids and shares it out with the
+// other dispatchers, so it must come from the id alone, never from an address
+// or an order of arrival.
+func workerID(name string) linnetlift.WorkerID {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return linnetlift.WorkerID(h.Sum64())
+}
+
+// List hands in what the list service told.
+func (b *Broker) List(form linnetlift.ListForm, workers []Worker) {
+	list := make([]linnetlift.Worker, 0, len(workers))
+	b.mu.Lock()
+	listed := map[linnetlift.WorkerID]bool{}
+	for _, w := range workers {
+		id := workerID(w.ID)
+		p := b.places[id]
+		if p == nil {
+			p = &place{name: w.ID}
+			b.places[id] = p
+		}
+		if !invariant.Hold(p.name == w.ID, "two workers share an id") {
+			continue
+		}
+		if w.Addr != "" {
+			p.addr = w.Addr
+		}
+		p.ready = w.State == linnetlift.Ready
+		listed[id] = true
+		l := linnetlift.Worker{ID: id, Zone: w.Zone, Kind: w.Kind, Cell: w.Cell, State: w.State, Weight: w.Weight}
+		if !w.Started.IsZero() {
+			l.Launched = time.Duration(w.Started.UnixNano())
+		}
+		list = append(list, l)
+	}
+	if form == linnetlift.ListFull || form == linnetlift.ListCached {
+		for id, p := range b.places {
+			p.ready = p.ready && listed[id] // absent from a complete list: removed
+		}
+	}
+	b.mu.Unlock()
+	b.post(func(now time.Duration, out linnetlift.Actions) { b.module.List(now, form, list, out) })
+}
+
+// AwaitAsk blocks until the module wants to hear from the list service.
+func (b *Broker) AwaitAsk(ctx context.Context) error {
+	select {
+	case <-b.ask:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-b.done:
+		return ErrClosed
+	}
+}
+
+func (b *Broker) allowed(id linnetlift.WorkerID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.places[id]
+	return p != nil && p.ready
+}
+
+// ---- one request
+
+// decision is what the module decided next on one request.
+type decision struct {
+	send   bool
+	worker linnetlift.WorkerID
+	within time.Duration
+	answer Answer
+}
+
+// session is the broker's side of one open request.
+type session struct {
+	b        *Broker
+	id       linnetlift.RequestID
+	class    *linnetlift.Class
+	next     chan decision
+	attempts int
+	mayRun   bool
+	ended    atomic.Bool // the final answer is worded; nothing more is decided
+
+	mu   sync.Mutex
+	stop func() // ends the attempt that is out
+	out  int    // its number
+}
+
+// Serve takes a request through its attempts to its one final answer, which is
+// returned the moment it is known. ctx ends when nobody waits any longer. Serve
+// returns only when no attempt is out.
+func (b *Broker) Serve(ctx context.Context, q Request, do Do) Answer {
+	if q.Class < 0 || q.Class >= len(b.settings.Classes) {
+		return Answer{Verdict: Failure}
+	}
+	if bu := b.budgets[q.Team]; bu != nil {
+		wait, ok := bu.take(time.Now())
+		if !ok {
+			return Answer{Verdict: Refused, ComeBack: wait, Over: true}
+		}
+		defer bu.release()
+	}
+	s := b.arrive(q)
+	defer s.leave()
+	ctx, stop := context.WithDeadline(ctx, q.Deadline.Add(-Margin))
+	defer stop()
+	late := false
+	for {
+		d := s.pick(ctx)
+		if !d.send {
+			d.answer.Late = d.answer.Late || late
+			return s.check(d.answer)
+		}
+		a := &Attempt{N: s.attempts, s: s, id: d.worker}
+		b.mu.Lock()
+		if p := b.places[d.worker]; p != nil {
+			a.Worker, a.Addr = p.name, p.addr
+		}
+		b.mu.Unlock()
+		o := s.try(ctx, a, d.within, do)
+		if o.Code == OK {
+			s.report(a, o, true)
+			return s.check(Answer{Verdict: Served, Result: o.Result})
+		}
+		gone := errors.Is(ctx.Err(), context.Canceled)
+		late = o.Code == TimedOut
+		s.report(a, o, gone)
+		if gone {
+			return Answer{Verdict: Gone}
+		}
+	}
+}
+
+func (b *Broker) arrive(q Request) *session {
+	s := &session{b: b, class: &b.settings.Classes[q.Class], next: make(chan decision, 2)}
+	b.mu.Lock()
+	b.lastID++
+	s.id = b.lastID
+	b.mu.Unlock()
+	b.count.Add(1)
+	b.post(func(now time.Duration, out linnetlift.Actions) {
+		b.open[s.id] = s
+		b.module.Arrive(now, linnetlift.Request{ID: s.id, Class: q.Class, Tenant: q.Tenant,
+			Left: time.Until(q.Deadline), Slots: q.Slots, Memory: q.Memory, Retry: q.Retry}, out)
+	})
+	return s
+}
+
+// leave ends the session at the module, in turn behind all it was told before.
+// A send that crossed the end is reported as never made: the module counts a
+// worker's slots by it.
+func (s *session) leave() {
+	s.b.post(func(now time.Duration, out linnetlift.Actions) {
+		if s.ended.CompareAndSwap(false, true) {
+			s.b.module.ClientGone(now, s.id, out)
+		}
+		for n := s.attempts; len(s.next) > 0; {
+			if d := <-s.next; d.send {
+				s.b.module.Outcome(now, linnetlift.Outcome{ID: s.id, Attempt: n, Worker: d.worker,
+					Code: NeverSent, Ended: true}, out)
+				n++
+			}
+		}
+		delete(s.b.open, s.id)
+		s.b.count.Add(-1)
+	})
+}
+
+// pick blocks until the module has decided. It has one answer of its own, for
+// a module that stays silent past the deadline.
+func (s *session) pick(ctx context.Context) decision {
+	select {
+	case d := <-s.next:
+		return d
+	case <-ctx.Done():
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return decision{answer: Answer{Verdict: Gone}}
+	}
+	select {
+	case d := <-s.next:
+		return d
+	case <-time.After(grace):
+	case <-s.b.done:
+	}
+	if s.mayRun && !s.refusable() {
+		return decision{answer: Answer{Verdict: Failure, Late: true}}
+	}
+	return decision{answer: Answer{Verdict: Refused}}
+}
+
+// try runs one attempt under its own time-out and the module's right to call it off.
+func (s *session) try(ctx context.Context, a *Attempt, within time.Duration, do Do) Outcome {
+	s.attempts++
+	ok := invariant.Hold(s.attempts <= s.b.settings.MaxAttempts, "more attempts than allowed")
+	ok = invariant.Hold(!s.mayRun || s.class.Semantics != linnetlift.Fragile, "a fragile request that may have run is sent again") && ok
+	if !ok || a.Addr == "" || ctx.Err() != nil {
+		return Outcome{Code: NeverSent}
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	if within > 0 {
+		ctx, stop = context.WithTimeout(ctx, within)
+		defer stop()
+	}
+	s.mu.Lock()
+	s.stop, s.out = stop, a.N
+	s.mu.Unlock()
+	o := do(ctx, a)
+	switch o.Code {
+	case Full, ConnectFailed, NeverSent:
+	default:
+		s.mayRun = true
+	}
+	return o
+}
+
+// report tells the module how an attempt ended.
+func (s *session) report(a *Attempt, o Outcome, ended bool) {
+	m := linnetlift.Outcome{ID: s.id, Attempt: a.N, Worker: a.id, Code: o.Code, Ended: ended, Load: o.Load}
+	s.b.post(func(now time.Duration, out linnetlift.Actions) {
+		if ended {
+			s.ended.Store(true)
+		}
+		s.b.module.Outcome(now, m, out)
+	})
+}
+
+// refusable tells whether a request that may have run may be refused.
+func (s *session) refusable() bool {
+	c := s.class
+	return c.Semantics == linnetlift.Retryable || c.Semantics == linnetlift.Dedup && c.Scope == linnetlift.ScopeAll
+}
+
+// check keeps the rule on refusals whatever was decided: never tell a client
+// that a retry is harmless when the request may have run and is not repeatable.
+func (s *session) check(a Answer) Answer {
+	if a.Verdict == Refused && !invariant.Hold(!s.mayRun || s.refusable(), "refused what may have run") {
+		return Answer{Verdict: Failure}
+	}
+	return a
+}
+
+// ---- the module's actions
+
+// sink carries out the module's actions. It runs in the owner's goroutine.
+type sink struct {
+	b   *Broker
+	now time.Duration
+}
+
+// decide hands a session its next decision. A send for one that has ended
+// crossed that end; leave finds it and reports it as never made.
+func (k sink) decide(id linnetlift.RequestID, d decision) {
+	s := k.b.open[id]
+	if s == nil || s.ended.Load() && !d.send {
+		return
+	}
+	if !d.send {
+		s.ended.Store(true)
+	}
+	select {
+	case s.next <- d:
+	default:
+		invariant.Hold(false, "a decision while another stands")
+	}
+}
+
+func (k sink) Send(id linnetlift.RequestID, w linnetlift.WorkerID, within time.Duration) {
+	k.decide(id, decision{send: true, worker: w, within: within})
+}
+
+func (k sink) Refuse(id linnetlift.RequestID, comeBack time.Duration) {
+	k.decide(id, decision{answer: Answer{Verdict: Refused, ComeBack: comeBack}})
+}
+
+func (k sink) Fail(id linnetlift.RequestID) {
+	k.decide(id, decision{answer: Answer{Verdict: Failure}})
+}
+
+func (k sink) Cancel(id linnetlift.RequestID, attempt int) {
+	s := k.b.open[id]
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stop != nil && s.out == attempt {
+		s.stop()
+	}
+}
+
+func (k sink) Wake(in time.Duration, tag uint64) {
+	k.b.timer = append(k.b.timer, wake{k.now + in, tag})
+}
+
+func (k sink) Subscribe() {
+	select {
+	case k.b.ask <- struct{}{}:
+	default: // one is asked for already
+	}
+}
+
+// Probe and Tell are off on the platform: settings that allow them meet no wire here.
+func (k sink) Probe(linnetlift.WorkerID) {}
+func (k sink) Tell([]byte)               {}
+func (k sink) Log(line string)           { k.b.log(fmt.Sprint("module: ", line)) }
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,299 @@
+// Package config is the one place where configuration is read, checked and
+// given defaults: the platform's variables and JSON file, and deploy/sse.toml.
+// Every error names the faulty key. It must never open a socket, start a
+// goroutine or keep anything that changes after start.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io/fs"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/BurntSushi/toml"
+
+	"linnetlift"
+)
+
+// Config is all that a dispatcher is told at its start.
+type Config struct {
+	Name, Listen, Discovery string
+	Seed                    uint64
+	Limits                  Limits
+	Known                   json.RawMessage // the server table as last had, in discovery's form
+
+	Module                         linnetlift.Settings
+	Classes, Tenants, Zones, Kinds []string
+	Columns                        []string // names of the values in a load report, in the module's order
+	ConnectTimeout, IdleClose      time.Duration
+
+	SSE SSE
+}
+
+// Limits are the bounds of the machine.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// SSE is the second front: where it listens and who may use it.
+type SSE struct {
+	Enabled       bool       `toml:"enabled"`
+	Listen        string     `toml:"listen"`
+	MaxEventBytes int        `toml:"max_event_bytes"`
+	Buffer        int        `toml:"buffer_events"`
+	WriteTimeout  Duration   `toml:"write_timeout"`
+	Heartbeat     Duration   `toml:"heartbeat"`
+	Contracts     []Contract `toml:"contract"`
+}
+
+// Contract is what one team may ask for.
+type Contract struct {
+	Team    string   `toml:"team"`
+	Tenant  string   `toml:"tenant"`
+	Classes []string `toml:"classes"`
+	Rate    float64  `toml:"rate"`     // requests a second
+	Burst   int      `toml:"burst"`    // requests at once
+	MaxOpen int      `toml:"max_open"` // requests unanswered at once
+}
+
+// Duration is a time span written as text, such as "5s".
+type Duration struct{ time.Duration }
+
+// UnmarshalText reads a Duration.
+func (d *Duration) UnmarshalText(text []byte) (err error) {
+	d.Duration, err = time.ParseDuration(string(text))
+	return err
+}
+
+// Load reads the platform's variables through env and the files they and
+// ssePath name. A missing SSE file leaves that front off.
+func Load(env func(string) string, ssePath string) (*Config, error) {
+	c := &Config{}
+	text := []byte("{}")
+	if path := env("NODE_CONFIG"); path != "" {
+		var err error
+		if text, err = os.ReadFile(path); err != nil {
+			return nil, fmt.Errorf("NODE_CONFIG: %w", err)
+		}
+	}
+	if err := c.parse(text); err != nil {
+		return nil, fmt.Errorf("NODE_CONFIG: %w", err)
+	}
+	// The variables stand above the file: they are what the platform listens by.
+	for _, v := range []struct {
+		key string
+		to  *string
+	}{{"NODE_NAME", &c.Name}, {"NODE_LISTEN", &c.Listen}, {"NODE_DISCOVERY", &c.Discovery}} {
+		if s := env(v.key); s != "" {
+			*v.to = s
+		}
+		if *v.to == "" {
+			return nil, fmt.Errorf("%s: missing", v.key)
+		}
+	}
+	if err := address("NODE_LISTEN", c.Listen); err != nil {
+		return nil, err
+	}
+	if err := address("NODE_DISCOVERY", c.Discovery); err != nil {
+		return nil, err
+	}
+	return c, c.loadSSE(ssePath)
+}
+
+func address(key, s string) error {
+	if _, port, err := net.SplitHostPort(s); err != nil {
+		return fmt.Errorf("%s: %w", key, err)
+	} else if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 && key == "NODE_DISCOVERY" {
+		return fmt.Errorf("%s: port %q", key, port)
+	}
+	return nil
+}
+
+func (c *Config) parse(text []byte) error {
+	var in struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        Limits
+		Known, Settings               json.RawMessage
+	}
+	if err := json.Unmarshal(text, &in); err != nil {
+		return err
+	}
+	c.Name, c.Listen, c.Discovery, c.Known, c.Limits = in.Name, in.Listen, in.Discovery, in.Known, in.Limits
+	if in.Seed != "" {
+		var err error
+		if c.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
+			h := fnv.New64a() // any text will do for a seed
+			h.Write([]byte(in.Seed))
+			c.Seed = h.Sum64()
+		}
+	}
+	if c.Limits.Cores == 0 {
+		c.Limits.Cores = 1
+	}
+	if c.Limits.MemoryMB == 0 {
+		c.Limits.MemoryMB = 192
+	}
+	if c.Limits.Sockets == 0 {
+		c.Limits.Sockets = 1024
+	}
+	switch {
+	case c.Limits.Cores < 0:
+		return fmt.Errorf("limits.cores: %v", c.Limits.Cores)
+	case c.Limits.MemoryMB < 32:
+		return fmt.Errorf("limits.memory_mb: %d is under 32", c.Limits.MemoryMB)
+	case c.Limits.Sockets < 64:
+		return fmt.Errorf("limits.sockets: %d is under 64", c.Limits.Sockets)
+	case len(in.Settings) == 0:
+		return errors.New("settings: missing")
+	}
+	if err := c.settings(in.Settings); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	return nil
+}
+
+// settings reads the names and times that only a real dispatcher needs.
+func (c *Config) settings(text []byte) error {
+	var err error
+	if c.Module, err = ParseSettings(text); err != nil {
+		return err
+	}
+	var in struct {
+		Areas, HostTypes []string
+		Tenants          []struct{ Name string }
+		LoadInfo         struct {
+			Columns []string
+			Via     string
+		}
+		Limits struct{ ConnectTimeoutMs, IdleCloseMs *float64 }
+	}
+	if err := json.Unmarshal(text, &in); err != nil {
+		return err
+	}
+	c.Zones, c.Kinds = in.Areas, in.HostTypes
+	for i, class := range c.Module.Classes {
+		switch {
+		case class.Name == "":
+			return fmt.Errorf("Classes[%d].Name: missing", i)
+		case slices.Contains(c.Classes, class.Name):
+			return fmt.Errorf("Classes[%d].Name: %q comes twice", i, class.Name)
+		case class.Deadline <= 0:
+			return fmt.Errorf("Classes[%d].DeadlineMs: must be over 0", i)
+		}
+		c.Classes = append(c.Classes, class.Name)
+	}
+	if len(c.Classes) == 0 {
+		return errors.New("Classes: missing")
+	}
+	for i, t := range in.Tenants {
+		if t.Name == "" {
+			return fmt.Errorf("Tenants[%d].Name: missing", i)
+		}
+		c.Tenants = append(c.Tenants, t.Name)
+	}
+	if in.LoadInfo.Via != "off" {
+		c.Columns = in.LoadInfo.Columns
+	}
+	c.ConnectTimeout, c.IdleClose = 250*time.Millisecond, time.Minute
+	if v := in.Limits.ConnectTimeoutMs; v != nil {
+		c.ConnectTimeout = Ms(*v)
+	}
+	if v := in.Limits.IdleCloseMs; v != nil {
+		c.IdleClose = Ms(*v)
+	}
+	switch m := &c.Module; {
+	case c.ConnectTimeout <= 0:
+		return errors.New("Limits.ConnectTimeoutMs: must be over 0")
+	case c.IdleClose <= 0:
+		return errors.New("Limits.IdleCloseMs: must be over 0")
+	case m.MaxAttempts < 1:
+		return errors.New("Limits.MaxAttempts: must be 1 or more")
+	case m.Dispatchers < 1:
+		return errors.New("Balancers: must be 1 or more")
+	case m.Me < 0 || m.Me >= m.Dispatchers:
+		return fmt.Errorf("MyNumber: %d of %d Balancers", m.Me, m.Dispatchers)
+	case m.Round < 0:
+		return errors.New("RoundMs: must not be negative")
+	}
+	return nil
+}
+
+func (c *Config) loadSSE(path string) error {
+	s := SSE{MaxEventBytes: 64 << 10, Buffer: 32,
+		WriteTimeout: Duration{2 * time.Second}, Heartbeat: Duration{10 * time.Second}}
+	meta, err := toml.DecodeFile(path, &s)
+	if errors.Is(err, fs.ErrNotExist) {
+		c.SSE = s
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	if extra := meta.Undecoded(); len(extra) > 0 {
+		return fmt.Errorf("%s: %s: unknown key", path, extra[0])
+	}
+	c.SSE = s
+	if err := c.CheckSSE(); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
+
+// CheckSSE checks the second front against the settings. A front that is off
+// keeps its contracts unchecked: the platform's names are not the shop's.
+func (c *Config) CheckSSE() error {
+	s := &c.SSE
+	switch {
+	case s.MaxEventBytes < 256 || s.MaxEventBytes > 1<<20:
+		return fmt.Errorf("max_event_bytes: %d is not in 256 to 1048576", s.MaxEventBytes)
+	case s.Buffer < 1 || s.Buffer > 1024:
+		return fmt.Errorf("buffer_events: %d is not in 1 to 1024", s.Buffer)
+	case s.WriteTimeout.Duration <= 0:
+		return errors.New("write_timeout: must be over 0")
+	case s.Heartbeat.Duration <= 0:
+		return errors.New("heartbeat: must be over 0")
+	case !s.Enabled:
+		return nil
+	}
+	if err := address("listen", s.Listen); err != nil {
+		return err
+	}
+	seen := map[string]bool{}
+	for i, k := range s.Contracts {
+		key := func(name string) string { return fmt.Sprintf("contract[%d].%s", i, name) }
+		switch {
+		case k.Team == "":
+			return fmt.Errorf("%s: missing", key("team"))
+		case seen[k.Team]:
+			return fmt.Errorf("%s: %q comes twice", key("team"), k.Team)
+		case len(c.Tenants) > 0 && !slices.Contains(c.Tenants, k.Tenant):
+			return fmt.Errorf("%s: unknown tenant %q", key("tenant"), k.Tenant)
+		case len(k.Classes) == 0:
+			return fmt.Errorf("%s: missing", key("classes"))
+		case k.Rate <= 0:
+			return fmt.Errorf("%s: must be over 0", key("rate"))
+		case k.Burst < 1:
+			return fmt.Errorf("%s: must be 1 or more", key("burst"))
+		case k.MaxOpen < 1:
+			return fmt.Errorf("%s: must be 1 or more", key("max_open"))
+		}
+		for _, name := range k.Classes {
+			if !slices.Contains(c.Classes, name) {
+				return fmt.Errorf("%s: unknown class %q", key("classes"), name)
+			}
+		}
+		seen[k.Team] = true
+	}
+	if len(s.Contracts) == 0 {
+		return errors.New("contract: at least one is needed")
+	}
+	return nil
+}
--- a/cmd/adapter/settings.go
+++ b/internal/config/settings.go
@@ -1,8 +1,12 @@
-package main
+// This file owns the reading of the settings object, the same for the simulator's
+// wire and for a real dispatcher: JSON in, the module's settings and the names the
+// wires use out. It must never decide anything or read a file.
+package config
 
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"linnetlift"
 )
@@ -46,7 +50,7 @@
 	"rps": linnetlift.LoadRate, "err_rps": linnetlift.LoadErrorRate,
 }
 
-func parseSettings(text []byte) (linnetlift.Settings, error) {
+func ParseSettings(text []byte) (linnetlift.Settings, error) {
 	var in settings
 	var out linnetlift.Settings
 	if err := json.Unmarshal(text, &in); err != nil {
@@ -55,21 +59,21 @@
 	out = linnetlift.Settings{
 		Me: in.MyNumber, Dispatchers: in.Balancers, Zone: in.Zone,
 		OverShareWorth: in.OverShareWorth, WorthByWork: in.CountedBy == "work",
-		Round: ms(in.RoundMs), TellsStart: in.Extra.TellsStart, Progress: ms(in.Extra.ProgressMs),
+		Round: Ms(in.RoundMs), TellsStart: in.Extra.TellsStart, Progress: Ms(in.Extra.ProgressMs),
 		InOrder: in.Extra.QueueOrder == "fifo", MustSubscribe: in.RegistryMode == "subscribe",
 		MaxAttempts: in.Limits.MaxAttempts, SecondCopies: in.Limits.SecondCopies,
 		Cancelling: in.Limits.Cancelling, Probes: in.Limits.Probes, Peers: in.Limits.Peers,
-		AnswerSlack: ms(in.Rules.AnswerSlackMs), DrainGrace: ms(in.Rules.StopSendingWithinMs),
-		AskWithin: ms(in.Rules.AskWithinMs), ColdShare: in.Rules.ColdFrom, ColdTime: ms(in.Rules.RampTimeMs),
-		FallMultiple: in.Rules.FallMultiple, FallTime: ms(in.Rules.FallMs),
+		AnswerSlack: Ms(in.Rules.AnswerSlackMs), DrainGrace: Ms(in.Rules.StopSendingWithinMs),
+		AskWithin: Ms(in.Rules.AskWithinMs), ColdShare: in.Rules.ColdFrom, ColdTime: Ms(in.Rules.RampTimeMs),
+		FallMultiple: in.Rules.FallMultiple, FallTime: Ms(in.Rules.FallMs),
 		CrossPrice: in.Prices.CrossZone, WastePrice: in.Prices.Waste, LatePrice: in.Prices.LateFail,
 	}
 	if in.Limits.RetryAfter {
-		out.MaxRetryAfter = ms(in.Limits.MaxRetryAfterMs)
+		out.MaxRetryAfter = Ms(in.Limits.MaxRetryAfterMs)
 	}
 	for i, c := range in.Classes {
-		class := linnetlift.Class{Name: c.Name, Aim: ms(c.AimMs), Stretch: c.AimStretch, Deadline: ms(c.DeadlineMs),
-			Worth: c.Worth, LateShare: c.LateShare, Window: ms(c.WindowMs), Kind: -1, Stream: c.Stream}
+		class := linnetlift.Class{Name: c.Name, Aim: Ms(c.AimMs), Stretch: c.AimStretch, Deadline: Ms(c.DeadlineMs),
+			Worth: c.Worth, LateShare: c.LateShare, Window: Ms(c.WindowMs), Kind: -1, Stream: c.Stream}
 		if i < len(in.Extra.ClassKind) {
 			class.Kind = in.Extra.ClassKind[i]
 		}
@@ -114,3 +118,6 @@
 	}
 	return out, nil
 }
+
+// Ms reads a figure in milliseconds.
+func Ms(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/invariant/invariant.go
@@ -0,0 +1,40 @@
+// Package invariant owns the record of what must hold and did not: a debug
+// build stops there, a release build counts it and goes on. It must never
+// change what the caller does next.
+package invariant
+
+import (
+	"fmt"
+	"sync"
+)
+
+var (
+	mu     sync.Mutex
+	broken = map[string]int{}
+)
+
+// Hold tells whether ok holds; where it does not, name is counted, or a debug
+// build panics.
+func Hold(ok bool, name string) bool {
+	if ok {
+		return true
+	}
+	mu.Lock()
+	broken[name]++
+	mu.Unlock()
+	if Debug {
+		panic(fmt.Sprintf("invariant broken: %s", name))
+	}
+	return false
+}
+
+// Broken returns the counts so far.
+func Broken() map[string]int {
+	mu.Lock()
+	defer mu.Unlock()
+	out := make(map[string]int, len(broken))
+	for k, v := range broken {
+		out[k] = v
+	}
+	return out
+}
--- /dev/null
+++ b/internal/platform/dispatch.go
@@ -0,0 +1,390 @@
+package platform
+
+// This file owns the connections to loan workers and one dispatch's way over
+// them: the request written once, the answer's lines read, the end told as an
+// outcome. It must never send a request twice, never tell that a dispatch has
+// ended while its connection still stands, and never choose a loan worker.
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"linnetlift/internal/broker"
+	"linnetlift/internal/config"
+	"linnetlift/internal/invariant"
+)
+
+const (
+	maxLine   = 256 << 10 // a result of 64 KiB, escaped at its worst
+	drainTime = time.Second
+)
+
+var (
+	errSockets = errors.New("no socket left for a loan worker")
+	errDrained = errors.New("the loan worker takes nothing new")
+)
+
+// Lines carries dispatches to loan workers.
+type Lines struct {
+	transport *http.Transport
+	columns   []string
+	sockets   chan struct{} // one for each socket open to loan workers
+}
+
+// NewLines makes the connections' owner; sockets bounds how many it may hold.
+func NewLines(cfg *config.Config, sockets int) *Lines {
+	l := &Lines{columns: cfg.Columns, sockets: make(chan struct{}, sockets)}
+	l.transport = &http.Transport{
+		DialContext:        l.dial(&net.Dialer{Timeout: cfg.ConnectTimeout, KeepAlive: -1}),
+		DisableCompression: true,
+		// The library keeps two idle connections a host; every one beyond them
+		// would be opened anew, and opening costs the loan worker work.
+		MaxIdleConns:        sockets / 2,
+		MaxIdleConnsPerHost: sockets / 4,
+		// A loan worker closes an idle connection at IdleCloseMs at the latest;
+		// what is written to it from then on is lost. Close well before.
+		IdleConnTimeout:        cfg.IdleClose * 3 / 4,
+		MaxResponseHeaderBytes: 64 << 10,
+	}
+	return l
+}
+
+// CloseIdle closes the connections that carry nothing.
+func (l *Lines) CloseIdle() { l.transport.CloseIdleConnections() }
+
+// line is one connection. Closing it is complete when Close returns, which is
+// what lets a dispatch be told as ended.
+type line struct {
+	net.Conn
+	written atomic.Int64
+	once    sync.Once
+	release func()
+}
+
+func (c *line) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+func (c *line) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(c.release)
+	return err
+}
+
+func (l *Lines) dial(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		select {
+		case l.sockets <- struct{}{}:
+		default:
+			l.CloseIdle()
+			select {
+			case l.sockets <- struct{}{}:
+			default:
+				return nil, errSockets
+			}
+		}
+		free := func() { <-l.sockets }
+		conn, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			free()
+			return nil, err
+		}
+		return &line{Conn: conn, release: free}, nil
+	}
+}
+
+// body hides a request's bytes from the transport. It resends a request on its
+// own when it can read the body again or there is none, above all one that
+// carries Idempotency-Key; every resend would be an attempt nobody decided on.
+// A body of its own type, empty or not, without GetBody, is never sent again.
+type body struct {
+	rest []byte
+}
+
+func (b *body) Read(p []byte) (int, error) {
+	if len(b.rest) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+func (b *body) Close() error { return nil }
+
+// Exchange is one dispatch's open answer.
+type Exchange struct {
+	Reader *bufio.Reader
+	Header http.Header
+	ctx    context.Context
+	resp   *http.Response
+	conn   *line
+	lines  *Lines
+}
+
+// Open writes the session to the attempt's loan worker and reads the head of
+// the answer. Without a 200 the exchange is nil and the outcome tells the end.
+func (l *Lines) Open(ctx context.Context, a *broker.Attempt, s *Session, accept string) (*Exchange, broker.Outcome) {
+	var conn *line
+	var refused, wrote atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			invariant.Hold(conn == nil, "the transport sent a dispatch twice")
+			conn, _ = info.Conn.(*line)
+			// A slow connect can cross the time by which nothing new may go to a
+			// loan worker that drains: ask again now that the bytes would flow.
+			if !a.Allowed() {
+				refused.Store(true)
+				info.Conn.Close()
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) { wrote.Store(info.Err == nil) },
+	}
+	before := int64(0)
+	inner := trace.GotConn
+	trace.GotConn = func(info httptrace.GotConnInfo) {
+		inner(info)
+		if conn != nil {
+			before = conn.written.Load()
+		}
+	}
+	resp, err := l.transport.RoundTrip(s.request(httptrace.WithClientTrace(ctx, trace), a, accept))
+	if err != nil {
+		if conn != nil {
+			conn.Close()
+		}
+		switch {
+		case refused.Load():
+			return nil, broker.Outcome{Code: broker.NeverSent}
+		case conn == nil || !wrote.Load() || conn.written.Load() == before:
+			if ctx.Err() != nil || errors.Is(err, errSockets) {
+				return nil, broker.Outcome{Code: broker.NeverSent}
+			}
+			return nil, broker.Outcome{Code: broker.ConnectFailed}
+		}
+		return nil, ended(ctx)
+	}
+	x := &Exchange{Reader: bufio.NewReaderSize(resp.Body, 4096), Header: resp.Header, ctx: ctx, resp: resp, conn: conn, lines: l}
+	if resp.StatusCode == http.StatusOK {
+		return x, broker.Outcome{}
+	}
+	o := broker.Outcome{Code: broker.Failed, Load: l.load([]byte(resp.Header.Get("X-Server-Load")))}
+	// Without the mark a 503 or 504 may come from behind the job: it may have run.
+	if (resp.StatusCode == 503 || resp.StatusCode == 504) && resp.Header.Get("X-Not-Processed") == "1" {
+		o.Code = broker.Full
+	}
+	x.Finish()
+	return nil, o
+}
+
+// ended words the end of a dispatch whose bytes were all written.
+func ended(ctx context.Context) broker.Outcome {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return broker.Outcome{Code: broker.TimedOut}
+	case ctx.Err() != nil:
+		return broker.Outcome{Code: broker.Cancelled}
+	}
+	return broker.Outcome{Code: broker.Broken}
+}
+
+// Abort closes the connection and tells how the dispatch ended by that. The
+// order matters: told first, the next attempt could be out beside this one.
+func (x *Exchange) Abort() broker.Outcome {
+	o := ended(x.ctx)
+	if x.conn != nil {
+		x.conn.Close()
+	}
+	x.resp.Body.Close()
+	return o
+}
+
+// Finish reads what is left of an answer that has ended, behind the caller's
+// back, so that the connection can carry the next dispatch.
+func (x *Exchange) Finish() {
+	go func() {
+		slow := time.AfterFunc(drainTime, func() {
+			if x.conn != nil {
+				x.conn.Close()
+			}
+		})
+		io.Copy(io.Discard, io.LimitReader(x.Reader, maxLine))
+		slow.Stop()
+		x.resp.Body.Close()
+	}()
+}
+
+// Load reads a load report that came as a JSON object.
+func (x *Exchange) Load(text []byte) []float64 { return x.lines.load(text) }
+
+// otherName gives the name that a value has on the other of the two wires: the
+// settings use the simulator's, loan workers the ones of their own pages.
+var otherName = map[string]string{"cpu": "util", "err_rps": "eps", "active": "inflight", "waiting": "queue",
+	"avg_ms": "latency_ms", "rps": "qps"}
+
+// load puts a report's values in the settings' order. One that lacks a value is no report.
+func (l *Lines) load(text []byte) []float64 {
+	if len(text) == 0 || len(l.columns) == 0 {
+		return nil
+	}
+	var in map[string]float64
+	if json.Unmarshal(text, &in) != nil {
+		return nil
+	}
+	out := make([]float64, 0, len(l.columns))
+	for _, name := range l.columns {
+		v, ok := in[name]
+		if !ok {
+			if v, ok = in[otherName[name]]; !ok {
+				return nil
+			}
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// request words the session for the wire, once for each dispatch.
+func (s *Session) request(ctx context.Context, a *broker.Attempt, accept string) *http.Request {
+	h := make(http.Header, 10)
+	for _, name := range passed {
+		if v, ok := s.header[name]; ok {
+			h[name] = v
+		}
+	}
+	h.Set("X-Request-Id", s.ID)
+	h["User-Agent"] = nil
+	if accept != "" {
+		h.Set("Accept", accept)
+	}
+	if at, ok := ctx.Deadline(); ok {
+		h.Set("X-Timeout", strconv.FormatFloat(max(time.Until(at).Seconds(), 0.001), 'f', 3, 64))
+	}
+	req := &http.Request{Method: s.method, URL: &url.URL{Scheme: "http", Host: a.Addr, Opaque: s.uri},
+		Host: s.host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Body: &body{s.body}, ContentLength: int64(len(s.body))}
+	return req.WithContext(ctx)
+}
+
+// passed are the headers that go on unchanged; the transport adds the framing.
+var passed = []string{"Content-Type", "Cookie", "Idempotency-Key", "X-Priority-Class", "X-Tenant-Id", "X-Attrs"}
+
+// jobLine is one line of a loan worker's answer.
+type jobLine struct {
+	ID     string          `json:"id"`
+	State  string          `json:"state"`
+	Share  float64         `json:"share"`
+	Result json.RawMessage `json:"result"`
+	Load   json.RawMessage `json:"load"`
+}
+
+// Do is the attempt function of the platform's front.
+func (l *Lines) Do(s *Session) broker.Do {
+	return func(ctx context.Context, a *broker.Attempt) broker.Outcome {
+		x, o := l.Open(ctx, a, s, "")
+		if x == nil {
+			return o
+		}
+		load := x.Load([]byte(x.Header.Get("X-Server-Load")))
+		for {
+			text, err := readLine(x.Reader)
+			if err != nil {
+				return x.Abort()
+			}
+			if len(text) == 0 {
+				continue
+			}
+			var in jobLine
+			if json.Unmarshal(text, &in) != nil || in.ID != s.ID {
+				x.Abort() // not this session's answer: what it did is not known
+				return broker.Outcome{Code: broker.Broken}
+			}
+			if more := x.Load(in.Load); more != nil {
+				load = more
+			}
+			switch in.State {
+			case "started":
+				a.Started()
+				continue
+			case "running":
+				a.Progress(in.Share)
+				continue
+			case "done":
+				result, ok := resultBytes(in.Result)
+				if !ok {
+					x.Abort()
+					return broker.Outcome{Code: broker.Broken}
+				}
+				x.Finish()
+				return broker.Outcome{Code: broker.OK, Result: result, Load: load}
+			case "failed":
+				o = broker.Outcome{Code: broker.Failed, Load: load}
+			case "returned":
+				o = broker.Outcome{Code: broker.Full, Load: load}
+			case "lost":
+				o = broker.Outcome{Code: broker.Broken, Load: load}
+			default:
+				continue // a state of a later version
+			}
+			x.Finish()
+			return o
+		}
+	}
+}
+
+// resultBytes gives the result as the client is to get it: a text's characters,
+// anything else as written.
+func resultBytes(raw json.RawMessage) ([]byte, bool) {
+	if len(raw) == 0 {
+		return nil, false // done without a result is no answer
+	}
+	if raw[0] != '"' {
+		return raw, true
+	}
+	var text string
+	if json.Unmarshal(raw, &text) != nil {
+		return nil, false
+	}
+	return []byte(text), true
+}
+
+// readLine reads one bounded line. A last one without its end is a cut stream.
+func readLine(r *bufio.Reader) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		if len(line)+len(part) > maxLine {
+			return nil, bufio.ErrBufferFull
+		}
+		if err == nil && line == nil {
+			return trim(part), nil
+		}
+		line = append(line, part...)
+		if err == nil {
+			return trim(line), nil
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return nil, err
+		}
+	}
+}
+
+func trim(line []byte) []byte {
+	for len(line) > 0 && (line[len(line)-1] == '\n' || line[len(line)-1] == '\r') {
+		line = line[:len(line)-1]
+	}
+	return line
+}
--- /dev/null
+++ b/internal/platform/frontend.go
@@ -0,0 +1,260 @@
+// Package platform speaks the platform's protocol on both sides of the broker:
+// clients in front, loan workers behind, discovery beside. It is thin; what is
+// decided is decided in the module, and what is promised is kept by the broker.
+//
+// This file owns the frontend: sessions read, checked and answered, and the
+// sockets that clients hold. It must never hold an answer back, never panic on
+// what a client sends, and never let anything reach a loan worker unchecked.
+package platform
+
+import (
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"linnetlift/internal/broker"
+	"linnetlift/internal/config"
+)
+
+const (
+	maxBody    = 64 << 10
+	readWithin = 10 * time.Second // for a session's head, and again for its body
+)
+
+// Session is one request of a client, decoded once.
+type Session struct {
+	ID      string
+	Request broker.Request
+
+	method, uri, host string
+	header            http.Header
+	body              []byte
+}
+
+// Deny is a refusal or an error worded for HTTP.
+type Deny struct {
+	Status   int
+	Text     string
+	ComeBack time.Duration
+}
+
+// Write sends the deny.
+func (d *Deny) Write(w http.ResponseWriter) {
+	h := w.Header()
+	if d.ComeBack > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(math.Ceil(d.ComeBack.Seconds()*1000)/1000, 'f', -1, 64))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(d.Text)+1))
+	w.WriteHeader(d.Status)
+	io.WriteString(w, d.Text+"\n")
+}
+
+// Denial words a final answer that is not a result; nil for one that needs none.
+func Denial(a broker.Answer) *Deny {
+	switch {
+	case a.Verdict == broker.Refused && a.Over:
+		return &Deny{http.StatusTooManyRequests, "over the contract's budget", a.ComeBack}
+	case a.Verdict == broker.Refused:
+		return &Deny{http.StatusServiceUnavailable, "refused, try again", a.ComeBack}
+	case a.Verdict == broker.Failure && a.Late:
+		// Not 504 with a promise: 504 is a failure here, since only 429 and 503
+		// tell the client that trying again is harmless.
+		return &Deny{http.StatusGatewayTimeout, "no answer in time; it may have run", 0}
+	case a.Verdict == broker.Failure:
+		return &Deny{http.StatusBadGateway, "failed; it may have run", 0}
+	}
+	return nil
+}
+
+// Reader reads sessions off the wire.
+type Reader struct {
+	cfg  *config.Config
+	mu   sync.Mutex
+	open map[string]bool // ids of sessions not yet answered
+}
+
+// NewReader makes a Reader; both fronts share one.
+func NewReader(cfg *config.Config) *Reader { return &Reader{cfg: cfg, open: map[string]bool{}} }
+
+// Read checks and reads one session. Release is to be called once it is answered.
+func (rd *Reader) Read(w http.ResponseWriter, r *http.Request) (*Session, *Deny) {
+	bad := func(text string) (*Session, *Deny) { return nil, &Deny{Status: http.StatusBadRequest, Text: text} }
+	if r.Method != http.MethodPost {
+		w.Header().Set("Allow", "POST")
+		return nil, &Deny{Status: http.StatusMethodNotAllowed, Text: "jobs arrive by POST"}
+	}
+	s := &Session{ID: r.Header.Get("X-Request-Id"), method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header}
+	if s.ID == "" || len(s.ID) > 200 {
+		return bad("X-Request-ID: missing or too long")
+	}
+	name := r.Header.Get("X-Priority-Class")
+	if s.Request.Class = slices.Index(rd.cfg.Classes, name); s.Request.Class < 0 {
+		return bad("X-Priority-Class: missing or unknown")
+	}
+	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != name || !strings.HasPrefix(r.RequestURI, "/") {
+		return bad("the path does not begin with the class")
+	}
+	if len(rd.cfg.Tenants) > 0 {
+		if s.Request.Tenant = slices.Index(rd.cfg.Tenants, r.Header.Get("X-Tenant-Id")); s.Request.Tenant < 0 {
+			return bad("X-Tenant-Id: missing or unknown")
+		}
+	}
+	left := rd.cfg.Module.Classes[s.Request.Class].Deadline
+	if text := r.Header.Get("X-Timeout"); text != "" {
+		v, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(v > 0 && v <= 86400) {
+			return bad("X-Timeout: not a number of seconds")
+		}
+		left = time.Duration(v * float64(time.Second))
+	}
+	s.Request.Retry = r.Header.Get("X-Retried") == "1"
+	s.Request.Slots = 1
+	for part := range strings.SplitSeq(r.Header.Get("X-Attrs"), ",") {
+		key, text, _ := strings.Cut(strings.TrimSpace(part), "=")
+		v, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(v >= 0 && v < 1e6) {
+			continue // figures that are not understood are passed over, as on the wire
+		}
+		switch strings.ToLower(key) {
+		case "slots", "width":
+			s.Request.Slots = v
+		case "memory":
+			s.Request.Memory = v
+		}
+	}
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(readWithin))
+	var err error
+	s.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	// A time's up on reading after this point would look like a client that left.
+	control.SetReadDeadline(time.Time{})
+	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
+		return nil, &Deny{Status: http.StatusRequestEntityTooLarge, Text: "the body is over 64 KiB"}
+	} else if err != nil {
+		return bad("the body did not arrive")
+	}
+	s.Request.Deadline = time.Now().Add(left) // counted from the request's last byte
+	rd.mu.Lock()
+	defer rd.mu.Unlock()
+	// The same id again while the first is still out would be a second copy at
+	// the loan workers.
+	if rd.open[s.ID] {
+		return nil, &Deny{Status: http.StatusConflict, Text: "X-Request-ID: in use"}
+	}
+	rd.open[s.ID] = true
+	return s, nil
+}
+
+// Release frees the session's id.
+func (rd *Reader) Release(s *Session) {
+	rd.mu.Lock()
+	delete(rd.open, s.ID)
+	rd.mu.Unlock()
+}
+
+// Frontend answers clients.
+type Frontend struct {
+	broker   *broker.Broker
+	lines    *Lines
+	reader   *Reader
+	sockets  int // as many as clients may hold
+	draining atomic.Bool
+
+	mu    sync.Mutex
+	conns int
+	idle  []net.Conn // oldest first
+}
+
+// NewFrontend makes the platform's front.
+func NewFrontend(b *broker.Broker, l *Lines, rd *Reader, sockets int) *Frontend {
+	return &Frontend{broker: b, lines: l, reader: rd, sockets: sockets}
+}
+
+// Server returns the HTTP server for this front.
+func (f *Frontend) Server() *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		if f.draining.Load() {
+			(&Deny{Status: http.StatusServiceUnavailable, Text: "stopping"}).Write(w)
+			return
+		}
+		io.WriteString(w, "ok\n")
+	})
+	return &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/healthz" {
+				mux.ServeHTTP(w, r)
+				return
+			}
+			f.session(w, r)
+		}),
+		ReadHeaderTimeout: readWithin, IdleTimeout: 3 * time.Minute, MaxHeaderBytes: 32 << 10,
+		ConnState: f.connState,
+	}
+}
+
+// Drain makes the health check say that this dispatcher is stopping.
+func (f *Frontend) Drain() { f.draining.Store(true) }
+
+func (f *Frontend) session(w http.ResponseWriter, r *http.Request) {
+	if f.full() {
+		// What the kernel has accepted counts as taken: it gets its answer, and
+		// the socket is given back.
+		w.Header().Set("Connection", "close")
+		(&Deny{Status: http.StatusServiceUnavailable, Text: "too many connections", ComeBack: time.Second}).Write(w)
+		return
+	}
+	s, deny := f.reader.Read(w, r)
+	if deny != nil {
+		deny.Write(w)
+		return
+	}
+	defer f.reader.Release(s)
+	answer := f.broker.Serve(r.Context(), s.Request, f.lines.Do(s))
+	if deny := Denial(answer); deny != nil {
+		deny.Write(w)
+		return
+	}
+	if answer.Verdict == broker.Served {
+		w.Header().Set("Content-Type", "application/octet-stream")
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer.Result)))
+		w.Write(answer.Result)
+	}
+}
+
+// connState keeps count of clients' sockets. Past the budget the connection
+// that has been idle longest makes room: closing one between requests is free.
+func (f *Frontend) connState(c net.Conn, state http.ConnState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if i := slices.Index(f.idle, c); i >= 0 {
+		f.idle = slices.Delete(f.idle, i, i+1)
+	}
+	switch state {
+	case http.StateNew:
+		f.conns++
+		if f.conns > f.sockets && len(f.idle) > 0 {
+			f.idle[0].Close()
+			f.idle = f.idle[1:]
+		}
+	case http.StateIdle:
+		f.idle = append(f.idle, c)
+	case http.StateClosed, http.StateHijacked:
+		f.conns--
+	}
+}
+
+func (f *Frontend) full() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.conns > f.sockets
+}
