SSE front and recorded exchanges; keep a loan worker's connection past its answer

Seen: a recorded exchange (served.txt, 'dispatch B gets on A') found that the connection of an answered dispatch was not used again when the stream's end came after its last line. Checked: http.Transport's pool settings are as meant (no_resend.txt reuses when the end comes first); the drain goroutine did run. Cause: Serve ends its context when the answer is known, the request carried that context, and the transport closes a connection whose request is cancelled. Lines: Lines.Open in internal/platform/dispatch.go. Now the exchange has a context of its own, tied to the session's until Finish. Also: an empty body went out chunked; it now has its length, still without the library's resend. The second front (internal/sse) is new, off as shipped, and tested by the sse_*.txt exchanges.

--- /dev/null
+++ b/cmd/yardflow/exchange_test.go
@@ -0,0 +1,458 @@
+package main
+
+// This file plays recorded byte exchanges (testdata/*.txt) against the program:
+// stand-in clients in front, stand-in loan workers and a stand-in discovery
+// behind, all on loopback ports of the system's choice. It must never know what
+// the program does inside; whatever it checks went over a socket.
+//
+// An exchange is a list of steps, each a line that begins with "== " and the
+// text below it:
+//
+//	set PATH JSON             a settings key, before the start
+//	sse                       the second front is on, with sse.toml below
+//	list                      discovery tells: "ID LIFECYCLE [CELL]" a line; ID dead refuses connections
+//	client NAME sends         bytes of a request; "client NAME sends sse" for the second front
+//	client NAME gets          the whole answer, or its head, "an event" or "the end"
+//	client NAME closes
+//	dispatch NAME gets        the next request at any loan worker; "on NAME": over its connection; "none"
+//	dispatch NAME sends       bytes of an answer; "a chunk": of a chunked body; "the end": its end
+//	dispatch NAME closes      or "sees close": the dispatcher has closed it
+//
+// Figures that vary are written as *.
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"linnetlift/internal/config"
+	"linnetlift/internal/invariant"
+)
+
+const (
+	patience = 10 * time.Second       // for what must come
+	silence  = 150 * time.Millisecond // for what must not
+)
+
+func TestExchanges(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no exchanges", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			t.Parallel()
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			newStage(t).play(string(text))
+		})
+	}
+	t.Cleanup(func() {
+		if b := invariant.Broken(); len(b) > 0 {
+			t.Errorf("broken invariants: %v", b)
+		}
+	})
+}
+
+// stage is the world around one node.
+type stage struct {
+	t        *testing.T
+	settings map[string]any
+	sse      string
+	node     *node
+
+	workers    map[string]string // address by id
+	arrivals   chan *dispatch
+	dispatches map[string]*dispatch
+	clients    map[string]*client
+
+	mu         sync.Mutex
+	generation int
+	list       string
+	changed    chan struct{}
+	asked      chan int // the generation each watch asks from
+	discovery  *httptest.Server
+}
+
+type dispatch struct {
+	head, rest string
+	conn       net.Conn
+	closed     chan struct{}
+}
+
+type client struct {
+	conn net.Conn
+	in   *bufio.Reader
+	resp *http.Response
+	body *bufio.Reader
+}
+
+func newStage(t *testing.T) *stage {
+	s := &stage{t: t, workers: map[string]string{}, arrivals: make(chan *dispatch, 16), dispatches: map[string]*dispatch{},
+		clients: map[string]*client{}, changed: make(chan struct{}), asked: make(chan int, 1024)}
+	text, err := os.ReadFile("testdata/settings.json")
+	s.must(err)
+	s.must(json.Unmarshal(text, &s.settings))
+	s.discovery = httptest.NewServer(http.HandlerFunc(s.servers))
+	t.Cleanup(s.discovery.Close)
+	return s
+}
+
+func (s *stage) must(err error) {
+	s.t.Helper()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// servers is the stand-in discovery: a watch waits for what is newer.
+func (s *stage) servers(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.Atoi(r.FormValue("since"))
+	wait, _ := strconv.Atoi(r.FormValue("timeout_ms"))
+	s.asked <- since
+	limit := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		generation, list, changed := s.generation, s.list, s.changed
+		s.mu.Unlock()
+		if generation > since {
+			fmt.Fprintf(w, `{"generation":%d,"reset":true,"instances":[%s]}`, generation, list)
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit:
+			fmt.Fprintf(w, `{"generation":%d,"reset":false,"instances":[]}`, generation)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// worker starts a stand-in loan worker and returns its address.
+func (s *stage) worker(id string) string {
+	if s.workers[id] == "" {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		s.must(err)
+		s.workers[id] = l.Addr().String()
+		if id == "dead" {
+			l.Close()
+			return s.workers[id]
+		}
+		s.t.Cleanup(func() { l.Close() })
+		go func() {
+			for conn, err := l.Accept(); err == nil; conn, err = l.Accept() {
+				go s.serve(conn)
+			}
+		}()
+	}
+	return s.workers[id]
+}
+
+func (s *stage) serve(conn net.Conn) {
+	in := bufio.NewReader(conn)
+	closed := make(chan struct{})
+	defer close(closed)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		var lines []string
+		for name, v := range req.Header {
+			lines = append(lines, name+": "+strings.Join(v, ", "))
+		}
+		slices.Sort(lines)
+		s.arrivals <- &dispatch{conn: conn, closed: closed, rest: string(body),
+			head: req.Method + " " + req.RequestURI + "\n" + strings.Join(lines, "\n")}
+	}
+}
+
+var many = regexp.MustCompile(`\{x\d+\}`) // {x9}: nine times x
+
+var steps = regexp.MustCompile(`(?m)^== (.*)\n`)
+
+func (s *stage) play(text string) {
+	at := steps.FindAllStringSubmatchIndex(text, -1)
+	for i, m := range at {
+		end := len(text)
+		if i+1 < len(at) {
+			end = at[i+1][0]
+		}
+		var body []string
+		for line := range strings.Lines(text[m[1]:end]) {
+			if !strings.HasPrefix(line, "#") {
+				body = append(body, line)
+			}
+		}
+		s.step(text[m[2]:m[3]], strings.TrimSuffix(strings.Join(body, ""), "\n"))
+		if s.t.Failed() {
+			s.t.Fatalf("at step %d: %s", i+1, text[m[2]:m[3]])
+		}
+	}
+}
+
+func (s *stage) step(step, text string) {
+	text = many.ReplaceAllStringFunc(text, func(m string) string {
+		n, _ := strconv.Atoi(strings.Trim(m, "{x}"))
+		return strings.Repeat("x", n)
+	})
+	word := append(strings.Fields(step), "", "", "", "")
+	rest := strings.Join(word[3:], " ")
+	switch word[0] {
+	case "set":
+		var v any
+		s.must(json.Unmarshal([]byte(word[2]), &v))
+		set(s.settings, strings.Split(word[1], "."), v)
+	case "sse":
+		s.sse = text
+	case "list":
+		s.tell(text)
+	case "client":
+		s.client(word[1], word[2], strings.TrimSpace(rest), text)
+	case "dispatch":
+		s.dispatch(word[1], word[2], strings.TrimSpace(rest), text)
+	default:
+		s.t.Fatalf("no such step: %s", step)
+	}
+}
+
+func set(in any, path []string, v any) {
+	switch in := in.(type) {
+	case map[string]any:
+		if len(path) == 1 {
+			in[path[0]] = v
+			return
+		}
+		set(in[path[0]], path[1:], v)
+	case []any:
+		i, _ := strconv.Atoi(path[0])
+		set(in[i], path[1:], v)
+	}
+}
+
+// start runs the node under the settings so far.
+func (s *stage) start() {
+	dir := s.t.TempDir()
+	write := func(name string, text []byte) string {
+		s.must(os.WriteFile(filepath.Join(dir, name), text, 0o600))
+		return filepath.Join(dir, name)
+	}
+	text, err := json.Marshal(map[string]any{"name": "n0", "seed": "01", "settings": s.settings, "listen": "127.0.0.1:0",
+		"discovery": s.discovery.Listener.Addr().String(), "known": map[string]any{"generation": 0, "instances": []any{}}})
+	s.must(err)
+	env := map[string]string{"NODE_CONFIG": write("config.json", text)}
+	toml := filepath.Join(dir, "none")
+	if s.sse != "" {
+		toml = write("sse.toml", []byte(s.sse))
+	}
+	cfg, err := config.Load(func(k string) string { return env[k] }, toml)
+	s.must(err)
+	s.node, err = start(cfg)
+	s.must(err)
+	s.t.Cleanup(func() {
+		for _, c := range s.clients {
+			c.conn.Close()
+		}
+		for _, d := range s.dispatches {
+			d.conn.Close()
+		}
+		if err := s.node.stop(); err != nil {
+			s.t.Error("stop:", err)
+		}
+	})
+}
+
+// tell changes the list and waits until the node has it: its next watch asks
+// from the new generation.
+func (s *stage) tell(text string) {
+	var list []string
+	for line := range strings.Lines(text) {
+		f := append(strings.Fields(line), "1")
+		list = append(list, fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"praha-holesovice","machineType":"dual-fast","cell":%s,"lifecycle":%q,"weight":1,"startedAtMs":0}`,
+			f[0], s.worker(f[0]), f[2], f[1]))
+	}
+	s.mu.Lock()
+	s.generation++
+	generation := s.generation
+	s.list = strings.Join(list, ",")
+	close(s.changed)
+	s.changed = make(chan struct{})
+	s.mu.Unlock()
+	if s.node == nil {
+		s.start()
+	}
+	for limit := time.After(patience); ; {
+		select {
+		case since := <-s.asked:
+			if since == generation {
+				return
+			}
+		case <-limit:
+			s.t.Fatal("the node never asked for what comes after the list")
+		}
+	}
+}
+
+// wire turns a text into bytes: lines of the head end in CRLF, and what follows
+// the first empty line is as written.
+func wire(text string) string {
+	head, body, _ := strings.Cut(text+"\n", "\n\n")
+	return strings.ReplaceAll(strings.TrimSuffix(head, "\n"), "\n", "\r\n") + "\r\n\r\n" + strings.TrimSuffix(body, "\n")
+}
+
+var varying = regexp.MustCompile(`(?m)^(X-Timeout|Retry-After): [0-9.]+$`)
+
+func (s *stage) compare(got, want string) {
+	s.t.Helper()
+	got = varying.ReplaceAllString(strings.ReplaceAll(got, "\r", `\r`), "$1: *")
+	got = regexp.MustCompile(`"retry_after":[0-9.]+`).ReplaceAllString(got, `"retry_after":*`)
+	if diff := cmp.Diff(strings.TrimSpace(want), strings.TrimSpace(got)); diff != "" {
+		s.t.Errorf("-want +got:\n%s", diff)
+	}
+}
+
+func (s *stage) client(name, verb, rest, text string) {
+	c := s.clients[name]
+	switch {
+	case verb == "sends":
+		if c == nil {
+			addr := s.node.addr
+			if rest == "sse" {
+				addr = s.node.sseAddr
+			}
+			conn, err := net.Dial("tcp", addr.String())
+			s.must(err)
+			c = &client{conn: conn, in: bufio.NewReader(conn)}
+			s.clients[name] = c
+		}
+		bytes := wire(text)
+		if head, body, _ := strings.Cut(bytes, "\r\n\r\n"); !strings.Contains(head, "Content-Length") && !strings.Contains(head, "chunked") {
+			bytes = fmt.Sprintf("%s\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
+		}
+		_, err := io.WriteString(c.conn, bytes)
+		s.must(err)
+	case verb == "closes":
+		c.conn.Close()
+	case verb == "gets":
+		s.must(c.conn.SetReadDeadline(time.Now().Add(patience)))
+		if c.resp == nil {
+			resp, err := http.ReadResponse(c.in, nil)
+			s.must(err)
+			resp.Header.Del("Date")
+			c.resp, c.body = resp, bufio.NewReader(resp.Body)
+		}
+		head := strconv.Itoa(c.resp.StatusCode)
+		if c.resp.Close {
+			head += "\nConnection: close"
+		}
+		for _, name := range []string{"Content-Type", "Retry-After"} {
+			if v := c.resp.Header.Get(name); v != "" && !(name == "Content-Type" && strings.HasPrefix(v, "text/plain")) {
+				head += "\n" + name + ": " + v
+			}
+		}
+		switch rest {
+		case "the head":
+			s.compare(head, text)
+		case "an event":
+			event := ""
+			for {
+				line, err := c.body.ReadString('\n')
+				s.must(err)
+				if line == "\n" {
+					break
+				}
+				event += line
+			}
+			s.compare(event, text)
+		default: // the whole answer, or "the end"
+			body, err := io.ReadAll(c.body)
+			s.must(err)
+			if rest == "the end" {
+				head, text = "", ""
+			}
+			c.resp = nil
+			s.compare(head+"\n\n"+string(body), text)
+		}
+	default:
+		s.t.Fatalf("no such step: client %s", verb)
+	}
+}
+
+func (s *stage) dispatch(name, verb, rest, text string) {
+	if verb == "gets" {
+		limit := patience
+		if rest == "none" {
+			limit = silence
+		}
+		select {
+		case d := <-s.arrivals:
+			if rest == "none" {
+				s.t.Fatalf("a dispatch that must not be:\n%s", d.head)
+			}
+			s.dispatches[name] = d
+			if first, ok := strings.CutPrefix(rest, "on "); ok && d.conn != s.dispatches[first].conn {
+				s.t.Errorf("not on the connection of dispatch %s", first)
+			}
+			s.compare(d.head+"\n\n"+d.rest, text)
+		case <-time.After(limit):
+			if rest != "none" {
+				s.t.Fatal("no dispatch came")
+			}
+		}
+		return
+	}
+	d := s.dispatches[name]
+	switch verb + " " + rest {
+	case "sends ":
+		_, err := io.WriteString(d.conn, wire(text))
+		s.must(err)
+	case "sends a chunk":
+		// A text in Go's quotes is bytes to the letter; others are whole lines.
+		if quoted, err := strconv.Unquote(text); err == nil {
+			text = quoted
+		} else {
+			text += "\n"
+		}
+		chunks := httputil.NewChunkedWriter(d.conn)
+		_, err := io.WriteString(chunks, text)
+		s.must(err)
+	case "sends the end":
+		_, err := io.WriteString(d.conn, "0\r\n\r\n")
+		s.must(err)
+		s.node.lines.Settle() // the connection is free again
+	case "closes ":
+		d.conn.Close()
+	case "sees close":
+		select {
+		case <-d.closed:
+		case <-time.After(patience):
+			s.t.Fatal("the connection stands")
+		}
+	default:
+		s.t.Fatalf("no such step: dispatch %s %s", verb, rest)
+	}
+}
--- a/cmd/yardflow/main.go
+++ b/cmd/yardflow/main.go
@@ -14,6 +14,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -21,6 +22,7 @@
 	"linnetlift/internal/config"
 	"linnetlift/internal/invariant"
 	"linnetlift/internal/platform"
+	"linnetlift/internal/sse"
 )
 
 // lameDuck is how long new connections are still taken after SIGTERM: the front
@@ -46,67 +48,109 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return serve(ctx, cfg)
-}
-
-func serve(ctx context.Context, cfg *config.Config) error {
 	runtime.GOMAXPROCS(max(int(math.Ceil(cfg.Limits.Cores)), 1))
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 7 / 10)
 	debug.SetGCPercent(200)
+	n, err := start(cfg)
+	if err != nil {
+		return err
+	}
+	log.Printf("%s serves on %s", cfg.Name, n.addr)
+	select {
+	case err := <-n.failed:
+		return err
+	case <-ctx.Done():
+	}
+	log.Print("stopping")
+	err = n.stop()
+	log.Printf("stopped; %+v; broken invariants: %v", n.broker.Stats(), invariant.Broken())
+	return err
+}
 
+// node is one running dispatcher.
+type node struct {
+	cfg           *config.Config
+	broker        *broker.Broker
+	lines         *platform.Lines
+	front         *platform.Frontend
+	servers       []*http.Server
+	addr, sseAddr net.Addr // where the fronts listen; sseAddr nil: off
+	failed        chan error
+	unfollow      func()
+}
+
+func start(cfg *config.Config) (*node, error) {
+	n := &node{cfg: cfg, failed: make(chan error, 2)}
 	var contracts []broker.Contract
 	for _, k := range cfg.SSE.Contracts {
 		contracts = append(contracts, broker.Contract{Team: k.Team, Rate: k.Rate, Burst: k.Burst, MaxOpen: k.MaxOpen})
 	}
-	b, err := broker.New(cfg.Module, cfg.Seed, contracts, func(s string) { log.Print(s) })
-	if err != nil {
-		return err
+	logLine := func(s string) { log.Print(s) }
+	var err error
+	if n.broker, err = broker.New(cfg.Module, cfg.Seed, contracts, logLine); err != nil {
+		return nil, err
 	}
-	defer b.Close()
-	table, err := platform.NewTable(cfg, b, func(s string) { log.Print(s) })
+	table, err := platform.NewTable(cfg, n.broker, logLine)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	// Sockets: a tenth and the listeners in reserve, a third of the rest to loan
 	// workers, two thirds to clients.
 	rest := cfg.Limits.Sockets - 24 - cfg.Limits.Sockets/10
-	lines := platform.NewLines(cfg, rest/3)
+	n.lines = platform.NewLines(cfg, rest/3)
 	reader := platform.NewReader(cfg)
-	front := platform.NewFrontend(b, lines, reader, rest-rest/3)
+	n.front = platform.NewFrontend(n.broker, n.lines, reader, rest-rest/3)
+	if n.addr, err = n.listen("NODE_LISTEN", cfg.Listen, n.front.Server()); err != nil {
+		return nil, err
+	}
+	if cfg.SSE.Enabled {
+		front := sse.New(cfg, n.broker, n.lines, reader, n.front.Full)
+		server := front.Server()
+		server.ConnState = n.front.ConnState // one budget of sockets for both fronts
+		if n.sseAddr, err = n.listen("deploy/sse.toml: listen", cfg.SSE.Listen, server); err != nil {
+			return nil, err
+		}
+	}
+	var follow context.Context
+	follow, n.unfollow = context.WithCancel(context.Background())
+	go table.Run(follow)
+	return n, nil
+}
 
-	l, err := net.Listen("tcp", cfg.Listen)
+func (n *node) listen(key, addr string, server *http.Server) (net.Addr, error) {
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
-		return fmt.Errorf("NODE_LISTEN: %w", err)
+		return nil, fmt.Errorf("%s: %w", key, err)
 	}
-	follow, unfollow := context.WithCancel(context.Background())
-	defer unfollow()
-	go table.Run(follow)
-	server := front.Server()
-	failed := make(chan error, 2)
+	n.servers = append(n.servers, server)
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			failed <- err
+			n.failed <- err
 		}
 	}()
-	log.Printf("%s serves on %s", cfg.Name, l.Addr())
-	select {
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
-	}
+	return l.Addr(), nil
+}
 
-	log.Print("stopping")
-	front.Drain()
+// stop ends the node as a planned restart asks: new connections are taken a
+// little longer, then idle ones are closed, and all that was taken is answered.
+func (n *node) stop() error {
+	n.front.Drain()
 	time.Sleep(lameDuck)
 	longest := time.Duration(0)
-	for _, c := range cfg.Module.Classes {
+	for _, c := range n.cfg.Module.Classes {
 		longest = max(longest, c.Deadline)
 	}
 	end, cancel := context.WithTimeout(context.Background(), longest+time.Second)
 	defer cancel()
-	server.SetKeepAlivesEnabled(false)
-	err = server.Shutdown(end)
-	lines.CloseIdle()
-	log.Printf("stopped; %+v; broken invariants: %v", b.Stats(), invariant.Broken())
-	return err
+	errs := make([]error, len(n.servers))
+	var wg sync.WaitGroup
+	for i, server := range n.servers {
+		server.SetKeepAlivesEnabled(false)
+		wg.Go(func() { errs[i] = server.Shutdown(end) })
+	}
+	wg.Wait()
+	n.unfollow()
+	n.lines.CloseIdle()
+	n.broker.Close()
+	return errors.Join(errs...)
 }
--- /dev/null
+++ b/deploy/check.sh
@@ -0,0 +1,27 @@
+#!/bin/sh
+# Starts what was built, as the platform would: the real program takes its
+# configuration, serves its health check and stops on SIGTERM; the adapter ends
+# with its input; a faulty configuration is named by its key.
+set -eu
+dir=$(mktemp -d)
+trap 'rm -rf "$dir"' EXIT
+printf '{"name":"n0","seed":"01","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":%s}' \
+	"$(cat cmd/yardflow/testdata/settings.json)" > "$dir/config.json"
+NODE_CONFIG="$dir/config.json" bin/yardflow check
+bin/adapter < /dev/null
+sed 's/"MaxAttempts": 4/"MaxAttempts": 0/' "$dir/config.json" > "$dir/bad.json"
+if NODE_CONFIG="$dir/bad.json" bin/yardflow check 2> "$dir/err"; then
+	echo "a faulty configuration was taken"; exit 1
+fi
+grep -q 'Limits.MaxAttempts' "$dir/err" || { echo "the faulty key is not named:"; cat "$dir/err"; exit 1; }
+NODE_CONFIG="$dir/config.json" bin/yardflow 2> "$dir/log" &
+pid=$!
+i=0
+until grep -q 'serves on' "$dir/log"; do
+	i=$((i + 1))
+	if [ $i -gt 300 ] || ! kill -0 $pid 2> /dev/null; then echo "did not start:"; cat "$dir/log"; exit 1; fi
+	sleep 0.1
+done
+kill -TERM $pid
+wait $pid || { echo "did not stop in order:"; cat "$dir/log"; exit 1; }
+echo "start checks passed"
--- a/internal/platform/dispatch.go
+++ b/internal/platform/dispatch.go
@@ -40,6 +40,7 @@
 	transport *http.Transport
 	columns   []string
 	sockets   chan struct{} // one for each socket open to loan workers
+	finishing sync.WaitGroup
 }
 
 // NewLines makes the connections' owner; sockets bounds how many it may hold.
@@ -63,6 +64,9 @@
 // CloseIdle closes the connections that carry nothing.
 func (l *Lines) CloseIdle() { l.transport.CloseIdleConnections() }
 
+// Settle waits until answers that have ended are read to their end.
+func (l *Lines) Settle() { l.finishing.Wait() }
+
 // line is one connection. Closing it is complete when Close returns, which is
 // what lets a dispatch be told as ended.
 type line struct {
@@ -133,6 +137,8 @@
 	resp   *http.Response
 	conn   *line
 	lines  *Lines
+	unhook func() bool // takes the exchange out of ctx
+	cancel func()
 }
 
 // Open writes the session to the attempt's loan worker and reads the head of
@@ -161,8 +167,14 @@
 			before = conn.written.Load()
 		}
 	}
-	resp, err := l.transport.RoundTrip(s.request(httptrace.WithClientTrace(ctx, trace), a, accept))
+	// ctx ends as soon as the session is answered, which is before the answer's
+	// stream has ended: the transport would close a sound connection for it. So
+	// the exchange has a context of its own, tied to ctx until Finish.
+	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	unhook := context.AfterFunc(ctx, cancel)
+	resp, err := l.transport.RoundTrip(s.request(httptrace.WithClientTrace(own, trace), ctx, a, accept))
 	if err != nil {
+		cancel()
 		if conn != nil {
 			conn.Close()
 		}
@@ -177,7 +189,8 @@
 		}
 		return nil, ended(ctx)
 	}
-	x := &Exchange{Reader: bufio.NewReaderSize(resp.Body, 4096), Header: resp.Header, ctx: ctx, resp: resp, conn: conn, lines: l}
+	x := &Exchange{Reader: bufio.NewReaderSize(resp.Body, 4096), Header: resp.Header, ctx: ctx, resp: resp, conn: conn, lines: l,
+		unhook: unhook, cancel: cancel}
 	if resp.StatusCode == http.StatusOK {
 		return x, broker.Outcome{}
 	}
@@ -208,6 +221,7 @@
 	if x.conn != nil {
 		x.conn.Close()
 	}
+	x.cancel()
 	x.resp.Body.Close()
 	return o
 }
@@ -215,7 +229,9 @@
 // Finish reads what is left of an answer that has ended, behind the caller's
 // back, so that the connection can carry the next dispatch.
 func (x *Exchange) Finish() {
-	go func() {
+	x.unhook()
+	x.lines.finishing.Go(func() {
+		defer x.cancel()
 		slow := time.AfterFunc(drainTime, func() {
 			if x.conn != nil {
 				x.conn.Close()
@@ -224,7 +240,7 @@
 		io.Copy(io.Discard, io.LimitReader(x.Reader, maxLine))
 		slow.Stop()
 		x.resp.Body.Close()
-	}()
+	})
 }
 
 // Load reads a load report that came as a JSON object.
@@ -258,7 +274,7 @@
 }
 
 // request words the session for the wire, once for each dispatch.
-func (s *Session) request(ctx context.Context, a *broker.Attempt, accept string) *http.Request {
+func (s *Session) request(own, ctx context.Context, a *broker.Attempt, accept string) *http.Request {
 	h := make(http.Header, 10)
 	for _, name := range passed {
 		if v, ok := s.header[name]; ok {
@@ -276,7 +292,14 @@
 	req := &http.Request{Method: s.method, URL: &url.URL{Scheme: "http", Host: a.Addr, Opaque: s.uri},
 		Host: s.host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Body: &body{s.body}, ContentLength: int64(len(s.body))}
-	return req.WithContext(ctx)
+	if len(s.body) == 0 {
+		// The library would send an empty body of unknown type in chunks, and one
+		// that it knows to be empty again on its own. So no encoding, and the
+		// length in a spelling that it passes on.
+		req.TransferEncoding = []string{"identity"}
+		h["content-length"] = []string{"0"}
+	}
+	return req.WithContext(own)
 }
 
 // passed are the headers that go on unchanged; the transport adds the framing.
@@ -298,50 +321,58 @@
 		if x == nil {
 			return o
 		}
-		load := x.Load([]byte(x.Header.Get("X-Server-Load")))
-		for {
-			text, err := readLine(x.Reader)
-			if err != nil {
-				return x.Abort()
-			}
-			if len(text) == 0 {
-				continue
-			}
-			var in jobLine
-			if json.Unmarshal(text, &in) != nil || in.ID != s.ID {
-				x.Abort() // not this session's answer: what it did is not known
+		return x.Lines(a, s, x.Load([]byte(x.Header.Get("X-Server-Load"))), nil)
+	}
+}
+
+// Lines reads a loan worker's lines to the last one and tells the outcome. Each
+// line that is not the last goes to progress too, where there is one.
+func (x *Exchange) Lines(a *broker.Attempt, s *Session, load []float64, progress func(state string, line []byte)) broker.Outcome {
+	for {
+		text, err := readLine(x.Reader)
+		if err != nil {
+			return x.Abort()
+		}
+		if len(text) == 0 {
+			continue
+		}
+		var in jobLine
+		if json.Unmarshal(text, &in) != nil || in.ID != s.ID {
+			x.Abort() // not this session's answer: what it did is not known
+			return broker.Outcome{Code: broker.Broken}
+		}
+		if more := x.Load(in.Load); more != nil {
+			load = more
+		}
+		o := broker.Outcome{Load: load}
+		switch in.State {
+		case "done":
+			var ok bool
+			if o.Result, ok = resultBytes(in.Result); !ok {
+				x.Abort()
 				return broker.Outcome{Code: broker.Broken}
 			}
-			if more := x.Load(in.Load); more != nil {
-				load = more
-			}
+			o.Code = broker.OK
+		case "failed":
+			o.Code = broker.Failed
+		case "returned":
+			o.Code = broker.Full
+		case "lost":
+			o.Code = broker.Broken
+		default: // progress, or a state of a later version
 			switch in.State {
 			case "started":
 				a.Started()
-				continue
 			case "running":
 				a.Progress(in.Share)
-				continue
-			case "done":
-				result, ok := resultBytes(in.Result)
-				if !ok {
-					x.Abort()
-					return broker.Outcome{Code: broker.Broken}
-				}
-				x.Finish()
-				return broker.Outcome{Code: broker.OK, Result: result, Load: load}
-			case "failed":
-				o = broker.Outcome{Code: broker.Failed, Load: load}
-			case "returned":
-				o = broker.Outcome{Code: broker.Full, Load: load}
-			case "lost":
-				o = broker.Outcome{Code: broker.Broken, Load: load}
-			default:
-				continue // a state of a later version
 			}
-			x.Finish()
-			return o
+			if progress != nil {
+				progress(in.State, text)
+			}
+			continue
 		}
+		x.Finish()
+		return o
 	}
 }
 
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -58,6 +58,9 @@
 	io.WriteString(w, d.Text+"\n")
 }
 
+// TooMany is the deny on a connection past the budget of sockets.
+var TooMany = &Deny{http.StatusServiceUnavailable, "too many connections", time.Second}
+
 // Denial words a final answer that is not a result; nil for one that needs none.
 func Denial(a broker.Answer) *Deny {
 	switch {
@@ -198,7 +201,7 @@
 			f.session(w, r)
 		}),
 		ReadHeaderTimeout: readWithin, IdleTimeout: 3 * time.Minute, MaxHeaderBytes: 32 << 10,
-		ConnState: f.connState,
+		ConnState: f.ConnState,
 	}
 }
 
@@ -206,11 +209,11 @@
 func (f *Frontend) Drain() { f.draining.Store(true) }
 
 func (f *Frontend) session(w http.ResponseWriter, r *http.Request) {
-	if f.full() {
+	if f.Full() {
 		// What the kernel has accepted counts as taken: it gets its answer, and
 		// the socket is given back.
 		w.Header().Set("Connection", "close")
-		(&Deny{Status: http.StatusServiceUnavailable, Text: "too many connections", ComeBack: time.Second}).Write(w)
+		TooMany.Write(w)
 		return
 	}
 	s, deny := f.reader.Read(w, r)
@@ -231,9 +234,9 @@
 	}
 }
 
-// connState keeps count of clients' sockets. Past the budget the connection
+// ConnState keeps count of clients' sockets. Past the budget the connection
 // that has been idle longest makes room: closing one between requests is free.
-func (f *Frontend) connState(c net.Conn, state http.ConnState) {
+func (f *Frontend) ConnState(c net.Conn, state http.ConnState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if i := slices.Index(f.idle, c); i >= 0 {
@@ -253,7 +256,8 @@
 	}
 }
 
-func (f *Frontend) full() bool {
+// Full tells whether clients hold more sockets than they may.
+func (f *Frontend) Full() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.conns > f.sockets
--- /dev/null
+++ b/internal/sse/front.go
@@ -0,0 +1,316 @@
+// Package sse is the second front: a client posts a job, sees its progress as
+// server-sent events, and gets one final event. It stands on the same broker,
+// decisions, server table and connections as the platform's front.
+//
+// This file owns the way from a team's request to its final event, and the
+// bounded queue before a slow reader. It must never take progress for a result,
+// never send a second final event, and never send a worker anything itself: it
+// hands the broker an attempt function and does what comes back.
+package sse
+
+import (
+	"context"
+	"encoding/json"
+	"mime"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"linnetlift/internal/broker"
+	"linnetlift/internal/config"
+	"linnetlift/internal/invariant"
+	"linnetlift/internal/platform"
+)
+
+// Names of the events sent to clients; what a worker names otherwise goes on
+// under its own name.
+const (
+	typeResult    = "result"    // final: the worker's answer
+	typeError     = "error"     // final: refused or failed
+	typeRestarted = "restarted" // progress begins anew at another try
+)
+
+// Front answers clients with event streams.
+type Front struct {
+	cfg    *config.Config
+	broker *broker.Broker
+	lines  *platform.Lines
+	reader *platform.Reader
+	full   func() bool // clients hold all the sockets they may
+}
+
+// New makes the front.
+func New(cfg *config.Config, b *broker.Broker, l *platform.Lines, rd *platform.Reader, full func() bool) *Front {
+	return &Front{cfg, b, l, rd, full}
+}
+
+// Server returns the HTTP server for this front.
+func (f *Front) Server() *http.Server {
+	return &http.Server{Handler: http.HandlerFunc(f.session),
+		ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 32 << 10}
+}
+
+// contract finds the team's contract and what it says of this session.
+func (f *Front) contract(r *http.Request) (*config.Contract, *platform.Deny) {
+	team := r.Header.Get("X-Team")
+	i := slices.IndexFunc(f.cfg.SSE.Contracts, func(k config.Contract) bool { return k.Team == team })
+	if i < 0 {
+		return nil, &platform.Deny{Status: http.StatusForbidden, Text: "X-Team: no contract"}
+	}
+	k := &f.cfg.SSE.Contracts[i]
+	if class := r.Header.Get("X-Priority-Class"); slices.Contains(f.cfg.Classes, class) && !slices.Contains(k.Classes, class) {
+		return nil, &platform.Deny{Status: http.StatusForbidden, Text: "X-Priority-Class: not in the contract"}
+	}
+	switch r.Header.Get("X-Tenant-Id") {
+	case "":
+		r.Header.Set("X-Tenant-Id", k.Tenant)
+	case k.Tenant:
+	default:
+		return nil, &platform.Deny{Status: http.StatusForbidden, Text: "X-Tenant-Id: not in the contract"}
+	}
+	return k, nil
+}
+
+func (f *Front) session(w http.ResponseWriter, r *http.Request) {
+	k, deny := f.contract(r)
+	if f.full() {
+		w.Header().Set("Connection", "close")
+		deny = platform.TooMany
+	}
+	if deny != nil {
+		deny.Write(w)
+		return
+	}
+	s, deny := f.reader.Read(w, r)
+	if deny != nil {
+		deny.Write(w)
+		return
+	}
+	defer f.reader.Release(s)
+	s.Request.Team = k.Team
+	// A reader too slow for its stream is one that has gone: that ends ctx too,
+	// and with it the dispatch.
+	ctx, gone := context.WithCancel(r.Context())
+	defer gone()
+	st := newStream(w, f.cfg.SSE, gone)
+	answer := f.broker.Serve(ctx, s.Request, f.do(s, st))
+	if answer.Verdict == broker.Gone {
+		st.abandon()
+		return
+	}
+	deny = platform.Denial(answer)
+	if deny == nil {
+		st.finish(Event{Type: typeResult, Data: string(answer.Result)})
+		return
+	}
+	if !st.started() {
+		deny.Write(w) // nothing is out yet: the plain status says it best
+		return
+	}
+	text, _ := json.Marshal(struct {
+		Status     int     `json:"status"`
+		Error      string  `json:"error"`
+		RetryAfter float64 `json:"retry_after,omitempty"`
+		Harmless   bool    `json:"retry_harmless"`
+	}{deny.Status, deny.Text, deny.ComeBack.Seconds(), answer.Verdict == broker.Refused})
+	st.finish(Event{Type: typeError, Data: string(text)})
+}
+
+// do is the attempt function: one dispatch, its events carried on as progress.
+func (f *Front) do(s *platform.Session, st *stream) broker.Do {
+	return func(ctx context.Context, a *broker.Attempt) broker.Outcome {
+		x, o := f.lines.Open(ctx, a, s, "text/event-stream, application/json;q=0.5")
+		if x == nil {
+			return o
+		}
+		load := x.Load([]byte(x.Header.Get("X-Server-Load")))
+		if kind, _, _ := mime.ParseMediaType(x.Header.Get("Content-Type")); kind != "text/event-stream" {
+			// A loan worker that knows no events: its lines tell as much.
+			return x.Lines(a, s, load, func(state string, line []byte) {
+				st.progress(a.N, Event{Type: state, Data: string(line)})
+			})
+		}
+		events := NewScanner(x.Reader, f.cfg.SSE.MaxEventBytes)
+		for {
+			e, err := events.Next()
+			if err != nil {
+				return x.Abort() // cut before its final event: a reset, or our own time's up
+			}
+			switch e.Type {
+			case "load":
+				if report := x.Load([]byte(e.Data)); report != nil {
+					load = report
+				}
+				continue
+			case "done":
+				x.Finish()
+				return broker.Outcome{Code: broker.OK, Result: []byte(e.Data), Load: load}
+			case "failed":
+				o = broker.Outcome{Code: broker.Failed, Load: load}
+			case "returned":
+				o = broker.Outcome{Code: broker.Full, Load: load}
+			case "lost":
+				o = broker.Outcome{Code: broker.Broken, Load: load}
+			default:
+				f.progress(a, e)
+				st.progress(a.N, e)
+				continue
+			}
+			x.Finish()
+			return o
+		}
+	}
+}
+
+// progress tells the broker what an event says of the job.
+func (f *Front) progress(a *broker.Attempt, e Event) {
+	switch e.Type {
+	case "started":
+		a.Started()
+	case "progress", "running":
+		var in struct{ Share float64 }
+		if json.Unmarshal([]byte(e.Data), &in) == nil {
+			a.Progress(in.Share)
+		}
+	}
+}
+
+// stream is the way to one client. Progress that it is too slow for is dropped,
+// oldest first; its final event never is.
+type stream struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	cfg     config.SSE
+	gone    func()
+
+	mu      sync.Mutex
+	queue   []Event
+	on      bool // the head is out, or about to be
+	over    bool // nothing more is queued: the final event is, or none will come
+	final   bool // the final event was asked for
+	attempt int
+	count   int
+	poke    chan struct{}
+	ended   chan struct{}
+}
+
+func newStream(w http.ResponseWriter, cfg config.SSE, gone func()) *stream {
+	return &stream{w: w, control: http.NewResponseController(w), cfg: cfg, gone: gone,
+		poke: make(chan struct{}, 1), ended: make(chan struct{})}
+}
+
+func (st *stream) started() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.on
+}
+
+// progress queues one event of an attempt. A worker's event may not bear the
+// name of a final one: whatever it holds, it is no result.
+func (st *stream) progress(attempt int, e Event) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if e.Type == typeResult || e.Type == typeError || e.Type == typeRestarted {
+		e.Type = "progress"
+	}
+	if st.on && attempt != st.attempt {
+		st.put(Event{Type: typeRestarted, Data: `{"attempt":` + strconv.Itoa(attempt+1) + `}`})
+	}
+	st.attempt = attempt
+	st.put(e)
+}
+
+// put queues e under the stream's own ids; mu is held.
+func (st *stream) put(e Event) {
+	if st.over {
+		return
+	}
+	st.count++
+	e.ID = strconv.Itoa(st.count)
+	if len(st.queue) >= st.cfg.Buffer {
+		st.queue = slices.Delete(st.queue, 0, 1)
+	}
+	st.queue = append(st.queue, e)
+	if !st.on {
+		st.on = true
+		go st.write()
+	}
+	st.signal()
+}
+
+func (st *stream) signal() {
+	select {
+	case st.poke <- struct{}{}:
+	default:
+	}
+}
+
+// finish sends the one final event and waits until it is out.
+func (st *stream) finish(e Event) {
+	st.mu.Lock()
+	if !invariant.Hold(!st.final, "a second final event") {
+		st.mu.Unlock()
+		return
+	}
+	st.final = true
+	st.put(e)
+	st.over = true
+	st.mu.Unlock()
+	st.signal()
+	<-st.ended
+}
+
+// abandon ends a stream whose client has gone.
+func (st *stream) abandon() {
+	st.mu.Lock()
+	st.over, st.queue = true, nil
+	on := st.on
+	st.mu.Unlock()
+	if on {
+		st.signal()
+		<-st.ended
+	}
+}
+
+// write is the one goroutine that touches the response once a stream is on.
+func (st *stream) write() {
+	defer close(st.ended)
+	h := st.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	h.Set("X-Accel-Buffering", "no")
+	beat := time.NewTicker(st.cfg.Heartbeat.Duration)
+	defer beat.Stop()
+	var out []byte
+	for {
+		out = out[:0]
+		select {
+		case <-st.poke:
+		case <-beat.C:
+			out = append(out, ": \n\n"...)
+		}
+		st.mu.Lock()
+		for _, e := range st.queue {
+			out = e.Append(out)
+		}
+		st.queue = st.queue[:0]
+		over := st.over
+		st.mu.Unlock()
+		if len(out) > 0 {
+			st.control.SetWriteDeadline(time.Now().Add(st.cfg.WriteTimeout.Duration))
+			if _, err := st.w.Write(out); err != nil || st.control.Flush() != nil {
+				st.mu.Lock()
+				st.over = true
+				st.mu.Unlock()
+				st.gone()
+				return
+			}
+			st.control.SetWriteDeadline(time.Time{})
+		}
+		if over {
+			return
+		}
+	}
+}
