--- a/cmd/yardflow/exchange_test.go
+++ b/cmd/yardflow/exchange_test.go
@@ -76,6 +76,7 @@
 type stage struct {
 	t        *testing.T
 	settings map[string]any
+	limits   map[string]any
 	sse      string
 	node     *node
 
@@ -261,7 +262,7 @@
 		s.must(os.WriteFile(filepath.Join(dir, name), text, 0o600))
 		return filepath.Join(dir, name)
 	}
-	text, err := json.Marshal(map[string]any{"name": "n0", "seed": "01", "settings": s.settings, "listen": "127.0.0.1:0",
+	text, err := json.Marshal(map[string]any{"name": "n0", "seed": "01", "settings": s.settings, "limits": s.limits, "listen": "127.0.0.1:0",
 		"discovery": s.discovery.Listener.Addr().String(), "known": map[string]any{"generation": 0, "instances": []any{}}})
 	s.must(err)
 	env := map[string]string{"NODE_CONFIG": write("config.json", text)}
--- a/cmd/yardflow/main.go
+++ b/cmd/yardflow/main.go
@@ -20,6 +20,7 @@
 
 	"linnetlift/internal/broker"
 	"linnetlift/internal/config"
+	"linnetlift/internal/haproxy"
 	"linnetlift/internal/invariant"
 	"linnetlift/internal/platform"
 	"linnetlift/internal/sse"
@@ -37,12 +38,22 @@
 	}
 }
 
+const usage = `usage: yardflow              run as a dispatcher; NODE_CONFIG names its configuration
+       yardflow check        read and check the configuration, start nothing
+       yardflow import FILE  turn an HAProxy configuration into ours, on standard output`
+
 func run() error {
+	if len(os.Args) == 3 && os.Args[1] == "import" {
+		return importFile(os.Args[2])
+	}
+	if len(os.Args) > 2 || len(os.Args) == 2 && os.Args[1] != "check" {
+		return errors.New(usage)
+	}
 	cfg, err := config.Load(os.Getenv, "deploy/sse.toml")
 	if err != nil {
 		return err
 	}
-	if len(os.Args) == 2 && os.Args[1] == "check" {
+	if len(os.Args) == 2 {
 		fmt.Println("configuration is sound")
 		return nil
 	}
@@ -67,6 +78,25 @@
 	return err
 }
 
+// importFile writes the imported configuration to standard output, and what did
+// not carry over to standard error.
+func importFile(path string) error {
+	in, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	text, notes, err := haproxy.Import(in)
+	for _, n := range notes {
+		fmt.Fprintf(os.Stderr, "%s: not carried over: %s\n", path, n)
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	_, err = fmt.Printf("%s\n", text)
+	return err
+}
+
 // node is one running dispatcher.
 type node struct {
 	cfg           *config.Config
--- /dev/null
+++ b/cmd/yardflow/node_test.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+const job = "POST /issue-loan HTTP/1.1\nHost: h\nX-Request-ID: %s\nX-Priority-Class: issue-loan\nX-Tenant-Id: univ-vltava\nX-Timeout: 5\n\nx"
+
+// answer reads a whole answer and tells its status and whether the connection ends.
+func (c *client) answer(t *testing.T) (int, bool) {
+	t.Helper()
+	c.conn.SetReadDeadline(time.Now().Add(patience))
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, resp.Close
+}
+
+// On SIGTERM the node goes on listening while the front has not noticed, answers
+// all it has taken, and then is gone.
+func TestStopAnswersAllThatWasTaken(t *testing.T) {
+	s := newStage(t)
+	s.step("list", "s-1 SERVING")
+	s.step("client a sends", fmt.Sprintf(job, "r1"))
+	first := <-s.arrivals
+	s.dispatches["A"] = first
+	stopped := make(chan error)
+	n := s.node
+	go func() { stopped <- n.stop() }()
+	for !n.front.Draining() {
+		time.Sleep(time.Millisecond)
+	}
+	s.step("client b sends", fmt.Sprintf(job, "r2")) // a new connection behind the signal
+	second := <-s.arrivals
+	s.dispatches["B"] = second
+	select {
+	case <-stopped:
+		t.Fatal("stopped with requests unanswered")
+	case <-time.After(2 * lameDuck):
+	}
+	for name, d := range s.dispatches {
+		id := map[string]string{"A": "r1", "B": "r2"}[name]
+		body := fmt.Sprintf(`{"id":%q,"state":"done","result":"ok"}`, id) + "\n"
+		fmt.Fprintf(d.conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	for _, name := range []string{"a", "b"} {
+		if status, last := s.clients[name].answer(t); status != 200 || !last {
+			t.Errorf("client %s got %d, connection ends: %v", name, status, last)
+		}
+	}
+	select {
+	case err := <-stopped:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(patience):
+		t.Fatal("does not stop")
+	}
+	if conn, err := net.Dial("tcp", n.addr.String()); err == nil {
+		conn.Close()
+		t.Error("still listens")
+	}
+}
+
+// Clients may hold their part of the sockets and no more. Room is made by the
+// connection idle longest; without one, the request is denied and its socket
+// given back. What was accepted is always answered.
+func TestSocketBudget(t *testing.T) {
+	s := newStage(t)
+	s.limits = map[string]any{"sockets": 64}
+	s.step("list", "s-1 DRAINING")
+	n := s.node
+	room := 64 - 24 - 6
+	room -= room / 3
+	dial := func() *client {
+		conn, err := net.Dial("tcp", n.addr.String())
+		s.must(err)
+		t.Cleanup(func() { conn.Close() })
+		return &client{conn: conn, in: bufio.NewReader(conn)}
+	}
+	get := func(c *client) (int, bool) {
+		io.WriteString(c.conn, "GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n")
+		return c.answer(t)
+	}
+	var all []*client
+	for range room + 10 {
+		c := dial()
+		if status, last := get(c); status != 200 || last {
+			t.Fatalf("got %d, connection ends: %v", status, last)
+		}
+		all = append(all, c)
+	}
+	all[0].conn.SetReadDeadline(time.Now().Add(patience))
+	if _, err := all[0].in.ReadByte(); err != io.EOF {
+		t.Error("the oldest idle connection stands:", err)
+	}
+	// Now all are busy: they wait for a worker that never comes.
+	all = all[10:]
+	for i, c := range all {
+		io.WriteString(c.conn, wire(strings.Replace(fmt.Sprintf(job, fmt.Sprint("r", i)), "\n\nx", "\nContent-Length: 1\n\nx", 1)))
+	}
+	for limit := time.Now().Add(patience); n.broker.Stats().Open < room; time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("%d of %d requests are open", n.broker.Stats().Open, room)
+		}
+	}
+	c := dial()
+	io.WriteString(c.conn, wire(strings.Replace(fmt.Sprintf(job, "over"), "\n\nx", "\nContent-Length: 1\n\nx", 1)))
+	if status, last := c.answer(t); status != 503 || !last {
+		t.Errorf("past the budget: got %d, connection ends: %v", status, last)
+	}
+	for _, c := range all { // the others leave; their sockets are free again
+		c.conn.Close()
+	}
+	for limit := time.Now().Add(patience); n.front.Full() || n.broker.Stats().Open > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("%d requests stay open", n.broker.Stats().Open)
+		}
+	}
+	if status, _ := get(dial()); status != 200 {
+		t.Errorf("with room again: got %d", status)
+	}
+}
--- a/deploy/check.sh
+++ b/deploy/check.sh
@@ -14,6 +14,8 @@
 	echo "a faulty configuration was taken"; exit 1
 fi
 grep -q 'Limits.MaxAttempts' "$dir/err" || { echo "the faulty key is not named:"; cat "$dir/err"; exit 1; }
+bin/yardflow import internal/haproxy/testdata/loans.cfg > "$dir/imported.json" 2> /dev/null
+NODE_CONFIG="$dir/imported.json" bin/yardflow check
 NODE_CONFIG="$dir/config.json" bin/yardflow 2> "$dir/log" &
 pid=$!
 i=0
--- /dev/null
+++ b/internal/broker/broker_test.go
@@ -0,0 +1,282 @@
+package broker
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"linnetlift"
+	"linnetlift/internal/invariant"
+)
+
+func settings() linnetlift.Settings {
+	return linnetlift.Settings{Dispatchers: 1, MaxAttempts: 4, Round: time.Millisecond, MaxRetryAfter: 2 * time.Second,
+		Classes: []linnetlift.Class{
+			{Name: "unsafe", Aim: 10 * time.Second, Deadline: 5 * time.Second, Worth: 1, Semantics: linnetlift.Fragile, Kind: -1},
+			{Name: "safe", Aim: 10 * time.Second, Deadline: 5 * time.Second, Worth: 1, Kind: -1}}}
+}
+
+func open(t *testing.T, contracts ...Contract) *Broker {
+	t.Helper()
+	b, err := New(settings(), 1, contracts, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	return b
+}
+
+func never(t *testing.T) Do {
+	return func(context.Context, *Attempt) Outcome {
+		t.Error("an attempt that must not be")
+		return Outcome{Code: NeverSent}
+	}
+}
+
+// script is a module that says what it is told to at an arrival, and notes what
+// it hears.
+type script struct {
+	linnetlift.Dispatcher // nil: a call that is not scripted stops the test
+	arrive                func(linnetlift.Request, linnetlift.Actions)
+	mu                    sync.Mutex
+	heard                 []string
+	outcomes              []linnetlift.Outcome
+	onOutcome             func(linnetlift.Outcome, linnetlift.Actions)
+}
+
+func (s *script) Arrive(_ time.Duration, r linnetlift.Request, out linnetlift.Actions) {
+	s.arrive(r, out)
+}
+
+func (s *script) Outcome(_ time.Duration, o linnetlift.Outcome, out linnetlift.Actions) {
+	s.mu.Lock()
+	s.outcomes = append(s.outcomes, o)
+	s.mu.Unlock()
+	if s.onOutcome != nil {
+		s.onOutcome(o, out)
+	}
+}
+
+func (s *script) ClientGone(time.Duration, linnetlift.RequestID, linnetlift.Actions) {
+	s.mu.Lock()
+	s.heard = append(s.heard, "gone")
+	s.mu.Unlock()
+}
+
+func (s *script) List(time.Duration, linnetlift.ListForm, []linnetlift.Worker, linnetlift.Actions) {}
+
+// with puts a script in the module's place before anything has been posted.
+func with(t *testing.T, s *script) *Broker {
+	b := open(t)
+	ready := make(chan struct{})
+	b.post(func(time.Duration, linnetlift.Actions) { b.module = s; close(ready) })
+	<-ready
+	b.List(linnetlift.ListFull, []Worker{{ID: "w", Addr: "addr"}})
+	return b
+}
+
+// settled waits until the module has been told all that is queued.
+func settled(b *Broker) {
+	done := make(chan struct{})
+	b.post(func(time.Duration, linnetlift.Actions) { close(done) })
+	<-done
+}
+
+// A module that stays silent must not cost an answer: the backstop words it
+// before the one who asked gives up, and the module hears of the end.
+func TestBackstopAnswersForASilentModule(t *testing.T) {
+	s := &script{arrive: func(linnetlift.Request, linnetlift.Actions) {}}
+	b := with(t, s)
+	deadline := time.Now().Add(300 * time.Millisecond)
+	got := b.Serve(t.Context(), Request{Deadline: deadline}, never(t))
+	if diff := cmp.Diff(Answer{Verdict: Refused}, got); diff != "" {
+		t.Error(diff)
+	}
+	settled(b)
+	if diff := cmp.Diff([]string{"gone"}, s.heard); diff != "" {
+		t.Error(diff)
+	}
+	if n := b.Stats().Open; n != 0 {
+		t.Error(n, "requests stay open")
+	}
+}
+
+// A send that crosses the end of its request is reported as never made, since
+// the module counts a worker's slots by it.
+func TestSendCrossingTheEndIsReported(t *testing.T) {
+	ctx, leave := context.WithCancel(t.Context())
+	s := &script{arrive: func(r linnetlift.Request, out linnetlift.Actions) {
+		leave()
+		time.Sleep(50 * time.Millisecond) // the client's side sees the end first, or not: both must do
+		out.Send(r.ID, workerID("w"), 0)
+	}}
+	b := with(t, s)
+	got := b.Serve(ctx, Request{Deadline: time.Now().Add(time.Minute)}, func(ctx context.Context, _ *Attempt) Outcome {
+		<-ctx.Done()
+		return Outcome{Code: NeverSent}
+	})
+	settled(b)
+	if got.Verdict != Gone || len(s.outcomes) != 1 || s.outcomes[0].Code != NeverSent || !s.outcomes[0].Ended {
+		t.Errorf("got %+v, module heard %+v", got, s.outcomes)
+	}
+}
+
+// Rule 2 holds even against the module: what may have run and must not run twice
+// is never refused, since a refusal tells the client to try again.
+func TestNoRefusalOfWhatMayHaveRun(t *testing.T) {
+	if invariant.Debug {
+		t.Skip("a debug build stops here")
+	}
+	s := &script{arrive: func(r linnetlift.Request, out linnetlift.Actions) { out.Send(r.ID, workerID("w"), 0) },
+		onOutcome: func(o linnetlift.Outcome, out linnetlift.Actions) { out.Refuse(o.ID, time.Second) }}
+	b := with(t, s)
+	for class, want := range []Verdict{Failure, Refused} {
+		got := b.Serve(t.Context(), Request{Class: class, Deadline: time.Now().Add(time.Minute)},
+			func(context.Context, *Attempt) Outcome { return Outcome{Code: Broken} })
+		if got.Verdict != want {
+			t.Errorf("class %d: got %+v, want verdict %d", class, got, want)
+		}
+	}
+	if invariant.Broken()["refused what may have run"] != 1 {
+		t.Error("not counted:", invariant.Broken())
+	}
+}
+
+// The module may call an attempt off; it ends with the outcome its front tells.
+func TestModuleCallsAnAttemptOff(t *testing.T) {
+	s := &script{arrive: func(r linnetlift.Request, out linnetlift.Actions) { out.Send(r.ID, workerID("w"), 0) },
+		onOutcome: func(o linnetlift.Outcome, out linnetlift.Actions) { out.Fail(o.ID) }}
+	b := with(t, s)
+	got := b.Serve(t.Context(), Request{Deadline: time.Now().Add(time.Minute)}, func(ctx context.Context, a *Attempt) Outcome {
+		b.post(func(_ time.Duration, out linnetlift.Actions) { out.Cancel(a.s.id, a.N+1); out.Cancel(a.s.id, a.N) })
+		<-ctx.Done()
+		return Outcome{Code: Cancelled}
+	})
+	if got.Verdict != Failure || len(s.outcomes) != 1 || s.outcomes[0].Code != Cancelled {
+		t.Errorf("got %+v, module heard %+v", got, s.outcomes)
+	}
+}
+
+// A team over its rate, or over what it may have open, is refused at once with
+// the time to come back after; nothing of it reaches the module. Others go on.
+func TestContractsBoundATeam(t *testing.T) {
+	b := open(t, Contract{Team: "a", Rate: 0.5, Burst: 2, MaxOpen: 9}, Contract{Team: "b", Rate: 1000, Burst: 9, MaxOpen: 1})
+	b.List(linnetlift.ListFull, []Worker{{ID: "w", Addr: "addr"}})
+	served := func(context.Context, *Attempt) Outcome { return Outcome{Code: OK, Result: []byte("r")} }
+	serve := func(team string, do Do) Answer {
+		return b.Serve(t.Context(), Request{Class: 1, Team: team, Deadline: time.Now().Add(time.Minute)}, do)
+	}
+	for range 2 {
+		if got := serve("a", served); got.Verdict != Served {
+			t.Fatalf("inside the budget: %+v", got)
+		}
+	}
+	if got := serve("a", never(t)); got.Verdict != Refused || !got.Over || got.ComeBack <= 0 || got.ComeBack > 2*time.Second {
+		t.Errorf("over the rate: %+v", got)
+	}
+	var inner Answer
+	outer := serve("b", func(context.Context, *Attempt) Outcome {
+		inner = serve("b", never(t))
+		return Outcome{Code: OK}
+	})
+	if outer.Verdict != Served || inner.Verdict != Refused || !inner.Over || inner.ComeBack <= 0 {
+		t.Errorf("over what may be open: %+v in %+v", inner, outer)
+	}
+	if got := serve("b", served); got.Verdict != Served {
+		t.Errorf("after an answer there is room again: %+v", got)
+	}
+}
+
+func TestBudgetRefills(t *testing.T) {
+	b, now := newBudget(Contract{Rate: 2, Burst: 2, MaxOpen: 99}), time.Now()
+	var got []bool
+	for _, after := range []time.Duration{0, 0, 0, 400, 600, 600, 5000, 5000, 5000} {
+		_, ok := b.take(now.Add(after * time.Millisecond))
+		got = append(got, ok)
+	}
+	if diff := cmp.Diff([]bool{true, true, false, false, true, false, true, true, false}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Ids are the same at every dispatcher, whatever address it reaches a worker at
+// and in whatever order it hears of them: the dispatchers share out the workers
+// by their ids.
+func TestWorkerIDsDependOnTheNameAlone(t *testing.T) {
+	// Pinned: dispatchers of two versions run side by side while one replaces the other.
+	if got, want := workerID("s-5be2a07c"), linnetlift.WorkerID(0xace623f1fdc27c8a); got != want {
+		t.Errorf("got %x, want %x", got, want)
+	}
+	seen := map[string]linnetlift.WorkerID{}
+	for _, list := range [][]Worker{{{ID: "a", Addr: "1"}, {ID: "b", Addr: "2"}}, {{ID: "b", Addr: "3"}, {ID: "a", Addr: "4"}}} {
+		b := open(t)
+		b.List(linnetlift.ListFull, list)
+		for id, p := range b.places {
+			if old, ok := seen[p.name]; ok && old != id {
+				t.Errorf("%s is %x here and %x there", p.name, id, old)
+			}
+			seen[p.name] = id
+		}
+	}
+}
+
+// Workers' starts are told in Unix time; the module's clock has the same base.
+func TestClockIsUnixTime(t *testing.T) {
+	b := open(t)
+	if off := b.now() - time.Duration(time.Now().UnixNano()); off.Abs() > time.Minute {
+		t.Errorf("the clock is %v off", off)
+	}
+}
+
+// Whatever the outcomes, each request gets one answer, has one attempt out at a
+// time, and an unsafe one runs once.
+func TestPromisesUnderLoad(t *testing.T) {
+	b := open(t)
+	b.List(linnetlift.ListFull, []Worker{{ID: "a", Addr: "1"}, {ID: "b", Addr: "2"}, {ID: "c", Addr: "3"}})
+	codes := []Code{OK, OK, OK, Full, ConnectFailed, Failed, Broken}
+	var wg sync.WaitGroup
+	for i := range 200 {
+		wg.Go(func() {
+			rnd := rand.New(rand.NewPCG(uint64(i), 1))
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			if i%7 == 0 {
+				time.AfterFunc(time.Duration(rnd.IntN(20))*time.Millisecond, stop)
+			}
+			var out, ran atomic.Int32
+			class := i % 2
+			b.Serve(ctx, Request{Class: class, Slots: 1, Deadline: time.Now().Add(400 * time.Millisecond)}, func(ctx context.Context, a *Attempt) Outcome {
+				if out.Add(1) != 1 {
+					t.Error("two attempts at once")
+				}
+				defer out.Add(-1)
+				a.Started()
+				a.Progress(0.5)
+				select {
+				case <-time.After(time.Duration(rnd.IntN(10)) * time.Millisecond):
+				case <-ctx.Done():
+					ran.Add(1)
+					return Outcome{Code: TimedOut}
+				}
+				code := codes[rnd.IntN(len(codes))]
+				if code != Full && code != ConnectFailed && ran.Add(1) > 1 && class == 0 {
+					t.Error("an unsafe request ran twice")
+				}
+				return Outcome{Code: code}
+			})
+			if out.Load() != 0 {
+				t.Error("an answer while an attempt is out")
+			}
+		})
+	}
+	wg.Wait()
+	settled(b)
+	if n := b.Stats().Open; n != 0 {
+		t.Error(n, "requests stay open")
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -95,15 +95,18 @@
 		if s := env(v.key); s != "" {
 			*v.to = s
 		}
-		if *v.to == "" {
+		// A fixed list of workers needs no discovery.
+		if *v.to == "" && (v.key != "NODE_DISCOVERY" || c.Module.MustSubscribe) {
 			return nil, fmt.Errorf("%s: missing", v.key)
 		}
 	}
 	if err := address("NODE_LISTEN", c.Listen); err != nil {
 		return nil, err
 	}
-	if err := address("NODE_DISCOVERY", c.Discovery); err != nil {
-		return nil, err
+	if c.Discovery != "" {
+		if err := address("NODE_DISCOVERY", c.Discovery); err != nil {
+			return nil, err
+		}
 	}
 	return c, c.loadSSE(ssePath)
 }
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,128 @@
+package config
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// base is a sound configuration; edit changes its text before it is read.
+func load(t *testing.T, edit [2]string, sse string, env map[string]string) (*Config, error) {
+	t.Helper()
+	settings, err := os.ReadFile("../../cmd/yardflow/testdata/settings.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := json.Marshal(map[string]any{"name": "n3", "listen": "127.0.0.1:7070", "discovery": "127.0.0.1:8500",
+		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"settings": json.RawMessage(settings)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := string(text)
+	after := strings.Replace(before, edit[0], edit[1], 1)
+	if edit[0] != "" && after == before {
+		t.Fatalf("%q is not in the text", edit[0])
+	}
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	all := map[string]string{"NODE_CONFIG": write("config.json", after)}
+	for k, v := range env {
+		all[k] = v
+	}
+	path := filepath.Join(dir, "none")
+	if sse != "" {
+		path = write("sse.toml", sse)
+	}
+	return Load(func(k string) string { return all[k] }, path)
+}
+
+func TestSoundConfiguration(t *testing.T) {
+	c, err := load(t, [2]string{}, "", map[string]string{"NODE_LISTEN": "127.0.0.2:1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	type figures struct {
+		Name, Listen, Discovery   string
+		Seed                      uint64
+		Limits                    Limits
+		Classes, Columns, Tenants []string
+		Connect, Idle             time.Duration
+		SSE                       bool
+	}
+	want := figures{"n3", "127.0.0.2:1", "127.0.0.1:8500", 0x8c1f30d27a5be964, Limits{1, 192, 1024},
+		[]string{"issue-loan", "package-file"}, []string{"cpu", "err_rps", "x0"}, []string{"mestska-brnenska", "univ-vltava"},
+		250 * time.Millisecond, time.Minute, false}
+	got := figures{c.Name, c.Listen, c.Discovery, c.Seed, c.Limits, c.Classes, c.Columns, c.Tenants, c.ConnectTimeout, c.IdleClose, c.SSE.Enabled}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// What ships must be sound, and off.
+func TestShippedSSEFileIsOff(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/sse.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := load(t, [2]string{}, string(text), nil)
+	if err != nil || c.SSE.Enabled {
+		t.Fatal(err, c.SSE.Enabled)
+	}
+	if c, err = load(t, [2]string{}, strings.Replace(string(text), "enabled = false", "enabled = true", 1), nil); err != nil || !c.SSE.Enabled {
+		t.Fatal("switched on:", err)
+	}
+}
+
+const contract = "enabled = true\nlisten = \"127.0.0.1:7171\"\n[[contract]]\nteam = \"a\"\ntenant = \"univ-vltava\"\nclasses = [\"issue-loan\"]\nrate = 1.0\nburst = 1\nmax_open = 1\n"
+
+// Every message names the faulty key.
+func TestFaultyKeysAreNamed(t *testing.T) {
+	for key, edit := range map[string][2]string{
+		"NODE_DISCOVERY: ":                    {`"127.0.0.1:8500"`, `"nowhere"`},
+		"NODE_LISTEN: missing":                {`"listen":"127.0.0.1:7070"`, `"listen":""`},
+		"limits.sockets":                      {`"sockets":1024`, `"sockets":9`},
+		"limits.memory_mb":                    {`"memory_mb":192`, `"memory_mb":1`},
+		"settings: missing":                   {`"settings":`, `"other":`},
+		"settings: Classes[1].Name":           {`"Name":"package-file"`, `"Name":"issue-loan"`},
+		"settings: Classes[0].DeadlineMs":     {`"DeadlineMs":5000`, `"DeadlineMs":0`},
+		"settings: Limits.MaxAttempts":        {`"MaxAttempts":4`, `"MaxAttempts":0`},
+		"settings: Limits.ConnectTimeoutMs":   {`"ConnectTimeoutMs":250`, `"ConnectTimeoutMs":-1`},
+		"settings: Limits.IdleCloseMs":        {`"IdleCloseMs":60000`, `"IdleCloseMs":0`},
+		"settings: MyNumber":                  {`"MyNumber":0`, `"MyNumber":1`},
+		"settings: Tenants[0].Name":           {`"Name":"mestska-brnenska"`, `"Name":""`},
+		`semantics "odd"`:                     {`"fragile"`, `"odd"`},
+		"NODE_CONFIG: unexpected end of JSON": {`}}`, ``},
+	} {
+		if _, err := load(t, edit, "", nil); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%v: got %v, want %q in it", edit, err, key)
+		}
+	}
+	for key, edit := range map[string][2]string{
+		"listen: ":            {"127.0.0.1:7171", "here"},
+		"contract[0].team":    {`"a"`, `""`},
+		"contract[0].tenant":  {"univ-vltava", "nobody"},
+		"contract[0].classes": {"issue-loan", "other"},
+		"contract[0].rate":    {"1.0", "0.0"},
+		"contract[0].burst":   {"burst = 1", "burst = 0"},
+		"max_open":            {"max_open = 1", "max_open = 0"},
+		"max_event_bytes":     {"listen", "max_event_bytes = 1\nlisten"},
+		"speed: unknown key":  {"listen", "speed = 1\nlisten"},
+		"write_timeout":       {"listen", "write_timeout = \"soon\"\nlisten"},
+	} {
+		if _, err := load(t, [2]string{}, strings.Replace(contract, edit[0], edit[1], 1), nil); err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("%v: got %v, want %q in it", edit, err, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/haproxy/haproxy_test.go
@@ -0,0 +1,99 @@
+package haproxy
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"linnetlift"
+	"linnetlift/internal/config"
+)
+
+// What is imported is a configuration that the program takes, and every
+// directive without counterpart is reported with its line.
+func TestImport(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.cfg")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no samples", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			in, err := os.Open(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer in.Close()
+			text, notes, err := Import(in)
+			if err != nil {
+				t.Fatal(err)
+			}
+			path := filepath.Join(t.TempDir(), "config.json")
+			if err := os.WriteFile(path, text, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			cfg, err := config.Load(func(k string) string { return map[string]string{"NODE_CONFIG": path}[k] }, "none")
+			if err != nil {
+				t.Fatal("the program does not take it:", err)
+			}
+			if _, err := linnetlift.New(cfg.Module, 1); err != nil {
+				t.Fatal("the module does not take it:", err)
+			}
+			var got strings.Builder
+			for _, n := range notes {
+				got.WriteString(n.String() + "\n")
+			}
+			var compact any
+			json.Unmarshal(text, &compact)
+			lines, _ := json.MarshalIndent(compact, "", " ")
+			got.Write(lines)
+			want, err := os.ReadFile(strings.TrimSuffix(file, ".cfg") + ".want")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(strings.TrimSpace(string(want)), got.String()); diff != "" {
+				t.Errorf("-want +got:\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestFaultsAreNamedByLine(t *testing.T) {
+	const frame = "frontend f\n bind :80\nbackend b\n server s 127.0.0.1:1\n"
+	for want, text := range map[string]string{
+		"line 1: bind: outside any section":                      "bind :80\n" + frame,
+		"line 1: frontend: a name is missing":                    "frontend\n",
+		"line 5: timeout server: \"5 parsecs\" is not a time":    frame + " timeout server '5 parsecs'\n",
+		"line 5: timeout: its name or time is missing":           frame + " timeout server\n",
+		"line 5: maxconn: \"many\" is not a number of 1 or more": frame + " maxconn many\n",
+		"line 5: server: its name or address is missing":         frame + " server t\n",
+		"line 5: server s: the name comes twice":                 frame + " server s 127.0.0.1:2\n",
+		"line 5: a quote is not closed":                          frame + " server \"t\n",
+		"line 5: a backslash ends the line":                      frame + " server t\\",
+		"line 1: frontend f: unknown default_backend \"c\"":      "frontend f\n bind :80\n default_backend c\n",
+		"line 5: from: unknown defaults \"d\"":                   frame + "backend c from d\n",
+		"no frontend binds an address that can be served":        "backend b\n server s 127.0.0.1:1\n",
+		"no backend has a server":                                "frontend f\n bind :80\n",
+	} {
+		if _, _, err := Import(strings.NewReader(text)); err == nil || err.Error() != want {
+			t.Errorf("%q: got %v, want %s", text, err, want)
+		}
+	}
+}
+
+func TestWordsAreSplitAsHAProxyDoes(t *testing.T) {
+	for text, want := range map[string][]string{
+		`a  b	c # d`:           {"a", "b", "c"},
+		`"a b" 'c \d' e\ f\#g`: {"a b", `c \d`, "e f#g"},
+		`a"b c"d "" "x\"y"`:    {"ab cd", "", `x"y`},
+		`# only`:               nil,
+	} {
+		got, err := split(text)
+		if diff := cmp.Diff(want, got); diff != "" || err != nil {
+			t.Errorf("%s: %v\n%s", text, err, diff)
+		}
+	}
+}
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -186,7 +186,7 @@
 func (f *Frontend) Server() *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
-		if f.draining.Load() {
+		if f.Draining() {
 			(&Deny{Status: http.StatusServiceUnavailable, Text: "stopping"}).Write(w)
 			return
 		}
@@ -208,6 +208,9 @@
 // Drain makes the health check say that this dispatcher is stopping.
 func (f *Frontend) Drain() { f.draining.Store(true) }
 
+// Draining tells whether Drain was called.
+func (f *Frontend) Draining() bool { return f.draining.Load() }
+
 func (f *Frontend) session(w http.ResponseWriter, r *http.Request) {
 	if f.Full() {
 		// What the kernel has accepted counts as taken: it gets its answer, and
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,214 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"linnetlift"
+	"linnetlift/internal/broker"
+	"linnetlift/internal/config"
+)
+
+func testConfig() *config.Config {
+	return &config.Config{Classes: []string{"unsafe"}, Zones: []string{"a", "b"}, Kinds: []string{"m1", "m2"},
+		Columns: []string{"cpu", "err_rps", "x0"}, ConnectTimeout: time.Second, IdleClose: time.Minute,
+		Module: linnetlift.Settings{Dispatchers: 1, MaxAttempts: 4, MustSubscribe: true, AskWithin: 10 * time.Second,
+			Classes: []linnetlift.Class{{Name: "unsafe", Aim: 20 * time.Second, Deadline: 5 * time.Second, Worth: 1,
+				Semantics: linnetlift.Fragile, Kind: -1}}}}
+}
+
+func testBroker(t *testing.T, cfg *config.Config) *broker.Broker {
+	b, err := broker.New(cfg.Module, 1, nil, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	return b
+}
+
+// A worker that starts to drain while a connection to it is being made gets
+// nothing over it: a send counts from its first byte, and a slow connect could
+// take it past the time that the rule allows.
+func TestDrainDuringAConnectSendsNothing(t *testing.T) {
+	cfg := testConfig()
+	b := testBroker(t, cfg)
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { t.Error("a send to a draining worker") }))
+	defer server.Close()
+	w := broker.Worker{ID: "s", Addr: server.Listener.Addr().String()}
+	b.List(linnetlift.ListFull, []broker.Worker{w})
+	lines := NewLines(cfg, 8)
+	dial := lines.transport.DialContext
+	lines.transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		w.State = linnetlift.Draining
+		b.List(linnetlift.ListDelta, []broker.Worker{w})
+		return dial(ctx, network, addr)
+	}
+	s := &Session{ID: "r", method: "POST", uri: "/unsafe", header: http.Header{}, body: []byte("x"),
+		Request: broker.Request{Slots: 1, Deadline: time.Now().Add(500 * time.Millisecond)}}
+	if got := b.Serve(t.Context(), s.Request, lines.Do(s)); got.Verdict != broker.Refused {
+		t.Errorf("got %+v, want a refusal: nothing has run", got)
+	}
+	if n := len(lines.sockets); n != 0 {
+		t.Error(n, "sockets are still counted")
+	}
+}
+
+// A dispatch is told as ended only once its connection is closed: told before,
+// the next attempt could be out beside it, a second copy.
+func TestEndIsToldAfterTheConnectionIsClosed(t *testing.T) {
+	for name, answer := range map[string]string{"before the head": "", "mid-stream": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"another's line": "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{\"id\":\"other\"}\n"} {
+		cfg := testConfig()
+		b := testBroker(t, cfg)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		go func() {
+			if conn, err := l.Accept(); err == nil {
+				conn.Write([]byte(answer))
+				<-t.Context().Done()
+				conn.Close()
+			}
+		}()
+		b.List(linnetlift.ListFull, []broker.Worker{{ID: "s", Addr: l.Addr().String()}})
+		lines := NewLines(cfg, 8)
+		var conn net.Conn
+		dial := lines.transport.DialContext
+		lines.transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := dial(ctx, network, addr)
+			conn = c
+			return c, err
+		}
+		s := &Session{ID: "r", method: "POST", uri: "/unsafe", header: http.Header{},
+			Request: broker.Request{Slots: 1, Deadline: time.Now().Add(300 * time.Millisecond)}}
+		b.Serve(t.Context(), s.Request, func(ctx context.Context, a *broker.Attempt) broker.Outcome {
+			o := lines.Do(s)(ctx, a)
+			if _, err := conn.(*line).Conn.Write([]byte("x")); o.Code != broker.TimedOut && o.Code != broker.Broken || !errors.Is(err, net.ErrClosed) {
+				t.Errorf("%s: told %+v while a write gives %v", name, o, err)
+			}
+			return o
+		})
+	}
+}
+
+// Past its sockets a dispatch does not wait: it was never sent.
+func TestNoSocketLeft(t *testing.T) {
+	cfg := testConfig()
+	b := testBroker(t, cfg)
+	b.List(linnetlift.ListFull, []broker.Worker{{ID: "s", Addr: "127.0.0.1:1"}})
+	lines := NewLines(cfg, 1)
+	lines.sockets <- struct{}{}
+	s := &Session{ID: "r", method: "POST", uri: "/unsafe", header: http.Header{},
+		Request: broker.Request{Slots: 1, Deadline: time.Now().Add(300 * time.Millisecond)}}
+	got := b.Serve(t.Context(), s.Request, func(ctx context.Context, a *broker.Attempt) broker.Outcome {
+		o := lines.Do(s)(ctx, a)
+		if o.Code != broker.NeverSent {
+			t.Errorf("got %+v", o)
+		}
+		return o
+	})
+	if got.Verdict != broker.Refused {
+		t.Errorf("got %+v", got)
+	}
+}
+
+// The settings name a report's values by the simulator's words, workers by their own.
+func TestLoadReports(t *testing.T) {
+	l := NewLines(testConfig(), 8)
+	for text, want := range map[string][]float64{
+		`{"util":0.5,"eps":2,"x0":1,"more":9}`: {0.5, 2, 1},
+		`{"cpu":0.5,"err_rps":2,"x0":1}`:       {0.5, 2, 1},
+		`{"util":0.5,"x0":1}`:                  nil,
+		`{"util":"a","eps":2,"x0":1}`:          nil,
+		`[]`:                                   nil,
+		``:                                     nil,
+	} {
+		if diff := cmp.Diff(want, l.load([]byte(text))); diff != "" {
+			t.Errorf("%s: %s", text, diff)
+		}
+	}
+}
+
+// The table takes up the known list, asks from its generation, chains its
+// watches, and after a failed call asks again when the module says so.
+func TestTableFollowsDiscovery(t *testing.T) {
+	calls := make(chan string)
+	answers := make(chan string)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case calls <- r.URL.RawQuery:
+		case <-r.Context().Done():
+			return
+		}
+		select {
+		case text := <-answers:
+			if text == "" {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			fmt.Fprint(w, text)
+		case <-r.Context().Done():
+		}
+	}))
+	defer server.Close()
+	cfg := testConfig()
+	cfg.Discovery = server.Listener.Addr().String()
+	entry := func(id, state string) string {
+		return fmt.Sprintf(`{"instanceId":%q,"hostPort":"h:1","zone":"b","machineType":"m2","cell":3,"lifecycle":%q,"weight":1,"startedAtMs":1700000000123.5}`, id, state)
+	}
+	cfg.Known = json.RawMessage(`{"generation":41,"reset":true,"instances":[` + entry("s1", "SERVING") + `]}`)
+	b := testBroker(t, cfg)
+	table, err := NewTable(cfg, b, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []broker.Worker{{ID: "s1", Addr: "h:1", Zone: 1, Kind: 1, Cell: 3, Weight: 1, Started: time.UnixMicro(1700000000123500)}}
+	var known tableReply
+	if err := json.Unmarshal(cfg.Known, &known); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, table.workers(known.Instances)); diff != "" {
+		t.Error(diff)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go table.Run(ctx)
+	ready := func() [2]int { s := b.Stats(); return [2]int{s.Workers, s.Ready} }
+	for i, step := range []struct {
+		since int
+		text  string
+		ready [2]int // workers and ready ones, once the call is made
+	}{
+		{41, `{"generation":42,"reset":false,"instances":[` + entry("s2", "SERVING") + `]}`, [2]int{1, 1}},
+		{42, `{"generation":43,"reset":false,"instances":[` + entry("s1", "DRAINING") + "," + entry("s3", "ODD") + `]}`, [2]int{2, 2}},
+		{43, ``, [2]int{3, 1}},
+		{43, `{"instances":[]}`, [2]int{3, 1}}, // a list without generation is none
+		{43, `{"generation":44,"reset":true,"instances":[` + entry("s1", "SERVING") + `]}`, [2]int{3, 1}},
+		{44, `{"generation":45,"reset":false,"instances":[` + entry("s1", "DELETED") + `]}`, [2]int{3, 1}},
+		{45, `{"generation":45,"reset":false,"instances":[]}`, [2]int{3, 0}},
+	} {
+		select {
+		case got := <-calls:
+			if want := fmt.Sprintf("since=%d&timeout_ms=%d", step.since, watchWait.Milliseconds()); got != want {
+				t.Fatalf("call %d: got %s, want %s", i, got, want)
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatalf("call %d never came", i)
+		}
+		if got := ready(); got != step.ready {
+			t.Errorf("at call %d: workers and ready %v, want %v", i, got, step.ready)
+		}
+		answers <- step.text
+	}
+}
