One server for both fronts, bounded answer writes, imported configuration shown to serve

Each answer now sets its own bound of 10 s, cleared when the next session is read. An invariant broken is logged as it is counted: a killed process told of none. An imported HAProxy file is started and served in a test.

--- a/cmd/yardflow/exchange_test.go
+++ b/cmd/yardflow/exchange_test.go
@@ -272,6 +272,11 @@
 	}
 	cfg, err := config.Load(func(k string) string { return env[k] }, toml)
 	s.must(err)
+	s.run(cfg)
+}
+
+func (s *stage) run(cfg *config.Config) {
+	var err error
 	s.node, err = start(cfg)
 	s.must(err)
 	s.t.Cleanup(func() {
--- a/cmd/yardflow/main.go
+++ b/cmd/yardflow/main.go
@@ -134,9 +134,7 @@
 		return nil, err
 	}
 	if cfg.SSE.Enabled {
-		front := sse.New(cfg, n.broker, n.lines, reader, n.front.Full)
-		server := front.Server()
-		server.ConnState = n.front.ConnState // one budget of sockets for both fronts
+		server := n.front.Serve(sse.New(cfg, n.broker, n.lines, reader).Session)
 		if n.sseAddr, err = n.listen("deploy/sse.toml: listen", cfg.SSE.Listen, server); err != nil {
 			return nil, err
 		}
--- a/cmd/yardflow/node_test.go
+++ b/cmd/yardflow/node_test.go
@@ -6,9 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
+
+	"linnetlift/internal/config"
+	"linnetlift/internal/haproxy"
 )
 
 const job = "POST /issue-loan HTTP/1.1\nHost: h\nX-Request-ID: %s\nX-Priority-Class: issue-loan\nX-Tenant-Id: univ-vltava\nX-Timeout: 5\n\nx"
@@ -130,3 +135,40 @@
 		t.Errorf("with room again: got %d", status)
 	}
 }
+
+// An imported HAProxy configuration is one that serves: each class goes to its
+// backend's servers alone, and what may have run is not repeated.
+func TestImportedConfigurationServes(t *testing.T) {
+	s := newStage(t)
+	text, _, err := haproxy.Import(strings.NewReader(fmt.Sprintf(`
+defaults
+  timeout connect 250ms
+  timeout server 5s
+frontend f
+  bind 127.0.0.1:0
+backend loans
+  server one %s
+backend files
+  server two %s
+  server three %s disabled
+`, s.worker("loans/one"), s.worker("files/two"), s.worker("files/three"))))
+	s.must(err)
+	path := filepath.Join(t.TempDir(), "config.json")
+	s.must(os.WriteFile(path, text, 0o600))
+	cfg, err := config.Load(func(k string) string { return map[string]string{"NODE_CONFIG": path}[k] }, "none")
+	s.must(err)
+	s.run(cfg)
+	for i, class := range []string{"loans", "files", "files", "loans"} {
+		id := fmt.Sprint("r", i)
+		s.step("client a sends", fmt.Sprintf("POST /%s HTTP/1.1\nHost: h\nX-Request-ID: %s\nX-Priority-Class: %s\n\nx", class, id, class))
+		d := <-s.arrivals
+		if want := s.workers[map[string]string{"loans": "loans/one", "files": "files/two"}[class]]; d.conn.LocalAddr().String() != want {
+			t.Errorf("%s went to %s, want %s", class, d.conn.LocalAddr(), want)
+		}
+		body := fmt.Sprintf(`{"id":%q,"state":"done","result":"ok"}`, id) + "\n"
+		fmt.Fprintf(d.conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		if status, _ := s.clients["a"].answer(t); status != 200 {
+			t.Errorf("got %d", status)
+		}
+	}
+}
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"log"
 	"sync"
 )
 
@@ -21,7 +22,11 @@
 	}
 	mu.Lock()
 	broken[name]++
+	n := broken[name]
 	mu.Unlock()
+	if n&(n-1) == 0 { // the 1st, 2nd, 4th, ...: a killed process leaves no other count
+		log.Printf("invariant broken %d times: %s", n, name)
+	}
 	if Debug {
 		panic(fmt.Sprintf("invariant broken: %s", name))
 	}
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -27,6 +27,8 @@
 const (
 	maxBody    = 64 << 10
 	readWithin = 10 * time.Second // for a session's head, and again for its body
+
+	writeWithin = 10 * time.Second
 )
 
 // Session is one request of a client, decoded once.
@@ -48,6 +50,7 @@
 
 // Write sends the deny.
 func (d *Deny) Write(w http.ResponseWriter) {
+	limitWrite(w)
 	h := w.Header()
 	if d.ComeBack > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(math.Ceil(d.ComeBack.Seconds()*1000)/1000, 'f', -1, 64))
@@ -58,6 +61,12 @@
 	io.WriteString(w, d.Text+"\n")
 }
 
+// limitWrite bounds the write of an answer: a client that does not read must not
+// keep its socket for good. Each answer sets it anew.
+func limitWrite(w http.ResponseWriter) {
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWithin))
+}
+
 // TooMany is the deny on a connection past the budget of sockets.
 var TooMany = &Deny{http.StatusServiceUnavailable, "too many connections", time.Second}
 
@@ -81,6 +90,7 @@
 // Reader reads sessions off the wire.
 type Reader struct {
 	cfg  *config.Config
+	full func() bool // clients hold all the sockets they may
 	mu   sync.Mutex
 	open map[string]bool // ids of sessions not yet answered
 }
@@ -90,6 +100,12 @@
 
 // Read checks and reads one session. Release is to be called once it is answered.
 func (rd *Reader) Read(w http.ResponseWriter, r *http.Request) (*Session, *Deny) {
+	if rd.full != nil && rd.full() {
+		// What the kernel has accepted counts as taken: it gets its answer, and
+		// the socket is given back.
+		w.Header().Set("Connection", "close")
+		return nil, TooMany
+	}
 	bad := func(text string) (*Session, *Deny) { return nil, &Deny{Status: http.StatusBadRequest, Text: text} }
 	if r.Method != http.MethodPost {
 		w.Header().Set("Allow", "POST")
@@ -135,6 +151,7 @@
 		}
 	}
 	control := http.NewResponseController(w)
+	control.SetWriteDeadline(time.Time{}) // the last answer's on this connection
 	control.SetReadDeadline(time.Now().Add(readWithin))
 	var err error
 	s.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
@@ -179,29 +196,33 @@
 
 // NewFrontend makes the platform's front.
 func NewFrontend(b *broker.Broker, l *Lines, rd *Reader, sockets int) *Frontend {
-	return &Frontend{broker: b, lines: l, reader: rd, sockets: sockets}
+	f := &Frontend{broker: b, lines: l, reader: rd, sockets: sockets}
+	rd.full = f.Full
+	return f
 }
 
 // Server returns the HTTP server for this front.
 func (f *Frontend) Server() *http.Server {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
-		if f.Draining() {
-			(&Deny{Status: http.StatusServiceUnavailable, Text: "stopping"}).Write(w)
-			return
-		}
-		io.WriteString(w, "ok\n")
-	})
+	return f.Serve(f.session)
+}
+
+// Serve makes a server for one front: its sessions, the health check, and the
+// budget of sockets that all fronts share.
+func (f *Frontend) Serve(session http.HandlerFunc) *http.Server {
 	return &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/healthz" {
-				mux.ServeHTTP(w, r)
-				return
+			switch {
+			case r.URL.Path != "/healthz":
+				session(w, r)
+			case f.Draining():
+				(&Deny{Status: http.StatusServiceUnavailable, Text: "stopping"}).Write(w)
+			default:
+				limitWrite(w)
+				io.WriteString(w, "ok\n")
 			}
-			f.session(w, r)
 		}),
 		ReadHeaderTimeout: readWithin, IdleTimeout: 3 * time.Minute, MaxHeaderBytes: 32 << 10,
-		ConnState: f.ConnState,
+		ConnState: f.connState,
 	}
 }
 
@@ -212,13 +233,6 @@
 func (f *Frontend) Draining() bool { return f.draining.Load() }
 
 func (f *Frontend) session(w http.ResponseWriter, r *http.Request) {
-	if f.Full() {
-		// What the kernel has accepted counts as taken: it gets its answer, and
-		// the socket is given back.
-		w.Header().Set("Connection", "close")
-		TooMany.Write(w)
-		return
-	}
 	s, deny := f.reader.Read(w, r)
 	if deny != nil {
 		deny.Write(w)
@@ -231,15 +245,16 @@
 		return
 	}
 	if answer.Verdict == broker.Served {
+		limitWrite(w)
 		w.Header().Set("Content-Type", "application/octet-stream")
 		w.Header().Set("Content-Length", strconv.Itoa(len(answer.Result)))
 		w.Write(answer.Result)
 	}
 }
 
-// ConnState keeps count of clients' sockets. Past the budget the connection
+// connState keeps count of clients' sockets. Past the budget the connection
 // that has been idle longest makes room: closing one between requests is free.
-func (f *Frontend) ConnState(c net.Conn, state http.ConnState) {
+func (f *Frontend) connState(c net.Conn, state http.ConnState) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if i := slices.Index(f.idle, c); i >= 0 {
--- a/internal/sse/front.go
+++ b/internal/sse/front.go
@@ -38,18 +38,11 @@
 	broker *broker.Broker
 	lines  *platform.Lines
 	reader *platform.Reader
-	full   func() bool // clients hold all the sockets they may
 }
 
 // New makes the front.
-func New(cfg *config.Config, b *broker.Broker, l *platform.Lines, rd *platform.Reader, full func() bool) *Front {
-	return &Front{cfg, b, l, rd, full}
-}
-
-// Server returns the HTTP server for this front.
-func (f *Front) Server() *http.Server {
-	return &http.Server{Handler: http.HandlerFunc(f.session),
-		ReadHeaderTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 32 << 10}
+func New(cfg *config.Config, b *broker.Broker, l *platform.Lines, rd *platform.Reader) *Front {
+	return &Front{cfg, b, l, rd}
 }
 
 // contract finds the team's contract and what it says of this session.
@@ -73,12 +66,9 @@
 	return k, nil
 }
 
-func (f *Front) session(w http.ResponseWriter, r *http.Request) {
+// Session answers one request; it is the front's handler.
+func (f *Front) Session(w http.ResponseWriter, r *http.Request) {
 	k, deny := f.contract(r)
-	if f.full() {
-		w.Header().Set("Connection", "close")
-		deny = platform.TooMany
-	}
 	if deny != nil {
 		deny.Write(w)
 		return
