Answer at an outcome what is given up there; a module fault costs one request alone

Seen on reading settle and run: a request turned away past its time waited for the next look at the held queue (up to 25 ms); a panic in the module would have ended the process and every open request with it. Outcome now finishes the one; broker.call counts the other and goes on, and the backstop answers.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -93,6 +93,9 @@
 	}
 	d.settle(r, r.pending[i], o, out)
 	d.decide(out)
+	if r.held && d.hopeless(r) {
+		d.finish(r, out) // no room at once, and nothing to wait for
+	}
 }
 
 func (d *dispatcher) Note(now time.Duration, n Note, out Actions) {
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -654,3 +654,20 @@
 		}
 	}
 }
+
+// One turned away when its time has passed is answered in the same breath.
+func TestGivenUpAtAnOutcomeIsAnsweredAtOnce(t *testing.T) {
+	s := testSettings()
+	s.Classes[2].LateShare = 0
+	d, out := mustNew(t, s, 1), &recorder{}
+	d.List(0, ListCached, []Worker{{ID: 1, Weight: 1}}, out)
+	out.take()
+	d.Arrive(ms, Request{ID: 7, Class: 2, Left: 5 * time.Second}, out)
+	if got := out.take(); len(got) != 1 || got[0].what != "send" {
+		t.Fatalf("got %v, want one send", got)
+	}
+	d.Outcome(3*time.Second, Outcome{ID: 7, Worker: 1, Code: Full}, out)
+	if got := out.take(); len(got) != 1 || got[0].what != "refuse" {
+		t.Errorf("got %v, want one refusal", got)
+	}
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -232,13 +232,26 @@
 		batch, b.queue = b.queue, batch[:0]
 		b.mu.Unlock()
 		for i, e := range batch {
-			e(now, sink{b, now})
+			b.call(func() { e(now, sink{b, now}) })
 			batch[i] = nil
 		}
 		b.tick(now)
 	}
 }
 
+// call keeps a fault of the module from taking every open request with it: a
+// release build counts it and goes on, and the backstop answers what it cost.
+func (b *Broker) call(f func()) {
+	if !invariant.Debug {
+		defer func() {
+			if r := recover(); r != nil {
+				invariant.Hold(false, fmt.Sprint("the module panics: ", r))
+			}
+		}()
+	}
+	f()
+}
+
 func (b *Broker) nextWake() (at time.Duration, ok bool) {
 	for _, w := range b.timer {
 		if !ok || w.at < at {
@@ -261,7 +274,7 @@
 	}
 	b.timer = rest
 	for _, w := range due {
-		b.module.Timer(now, w.tag, sink{b, now})
+		b.call(func() { b.module.Timer(now, w.tag, sink{b, now}) })
 	}
 }
 
