--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -53,7 +53,7 @@
 	limitWrite(w)
 	h := w.Header()
 	if d.ComeBack > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(math.Ceil(d.ComeBack.Seconds()*1000)/1000, 'f', -1, 64))
+		h.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', -1, 64))
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(d.Text)+1))
@@ -61,6 +61,9 @@
 	io.WriteString(w, d.Text+"\n")
 }
 
+// Seconds is the advice as clients get it: to the millisecond, never too soon.
+func (d *Deny) Seconds() float64 { return math.Ceil(d.ComeBack.Seconds()*1000) / 1000 }
+
 // limitWrite bounds the write of an answer: a client that does not read must not
 // keep its socket for good. Each answer sets it anew.
 func limitWrite(w http.ResponseWriter) {
--- a/internal/sse/front.go
+++ b/internal/sse/front.go
@@ -104,7 +104,7 @@
 		Error      string  `json:"error"`
 		RetryAfter float64 `json:"retry_after,omitempty"`
 		Harmless   bool    `json:"retry_harmless"`
-	}{deny.Status, deny.Text, deny.ComeBack.Seconds(), answer.Verdict == broker.Refused})
+	}{deny.Status, deny.Text, deny.Seconds(), answer.Verdict == broker.Refused})
 	st.finish(Event{Type: typeError, Data: string(text)})
 }
 
