--- a/cmd/yardflow/main.go
+++ b/cmd/yardflow/main.go
@@ -66,6 +66,9 @@
 	if err != nil {
 		return err
 	}
+	if n.sseAddr != nil {
+		log.Printf("%s serves event streams on %s", cfg.Name, n.sseAddr)
+	}
 	log.Printf("%s serves on %s", cfg.Name, n.addr)
 	select {
 	case err := <-n.failed:
--- a/deploy/check.sh
+++ b/deploy/check.sh
@@ -16,7 +16,12 @@
 grep -q 'Limits.MaxAttempts' "$dir/err" || { echo "the faulty key is not named:"; cat "$dir/err"; exit 1; }
 bin/yardflow import internal/haproxy/testdata/loans.cfg > "$dir/imported.json" 2> /dev/null
 NODE_CONFIG="$dir/imported.json" bin/yardflow check
-NODE_CONFIG="$dir/config.json" bin/yardflow 2> "$dir/log" &
+# The start itself has the second front on, as deploy/sse.toml would set it.
+mkdir "$dir/deploy"
+sed 's/^enabled = false/enabled = true/; s/:7171/:0/' deploy/sse.toml > "$dir/deploy/sse.toml"
+bin=$PWD/bin
+cd "$dir"
+NODE_CONFIG="$dir/config.json" "$bin/yardflow" 2> "$dir/log" &
 pid=$!
 i=0
 until grep -q 'serves on' "$dir/log"; do
@@ -24,6 +29,7 @@
 	if [ $i -gt 300 ] || ! kill -0 $pid 2> /dev/null; then echo "did not start:"; cat "$dir/log"; exit 1; fi
 	sleep 0.1
 done
+grep -q 'serves event streams on' "$dir/log" || { echo "no second front:"; cat "$dir/log"; kill -TERM $pid; exit 1; }
 kill -TERM $pid
 wait $pid || { echo "did not stop in order:"; cat "$dir/log"; exit 1; }
 echo "start checks passed"
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
@@ -103,6 +104,48 @@
 	}
 }
 
+// The transport's own settings that the rules or the loan workers' cost rest on.
+func TestTransportSettings(t *testing.T) {
+	cfg := testConfig()
+	tr := NewLines(cfg, 300).transport
+	switch {
+	case tr.IdleConnTimeout <= 0 || tr.IdleConnTimeout >= cfg.IdleClose:
+		t.Errorf("idle connections stay %v; loan workers close theirs after %v", tr.IdleConnTimeout, cfg.IdleClose)
+	case tr.MaxIdleConnsPerHost <= http.DefaultMaxIdleConnsPerHost:
+		t.Errorf("%d idle connections a host", tr.MaxIdleConnsPerHost)
+	case tr.Proxy != nil, !tr.DisableCompression, tr.ForceAttemptHTTP2:
+		t.Error("a proxy, compression or HTTP/2 is on")
+	}
+	// A connection that never comes up: a listener whose queue is full.
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	sa, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprintf("127.0.0.1:%d", sa.(*syscall.SockaddrInet4).Port)
+	cfg.ConnectTimeout = 100 * time.Millisecond
+	lines := NewLines(cfg, 16)
+	for range 8 {
+		conn, err := lines.transport.DialContext(t.Context(), "tcp", addr)
+		if err == nil {
+			defer conn.Close()
+			continue
+		}
+		if e := net.Error(nil); !errors.As(err, &e) || !e.Timeout() {
+			t.Errorf("got %v, want a time-out", err)
+		}
+		return
+	}
+	t.Error("no connect ran into its time-out")
+}
+
 // Past its sockets a dispatch does not wait: it was never sent.
 func TestNoSocketLeft(t *testing.T) {
 	cfg := testConfig()
