Reload on SIGHUP; a guard below net/http for framing, time to read and sockets

Causes: main.go asked for no SIGHUP. net/http's readTransfer drops Content-Length beside Transfer-Encoding before a handler runs, and reads what follows the last chunk as the next request. frontend.go gave 10 s for a head and again for a body, freed sockets of StateIdle alone (a head still arriving is StateNew), and took the read deadline away before a deny, while net/http reads on for the rest of a denied body before it sends the answer: half a request got none. Its Shutdown drops a request read after the call. A worker's 400 counted as its failure in the module, so that bad clients' requests made sound workers look sick.

Ruled out: duplicates by the transport's own resend (the body type hides its bytes).

A conn wrapper follows the framing without changing a byte; net/http stays the server.

--- a/cmd/yardflow/exchange_test.go
+++ b/cmd/yardflow/exchange_test.go
@@ -13,7 +13,7 @@
 //	list                      discovery tells: "ID LIFECYCLE [CELL]" a line; ID dead refuses connections
 //	client NAME sends         bytes of a request; "client NAME sends sse" for the second front
 //	client NAME gets          the whole answer, or its head, "an event" or "the end"
-//	client NAME closes
+//	client NAME closes, opens (a connection, silent), sees close
 //	dispatch NAME gets        the next request at any loan worker; "on NAME": over its connection; "none"
 //	dispatch NAME sends       bytes of an answer; "a chunk": of a chunked body; "the end": its end
 //	dispatch NAME closes      or "sees close": the dispatcher has closed it
@@ -23,6 +23,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -355,12 +356,21 @@
 			c = &client{conn: conn, in: bufio.NewReader(conn)}
 			s.clients[name] = c
 		}
-		bytes := wire(text)
+		bytes := strings.ReplaceAll(wire(text), `\r`, "\r") // \r: a CR inside a body
 		if head, body, _ := strings.Cut(bytes, "\r\n\r\n"); !strings.Contains(head, "Content-Length") && !strings.Contains(head, "chunked") {
 			bytes = fmt.Sprintf("%s\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
 		}
 		_, err := io.WriteString(c.conn, bytes)
 		s.must(err)
+	case verb == "opens":
+		conn, err := net.Dial("tcp", s.node.addr.String())
+		s.must(err)
+		s.clients[name] = &client{conn: conn, in: bufio.NewReader(conn)}
+	case verb == "sees":
+		s.must(c.conn.SetReadDeadline(time.Now().Add(patience)))
+		if b, err := c.in.ReadByte(); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			s.t.Errorf("no close: %q, %v", b, err)
+		}
 	case verb == "closes":
 		c.conn.Close()
 	case verb == "gets":
--- a/cmd/yardflow/main.go
+++ b/cmd/yardflow/main.go
@@ -14,7 +14,6 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"sync"
 	"syscall"
 	"time"
 
@@ -30,6 +29,11 @@
 // needs up to 0.4 s to notice.
 const lameDuck = 500 * time.Millisecond
 
+// reserve is for what is neither a client's nor a loan worker's: the standard
+// streams, the poller, the listeners, discovery's connections before and after
+// a reload, a file being read, and what comes past the budget.
+const reserve = 20
+
 func main() {
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
 	if err := run(); err != nil {
@@ -38,6 +42,8 @@
 	}
 }
 
+const sseFile = "deploy/sse.toml"
+
 const usage = `usage: yardflow              run as a dispatcher; NODE_CONFIG names its configuration
        yardflow check        read and check the configuration, start nothing
        yardflow import FILE  turn an HAProxy configuration into ours, on standard output`
@@ -49,7 +55,10 @@
 	if len(os.Args) > 2 || len(os.Args) == 2 && os.Args[1] != "check" {
 		return errors.New(usage)
 	}
-	cfg, err := config.Load(os.Getenv, "deploy/sse.toml")
+	// First of all: by default SIGHUP ends a program.
+	hup := make(chan os.Signal, 1) // one that waits stands for all that came meanwhile
+	signal.Notify(hup, syscall.SIGHUP)
+	cfg, err := config.Load(os.Getenv, sseFile)
 	if err != nil {
 		return err
 	}
@@ -70,6 +79,11 @@
 		log.Printf("%s serves event streams on %s", cfg.Name, n.sseAddr)
 	}
 	log.Printf("%s serves on %s", cfg.Name, n.addr)
+	go func() { // to the end, since a reload may cross a stop
+		for range hup {
+			n.reload(func() (*config.Config, error) { return config.Reload(os.Getenv, sseFile) })
+		}
+	}()
 	select {
 	case err := <-n.failed:
 		return err
@@ -81,6 +95,23 @@
 	return err
 }
 
+// reload takes up a configuration that was replaced while the node runs. One
+// that is not sound changes nothing.
+func (n *node) reload(load func() (*config.Config, error)) {
+	cfg, err := load()
+	if err != nil {
+		log.Printf("reload: the old settings stay: %v", err)
+		return
+	}
+	for _, key := range n.cfg.Fixed(cfg) {
+		log.Printf("reload: %s: takes effect at the next start", key)
+	}
+	if cfg.Discovery != "" { // a fixed list of workers has none
+		n.table.Follow(cfg.Discovery)
+	}
+	log.Printf("reload: discovery at %s", cfg.Discovery)
+}
+
 // importFile writes the imported configuration to standard output, and what did
 // not carry over to standard error.
 func importFile(path string) error {
@@ -104,9 +135,12 @@
 type node struct {
 	cfg           *config.Config
 	broker        *broker.Broker
+	table         *platform.Table
+	guard         *platform.Guard
 	lines         *platform.Lines
 	front         *platform.Frontend
 	servers       []*http.Server
+	listeners     []net.Listener
 	addr, sseAddr net.Addr // where the fronts listen; sseAddr nil: off
 	failed        chan error
 	unfollow      func()
@@ -123,16 +157,17 @@
 	if n.broker, err = broker.New(cfg.Module, cfg.Seed, contracts, logLine); err != nil {
 		return nil, err
 	}
-	table, err := platform.NewTable(cfg, n.broker, logLine)
-	if err != nil {
+	if n.table, err = platform.NewTable(cfg, n.broker, logLine); err != nil {
 		return nil, err
 	}
-	// Sockets: a tenth and the listeners in reserve, a third of the rest to loan
-	// workers, two thirds to clients.
-	rest := cfg.Limits.Sockets - 24 - cfg.Limits.Sockets/10
-	n.lines = platform.NewLines(cfg, rest/3)
-	reader := platform.NewReader(cfg)
-	n.front = platform.NewFrontend(n.broker, n.lines, reader, rest-rest/3)
+	// Sockets: a few in reserve, a third to loan workers (clients hold at most a
+	// third with requests, and each takes one dispatch at a time), the rest to
+	// clients.
+	workers := cfg.Limits.Sockets / 3
+	n.lines = platform.NewLines(cfg, workers)
+	n.guard = platform.NewGuard(cfg.Limits.Sockets - workers - reserve)
+	reader := platform.NewReader(cfg, n.guard)
+	n.front = platform.NewFrontend(n.broker, n.lines, reader)
 	if n.addr, err = n.listen("NODE_LISTEN", cfg.Listen, n.front.Server()); err != nil {
 		return nil, err
 	}
@@ -144,7 +179,7 @@
 	}
 	var follow context.Context
 	follow, n.unfollow = context.WithCancel(context.Background())
-	go table.Run(follow)
+	go n.table.Run(follow)
 	return n, nil
 }
 
@@ -153,9 +188,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", key, err)
 	}
-	n.servers = append(n.servers, server)
+	n.servers, n.listeners = append(n.servers, server), append(n.listeners, l)
 	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(n.guard.Listen(l)); !errors.Is(err, http.ErrServerClosed) && !n.front.Draining() {
 			n.failed <- err
 		}
 	}()
@@ -171,15 +206,25 @@
 	for _, c := range n.cfg.Module.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	end, cancel := context.WithTimeout(context.Background(), longest+time.Second)
-	defer cancel()
-	errs := make([]error, len(n.servers))
-	var wg sync.WaitGroup
+	var errs []error
 	for i, server := range n.servers {
-		server.SetKeepAlivesEnabled(false)
-		wg.Go(func() { errs[i] = server.Shutdown(end) })
+		if err := n.listeners[i].Close(); !errors.Is(err, net.ErrClosed) {
+			errs = append(errs, err)
+		}
+		server.SetKeepAlivesEnabled(false) // closes idle connections, now and after each answer
+	}
+	// Not Shutdown at once: it drops a request that is read after its call.
+	end := time.Now().Add(longest + time.Second)
+	for n.guard.Open() > 0 && time.Now().Before(end) {
+		n.guard.CloseIdle()
+		time.Sleep(5 * time.Millisecond)
+	}
+	if open := n.guard.Open(); open > 0 {
+		errs = append(errs, fmt.Errorf("%d connections stay open", open))
+	}
+	for _, server := range n.servers {
+		errs = append(errs, server.Close())
 	}
-	wg.Wait()
 	n.unfollow()
 	n.lines.CloseIdle()
 	n.broker.Close()
--- a/cmd/yardflow/node_test.go
+++ b/cmd/yardflow/node_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -30,6 +32,12 @@
 	return resp.StatusCode, resp.Close
 }
 
+// done answers a dispatch as its loan worker.
+func (d *dispatch) done(id string) {
+	body := fmt.Sprintf(`{"id":%q,"state":"done","result":"ok"}`, id) + "\n"
+	fmt.Fprintf(d.conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
 // On SIGTERM the node goes on listening while the front has not noticed, answers
 // all it has taken, and then is gone.
 func TestStopAnswersAllThatWasTaken(t *testing.T) {
@@ -54,8 +62,7 @@
 	}
 	for name, d := range s.dispatches {
 		id := map[string]string{"A": "r1", "B": "r2"}[name]
-		body := fmt.Sprintf(`{"id":%q,"state":"done","result":"ok"}`, id) + "\n"
-		fmt.Fprintf(d.conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		d.done(id)
 	}
 	for _, name := range []string{"a", "b"} {
 		if status, last := s.clients[name].answer(t); status != 200 || !last {
@@ -84,8 +91,7 @@
 	s.limits = map[string]any{"sockets": 64}
 	s.step("list", "s-1 DRAINING")
 	n := s.node
-	room := 64 - 24 - 6
-	room -= room / 3
+	room := 64 - 64/3 - reserve
 	dial := func() *client {
 		conn, err := net.Dial("tcp", n.addr.String())
 		s.must(err)
@@ -126,7 +132,7 @@
 	for _, c := range all { // the others leave; their sockets are free again
 		c.conn.Close()
 	}
-	for limit := time.Now().Add(patience); n.front.Full() || n.broker.Stats().Open > 0; time.Sleep(time.Millisecond) {
+	for limit := time.Now().Add(patience); n.guard.Full() || n.broker.Stats().Open > 0; time.Sleep(time.Millisecond) {
 		if time.Now().After(limit) {
 			t.Fatalf("%d requests stay open", n.broker.Stats().Open)
 		}
@@ -136,6 +142,94 @@
 	}
 }
 
+// Silent and half-sent connections make room before any client's at work does,
+// and one whose request waits unread is not closed.
+func TestSilentConnectionsMakeRoom(t *testing.T) {
+	s := newStage(t)
+	s.limits = map[string]any{"sockets": 64}
+	s.step("list", "s-1 SERVING")
+	s.step("client a sends", fmt.Sprintf(job, "r1"))
+	d := <-s.arrivals
+	d.done("r1")
+	if status, _ := s.clients["a"].answer(t); status != 200 {
+		t.Fatal("got", status)
+	}
+	s.step("client b sends", fmt.Sprintf(job, "r2"))
+	s.dispatches["B"] = <-s.arrivals // stays out
+	for i := range 200 {
+		conn, err := net.Dial("tcp", s.node.addr.String())
+		s.must(err)
+		t.Cleanup(func() { conn.Close() })
+		if i%2 == 0 {
+			io.WriteString(conn, "POST /issue-loan HTTP/1.1\r\nX-")
+		}
+	}
+	for name, id := range map[string]string{"a": "r3", "c": "r4"} { // idle since its answer, and new
+		s.step("client "+name+" sends", fmt.Sprintf(job, id))
+		d := <-s.arrivals
+		d.done(id)
+		if status, _ := s.clients[name].answer(t); status != 200 {
+			t.Errorf("client %s got %d", name, status)
+		}
+	}
+	s.dispatches["B"].done("r2")
+	if status, _ := s.clients["b"].answer(t); status != 200 {
+		t.Errorf("the request that was out got %d", status)
+	}
+}
+
+// A new configuration names another address of discovery, with a history of its
+// own. Open requests stay, a faulty file changes nothing, and more may follow.
+func TestReload(t *testing.T) {
+	s := newStage(t)
+	s.step("list", "s-1 SERVING")
+	s.step("list", "s-1 SERVING") // the old history is ahead of the new one
+	s.step("client a sends", fmt.Sprintf(job, "r1"))
+	first := <-s.arrivals
+	calls := make(chan string, 16)
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls <- r.URL.RawQuery
+		if r.FormValue("since") != "" {
+			<-r.Context().Done()
+		}
+		// No "reset": the first word of another history is the whole list even so.
+		fmt.Fprintf(w, `{"generation":1,"instances":[{"instanceId":"s-2","hostPort":%q,"lifecycle":"SERVING"}]}`, s.worker("s-2"))
+	}))
+	defer func() { other.CloseClientConnections(); other.Close() }()
+	n := s.node
+	n.reload(func() (*config.Config, error) { return nil, errors.New("no such file") })
+	next := *n.cfg
+	next.Discovery = other.Listener.Addr().String()
+	for range 2 { // again at once
+		n.reload(func() (*config.Config, error) { return &next, nil })
+	}
+	for got := range calls {
+		if strings.HasPrefix(got, "since=1&") {
+			break
+		} else if got != "" {
+			t.Errorf("asks the new address for %q, not for the whole list", got)
+		}
+	}
+	for limit := time.Now().Add(patience); n.broker.Stats().Ready != 1 || n.broker.Stats().Workers != 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("the list is not the new one: %+v", n.broker.Stats())
+		}
+	}
+	s.step("client b sends", fmt.Sprintf(job, "r2"))
+	second := <-s.arrivals
+	if got := second.conn.LocalAddr().String(); got != s.workers["s-2"] {
+		t.Error("went to", got)
+	}
+	for id, d := range map[string]*dispatch{"r1": first, "r2": second} {
+		d.done(id)
+	}
+	for _, name := range []string{"a", "b"} {
+		if status, _ := s.clients[name].answer(t); status != 200 {
+			t.Errorf("client %s got %d", name, status)
+		}
+	}
+}
+
 // An imported HAProxy configuration is one that serves: each class goes to its
 // backend's servers alone, and what may have run is not repeated.
 func TestImportedConfigurationServes(t *testing.T) {
@@ -165,8 +259,7 @@
 		if want := s.workers[map[string]string{"loans": "loans/one", "files": "files/two"}[class]]; d.conn.LocalAddr().String() != want {
 			t.Errorf("%s went to %s, want %s", class, d.conn.LocalAddr(), want)
 		}
-		body := fmt.Sprintf(`{"id":%q,"state":"done","result":"ok"}`, id) + "\n"
-		fmt.Fprintf(d.conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		d.done(id)
 		if status, _ := s.clients["a"].answer(t); status != 200 {
 			t.Errorf("got %d", status)
 		}
--- a/deploy/check.sh
+++ b/deploy/check.sh
@@ -30,6 +30,14 @@
 	sleep 0.1
 done
 grep -q 'serves event streams on' "$dir/log" || { echo "no second front:"; cat "$dir/log"; kill -TERM $pid; exit 1; }
+# SIGHUP reads the file again and ends nothing.
+kill -HUP $pid
+i=0
+until grep -q 'reload: discovery at' "$dir/log"; do
+	i=$((i + 1))
+	if [ $i -gt 300 ] || ! kill -0 $pid 2> /dev/null; then echo "did not reload:"; cat "$dir/log"; exit 1; fi
+	sleep 0.1
+done
 kill -TERM $pid
 wait $pid || { echo "did not stop in order:"; cat "$dir/log"; exit 1; }
 echo "start checks passed"
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -57,6 +57,11 @@
 	Broken        = linnetlift.Broken
 	Cancelled     = linnetlift.Cancelled
 	NeverSent     = linnetlift.NeverSent
+
+	// Rejected is a worker's word that the request itself is at fault: no worker
+	// can do better with it, and this one is not the worse for having said so.
+	// The module never hears this code.
+	Rejected Code = 255
 )
 
 // Outcome is the end of one attempt.
@@ -83,6 +88,7 @@
 	ComeBack time.Duration // with Refused: advice; 0: none
 	Over     bool          // with Refused: a contract's budget was exceeded
 	Late     bool          // with Failure: the deadline passed
+	Unusable bool          // with Failure: the worker found the request at fault
 }
 
 // Attempt is one try at a worker, handed to the front's attempt function.
@@ -421,6 +427,13 @@
 			s.report(a, o, true)
 			return s.check(Answer{Verdict: Served, Result: o.Result})
 		}
+		if o.Code == Rejected {
+			// Told as a failure, a few clients' unusable requests would make sound
+			// workers look sick to all others.
+			o.Code = Cancelled
+			s.report(a, o, true)
+			return Answer{Verdict: Failure, Unusable: true}
+		}
 		gone := errors.Is(ctx.Err(), context.Canceled)
 		late = o.Code == TimedOut
 		s.report(a, o, gone)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,6 +12,7 @@
 	"io/fs"
 	"net"
 	"os"
+	"reflect"
 	"slices"
 	"strconv"
 	"time"
@@ -111,6 +112,33 @@
 	return c, c.loadSSE(ssePath)
 }
 
+// Reload reads and checks the same anew while a dispatcher runs. The file's
+// discovery wins over the environment's, which can't have changed since the start.
+func Reload(env func(string) string, ssePath string) (*Config, error) {
+	return Load(func(key string) string {
+		if key == "NODE_DISCOVERY" {
+			return ""
+		}
+		return env(key)
+	}, ssePath)
+}
+
+// Fixed names the keys in which next differs and that a running dispatcher
+// can't take up. The seed and the known list are for a start alone and don't count.
+func (c *Config) Fixed(next *Config) (keys []string) {
+	a, b := *c, *next
+	for _, x := range []*Config{&a, &b} {
+		x.Discovery, x.Seed, x.Known = "", 0, nil
+	}
+	va, vb := reflect.ValueOf(a), reflect.ValueOf(b)
+	for i := range va.NumField() {
+		if !reflect.DeepEqual(va.Field(i).Interface(), vb.Field(i).Interface()) {
+			keys = append(keys, va.Type().Field(i).Name)
+		}
+	}
+	return keys
+}
+
 func address(key, s string) error {
 	if _, port, err := net.SplitHostPort(s); err != nil {
 		return fmt.Errorf("%s: %w", key, err)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -126,3 +126,36 @@
 		}
 	}
 }
+
+// While a dispatcher runs the file's discovery wins; what else differs is named.
+func TestReload(t *testing.T) {
+	first, err := load(t, [2]string{}, "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings, err := os.ReadFile("../../cmd/yardflow/testdata/settings.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	for text, want := range map[string][]string{
+		`{"name":"n3","listen":"127.0.0.1:7070","discovery":"127.0.0.9:1","seed":"02","known":{},"limits":{"memory_mb":192},"settings":` + string(settings) + `}`: nil,
+		`{"name":"n3","listen":"127.0.0.1:7071","discovery":"127.0.0.9:1","limits":{"memory_mb":64},"settings":` + string(settings) + `}`:                         {"Listen", "Limits"},
+		`{"name":"n3","listen":"127.0.0.1:7071","discovery":"127.0.0.9:no"}`:                                                                                      {"refused"},
+	} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		env := map[string]string{"NODE_CONFIG": path, "NODE_DISCOVERY": "127.0.0.1:8500"}
+		next, err := Reload(func(k string) string { return env[k] }, "none")
+		got := []string{"refused"}
+		if err == nil {
+			if got = first.Fixed(next); next.Discovery != "127.0.0.9:1" {
+				t.Error("discovery at", next.Discovery)
+			}
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Error(diff)
+		}
+	}
+}
--- a/internal/platform/dispatch.go
+++ b/internal/platform/dispatch.go
@@ -199,6 +199,9 @@
 	if (resp.StatusCode == 503 || resp.StatusCode == 504) && resp.Header.Get("X-Not-Processed") == "1" {
 		o.Code = broker.Full
 	}
+	if resp.StatusCode >= 400 && resp.StatusCode < 500 {
+		o.Code = broker.Rejected
+	}
 	x.Finish()
 	return nil, o
 }
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -11,7 +11,6 @@
 	"errors"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -25,9 +24,7 @@
 )
 
 const (
-	maxBody    = 64 << 10
-	readWithin = 10 * time.Second // for a session's head, and again for its body
-
+	maxBody     = 64 << 10
 	writeWithin = 10 * time.Second
 )
 
@@ -73,6 +70,8 @@
 // TooMany is the deny on a connection past the budget of sockets.
 var TooMany = &Deny{http.StatusServiceUnavailable, "too many connections", time.Second}
 
+var tooLarge = &Deny{Status: http.StatusRequestEntityTooLarge, Text: "the body is over 64 KiB"}
+
 // Denial words a final answer that is not a result; nil for one that needs none.
 func Denial(a broker.Answer) *Deny {
 	switch {
@@ -80,6 +79,8 @@
 		return &Deny{http.StatusTooManyRequests, "over the contract's budget", a.ComeBack}
 	case a.Verdict == broker.Refused:
 		return &Deny{http.StatusServiceUnavailable, "refused, try again", a.ComeBack}
+	case a.Verdict == broker.Failure && a.Unusable:
+		return &Deny{http.StatusBadRequest, "loan workers can't use this request", 0}
 	case a.Verdict == broker.Failure && a.Late:
 		// Not 504 with a promise: 504 is a failure here, since only 429 and 503
 		// tell the client that trying again is harmless.
@@ -92,24 +93,68 @@
 
 // Reader reads sessions off the wire.
 type Reader struct {
-	cfg  *config.Config
-	full func() bool // clients hold all the sockets they may
-	mu   sync.Mutex
-	open map[string]bool // ids of sessions not yet answered
+	cfg   *config.Config
+	guard *Guard
+	mu    sync.Mutex
+	open  map[string]bool // ids of sessions not yet answered
 }
 
 // NewReader makes a Reader; both fronts share one.
-func NewReader(cfg *config.Config) *Reader { return &Reader{cfg: cfg, open: map[string]bool{}} }
+func NewReader(cfg *config.Config, g *Guard) *Reader {
+	return &Reader{cfg: cfg, guard: g, open: map[string]bool{}}
+}
+
+// single are the headers that say what a session is. Twice, one copy would be
+// believed here and the other by whoever reads after us.
+var single = []string{"X-Request-Id", "X-Priority-Class", "X-Tenant-Id", "X-Timeout", "Idempotency-Key"}
+
+// seconds reads a time as the protocol writes it, digits with a point at most:
+// ParseFloat alone would take NaN, Inf, hex and exponents for times too.
+func seconds(text string) (time.Duration, bool) {
+	if strings.Trim(text, "0123456789.") != "" {
+		return 0, false
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	return time.Duration(v * float64(time.Second)), err == nil && v > 0 && v <= 86400
+}
 
 // Read checks and reads one session. Release is to be called once it is answered.
 func (rd *Reader) Read(w http.ResponseWriter, r *http.Request) (*Session, *Deny) {
-	if rd.full != nil && rd.full() {
+	bad := func(text string) (*Session, *Deny) { return nil, &Deny{Status: http.StatusBadRequest, Text: text} }
+	// The time to read runs from here on every path: net/http reads on a denied
+	// body before it sends the deny, and has no bound of its own for that.
+	control := http.NewResponseController(w)
+	control.SetWriteDeadline(time.Time{}) // the last answer's on this connection
+	until := time.Now().Add(readWithin)
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	if c != nil {
+		var fault string
+		if fault, until = c.fault(); fault != "" {
+			// What stands behind such a request can't be told from its body.
+			w.Header().Set("Connection", "close")
+			return bad(fault)
+		}
+	}
+	control.SetReadDeadline(until)
+	if rd.guard.Full() {
 		// What the kernel has accepted counts as taken: it gets its answer, and
 		// the socket is given back.
 		w.Header().Set("Connection", "close")
 		return nil, TooMany
 	}
-	bad := func(text string) (*Session, *Deny) { return nil, &Deny{Status: http.StatusBadRequest, Text: text} }
+	if r.ContentLength > maxBody {
+		w.Header().Set("Connection", "close")
+		return nil, tooLarge
+	}
+	if r.ContentLength < 0 {
+		// In chunks: nothing behind them is taken for another request.
+		w.Header().Set("Connection", "close")
+	}
+	for _, name := range single {
+		if len(r.Header[name]) > 1 {
+			return bad(name + ": comes twice")
+		}
+	}
 	if r.Method != http.MethodPost {
 		w.Header().Set("Allow", "POST")
 		return nil, &Deny{Status: http.StatusMethodNotAllowed, Text: "jobs arrive by POST"}
@@ -132,11 +177,10 @@
 	}
 	left := rd.cfg.Module.Classes[s.Request.Class].Deadline
 	if text := r.Header.Get("X-Timeout"); text != "" {
-		v, err := strconv.ParseFloat(text, 64)
-		if err != nil || !(v > 0 && v <= 86400) {
+		var ok bool
+		if left, ok = seconds(text); !ok {
 			return bad("X-Timeout: not a number of seconds")
 		}
-		left = time.Duration(v * float64(time.Second))
 	}
 	s.Request.Retry = r.Header.Get("X-Retried") == "1"
 	s.Request.Slots = 1
@@ -153,18 +197,23 @@
 			s.Request.Memory = v
 		}
 	}
-	control := http.NewResponseController(w)
-	control.SetWriteDeadline(time.Time{}) // the last answer's on this connection
-	control.SetReadDeadline(time.Now().Add(readWithin))
 	var err error
 	s.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	// A time's up on reading after this point would look like a client that left.
-	control.SetReadDeadline(time.Time{})
-	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
-		return nil, &Deny{Status: http.StatusRequestEntityTooLarge, Text: "the body is over 64 KiB"}
+	if err != nil {
+		// The time to read stays in force: net/http reads on before the deny.
+		w.Header().Set("Connection", "close")
+	} else {
+		// A time's up on reading after this point would look like a client that left.
+		control.SetReadDeadline(time.Time{})
+	}
+	if large := new(http.MaxBytesError); errors.As(err, &large) {
+		return nil, tooLarge
 	} else if err != nil {
 		return bad("the body did not arrive")
 	}
+	if c != nil {
+		c.took()
+	}
 	s.Request.Deadline = time.Now().Add(left) // counted from the request's last byte
 	rd.mu.Lock()
 	defer rd.mu.Unlock()
@@ -189,19 +238,13 @@
 	broker   *broker.Broker
 	lines    *Lines
 	reader   *Reader
-	sockets  int // as many as clients may hold
+	guard    *Guard
 	draining atomic.Bool
-
-	mu    sync.Mutex
-	conns int
-	idle  []net.Conn // oldest first
 }
 
 // NewFrontend makes the platform's front.
-func NewFrontend(b *broker.Broker, l *Lines, rd *Reader, sockets int) *Frontend {
-	f := &Frontend{broker: b, lines: l, reader: rd, sockets: sockets}
-	rd.full = f.Full
-	return f
+func NewFrontend(b *broker.Broker, l *Lines, rd *Reader) *Frontend {
+	return &Frontend{broker: b, lines: l, reader: rd, guard: rd.guard}
 }
 
 // Server returns the HTTP server for this front.
@@ -210,7 +253,7 @@
 }
 
 // Serve makes a server for one front: its sessions, the health check, and the
-// budget of sockets that all fronts share.
+// guard that all fronts share. It is to serve on the guard's listener.
 func (f *Frontend) Serve(session http.HandlerFunc) *http.Server {
 	return &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -224,8 +267,8 @@
 				io.WriteString(w, "ok\n")
 			}
 		}),
-		ReadHeaderTimeout: readWithin, IdleTimeout: 3 * time.Minute, MaxHeaderBytes: 32 << 10,
-		ConnState: f.connState,
+		ReadHeaderTimeout: firstWithin, IdleTimeout: 3 * time.Minute, MaxHeaderBytes: 16 << 10,
+		ConnState: f.guard.state, ConnContext: withConn,
 	}
 }
 
@@ -254,32 +297,3 @@
 		w.Write(answer.Result)
 	}
 }
-
-// connState keeps count of clients' sockets. Past the budget the connection
-// that has been idle longest makes room: closing one between requests is free.
-func (f *Frontend) connState(c net.Conn, state http.ConnState) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if i := slices.Index(f.idle, c); i >= 0 {
-		f.idle = slices.Delete(f.idle, i, i+1)
-	}
-	switch state {
-	case http.StateNew:
-		f.conns++
-		if f.conns > f.sockets && len(f.idle) > 0 {
-			f.idle[0].Close()
-			f.idle = f.idle[1:]
-		}
-	case http.StateIdle:
-		f.idle = append(f.idle, c)
-	case http.StateClosed, http.StateHijacked:
-		f.conns--
-	}
-}
-
-// Full tells whether clients hold more sockets than they may.
-func (f *Frontend) Full() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.conns > f.sockets
-}
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"linnetlift"
@@ -27,18 +28,58 @@
 	// up before then, and soon: the list is old meanwhile.
 	watchWait  = 5 * time.Second
 	watchSlack = 1500 * time.Millisecond
-	maxList    = 8 << 20
+	// listWait bounds a call for the whole list: after a reload what the new
+	// address tells counts as told 4 s later, so a lost call must leave time for another.
+	listWait = 1500 * time.Millisecond
+	maxList  = 8 << 20
 )
 
 // Table follows discovery.
 type Table struct {
 	cfg    *config.Config
 	broker *broker.Broker
-	client *http.Client
 	log    func(string)
 
 	generation uint64
 	known      bool
+
+	mu  sync.Mutex
+	now *source
+}
+
+// source is one address of discovery, with its own connections. Its context
+// ends when another takes its place, and with it whatever call is out.
+type source struct {
+	addr   string
+	client *http.Client
+	ctx    context.Context
+	end    func()
+}
+
+func newSource(addr string) *source {
+	s := &source{addr: addr, client: &http.Client{Transport: &http.Transport{
+		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
+		DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 20 * time.Second,
+	}}}
+	s.ctx, s.end = context.WithCancel(context.Background())
+	return s
+}
+
+// Follow goes over to another address, or begins anew at the same one. The list
+// held so far stays in use until the new source has told its own; requests and
+// what was learned of workers stay whatever it tells.
+func (t *Table) Follow(addr string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.now.end()
+	t.now.client.CloseIdleConnections()
+	t.now = newSource(addr)
+}
+
+func (t *Table) source() *source {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.now
 }
 
 type tableReply struct {
@@ -60,10 +101,7 @@
 
 // NewTable makes the table and hands the broker the list last known.
 func NewTable(cfg *config.Config, b *broker.Broker, log func(string)) (*Table, error) {
-	t := &Table{cfg: cfg, broker: b, log: log, client: &http.Client{Transport: &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
-		DisableCompression: true, MaxIdleConnsPerHost: 2, IdleConnTimeout: 20 * time.Second,
-	}}}
+	t := &Table{cfg: cfg, broker: b, log: log, now: newSource(cfg.Discovery)}
 	var known tableReply
 	if len(cfg.Known) > 0 {
 		if err := json.Unmarshal(cfg.Known, &known); err != nil {
@@ -80,40 +118,53 @@
 // Run follows discovery until ctx ends. A watch goes on for as long as the next
 // call comes within 200 ms of the last answer, so the next one is made at once.
 func (t *Table) Run(ctx context.Context) {
-	for t.broker.AwaitAsk(ctx) == nil {
-		for {
-			reply, err := t.call(ctx)
+	on := t.source()
+	context.AfterFunc(ctx, func() { t.source().end() })
+	for ask := true; ctx.Err() == nil; {
+		if ask && t.broker.AwaitAsk(on.ctx) != nil && on.ctx.Err() == nil {
+			return // the broker is closed
+		}
+		if next := t.source(); next != on {
+			// Another address may tell another history: its generations mean nothing
+			// beside the old ones, and its first word is the whole list, asked for now.
+			on, t.known = next, false
 			if ctx.Err() != nil {
-				return
-			}
-			if err != nil {
-				t.log("server table: " + err.Error())
-				t.broker.List(linnetlift.ListFailed, nil)
-				break
+				on.end()
 			}
+		}
+		reply, err := t.call(on)
+		switch {
+		case on.ctx.Err() != nil:
+			ask = false // replaced meanwhile: whatever came is the old source's word
+		case err != nil:
+			t.log("server table: " + err.Error())
+			t.broker.List(linnetlift.ListFailed, nil)
+			ask = true
+		default:
 			form := linnetlift.ListDelta
-			if reply.Reset {
+			if reply.Reset || !t.known {
 				form = linnetlift.ListFull
 			}
 			t.generation, t.known = *reply.Generation, true
 			t.broker.List(form, t.workers(reply.Instances))
+			ask = false
 		}
 	}
 }
 
-func (t *Table) call(ctx context.Context) (*tableReply, error) {
-	url, limit := "http://"+t.cfg.Discovery+"/v1/servers", 4*time.Second
+func (t *Table) call(on *source) (*tableReply, error) {
+	url, limit := "http://"+on.addr+"/v1/servers", listWait
 	if t.known {
 		url += fmt.Sprintf("?since=%d&timeout_ms=%d", t.generation, watchWait.Milliseconds())
 		limit = watchWait + watchSlack
 	}
-	ctx, stop := context.WithTimeout(ctx, limit)
+	ctx, stop := context.WithTimeout(on.ctx, limit)
 	defer stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := t.client.Do(req)
+	resp, err := on.client.Do(req)
 	if err != nil {
 		return nil, err
 	}
