Planned restart: serve standing connections for half of the time to the kill

Checked with a trace of accepts and reads: for 1 s no dispatcher is reached at all, since one is not back and the other was told to stop; nothing here can mend that second. Before it, clients do go on using connections that stand, and these were closed 0.5 s after SIGTERM (main.go, stop). Ruled out: a late list after the reload (the new one is there within milliseconds) and refusals of our own.

Now connections that stand are served for half of the time to the kill, and what is read after the first 0.5 s is answered before it.

--- a/cmd/yardflow/main.go
+++ b/cmd/yardflow/main.go
@@ -25,9 +25,20 @@
 	"linnetlift/internal/sse"
 )
 
-// lameDuck is how long new connections are still taken after SIGTERM: the front
-// needs up to 0.4 s to notice.
-const lameDuck = 500 * time.Millisecond
+// A planned restart in three steps. New connections are taken for lameDuck, as
+// the front needs up to 0.4 s to notice. Clients at work keep their connections
+// for half of what is left before the kill: while several dispatchers restart in
+// turn, these may be the only way in. What is still out shortly before the kill
+// is answered then, since the kill would lose it.
+const (
+	lameDuck   = 500 * time.Millisecond
+	killMargin = 200 * time.Millisecond
+)
+
+// killAfter is the soonest that SIGKILL follows SIGTERM, by the longest deadline.
+func killAfter(longest time.Duration) time.Duration {
+	return min(longest, 3*time.Second) + 700*time.Millisecond
+}
 
 // reserve is for what is neither a client's nor a loan worker's: the standard
 // streams, the poller, the listeners, discovery's connections before and after
@@ -137,6 +148,7 @@
 	broker        *broker.Broker
 	table         *platform.Table
 	guard         *platform.Guard
+	reader        *platform.Reader
 	lines         *platform.Lines
 	front         *platform.Frontend
 	servers       []*http.Server
@@ -166,13 +178,13 @@
 	workers := cfg.Limits.Sockets / 3
 	n.lines = platform.NewLines(cfg, workers)
 	n.guard = platform.NewGuard(cfg.Limits.Sockets - workers - reserve)
-	reader := platform.NewReader(cfg, n.guard)
-	n.front = platform.NewFrontend(n.broker, n.lines, reader)
+	n.reader = platform.NewReader(cfg, n.guard)
+	n.front = platform.NewFrontend(n.broker, n.lines, n.reader)
 	if n.addr, err = n.listen("NODE_LISTEN", cfg.Listen, n.front.Server()); err != nil {
 		return nil, err
 	}
 	if cfg.SSE.Enabled {
-		server := n.front.Serve(sse.New(cfg, n.broker, n.lines, reader).Session)
+		server := n.front.Serve(sse.New(cfg, n.broker, n.lines, n.reader).Session)
 		if n.sseAddr, err = n.listen("deploy/sse.toml: listen", cfg.SSE.Listen, server); err != nil {
 			return nil, err
 		}
@@ -197,24 +209,30 @@
 	return l.Addr(), nil
 }
 
-// stop ends the node as a planned restart asks: new connections are taken a
-// little longer, then idle ones are closed, and all that was taken is answered.
+// stop ends the node as a planned restart asks, and answers all that was taken.
 func (n *node) stop() error {
-	n.front.Drain()
-	time.Sleep(lameDuck)
 	longest := time.Duration(0)
 	for _, c := range n.cfg.Module.Classes {
 		longest = max(longest, c.Deadline)
 	}
+	began, kill := time.Now(), killAfter(longest)
+	n.front.Drain()
+	time.Sleep(lameDuck)
+	n.reader.Limit(began.Add(kill - killMargin))
 	var errs []error
-	for i, server := range n.servers {
-		if err := n.listeners[i].Close(); !errors.Is(err, net.ErrClosed) {
+	for _, l := range n.listeners {
+		if err := l.Close(); !errors.Is(err, net.ErrClosed) {
 			errs = append(errs, err)
 		}
+	}
+	for time.Since(began) < kill/2 && n.guard.Open() > 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	for _, server := range n.servers {
 		server.SetKeepAlivesEnabled(false) // closes idle connections, now and after each answer
 	}
 	// Not Shutdown at once: it drops a request that is read after its call.
-	end := time.Now().Add(longest + time.Second)
+	end := began.Add(longest + time.Second)
 	for n.guard.Open() > 0 && time.Now().Before(end) {
 		n.guard.CloseIdle()
 		time.Sleep(5 * time.Millisecond)
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -97,6 +97,7 @@
 	guard *Guard
 	mu    sync.Mutex
 	open  map[string]bool // ids of sessions not yet answered
+	end   time.Time       // no session read from now on has a later deadline; zero: none
 }
 
 // NewReader makes a Reader; both fronts share one.
@@ -223,9 +224,19 @@
 		return nil, &Deny{Status: http.StatusConflict, Text: "X-Request-ID: in use"}
 	}
 	rd.open[s.ID] = true
+	if !rd.end.IsZero() && s.Request.Deadline.After(rd.end) {
+		s.Request.Deadline = rd.end
+	}
 	return s, nil
 }
 
+// Limit bounds the deadline of every session read from now on.
+func (rd *Reader) Limit(end time.Time) {
+	rd.mu.Lock()
+	rd.end = end
+	rd.mu.Unlock()
+}
+
 // Release frees the session's id.
 func (rd *Reader) Release(s *Session) {
 	rd.mu.Lock()
