--- a/cmd/yardflow/main.go
+++ b/cmd/yardflow/main.go
@@ -241,7 +241,9 @@
 		errs = append(errs, fmt.Errorf("%d connections stay open", open))
 	}
 	for _, server := range n.servers {
-		errs = append(errs, server.Close())
+		if err := server.Close(); !errors.Is(err, net.ErrClosed) {
+			errs = append(errs, err)
+		}
 	}
 	n.unfollow()
 	n.lines.CloseIdle()
