One lost connection no longer leaves a sound worker out; loans avoid kept ones in doubt

Only a few per cent of the requests met a bad connection, but most were late.

Checked with a trace of attempts by worker: after one reset, or one connection that fell silent, its dispatcher sent that worker next to nothing for 10 to 25 s, and the others filled up. Lines at fault, in dispatcher.go: blame() took 0.3 of error share for any end, and able() keeps unsafe jobs away above 0.1, which takes 18 s to fade; watch() raised w.late by an attempt that nothing could end, and only a success took it back, which a worker ranked last never gets; the lost job held its room to the deadline, 20 s for package-file. In dispatch.go a kept connection that was gone counted as the worker's failure, and loans went on being risked on kept ones.

Ruled out: silent or sick machines (the same worker served the other dispatcher all the while), our own idle time (45 s; these were closed or reset by the workers within seconds), and late lists.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -25,21 +25,24 @@
 	tdBound     = 5.0  // TD errors beyond this many mean costs are cut
 
 	tickEvery    = 25 * time.Millisecond
-	refreshEvery = time.Second // speeds of kinds, thresholds, decay
-	nearEqual    = 0.25        // speeds this close (ln) are ranked in an own order
-	crossCheap   = 0.05        // price of crossing, in worths, up to which shares span zones
-	crossWeight  = 4.0         // price of crossing zones, in aims
-	foreignCost  = 0.5         // rank (ln) that a worker outside the own share loses
-	holdShare    = 0.25        // part of the spare time that may be spent holding
-	overdueAt    = 3.0         // a job past this many expected runs is overdue
-	surprise     = 1.5         // bound (ln) on what one job tells of speed
-	fullPauses   = 3           // times the pause after a refusal or late start doubles
-	failPauses   = 6           // and after failures
-	trustAt      = 0.1         // error share above which unsafe jobs stay away
-	coldSafety   = 0.3         // part of the slow-start budget that is used
-	guessWeight  = 8.0         // how much worse a guessed wait is than a known slow run
-	sightings    = 4           // times a higher slot count must be seen
-	lookAhead    = 4           // held jobs tried when the head fits nowhere
+	refreshEvery = time.Second            // speeds of kinds, thresholds, decay
+	nearEqual    = 0.25                   // speeds this close (ln) are ranked in an own order
+	crossCheap   = 0.05                   // price of crossing, in worths, up to which shares span zones
+	crossWeight  = 4.0                    // price of crossing zones, in aims
+	foreignCost  = 0.5                    // rank (ln) that a worker outside the own share loses
+	holdShare    = 0.25                   // part of the spare time that may be spent holding
+	overdueAt    = 3.0                    // a job past this many expected runs is overdue
+	surprise     = 1.5                    // bound (ln) on what one job tells of speed
+	fullPauses   = 3                      // times the pause after a refusal or late start doubles
+	failPauses   = 6                      // and after failures
+	trustAt      = 0.1                    // error share above which unsafe jobs stay away
+	coldSafety   = 0.3                    // part of the slow-start budget that is used
+	guessWeight  = 8.0                    // how much worse a guessed wait is than a known slow run
+	sightings    = 4                      // times a higher slot count must be seen
+	lookAhead    = 4                      // held jobs tried when the head fits nowhere
+	overtake     = 400 * time.Millisecond // connecting may delay a job so long against a later one
+	failWeight   = 0.15                   // error share that one failure tells of
+	breakWeight  = 0.07                   // and one broken connection
 	logEvery     = 10 * time.Second
 )
 
@@ -112,7 +115,13 @@
 		switch {
 		case n.Kind == NoteStarted && a.started == 0:
 			a.started = now
+			a.w.startSent = max(a.w.startSent, a.sent)
 			d.pace(a, false)
+			if a.orphan { // it was only late: it holds a slot after all
+				a.orphan = false
+				a.w.own += r.Slots
+				a.w.ownMem += r.Memory
+			}
 			a.w.running += r.Slots
 			// A low quantile: a mean would take waiting at the workers for the
 			// ordinary delay and stop seeing it just when every worker is full.
@@ -161,7 +170,7 @@
 		d.askList(out)
 	}
 	for _, a := range d.out {
-		d.watch(a)
+		d.watch(a, out)
 	}
 	if now >= d.refreshAt {
 		d.refresh()
@@ -399,6 +408,7 @@
 	d.pace(a, neverRan)
 	switch o.Code {
 	case OK:
+		w.okSent = max(w.okSent, a.sent)
 		d.learnSpeed(r, w, run)
 		w.bad *= 0.7
 		w.late = 0
@@ -407,8 +417,12 @@
 		}
 	case Full:
 		d.shrink(w, fullPauses)
-	case Failed, TimedOut, ConnectFailed, Broken, Unknown:
-		d.blame(w, out)
+	case Broken:
+		d.blame(w, breakWeight, out)
+	case Failed, TimedOut, ConnectFailed, Unknown:
+		if !a.orphan {
+			d.blame(w, failWeight, out)
+		}
 	}
 	if neverRan {
 		r.refusedBy = append(r.refusedBy, w)
@@ -563,6 +577,7 @@
 	d.crossing = d.startDelay[1] + crossWeight*d.CrossPrice*aim/float64(len(d.Classes))
 	for _, w := range d.rank {
 		w.bad *= 0.94
+		w.late *= 0.8 // a job still overdue raises it again
 		// What was gained beyond the own share is given back where it is not used.
 		if home := d.homeSlots(w); w.limit > home && w.own < w.limit {
 			w.limit = max(home, w.limit-0.5)
@@ -706,8 +721,21 @@
 
 // watch looks at an attempt that is still out: no start note, an overdue run
 // or silence lowers its worker's limit and rank before any outcome does.
-func (d *dispatcher) watch(a *attempt) {
+func (d *dispatcher) watch(a *attempt, out Actions) {
 	w, r := a.w, a.r
+	if !a.orphan && d.lost(a) {
+		a.orphan = true
+		if a.started != 0 {
+			w.running -= r.Slots
+		}
+		w.own, w.ownMem = max(w.own-r.Slots, 0), max(w.ownMem-r.Memory, 0)
+		if d.Cancelling && r.attempts < d.MaxAttempts && d.now < r.inTime && d.retryPays(r) {
+			out.Cancel(r.ID, a.n)
+		}
+	}
+	if a.orphan {
+		return
+	}
 	if d.TellsStart && a.started == 0 && !a.late &&
 		(d.now-a.sent).Seconds() > 3*d.startDelay[zoneIndex(w)]+(2*d.Round).Seconds()+0.01 {
 		a.late = true
@@ -736,6 +764,18 @@
 	}
 }
 
+// lost tells that no more is to be heard of a, and that its worker is not to
+// blame: in strict order a job sent well after it could not have started first,
+// and a run far past what is expected, while later ones end well, is a stream that
+// stopped. One silent connection must not leave a sound worker out.
+func (d *dispatcher) lost(a *attempt) bool {
+	if a.started == 0 {
+		return d.InOrder && d.TellsStart && a.w.startSent > a.sent+overtake
+	}
+	return a.w.okSent > a.sent && (d.now-a.started).Seconds() > 2*overdueAt*d.expect(a.r, a.w) &&
+		(d.Progress == 0 || d.now-a.heard > 2*d.Progress)
+}
+
 // report takes in a load report. Our own jobs are added back, since what we
 // send and end after it is known better than it tells.
 func (d *dispatcher) report(w *worker, load []float64, finished bool) {
@@ -771,11 +811,15 @@
 	}
 }
 
-// blame counts a failure. The worker loses rank and its slots for a pause that
-// grows while it goes on failing and ends in a trial. When all fail, all lose alike.
-func (d *dispatcher) blame(w *worker, out Actions) {
-	w.bad = 0.7*w.bad + 0.3
-	d.shrink(w, failPauses)
+// blame counts a failure. The worker loses rank and, if it isn't a single broken
+// connection, its slots for a pause that grows while it goes on failing and ends in
+// a trial. When all fail, all lose alike. One failure after a good time is mostly
+// chance: it costs a few seconds, and each that follows soon costs more.
+func (d *dispatcher) blame(w *worker, weight float64, out Actions) {
+	w.bad = min(1.5*w.bad+weight, 1)
+	if w.bad > trustAt {
+		d.shrink(w, failPauses)
+	}
 	if w.bad > 0.75 {
 		d.log(out, "failing", fmt.Sprintf("worker %x fails, next trial in %v", uint64(w.ID), w.trialAt-d.now))
 	}
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -671,3 +671,64 @@
 		t.Errorf("got %v, want one refusal", got)
 	}
 }
+
+// A job whose connection has gone silent, while its worker goes on with jobs sent
+// after it, is the connection's loss: the worker keeps its rank, its room and its
+// jobs, and a job that may be repeated is taken back and sent again.
+func TestOneSilentConnectionBlamesNoWorker(t *testing.T) {
+	for class, again := range map[int]bool{1: true, 2: false} {
+		s := testSettings()
+		s.InOrder, s.Classes[class].Aim = true, 3*time.Second
+		d, out := newDispatcher(s, 1), &recorder{}
+		d.List(0, ListCached, []Worker{{ID: 1, Weight: 1}}, out)
+		w := d.workers[1]
+		d.kindOf(w).slots, w.limit = 4, 4
+		d.Arrive(ms, Request{ID: 1, Class: class, Left: 5 * time.Second}, out) // never heard of again
+		cancelled, served := false, 0
+		for now := 50 * ms; now < 2*time.Second; now += 50 * ms {
+			d.Arrive(now, Request{ID: RequestID(now), Left: 5 * time.Second}, out)
+			for _, a := range out.take() {
+				if a.what == "send" && a.id != 1 {
+					d.Note(now+ms, Note{ID: a.id, Worker: 1, Kind: NoteStarted}, out)
+					d.Outcome(now+40*ms, Outcome{ID: a.id, Worker: 1, Code: OK, Ended: true}, out)
+					served++
+				}
+				cancelled = cancelled || a == action{what: "cancel", id: 1}
+			}
+			d.Timer(now+45*ms, 0, out)
+		}
+		if cancelled != again || w.own != 0 || w.late != 0 || served < 30 {
+			t.Errorf("class %d: taken back: %v, own %v, late %v, served %d", class, cancelled, w.own, w.late, served)
+		}
+		if d.Outcome(2*time.Second, Outcome{ID: 1, Worker: 1, Code: TimedOut, Ended: true}, out); w.bad != 0 || w.own != 0 {
+			t.Errorf("class %d: bad %v, own %v", class, w.bad, w.own)
+		}
+	}
+}
+
+// What one lost job tells of its worker: a kept connection that was gone nothing,
+// a broken one a little, a failure enough to stay away for some seconds.
+func TestOneLossIsNoSickWorker(t *testing.T) {
+	for _, c := range []struct {
+		code   Code
+		losses int
+		away   time.Duration // unsafe jobs stay away no longer
+	}{{Dropped, 5, 0}, {Broken, 1, 0}, {Broken, 2, 20 * time.Second}, {Failed, 1, 8 * time.Second}} {
+		d, out := newDispatcher(testSettings(), 1), &recorder{}
+		d.List(0, ListCached, []Worker{{ID: 1, Weight: 1}}, out)
+		w, now := d.workers[1], ms
+		for id := range RequestID(c.losses) {
+			now += 10 * ms
+			d.forceAt, w.limit, w.trialAt = 0, 4, 0
+			d.Arrive(now, Request{ID: id, Class: 2, Left: 5 * time.Second}, out)
+			d.Outcome(now, Outcome{ID: id, Worker: 1, Code: c.code}, out)
+		}
+		until := now
+		for ; w.bad > trustAt && until < time.Minute; until += refreshEvery {
+			d.Timer(until, 0, out)
+		}
+		if got := until - now; got > c.away || c.away > 0 && got == 0 {
+			t.Errorf("%d times code %d: away for %v, want %v at the most", c.losses, c.code, got, c.away)
+		}
+	}
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -57,6 +57,7 @@
 	Broken        = linnetlift.Broken
 	Cancelled     = linnetlift.Cancelled
 	NeverSent     = linnetlift.NeverSent
+	Dropped       = linnetlift.Dropped
 
 	// Rejected is a worker's word that the request itself is at fault: no worker
 	// can do better with it, and this one is not the worse for having said so.
--- a/internal/platform/dispatch.go
+++ b/internal/platform/dispatch.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"linnetlift"
 	"linnetlift/internal/broker"
 	"linnetlift/internal/config"
 	"linnetlift/internal/invariant"
@@ -28,6 +29,9 @@
 const (
 	maxLine   = 256 << 10 // a result of 64 KiB, escaped at its worst
 	drainTime = time.Second
+	// doubtTime is how long kept connections are not trusted with a session that
+	// may be sent once, after one was found gone.
+	doubtTime = 30 * time.Second
 )
 
 var (
@@ -38,6 +42,9 @@
 // Lines carries dispatches to loan workers.
 type Lines struct {
 	transport *http.Transport
+	once      *http.Transport // a connection for each dispatch, closed after it
+	fragile   []bool          // by class: may be sent once
+	doubt     atomic.Int64    // Unix nanoseconds up to which kept connections are in doubt
 	columns   []string
 	sockets   chan struct{} // one for each socket open to loan workers
 	finishing sync.WaitGroup
@@ -58,9 +65,24 @@
 		IdleConnTimeout:        cfg.IdleClose * 3 / 4,
 		MaxResponseHeaderBytes: 64 << 10,
 	}
+	l.once = l.transport.Clone()
+	l.once.DisableKeepAlives = true
+	for _, c := range cfg.Module.Classes {
+		l.fragile = append(l.fragile, c.Semantics == linnetlift.Fragile)
+	}
 	return l
 }
 
+// carrier chooses how a session goes. A kept connection may have been closed or
+// reset since its last use without our knowing, and what is written to it then
+// may have run: a session with one life is not risked on it once that was seen.
+func (l *Lines) carrier(s *Session) *http.Transport {
+	if c := s.Request.Class; c < len(l.fragile) && l.fragile[c] && time.Now().UnixNano() < l.doubt.Load() {
+		return l.once
+	}
+	return l.transport
+}
+
 // CloseIdle closes the connections that carry nothing.
 func (l *Lines) CloseIdle() { l.transport.CloseIdleConnections() }
 
@@ -145,11 +167,13 @@
 // the answer. Without a 200 the exchange is nil and the outcome tells the end.
 func (l *Lines) Open(ctx context.Context, a *broker.Attempt, s *Session, accept string) (*Exchange, broker.Outcome) {
 	var conn *line
-	var refused, wrote atomic.Bool
+	var refused, wrote, answered atomic.Bool
+	reused := false
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			invariant.Hold(conn == nil, "the transport sent a dispatch twice")
 			conn, _ = info.Conn.(*line)
+			reused = info.Reused
 			// A slow connect can cross the time by which nothing new may go to a
 			// loan worker that drains: ask again now that the bytes would flow.
 			if !a.Allowed() {
@@ -157,7 +181,8 @@
 				info.Conn.Close()
 			}
 		},
-		WroteRequest: func(info httptrace.WroteRequestInfo) { wrote.Store(info.Err == nil) },
+		GotFirstResponseByte: func() { answered.Store(true) },
+		WroteRequest:         func(info httptrace.WroteRequestInfo) { wrote.Store(info.Err == nil) },
 	}
 	before := int64(0)
 	inner := trace.GotConn
@@ -172,20 +197,26 @@
 	// the exchange has a context of its own, tied to ctx until Finish.
 	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	unhook := context.AfterFunc(ctx, cancel)
-	resp, err := l.transport.RoundTrip(s.request(httptrace.WithClientTrace(own, trace), ctx, a, accept))
+	resp, err := l.carrier(s).RoundTrip(s.request(httptrace.WithClientTrace(own, trace), ctx, a, accept))
 	if err != nil {
 		cancel()
 		if conn != nil {
 			conn.Close()
 		}
+		gone := reused && !answered.Load() && ctx.Err() == nil
+		if gone && !refused.Load() {
+			l.doubt.Store(time.Now().Add(doubtTime).UnixNano())
+		}
 		switch {
 		case refused.Load():
 			return nil, broker.Outcome{Code: broker.NeverSent}
 		case conn == nil || !wrote.Load() || conn.written.Load() == before:
-			if ctx.Err() != nil || errors.Is(err, errSockets) {
+			if ctx.Err() != nil || errors.Is(err, errSockets) || gone {
 				return nil, broker.Outcome{Code: broker.NeverSent}
 			}
 			return nil, broker.Outcome{Code: broker.ConnectFailed}
+		case gone:
+			return nil, broker.Outcome{Code: broker.Dropped}
 		}
 		return nil, ended(ctx)
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -1,10 +1,12 @@
 package platform
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -256,3 +258,62 @@
 		answers <- step.text
 	}
 }
+
+// A kept connection that was reset unseen costs the session that finds it, and no
+// other that has one life: those get connections of their own for a while. A
+// session that may be repeated goes on using kept ones.
+func TestKeptConnectionInDoubt(t *testing.T) {
+	cfg := testConfig()
+	cfg.Module.Classes = append(cfg.Module.Classes, linnetlift.Class{Name: "keyed", Aim: 20 * time.Second, Deadline: 5 * time.Second,
+		Worth: 1, Semantics: linnetlift.Retryable, Kind: -1})
+	b := testBroker(t, cfg)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	served := make(chan int, 16) // the number of the connection that each session came over
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				in := bufio.NewReader(conn)
+				for i := 0; ; i++ {
+					req, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, req.Body)
+					served <- n
+					if n == 0 && i == 1 { // the first connection is reset at its second session
+						conn.(*net.TCPConn).SetLinger(0)
+						conn.Close()
+						return
+					}
+					line := fmt.Sprintf("{\"id\":%q,\"state\":\"done\",\"result\":\"ok\"}\n", req.Header.Get("X-Request-Id"))
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(line), line)
+				}
+			}()
+		}
+	}()
+	b.List(linnetlift.ListFull, []broker.Worker{{ID: "s", Addr: l.Addr().String()}})
+	lines := NewLines(cfg, 16)
+	for i, c := range []struct {
+		class, conn int
+		code        broker.Code
+	}{{0, 0, broker.OK}, {0, 0, broker.Dropped}, {0, 1, broker.OK}, {1, 2, broker.OK}, {1, 2, broker.OK}, {0, 3, broker.OK}} {
+		s := &Session{ID: fmt.Sprint("r", i), method: "POST", uri: "/x", header: http.Header{}, body: []byte("x"),
+			Request: broker.Request{Class: c.class, Slots: 1, Deadline: time.Now().Add(5 * time.Second)}}
+		b.Serve(t.Context(), s.Request, func(ctx context.Context, a *broker.Attempt) broker.Outcome {
+			o := lines.Do(s)(ctx, a)
+			lines.Settle()
+			if n := <-served; n != c.conn || o.Code != c.code {
+				t.Errorf("session %d: connection %d, code %d, want %d and %d", i, n, o.Code, c.conn, c.code)
+			}
+			return o
+		})
+	}
+}
--- a/linnetlift.go
+++ b/linnetlift.go
@@ -190,6 +190,7 @@
 	Cancelled          // may have run
 	NeverSent          // the host did not send it
 	Unknown            // anything else: taken as one that may have run
+	Dropped            // a kept connection was gone when it was used: may have run, and tells nothing of the worker
 )
 
 // Outcome reports the end of an attempt.
--- a/state.go
+++ b/state.go
@@ -16,6 +16,7 @@
 	sent, started, heard time.Duration
 	late, overdue        bool
 	forced               bool // sent without counted room
+	orphan               bool // given up as lost on its way; holds no room
 }
 
 type request struct {
@@ -56,6 +57,7 @@
 	reported            bool
 	running             float64 // slots of our jobs known to have started
 	visits              int
+	startSent, okSent   time.Duration // when the latest job known to have started, or to have ended well, was sent
 }
 
 type kind struct {
@@ -137,11 +139,13 @@
 }
 
 func (d *dispatcher) drop(r *request, a *attempt) {
-	if a.started != 0 {
+	if a.started != 0 && !a.orphan {
 		a.w.running -= r.Slots
 	}
-	a.w.own = max(a.w.own-r.Slots, 0)
-	a.w.ownMem = max(a.w.ownMem-r.Memory, 0)
+	if !a.orphan {
+		a.w.own = max(a.w.own-r.Slots, 0)
+		a.w.ownMem = max(a.w.ownMem-r.Memory, 0)
+	}
 	r.out--
 	r.pending = slices.DeleteFunc(r.pending, func(p *attempt) bool { return p == a })
 	last := d.out[len(d.out)-1]
