Framing, time to read and lengths are checked on every path of both fronts

Seen by reading: the checks stood in Reader.Read (frontend.go), so a deny made before it (no contract on the second front, the health check) had no bound on the rest of a body, and after a health check in chunks the guard no longer saw what followed.

--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -107,7 +107,7 @@
 
 // single are the headers that say what a session is. Twice, one copy would be
 // believed here and the other by whoever reads after us.
-var single = []string{"X-Request-Id", "X-Priority-Class", "X-Tenant-Id", "X-Timeout", "Idempotency-Key"}
+var single = []string{"X-Team", "X-Request-Id", "X-Priority-Class", "X-Tenant-Id", "X-Timeout", "Idempotency-Key"}
 
 // seconds reads a time as the protocol writes it, digits with a point at most:
 // ParseFloat alone would take NaN, Inf, hex and exponents for times too.
@@ -122,40 +122,13 @@
 // Read checks and reads one session. Release is to be called once it is answered.
 func (rd *Reader) Read(w http.ResponseWriter, r *http.Request) (*Session, *Deny) {
 	bad := func(text string) (*Session, *Deny) { return nil, &Deny{Status: http.StatusBadRequest, Text: text} }
-	// The time to read runs from here on every path: net/http reads on a denied
-	// body before it sends the deny, and has no bound of its own for that.
 	control := http.NewResponseController(w)
-	control.SetWriteDeadline(time.Time{}) // the last answer's on this connection
-	until := time.Now().Add(readWithin)
-	c, _ := r.Context().Value(connKey{}).(*conn)
-	if c != nil {
-		var fault string
-		if fault, until = c.fault(); fault != "" {
-			// What stands behind such a request can't be told from its body.
-			w.Header().Set("Connection", "close")
-			return bad(fault)
-		}
-	}
-	control.SetReadDeadline(until)
 	if rd.guard.Full() {
 		// What the kernel has accepted counts as taken: it gets its answer, and
 		// the socket is given back.
 		w.Header().Set("Connection", "close")
 		return nil, TooMany
 	}
-	if r.ContentLength > maxBody {
-		w.Header().Set("Connection", "close")
-		return nil, tooLarge
-	}
-	if r.ContentLength < 0 {
-		// In chunks: nothing behind them is taken for another request.
-		w.Header().Set("Connection", "close")
-	}
-	for _, name := range single {
-		if len(r.Header[name]) > 1 {
-			return bad(name + ": comes twice")
-		}
-	}
 	if r.Method != http.MethodPost {
 		w.Header().Set("Allow", "POST")
 		return nil, &Deny{Status: http.StatusMethodNotAllowed, Text: "jobs arrive by POST"}
@@ -212,7 +185,7 @@
 	} else if err != nil {
 		return bad("the body did not arrive")
 	}
-	if c != nil {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 		c.took()
 	}
 	s.Request.Deadline = time.Now().Add(left) // counted from the request's last byte
@@ -263,11 +236,45 @@
 	return f.Serve(f.session)
 }
 
+// sound checks what makes a message safe to read on, whatever it is for, and sets
+// the time to read it.
+func sound(w http.ResponseWriter, r *http.Request) *Deny {
+	// net/http reads on in a denied body before it sends the deny, and has no bound
+	// of its own for that. So the time runs on every path.
+	control, until, fault := http.NewResponseController(w), time.Now().Add(readWithin), ""
+	control.SetWriteDeadline(time.Time{}) // the last answer's on this connection
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		fault, until = c.fault()
+	}
+	control.SetReadDeadline(until)
+	for _, name := range single {
+		if len(r.Header[name]) > 1 && fault == "" {
+			return &Deny{Status: http.StatusBadRequest, Text: name + ": comes twice"}
+		}
+	}
+	// What stands behind such a message can't be told from its body, and behind one
+	// in chunks nothing is taken for another.
+	if fault != "" || r.ContentLength < 0 || r.ContentLength > maxBody {
+		w.Header().Set("Connection", "close")
+	}
+	switch {
+	case fault != "":
+		return &Deny{Status: http.StatusBadRequest, Text: fault}
+	case r.ContentLength > maxBody:
+		return tooLarge
+	}
+	return nil
+}
+
 // Serve makes a server for one front: its sessions, the health check, and the
 // guard that all fronts share. It is to serve on the guard's listener.
 func (f *Frontend) Serve(session http.HandlerFunc) *http.Server {
 	return &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if deny := sound(w, r); deny != nil {
+				deny.Write(w)
+				return
+			}
 			switch {
 			case r.URL.Path != "/healthz":
 				session(w, r)
