--- a/dispatcher.go
+++ b/dispatcher.go
@@ -766,13 +766,13 @@
 
 // lost tells that no more is to be heard of a, and that its worker is not to
 // blame: in strict order a job sent well after it could not have started first,
-// and a run far past what is expected, while later ones end well, is a stream that
+// and a run very far past what is expected, while later ones end well, is a stream that
 // stopped. One silent connection must not leave a sound worker out.
 func (d *dispatcher) lost(a *attempt) bool {
 	if a.started == 0 {
 		return d.InOrder && d.TellsStart && a.w.startSent > a.sent+overtake
 	}
-	return a.w.okSent > a.sent && (d.now-a.started).Seconds() > 2*overdueAt*d.expect(a.r, a.w) &&
+	return a.w.okSent > a.sent && (d.now-a.started).Seconds() > 4*overdueAt*d.expect(a.r, a.w) &&
 		(d.Progress == 0 || d.now-a.heard > 2*d.Progress)
 }
 
