A console for operators; workers they take out get nothing new; inherited listening socket

Also: TestSilentConnectionsMakeRoom failed in 2 of 3 runs before this change too ('no dispatch came'). Ruled out the dispatch side: the client's idle connection had been closed. Guard.evict passes over strangers whose bytes are unread, and in a flood all are, so an idle client at work made room.

--- a/cmd/yardflow/exchange_test.go
+++ b/cmd/yardflow/exchange_test.go
@@ -13,6 +13,7 @@
 //	list                      discovery tells: "ID LIFECYCLE [CELL]" a line; ID dead refuses connections
 //	client NAME sends         bytes of a request; "client NAME sends sse" for the second front
 //	client NAME gets          the whole answer, or its head, "an event" or "the end"
+//	console CALL              an operator's call, and the answer
 //	client NAME closes, opens (a connection, silent), sees close
 //	dispatch NAME gets        the next request at any loan worker; "on NAME": over its connection; "none"
 //	dispatch NAME sends       bytes of an answer; "a chunk": of a chunked body; "the end": its end
@@ -77,6 +78,7 @@
 type stage struct {
 	t        *testing.T
 	settings map[string]any
+	dir      string // TMPDIR; empty: none
 	limits   map[string]any
 	sse      string
 	node     *node
@@ -233,6 +235,15 @@
 		s.sse = text
 	case "list":
 		s.tell(text)
+	case "console":
+		conn, err := net.Dial("tcp", s.node.consoleAddr.String())
+		s.must(err)
+		defer conn.Close()
+		s.must(conn.SetDeadline(time.Now().Add(patience)))
+		fmt.Fprintln(conn, strings.TrimPrefix(step, "console "))
+		answer, err := io.ReadAll(conn)
+		s.must(err)
+		s.compare(string(answer), text)
 	case "client":
 		s.client(word[1], word[2], strings.TrimSpace(rest), text)
 	case "dispatch":
@@ -264,7 +275,7 @@
 		return filepath.Join(dir, name)
 	}
 	text, err := json.Marshal(map[string]any{"name": "n0", "seed": "01", "settings": s.settings, "limits": s.limits, "listen": "127.0.0.1:0",
-		"discovery": s.discovery.Listener.Addr().String(), "known": map[string]any{"generation": 0, "instances": []any{}}})
+		"console": "127.0.0.1:0", "discovery": s.discovery.Listener.Addr().String(), "known": map[string]any{"generation": 0, "instances": []any{}}})
 	s.must(err)
 	env := map[string]string{"NODE_CONFIG": write("config.json", text)}
 	toml := filepath.Join(dir, "none")
@@ -278,7 +289,7 @@
 
 func (s *stage) run(cfg *config.Config) {
 	var err error
-	s.node, err = start(cfg)
+	s.node, err = start(cfg, s.dir)
 	s.must(err)
 	s.t.Cleanup(func() {
 		for _, c := range s.clients {
--- a/cmd/yardflow/main.go
+++ b/cmd/yardflow/main.go
@@ -14,11 +14,14 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"linnetlift/internal/broker"
 	"linnetlift/internal/config"
+	"linnetlift/internal/console"
+	"linnetlift/internal/handover"
 	"linnetlift/internal/haproxy"
 	"linnetlift/internal/invariant"
 	"linnetlift/internal/platform"
@@ -82,10 +85,13 @@
 	runtime.GOMAXPROCS(max(int(math.Ceil(cfg.Limits.Cores)), 1))
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 7 / 10)
 	debug.SetGCPercent(200)
-	n, err := start(cfg)
+	n, err := start(cfg, os.Getenv("TMPDIR"))
 	if err != nil {
 		return err
 	}
+	if n.consoleAddr != nil {
+		log.Printf("%s takes operators' calls on %s", cfg.Name, n.consoleAddr)
+	}
 	if n.sseAddr != nil {
 		log.Printf("%s serves event streams on %s", cfg.Name, n.sseAddr)
 	}
@@ -144,21 +150,28 @@
 
 // node is one running dispatcher.
 type node struct {
-	cfg           *config.Config
-	broker        *broker.Broker
-	table         *platform.Table
-	guard         *platform.Guard
-	reader        *platform.Reader
-	lines         *platform.Lines
-	front         *platform.Frontend
-	servers       []*http.Server
-	listeners     []net.Listener
-	addr, sseAddr net.Addr // where the fronts listen; sseAddr nil: off
-	failed        chan error
-	unfollow      func()
+	cfg       *config.Config
+	broker    *broker.Broker
+	table     *platform.Table
+	guard     *platform.Guard
+	reader    *platform.Reader
+	lines     *platform.Lines
+	front     *platform.Frontend
+	servers   []*http.Server
+	listeners []net.Listener
+	console   *console.Console
+	bans      *handover.Bans
+	serving   atomic.Bool
+
+	addr, sseAddr, consoleAddr net.Addr // where the parts listen; nil: off
+
+	failed   chan error
+	unfollow func()
 }
 
-func start(cfg *config.Config) (*node, error) {
+// start makes a node and lets it serve. dir is the folder that outlasts the
+// process, if there is one: what operators took out is kept there.
+func start(cfg *config.Config, dir string) (*node, error) {
 	n := &node{cfg: cfg, failed: make(chan error, 2)}
 	var contracts []broker.Contract
 	for _, k := range cfg.SSE.Contracts {
@@ -169,6 +182,23 @@
 	if n.broker, err = broker.New(cfg.Module, cfg.Seed, contracts, logLine); err != nil {
 		return nil, err
 	}
+	if n.bans, err = handover.OpenBans(dir, cfg.Name); err != nil {
+		return nil, err
+	}
+	// The console comes first: whoever asks while the rest starts gets a no.
+	if cfg.Console != "" {
+		l, err := net.Listen("tcp", cfg.Console)
+		if err != nil {
+			return nil, fmt.Errorf("NODE_CONSOLE: %w", err)
+		}
+		n.console, n.consoleAddr = console.New(l, door{n}), l.Addr()
+		go n.console.Serve()
+	}
+	banned, err := n.bans.Read()
+	if err != nil {
+		return nil, err
+	}
+	n.broker.Ban(banned)
 	if n.table, err = platform.NewTable(cfg, n.broker, logLine); err != nil {
 		return nil, err
 	}
@@ -177,36 +207,108 @@
 	// clients.
 	workers := cfg.Limits.Sockets / 3
 	n.lines = platform.NewLines(cfg, workers)
-	n.guard = platform.NewGuard(cfg.Limits.Sockets - workers - reserve)
+	clients := cfg.Limits.Sockets - workers - reserve
+	if n.console != nil {
+		clients -= console.Sockets
+	}
+	n.guard = platform.NewGuard(clients)
 	n.reader = platform.NewReader(cfg, n.guard)
 	n.front = platform.NewFrontend(n.broker, n.lines, n.reader)
-	if n.addr, err = n.listen("NODE_LISTEN", cfg.Listen, n.front.Server()); err != nil {
+	l, err := frontListener(cfg)
+	if err != nil {
 		return nil, err
 	}
+	n.addr = n.serve(l, n.front.Server())
 	if cfg.SSE.Enabled {
 		server := n.front.Serve(sse.New(cfg, n.broker, n.lines, n.reader).Session)
-		if n.sseAddr, err = n.listen("deploy/sse.toml: listen", cfg.SSE.Listen, server); err != nil {
-			return nil, err
+		l, err := net.Listen("tcp", cfg.SSE.Listen)
+		if err != nil {
+			return nil, fmt.Errorf("deploy/sse.toml: listen: %w", err)
 		}
+		n.sseAddr = n.serve(l, server)
 	}
 	var follow context.Context
 	follow, n.unfollow = context.WithCancel(context.Background())
 	go n.table.Run(follow)
+	n.serving.Store(true)
 	return n, nil
 }
 
-func (n *node) listen(key, addr string, server *http.Server) (net.Addr, error) {
-	l, err := net.Listen("tcp", addr)
+// frontListener is the clients' listening socket: the one that the platform
+// holds and hands down, or else one of our own.
+func frontListener(cfg *config.Config) (net.Listener, error) {
+	if cfg.ListenFD == 0 {
+		l, err := net.Listen("tcp", cfg.Listen)
+		if err != nil {
+			return nil, fmt.Errorf("NODE_LISTEN: %w", err)
+		}
+		return l, nil
+	}
+	file := os.NewFile(uintptr(cfg.ListenFD), "NODE_LISTEN_FD")
+	defer file.Close() // FileListener has its own copy
+	l, err := net.FileListener(file)
+	if err != nil {
+		return nil, fmt.Errorf("NODE_LISTEN_FD: %w", err)
+	}
+	if _, ok := l.(*net.TCPListener); !ok {
+		l.Close()
+		return nil, fmt.Errorf("NODE_LISTEN_FD: %v is no TCP socket", l.Addr())
+	}
+	return l, nil
+}
+
+var errStarting = errors.New("starting")
+
+// door is what operators may ask of a node.
+type door struct{ n *node }
+
+func (d door) Ready() error {
+	switch {
+	case !d.n.serving.Load(): // until then the node's parts are not to be touched
+		return errStarting
+	case d.n.front.Draining():
+		return errors.New("stopping")
+	}
+	return nil
+}
+
+func (d door) Exclude(id string) error { return d.n.ban(id, true) }
+func (d door) Include(id string) error { return d.n.ban(id, false) }
+
+// ban takes a loan worker out or back in. The yes comes once the file has it and
+// no new dispatch can pass.
+func (n *node) ban(id string, out bool) error {
+	if !n.serving.Load() {
+		return errStarting
+	}
+	// One that was taken out may have left every list since: it can be called back.
+	if !n.broker.Knows(id) && (out || !n.bans.Has(id)) {
+		return errors.New("no such loan worker")
+	}
+	ids, err := n.bans.Set(id, out)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", key, err)
+		return err
+	}
+	n.takeOut(ids)
+	log.Printf("console: out of use now: %v", ids)
+	return nil
+}
+
+// takeOut makes exactly these loan workers the ones that get nothing new.
+func (n *node) takeOut(ids []string) {
+	for _, addr := range n.broker.Ban(ids) {
+		n.lines.Part(addr)
 	}
+}
+
+func (n *node) serve(l net.Listener, server *http.Server) net.Addr {
 	n.servers, n.listeners = append(n.servers, server), append(n.listeners, l)
 	go func() {
 		if err := server.Serve(n.guard.Listen(l)); !errors.Is(err, http.ErrServerClosed) && !n.front.Draining() {
 			n.failed <- err
 		}
 	}()
-	return l.Addr(), nil
+	return l.Addr()
 }
 
 // stop ends the node as a planned restart asks, and answers all that was taken.
@@ -245,6 +347,9 @@
 			errs = append(errs, err)
 		}
 	}
+	if n.console != nil {
+		n.console.Close()
+	}
 	n.unfollow()
 	n.lines.CloseIdle()
 	n.broker.Close()
--- a/cmd/yardflow/node_test.go
+++ b/cmd/yardflow/node_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"linnetlift/internal/config"
+	"linnetlift/internal/console"
 	"linnetlift/internal/haproxy"
 )
 
@@ -115,7 +116,7 @@
 	s.limits = map[string]any{"sockets": 64}
 	s.step("list", "s-1 DRAINING")
 	n := s.node
-	room := 64 - 64/3 - reserve
+	room := 64 - 64/3 - reserve - console.Sockets
 	dial := func() *client {
 		conn, err := net.Dial("tcp", n.addr.String())
 		s.must(err)
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -880,7 +880,7 @@
 		changed = d.enter(l) || changed
 	}
 	for _, w := range d.rank {
-		if form != ListDelta && w.stamp != d.listStamp {
+		if form != ListDelta && form != ListAmend && w.stamp != d.listStamp {
 			w.listed, changed = false, true
 		}
 	}
@@ -890,6 +890,7 @@
 		d.refresh()
 	}
 	switch {
+	case form == ListAmend: // whatever is owed by the list service stays owed
 	case form != ListCached:
 		d.listAt, d.listFails = 0, 0
 	case d.MustSubscribe:
@@ -915,6 +916,7 @@
 	restarted := w.Launched != l.Launched
 	if restarted {
 		w.slow, w.seen, w.bad, w.late, w.limit = 0, 0, 0, 0, 0
+		w.trialAt, w.misses, w.reportAt = 0, 0, 0 // what its last life was blamed for
 	}
 	w.Worker = l
 	if w.stamp, w.Kind = d.listStamp, max(l.Kind, 0); w.Weight <= 0 {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -135,6 +135,22 @@
 type place struct {
 	name, addr string
 	ready      bool
+	banned     bool
+	told       linnetlift.Worker // as the list has it
+	back       time.Duration     // when it was last called back; 0: never
+}
+
+// entry is what the module is handed of a worker. A ban is a fact, not a
+// decision: such a worker drains, whatever the list says. One that was called
+// back counts as started then, at the latest: operators restart it while it is
+// out, and the list tells of that seconds late or, if it never left, not at all.
+func (p *place) entry() linnetlift.Worker {
+	w := p.told
+	w.Launched = max(w.Launched, p.back)
+	if p.banned && w.State == linnetlift.Ready {
+		w.State = linnetlift.Draining
+	}
+	return w
 }
 
 // Broker is the core. Its methods may be called from any goroutine.
@@ -150,6 +166,7 @@
 	mu     sync.Mutex
 	queue  []event
 	places map[linnetlift.WorkerID]*place
+	banned map[string]bool // by the worker's name, whether the list has it or not
 	lastID linnetlift.RequestID
 	closed bool
 
@@ -174,7 +191,7 @@
 		return nil, err
 	}
 	b := &Broker{settings: s, module: m, log: log, budgets: map[string]*budget{},
-		open: map[linnetlift.RequestID]*session{}, places: map[linnetlift.WorkerID]*place{},
+		open: map[linnetlift.RequestID]*session{}, places: map[linnetlift.WorkerID]*place{}, banned: map[string]bool{},
 		poke: make(chan struct{}, 1), ask: make(chan struct{}, 1), done: make(chan struct{})}
 	// Workers' start times are Unix time, so the module's clock has that base:
 	// read once, and carried on by the monotonic clock alone.
@@ -294,7 +311,7 @@
 	defer b.mu.Unlock()
 	s := Stats{Open: int(b.count.Load()), Queued: len(b.queue), Workers: len(b.places)}
 	for _, p := range b.places {
-		if p.ready {
+		if p.ready && !p.banned {
 			s.Ready++
 		}
 	}
@@ -322,7 +339,7 @@
 		id := workerID(w.ID)
 		p := b.places[id]
 		if p == nil {
-			p = &place{name: w.ID}
+			p = &place{name: w.ID, banned: b.banned[w.ID]}
 			b.places[id] = p
 		}
 		if !invariant.Hold(p.name == w.ID, "two workers share an id") {
@@ -337,15 +354,65 @@
 		if !w.Started.IsZero() {
 			l.Launched = time.Duration(w.Started.UnixNano())
 		}
-		list = append(list, l)
+		p.told = l
+		list = append(list, p.entry())
 	}
 	if form == linnetlift.ListFull || form == linnetlift.ListCached {
 		for id, p := range b.places {
-			p.ready = p.ready && listed[id] // absent from a complete list: removed
+			if !listed[id] { // absent from a complete list: removed
+				p.ready, p.told.State = false, linnetlift.Gone
+			}
 		}
 	}
+	b.hand(form, list)
 	b.mu.Unlock()
-	b.post(func(now time.Duration, out linnetlift.Actions) { b.module.List(now, form, list, out) })
+}
+
+// hand queues a list for the module. The caller holds mu: lists reach the module
+// in the order in which they came to hold.
+func (b *Broker) hand(form linnetlift.ListForm, list []linnetlift.Worker) {
+	b.queue = append(b.queue, func(now time.Duration, out linnetlift.Actions) { b.module.List(now, form, list, out) })
+	select {
+	case b.poke <- struct{}{}:
+	default:
+	}
+}
+
+// Ban makes exactly these workers the ones that get nothing new, from this call
+// on: Allowed sees it before the first byte, whatever the module has yet to hear.
+// It returns the addresses of those newly banned.
+func (b *Broker) Ban(names []string) (addrs []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	clear(b.banned)
+	for _, name := range names {
+		b.banned[name] = true
+	}
+	var list []linnetlift.Worker
+	for _, p := range b.places {
+		was := p.banned
+		if p.banned = b.banned[p.name]; p.banned == was {
+			continue
+		}
+		if was {
+			p.back = b.now()
+		} else {
+			addrs = append(addrs, p.addr)
+		}
+		list = append(list, p.entry())
+	}
+	if len(list) > 0 {
+		b.hand(linnetlift.ListAmend, list)
+	}
+	return addrs
+}
+
+// Knows tells whether a worker of that name was ever listed.
+func (b *Broker) Knows(name string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.places[workerID(name)]
+	return p != nil && p.name == name
 }
 
 // AwaitAsk blocks until the module wants to hear from the list service.
@@ -364,7 +431,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.places[id]
-	return p != nil && p.ready
+	return p != nil && p.ready && !p.banned
 }
 
 // ---- one request
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -302,3 +302,54 @@
 		t.Error(n, "requests stay open")
 	}
 }
+
+// A worker taken out by operators gets nothing new from that call on, whatever
+// the list says; jobs there end. Called back, it counts as just started.
+func TestBannedWorkersGetNothingNew(t *testing.T) {
+	type told struct {
+		Form  linnetlift.ListForm
+		State linnetlift.WorkerState
+		Young bool
+	}
+	var heard []told
+	s := &script{}
+	b := with(t, s)
+	ready := make(chan struct{})
+	b.post(func(time.Duration, linnetlift.Actions) {
+		b.module = &lists{Dispatcher: s, to: func(now time.Duration, form linnetlift.ListForm, w linnetlift.Worker) {
+			heard = append(heard, told{form, w.State, now-w.Launched < time.Minute})
+		}}
+		close(ready)
+	})
+	<-ready
+	allowed := func() bool { return b.allowed(workerID("w")) }
+	if got := b.Ban([]string{"w", "other"}); len(got) != 1 || got[0] != "addr" || allowed() {
+		t.Error("banned", got, allowed())
+	}
+	b.List(linnetlift.ListFull, []Worker{{ID: "w", Addr: "addr"}, {ID: "other", Addr: "addr2"}})
+	if allowed() || b.allowed(workerID("other")) || b.Stats().Ready != 0 {
+		t.Error("a list lifts a ban")
+	}
+	b.Ban(nil)
+	if !allowed() || !b.Knows("w") || b.Knows("x") {
+		t.Error("not called back")
+	}
+	settled(b)
+	want := []told{{linnetlift.ListAmend, linnetlift.Draining, false}, {linnetlift.ListFull, linnetlift.Draining, false},
+		{linnetlift.ListFull, linnetlift.Draining, false}, {linnetlift.ListAmend, linnetlift.Ready, true}, {linnetlift.ListAmend, linnetlift.Ready, true}}
+	if diff := cmp.Diff(want, heard); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// lists notes each entry of the lists that a module is handed.
+type lists struct {
+	linnetlift.Dispatcher
+	to func(time.Duration, linnetlift.ListForm, linnetlift.Worker)
+}
+
+func (l *lists) List(now time.Duration, form linnetlift.ListForm, list []linnetlift.Worker, _ linnetlift.Actions) {
+	for _, w := range list {
+		l.to(now, form, w)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,6 +25,8 @@
 // Config is all that a dispatcher is told at its start.
 type Config struct {
 	Name, Listen, Discovery string
+	Console                 string // where operators call; empty: nowhere
+	ListenFD                int    // the descriptor of an inherited listening socket; 0: none
 	Seed                    uint64
 	Limits                  Limits
 	Known                   json.RawMessage // the server table as last had, in discovery's form
@@ -92,12 +94,12 @@
 	for _, v := range []struct {
 		key string
 		to  *string
-	}{{"NODE_NAME", &c.Name}, {"NODE_LISTEN", &c.Listen}, {"NODE_DISCOVERY", &c.Discovery}} {
+	}{{"NODE_NAME", &c.Name}, {"NODE_LISTEN", &c.Listen}, {"NODE_DISCOVERY", &c.Discovery}, {"NODE_CONSOLE", &c.Console}} {
 		if s := env(v.key); s != "" {
 			*v.to = s
 		}
-		// A fixed list of workers needs no discovery.
-		if *v.to == "" && (v.key != "NODE_DISCOVERY" || c.Module.MustSubscribe) {
+		// A fixed list of workers needs no discovery, and nobody need be able to call.
+		if *v.to == "" && v.key != "NODE_CONSOLE" && (v.key != "NODE_DISCOVERY" || c.Module.MustSubscribe) {
 			return nil, fmt.Errorf("%s: missing", v.key)
 		}
 	}
@@ -109,6 +111,19 @@
 			return nil, err
 		}
 	}
+	if c.Console != "" {
+		if err := address("NODE_CONSOLE", c.Console); err != nil {
+			return nil, err
+		}
+	}
+	if s := env("NODE_LISTEN_FD"); s != "" {
+		// 0 to 2 are the standard streams.
+		fd, err := strconv.ParseUint(s, 10, 16)
+		if err != nil || fd < 3 {
+			return nil, fmt.Errorf("NODE_LISTEN_FD: %q is not a descriptor over 2", s)
+		}
+		c.ListenFD = int(fd)
+	}
 	return c, c.loadSSE(ssePath)
 }
 
@@ -150,14 +165,14 @@
 
 func (c *Config) parse(text []byte) error {
 	var in struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        Limits
-		Known, Settings               json.RawMessage
+		Name, Listen, Discovery, Console, Seed string
+		Limits                                 Limits
+		Known, Settings                        json.RawMessage
 	}
 	if err := json.Unmarshal(text, &in); err != nil {
 		return err
 	}
-	c.Name, c.Listen, c.Discovery, c.Known, c.Limits = in.Name, in.Listen, in.Discovery, in.Known, in.Limits
+	c.Name, c.Listen, c.Discovery, c.Console, c.Known, c.Limits = in.Name, in.Listen, in.Discovery, in.Console, in.Known, in.Limits
 	if in.Seed != "" {
 		var err error
 		if c.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
--- /dev/null
+++ b/internal/handover/bans.go
@@ -0,0 +1,111 @@
+// Package handover is what two processes of one dispatcher share while one takes
+// over from the other: the ids taken out by operators, the server table as last
+// told, and that there are two.
+//
+// This file owns the file of banned ids. It must never leave a half-written one,
+// and never lose a change made by another process.
+package handover
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+)
+
+// Bans is the set of ids taken out, one a line in a file of dir. Without a dir
+// it is kept in memory alone, and ends with the process.
+type Bans struct {
+	path string
+
+	mu  sync.Mutex
+	ids []string // sorted
+}
+
+// OpenBans reads the set; a file that is not there is an empty one.
+func OpenBans(dir, name string) (*Bans, error) {
+	b := &Bans{}
+	if dir == "" {
+		return b, nil
+	}
+	b.path = filepath.Join(dir, fileName(name)+".bans")
+	_, err := b.Read()
+	return b, err
+}
+
+// fileName keeps a name of any kind from being a path.
+func fileName(name string) string {
+	return "yardflow-" + strings.Map(func(r rune) rune {
+		if r == '-' || r >= '0' && r <= '9' || r >= 'A' && r <= 'Z' || r >= 'a' && r <= 'z' {
+			return r
+		}
+		return '_'
+	}, name)
+}
+
+// Read takes in what the file says now.
+func (b *Bans) Read() ([]string, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.read()
+}
+
+func (b *Bans) read() ([]string, error) {
+	if b.path != "" {
+		text, err := os.ReadFile(b.path)
+		if err != nil && !errors.Is(err, fs.ErrNotExist) {
+			return nil, fmt.Errorf("the banned ids: %w", err)
+		}
+		b.ids = strings.Fields(string(text))
+	}
+	return slices.Clone(b.ids), nil
+}
+
+// Has tells whether the id is out, as last read.
+func (b *Bans) Has(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Contains(b.ids, id)
+}
+
+// Set takes an id out, or in again, and returns the whole set. The lock is the
+// system's, so it ends with a process that is killed in here.
+func (b *Bans) Set(id string, out bool) ([]string, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.path != "" {
+		lock, err := os.OpenFile(b.path+".lock", os.O_CREATE|os.O_RDWR, 0o600)
+		if err != nil {
+			return nil, err
+		}
+		defer lock.Close()
+		if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX); err != nil {
+			return nil, err
+		}
+	}
+	ids, err := b.read()
+	if err != nil {
+		return nil, err
+	}
+	ids = slices.DeleteFunc(ids, func(have string) bool { return have == id })
+	if out {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	if b.path != "" {
+		// Written whole and renamed: a reader sees the old set or the new one.
+		if err := os.WriteFile(b.path+".new", []byte(strings.Join(ids, "\n")+"\n"), 0o600); err != nil {
+			return nil, err
+		}
+		if err := os.Rename(b.path+".new", b.path); err != nil {
+			return nil, err
+		}
+	}
+	b.ids = ids
+	return slices.Clone(ids), nil
+}
--- a/internal/platform/dispatch.go
+++ b/internal/platform/dispatch.go
@@ -48,11 +48,14 @@
 	columns   []string
 	sockets   chan struct{} // one for each socket open to loan workers
 	finishing sync.WaitGroup
+
+	mu   sync.Mutex
+	open map[*line]struct{}
 }
 
 // NewLines makes the connections' owner; sockets bounds how many it may hold.
 func NewLines(cfg *config.Config, sockets int) *Lines {
-	l := &Lines{columns: cfg.Columns, sockets: make(chan struct{}, sockets)}
+	l := &Lines{columns: cfg.Columns, sockets: make(chan struct{}, sockets), open: map[*line]struct{}{}}
 	l.transport = &http.Transport{
 		DialContext:        l.dial(&net.Dialer{Timeout: cfg.ConnectTimeout, KeepAlive: -1}),
 		DisableCompression: true,
@@ -93,11 +96,47 @@
 // what lets a dispatch be told as ended.
 type line struct {
 	net.Conn
+	addr    string
+	busy    bool // carries a dispatch; under Lines.mu
+	stale   bool // to be closed once it carries none; under Lines.mu
 	written atomic.Int64
 	once    sync.Once
 	release func()
 }
 
+// Part closes the kept connections to a loan worker that was taken out: it is
+// restarted meanwhile, and what is written to one from before may be lost. One
+// that carries a dispatch is closed after it.
+func (l *Lines) Part(addr string) {
+	l.mu.Lock()
+	var idle []*line
+	for c := range l.open {
+		if c.addr == addr {
+			if c.stale = true; !c.busy {
+				idle = append(idle, c)
+			}
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
+// carries notes whether a dispatch is on c.
+func (l *Lines) carries(c *line, busy bool) {
+	if c == nil {
+		return
+	}
+	l.mu.Lock()
+	c.busy = busy
+	over := c.stale && !busy
+	l.mu.Unlock()
+	if over {
+		c.Close()
+	}
+}
+
 func (c *line) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
@@ -122,13 +161,22 @@
 				return nil, errSockets
 			}
 		}
-		free := func() { <-l.sockets }
 		conn, err := d.DialContext(ctx, network, addr)
 		if err != nil {
-			free()
+			<-l.sockets
 			return nil, err
 		}
-		return &line{Conn: conn, release: free}, nil
+		c := &line{Conn: conn, addr: addr}
+		c.release = func() {
+			l.mu.Lock()
+			delete(l.open, c)
+			l.mu.Unlock()
+			<-l.sockets
+		}
+		l.mu.Lock()
+		l.open[c] = struct{}{}
+		l.mu.Unlock()
+		return c, nil
 	}
 }
 
@@ -173,6 +221,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			invariant.Hold(conn == nil, "the transport sent a dispatch twice")
 			conn, _ = info.Conn.(*line)
+			l.carries(conn, true)
 			reused = info.Reused
 			// A slow connect can cross the time by which nothing new may go to a
 			// loan worker that drains: ask again now that the bytes would flow.
@@ -273,6 +322,7 @@
 		})
 		io.Copy(io.Discard, io.LimitReader(x.Reader, maxLine))
 		slow.Stop()
+		x.lines.carries(x.conn, false) // before the transport can lend it out again
 		x.resp.Body.Close()
 	})
 }
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -85,6 +85,15 @@
 			return nil, err
 		}
 		c := &conn{TCPConn: tcp, g: l.g, since: time.Now()}
+		// In a flood the newest bytes are not read yet, and what has unread bytes is
+		// not closed: their readers get a moment, so that it is not the idle
+		// connections of clients at work that make room.
+		for range 5 {
+			if !l.g.crowded() {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
 		if l.g.admit(c) {
 			return c, nil
 		}
@@ -95,11 +104,32 @@
 	}
 }
 
+// crowded tells whether the next to be let in would push out a client at work
+// only because strangers' bytes wait to be read.
+func (g *Guard) crowded() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.conns) < g.max {
+		return false
+	}
+	waiting := false
+	for c := range g.conns {
+		if !c.served && !c.out() {
+			if !c.unread() {
+				return false
+			}
+			waiting = true
+		}
+	}
+	return waiting
+}
+
 func (g *Guard) admit(c *conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.conns) >= g.max {
-		g.evict()
+	// More than one may be due: those let in past the budget, while nothing could
+	// make room for them, must not keep it full for all who come after.
+	for len(g.conns) >= g.max && g.evict() {
 	}
 	if len(g.conns) >= g.max+overflow {
 		return false
@@ -112,7 +142,7 @@
 // request yet, silent or half-sent, then a half-sent one that did, then an idle
 // one; the oldest of each. Hundreds of silent connections must not push out the
 // clients at work. The caller holds mu.
-func (g *Guard) evict() {
+func (g *Guard) evict() bool {
 	rank := func(c *conn) int {
 		switch {
 		case !c.served:
@@ -134,9 +164,10 @@
 	for _, c := range found {
 		if !c.unread() {
 			g.drop(c)
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // drop closes c and frees its place; the server finds it closed. mu is held.
--- a/linnetlift.go
+++ b/linnetlift.go
@@ -163,6 +163,7 @@
 	ListFailed                 // a call failed or the subscription broke; no entries
 	ListFull                   // the complete list
 	ListCached                 // the list as this dispatcher last held it, at start
+	ListAmend                  // changed entries by the host's own knowledge; the list service said nothing
 )
 
 // Request is a job handed in by a client.
