--- a/cmd/yardflow/exchange_test.go
+++ b/cmd/yardflow/exchange_test.go
@@ -79,6 +79,7 @@
 	t        *testing.T
 	settings map[string]any
 	dir      string // TMPDIR; empty: none
+	fd       string // NODE_LISTEN_FD; empty: none
 	limits   map[string]any
 	sse      string
 	node     *node
@@ -277,7 +278,7 @@
 	text, err := json.Marshal(map[string]any{"name": "n0", "seed": "01", "settings": s.settings, "limits": s.limits, "listen": "127.0.0.1:0",
 		"console": "127.0.0.1:0", "discovery": s.discovery.Listener.Addr().String(), "known": map[string]any{"generation": 0, "instances": []any{}}})
 	s.must(err)
-	env := map[string]string{"NODE_CONFIG": write("config.json", text)}
+	env := map[string]string{"NODE_CONFIG": write("config.json", text), "NODE_LISTEN_FD": s.fd}
 	toml := filepath.Join(dir, "none")
 	if s.sse != "" {
 		toml = write("sse.toml", []byte(s.sse))
@@ -289,7 +290,7 @@
 
 func (s *stage) run(cfg *config.Config) {
 	var err error
-	s.node, err = start(cfg, s.dir)
+	s.node, err = start(cfg, s.dir, func(int64) {})
 	s.must(err)
 	s.t.Cleanup(func() {
 		for _, c := range s.clients {
--- a/cmd/yardflow/main.go
+++ b/cmd/yardflow/main.go
@@ -14,6 +14,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -83,9 +84,11 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	runtime.GOMAXPROCS(max(int(math.Ceil(cfg.Limits.Cores)), 1))
-	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB) << 20 * 7 / 10)
 	debug.SetGCPercent(200)
-	n, err := start(cfg, os.Getenv("TMPDIR"))
+	n, err := start(cfg, os.Getenv("TMPDIR"), func(bytes int64) {
+		debug.SetMemoryLimit(bytes)
+		debug.FreeOSMemory()
+	})
 	if err != nil {
 		return err
 	}
@@ -150,18 +153,21 @@
 
 // node is one running dispatcher.
 type node struct {
-	cfg       *config.Config
-	broker    *broker.Broker
-	table     *platform.Table
-	guard     *platform.Guard
-	reader    *platform.Reader
-	lines     *platform.Lines
-	front     *platform.Frontend
-	servers   []*http.Server
-	listeners []net.Listener
-	console   *console.Console
-	bans      *handover.Bans
-	serving   atomic.Bool
+	cfg         *config.Config
+	broker      *broker.Broker
+	table       *platform.Table
+	guard       *platform.Guard
+	reader      *platform.Reader
+	lines       *platform.Lines
+	front       *platform.Frontend
+	mu          sync.Mutex
+	servers     []*http.Server
+	listeners   []net.Listener
+	console     *console.Console
+	limitMemory func(bytes int64)
+	bans        *handover.Bans
+	peers       *handover.Peers
+	serving     atomic.Bool
 
 	addr, sseAddr, consoleAddr net.Addr // where the parts listen; nil: off
 
@@ -170,14 +176,25 @@
 }
 
 // start makes a node and lets it serve. dir is the folder that outlasts the
-// process, if there is one: what operators took out is kept there.
-func start(cfg *config.Config, dir string) (*node, error) {
-	n := &node{cfg: cfg, failed: make(chan error, 2)}
+// process, if there is one: what operators took out is kept there, and processes
+// of this dispatcher meet there. limitMemory bounds what this one uses.
+func start(cfg *config.Config, dir string, limitMemory func(bytes int64)) (*node, error) {
+	n := &node{cfg: cfg, failed: make(chan error, 2), limitMemory: limitMemory}
 	var contracts []broker.Contract
 	for _, k := range cfg.SSE.Contracts {
 		contracts = append(contracts, broker.Contract{Team: k.Team, Rate: k.Rate, Burst: k.Burst, MaxOpen: k.MaxOpen})
 	}
 	logLine := func(s string) { log.Print(s) }
+	// Before anything grows: from here on a process that runs already keeps to its
+	// half. It knows a newer list than the configuration's.
+	var state []byte
+	n.peers, state = handover.Meet(dir, cfg.Name, logLine)
+	if len(state) > 0 {
+		own := *cfg
+		cfg, own.Known = &own, state
+		n.cfg = cfg
+	}
+	limitMemory(n.memory(1 + n.peers.Others()))
 	var err error
 	if n.broker, err = broker.New(cfg.Module, cfg.Seed, contracts, logLine); err != nil {
 		return nil, err
@@ -202,15 +219,8 @@
 	if n.table, err = platform.NewTable(cfg, n.broker, logLine); err != nil {
 		return nil, err
 	}
-	// Sockets: a few in reserve, a third to loan workers (clients hold at most a
-	// third with requests, and each takes one dispatch at a time), the rest to
-	// clients.
-	workers := cfg.Limits.Sockets / 3
+	clients, workers := n.sockets(1 + n.peers.Others())
 	n.lines = platform.NewLines(cfg, workers)
-	clients := cfg.Limits.Sockets - workers - reserve
-	if n.console != nil {
-		clients -= console.Sockets
-	}
 	n.guard = platform.NewGuard(clients)
 	n.reader = platform.NewReader(cfg, n.guard)
 	n.front = platform.NewFrontend(n.broker, n.lines, n.reader)
@@ -222,18 +232,65 @@
 	if cfg.SSE.Enabled {
 		server := n.front.Serve(sse.New(cfg, n.broker, n.lines, n.reader).Session)
 		l, err := net.Listen("tcp", cfg.SSE.Listen)
-		if err != nil {
+		switch {
+		case err == nil:
+			n.sseAddr = n.serve(l, server)
+		case errors.Is(err, syscall.EADDRINUSE) && n.peers.Others() > 0:
+			// The process before has the port until it stops. That must not stop an
+			// upgrade: the first front is up, this one follows.
+			log.Printf("event streams: %v; taken over once it is free", err)
+			go n.takeOver(cfg.SSE.Listen, server)
+		default:
 			return nil, fmt.Errorf("deploy/sse.toml: listen: %w", err)
 		}
-		n.sseAddr = n.serve(l, server)
 	}
 	var follow context.Context
 	follow, n.unfollow = context.WithCancel(context.Background())
 	go n.table.Run(follow)
 	n.serving.Store(true)
+	// The name in dir goes over last: a process that failed before is not met.
+	if err := n.peers.Serve(handover.Hooks{State: n.table.State, Shared: n.share, Bans: n.rereadBans}); err != nil {
+		log.Printf("the next process can't meet this one: %v", err)
+	}
 	return n, nil
 }
 
+// sockets parts the descriptors that one of n processes may hold: a few in
+// reserve, a third to loan workers (clients hold at most a third with requests,
+// and each takes one dispatch at a time), the rest to clients.
+func (n *node) sockets(processes int) (clients, workers int) {
+	all := n.cfg.Limits.Sockets / processes
+	workers = all / 3
+	if clients = all - workers - reserve; n.cfg.Console != "" {
+		clients -= console.Sockets
+	}
+	return max(clients, 4), workers
+}
+
+// memory is what one of n processes may use: the heap's part of its share.
+func (n *node) memory(processes int) int64 {
+	return int64(n.cfg.Limits.MemoryMB) << 20 * 7 / 10 / int64(processes)
+}
+
+// share takes this process's part of the machine while there are n of them.
+func (n *node) share(processes int) {
+	log.Printf("%d processes share this dispatcher", processes)
+	clients, workers := n.sockets(processes)
+	n.guard.Resize(clients)
+	n.lines.Resize(workers)
+	n.limitMemory(n.memory(processes))
+}
+
+// rereadBans takes in what another process took out or called back.
+func (n *node) rereadBans() {
+	ids, err := n.bans.Read()
+	if err != nil {
+		log.Print(err)
+		return
+	}
+	n.takeOut(ids)
+}
+
 // frontListener is the clients' listening socket: the one that the platform
 // holds and hands down, or else one of our own.
 func frontListener(cfg *config.Config) (net.Listener, error) {
@@ -290,6 +347,7 @@
 		return err
 	}
 	n.takeOut(ids)
+	n.peers.TellBans()
 	log.Printf("console: out of use now: %v", ids)
 	return nil
 }
@@ -301,7 +359,24 @@
 	}
 }
 
+// takeOver serves at an address as soon as the process before has left it.
+func (n *node) takeOver(addr string, server *http.Server) {
+	for !n.front.Draining() {
+		if l, err := net.Listen("tcp", addr); err == nil {
+			log.Printf("event streams: served on %s", n.serve(l, server))
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 func (n *node) serve(l net.Listener, server *http.Server) net.Addr {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.front.Draining() { // too late: nobody would close it
+		l.Close()
+		return l.Addr()
+	}
 	n.servers, n.listeners = append(n.servers, server), append(n.listeners, l)
 	go func() {
 		if err := server.Serve(n.guard.Listen(l)); !errors.Is(err, http.ErrServerClosed) && !n.front.Draining() {
@@ -318,16 +393,32 @@
 		longest = max(longest, c.Deadline)
 	}
 	began, kill := time.Now(), killAfter(longest)
+	n.mu.Lock() // no listener is added from here on
 	n.front.Drain()
-	time.Sleep(lameDuck)
-	n.reader.Limit(began.Add(kill - killMargin))
+	n.mu.Unlock()
 	var errs []error
+	over := n.peers.Succeeded()
+	if over {
+		// Another process has taken over and listens on the same socket: nothing new
+		// is accepted here, and every answer is its connection's last.
+		n.front.Leave()
+		// What is out shortly before the kill is answered then: a reset would leave
+		// the client to find out for itself.
+		defer time.AfterFunc(kill-killMargin, n.broker.EndAll).Stop()
+	} else {
+		time.Sleep(lameDuck)
+		n.reader.Limit(began.Add(kill - killMargin))
+	}
 	for _, l := range n.listeners {
 		if err := l.Close(); !errors.Is(err, net.ErrClosed) {
 			errs = append(errs, err)
 		}
 	}
-	for time.Since(began) < kill/2 && n.guard.Open() > 0 {
+	stand := kill / 2
+	if over {
+		stand = kill - killMargin
+	}
+	for time.Since(began) < stand && n.guard.Open() > 0 {
 		time.Sleep(5 * time.Millisecond)
 	}
 	for _, server := range n.servers {
@@ -350,6 +441,7 @@
 	if n.console != nil {
 		n.console.Close()
 	}
+	n.peers.Close()
 	n.unfollow()
 	n.lines.CloseIdle()
 	n.broker.Close()
--- a/cmd/yardflow/node_test.go
+++ b/cmd/yardflow/node_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -290,3 +291,112 @@
 		}
 	}
 }
+
+// An upgrade: both processes have the platform's listening socket, the new one
+// starts on the old one's list, the old one answers all that it took, each answer
+// its connection's last, and what operators took out stays out in both.
+func TestUpgrade(t *testing.T) {
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	s := newStage(t)
+	s.dir = t.TempDir()
+	inherit := func() {
+		file, err := socket.(*net.TCPListener).File()
+		s.must(err)
+		defer file.Close()
+		fd, err := syscall.Dup(int(file.Fd()))
+		s.must(err)
+		s.must(syscall.SetNonblock(fd, true))
+		s.fd = fmt.Sprint(fd)
+	}
+	inherit()
+	spare, err := net.Listen("tcp", "127.0.0.1:0") // a port for the second front, the same for both
+	s.must(err)
+	s.sse = "enabled = true\nlisten = \"" + spare.Addr().String() + "\"\n[[contract]]\nteam = \"t\"\ntenant = \"univ-vltava\"\nclasses = [\"issue-loan\"]\nrate = 9.0\nburst = 9\nmax_open = 9\n"
+	spare.Close()
+	s.step("list", "s-1 SERVING\ns-2 SERVING\ns-3 SERVING")
+	old := s.node
+	for _, name := range []string{"a", "b"} { // b is idle when the new one comes
+		s.step("client "+name+" sends", fmt.Sprintf(job, name))
+		s.dispatches[name] = s.arrival()
+	}
+	s.dispatches["b"].done("b")
+	if status, last := s.clients["b"].answer(t); status != 200 || last {
+		t.Fatal("got", status, last)
+	}
+	s.step("console exclude s-3", "SUCCESS exclude s-3")
+	inherit()
+	s.start()
+	if next := s.node; next == old || next.broker.Stats().Workers != 3 || next.broker.Stats().Ready != 2 || next.addr.String() != socket.Addr().String() {
+		t.Fatalf("the next one starts on %+v at %v", next.broker.Stats(), next.addr)
+	}
+	s.step("console readyz", "SUCCESS ready")
+	s.step("console exclude s-2", "SUCCESS exclude s-2")
+	for limit := time.Now().Add(patience); old.broker.Stats().Ready != 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("a ban does not reach the old process: %+v", old.broker.Stats())
+		}
+	}
+	s.step("console include s-2", "SUCCESS include s-2")
+	stopped := make(chan error)
+	go func() { stopped <- old.stop() }()
+	for !old.front.Draining() {
+		time.Sleep(time.Millisecond)
+	}
+	if err := (door{old}).Ready(); err == nil {
+		t.Error("the old one is ready while it stops")
+	}
+	time.Sleep(10 * time.Millisecond) // its listener closes at once; no need to be exact
+	s.step("client c sends", fmt.Sprintf(job, "c"))
+	s.step("client b sends", fmt.Sprintf(job, "b2"))
+	for range 2 {
+		d := s.arrival()
+		for _, id := range []string{"c", "b2"} {
+			if strings.Contains(d.head, "X-Request-Id: "+id) {
+				d.done(id)
+			}
+		}
+	}
+	s.dispatches["a"].done("a")
+	for name, want := range map[string]bool{"a": true, "b": true, "c": false} {
+		if status, last := s.clients[name].answer(t); status != 200 || last != want {
+			t.Errorf("client %s got %d, connection ends: %v", name, status, last)
+		}
+	}
+	select {
+	case err := <-stopped:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(patience):
+		t.Fatal("the old one does not stop")
+	}
+	for limit := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		resp, err := http.Get("http://" + spare.Addr().String() + "/healthz")
+		if err == nil {
+			resp.Body.Close()
+		}
+		if s.node.peers.Others() == 0 && err == nil {
+			break
+		}
+		if time.Now().After(limit) {
+			t.Fatal("the new one does not take over all:", s.node.peers.Others(), err)
+		}
+	}
+}
+
+// What is out when the kill comes near is answered then, not left to a reset.
+func TestEndAllAnswersWhatIsOut(t *testing.T) {
+	s := newStage(t)
+	s.step("list", "s-1 SERVING")
+	s.step("client a sends", fmt.Sprintf(job, "r1"))
+	s.dispatches["A"] = s.arrival()
+	s.node.broker.EndAll()
+	if status, _ := s.clients["a"].answer(t); status != 504 {
+		t.Errorf("got %d", status)
+	}
+	s.step("dispatch A sees close", "")
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -176,6 +176,8 @@
 	poke  chan struct{} // something is queued
 	ask   chan struct{} // the module wants the list
 	done  chan struct{}
+	over  context.Context // ends when no request may be open any longer
+	end   func()
 	timer []wake // run's alone
 }
 
@@ -197,6 +199,7 @@
 	// read once, and carried on by the monotonic clock alone.
 	b.anchor = time.Now()
 	b.anchorUnix = time.Duration(b.anchor.UnixNano())
+	b.over, b.end = context.WithCancel(context.Background())
 	for _, c := range contracts {
 		b.budgets[c.Team] = newBudget(c)
 	}
@@ -477,6 +480,8 @@
 	defer s.leave()
 	ctx, stop := context.WithDeadline(ctx, q.Deadline.Add(-Margin))
 	defer stop()
+	ctx, cut := context.WithCancelCause(ctx)
+	defer context.AfterFunc(b.over, func() { cut(context.DeadlineExceeded) })()
 	late := false
 	for {
 		d := s.pick(ctx)
@@ -502,7 +507,7 @@
 			s.report(a, o, true)
 			return Answer{Verdict: Failure, Unusable: true}
 		}
-		gone := errors.Is(ctx.Err(), context.Canceled)
+		gone := left(ctx)
 		late = o.Code == TimedOut
 		s.report(a, o, gone)
 		if gone {
@@ -511,6 +516,15 @@
 	}
 }
 
+// EndAll makes the time of all requests up, those to come included: each gets its
+// final answer now.
+func (b *Broker) EndAll() { b.end() }
+
+// left tells whether the one who asked has gone, rather than the time being up.
+func left(ctx context.Context) bool {
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), context.DeadlineExceeded)
+}
+
 func (b *Broker) arrive(q Request) *session {
 	s := &session{b: b, class: &b.settings.Classes[q.Class], next: make(chan decision, 2)}
 	b.mu.Lock()
@@ -554,7 +568,7 @@
 		return d
 	case <-ctx.Done():
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if left(ctx) {
 		return decision{answer: Answer{Verdict: Gone}}
 	}
 	select {
--- /dev/null
+++ b/internal/handover/peers.go
@@ -0,0 +1,269 @@
+package handover
+
+// This file owns the socket over which processes of one dispatcher know of each
+// other. A connection stands for as long as both live. It must never block a
+// start: a socket that a killed process left is replaced, and a process that
+// does not answer is counted and left alone.
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	meetWithin = 1500 * time.Millisecond // for the old process to shrink and tell its state
+	maxState   = 8 << 20
+	maxPath    = 100 // of a Unix socket's address, by the system's bound of 108
+)
+
+// Hooks are what a process does when another tells it something.
+type Hooks struct {
+	State  func() []byte // what the next process starts on
+	Shared func(n int)   // so many processes share the machine now; done when it returns
+	Bans   func()        // the banned ids have changed
+}
+
+// Peers are the other processes of this dispatcher, mostly none.
+type Peers struct {
+	path  string // empty: none can be met
+	hooks Hooks
+	log   func(string)
+
+	mu     sync.Mutex
+	conns  map[net.Conn]bool // whether it is a newer one's
+	l      *net.UnixListener
+	closed bool
+}
+
+// Meet calls the process that runs already, if there is one, and returns its
+// state. After that, that process uses its part of the machine alone.
+func Meet(dir, name string, log func(string)) (*Peers, []byte) {
+	p := &Peers{conns: map[net.Conn]bool{}, log: log}
+	if dir == "" {
+		return p, nil
+	}
+	p.path = filepath.Join(dir, fileName(name)+".sock")
+	conn, err := p.dial()
+	if err != nil {
+		return p, nil // nobody there, or what a killed process left
+	}
+	p.conns[conn] = false
+	conn.SetDeadline(time.Now().Add(meetWithin))
+	io.WriteString(conn, "join\n")
+	state, err := readState(conn)
+	if err != nil {
+		log(fmt.Sprintf("the process before does not tell its state: %v", err))
+	}
+	conn.SetDeadline(time.Time{})
+	return p, state
+}
+
+// short makes an address of at most maxPath bytes for a path, through a
+// descriptor of its folder where it must be; done gives that back.
+func short(path string) (addr string, done func(), err error) {
+	if len(path) <= maxPath {
+		return path, func() {}, nil
+	}
+	dir, err := os.Open(filepath.Dir(path))
+	if err != nil {
+		return "", nil, err
+	}
+	return fmt.Sprintf("/proc/self/fd/%d/%s", dir.Fd(), filepath.Base(path)), func() { dir.Close() }, nil
+}
+
+func (p *Peers) dial() (net.Conn, error) {
+	addr, done, err := short(p.path)
+	if err != nil {
+		return nil, err
+	}
+	defer done()
+	return net.DialTimeout("unix", addr, meetWithin)
+}
+
+// readState reads one byte at a time up to the length's end, so that nothing
+// behind the state is taken.
+func readState(r io.Reader) ([]byte, error) {
+	var line []byte
+	for b := make([]byte, 1); ; {
+		if _, err := io.ReadFull(r, b); err != nil {
+			return nil, err
+		}
+		if b[0] == '\n' {
+			break
+		}
+		if line = append(line, b[0]); len(line) > 10 {
+			return nil, errors.New("no length")
+		}
+	}
+	n, err := strconv.Atoi(string(line))
+	if err != nil || n < 0 || n > maxState {
+		return nil, fmt.Errorf("length %q", line)
+	}
+	state := make([]byte, n)
+	_, err = io.ReadFull(r, state)
+	return state, err
+}
+
+// Serve lets the next process call, and listens to the one that was met.
+func (p *Peers) Serve(h Hooks) error {
+	p.hooks = h
+	if p.path == "" {
+		return nil
+	}
+	p.mu.Lock()
+	for conn := range p.conns {
+		go p.listen(conn)
+	}
+	p.mu.Unlock()
+	return p.claim()
+}
+
+// Others counts the other processes.
+func (p *Peers) Others() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
+
+// Succeeded tells whether a newer process runs beside this one.
+func (p *Peers) Succeeded() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, newer := range p.conns {
+		if newer {
+			return true
+		}
+	}
+	return false
+}
+
+// claim makes this process the one that the next one meets. The name goes over
+// in one step, whoever held it.
+func (p *Peers) claim() error {
+	own := fmt.Sprintf("%s.%d", p.path, os.Getpid())
+	os.Remove(own) // a killed process of the same number may have left it
+	addr, done, err := short(own)
+	if err != nil {
+		return err
+	}
+	defer done()
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: addr, Net: "unix"})
+	if err != nil {
+		return err
+	}
+	l.SetUnlinkOnClose(false) // by then the name is another's
+	if err := os.Rename(own, p.path); err != nil {
+		l.Close()
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		l.Close()
+		return nil
+	}
+	if p.l != nil {
+		p.l.Close()
+	}
+	p.l = l
+	go p.accept(l)
+	return nil
+}
+
+func (p *Peers) accept(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		go p.meet(conn)
+	}
+}
+
+// meet lets one process join. One that only looks whether somebody is here has
+// not joined, and is not counted.
+func (p *Peers) meet(conn net.Conn) {
+	conn.SetDeadline(time.Now().Add(meetWithin))
+	word := make([]byte, len("join\n"))
+	if _, err := io.ReadFull(conn, word); err != nil || string(word) != "join\n" {
+		conn.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[conn] = true
+	n := 1 + len(p.conns)
+	p.mu.Unlock()
+	// First smaller, then the answer: the other takes its part once it has it.
+	p.hooks.Shared(n)
+	state := p.hooks.State()
+	if _, err := fmt.Fprintf(conn, "%d\n%s", len(state), state); err != nil {
+		p.log("the next process does not take the state: " + err.Error())
+	}
+	conn.SetDeadline(time.Time{})
+	p.listen(conn)
+}
+
+// listen hears the other out; the end of the connection is the other's end.
+func (p *Peers) listen(conn net.Conn) {
+	in := bufio.NewScanner(conn)
+	for in.Scan() {
+		if in.Text() == "bans" {
+			p.hooks.Bans()
+		}
+	}
+	conn.Close()
+	p.mu.Lock()
+	newer := p.conns[conn]
+	delete(p.conns, conn)
+	n, closed := 1+len(p.conns), p.closed
+	p.mu.Unlock()
+	if closed {
+		return
+	}
+	p.log("the other process has ended")
+	p.hooks.Shared(n)
+	if !newer {
+		return
+	}
+	// A newer one that failed: if nobody answers at the name, it was left behind.
+	if conn, err := p.dial(); err == nil {
+		conn.Close()
+	} else if err := p.claim(); err != nil {
+		p.log("the next process can't meet this one: " + err.Error())
+	}
+}
+
+// TellBans lets the others read the banned ids again.
+func (p *Peers) TellBans() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.conns {
+		conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
+		io.WriteString(conn, "bans\n")
+	}
+}
+
+// Close leaves the others.
+func (p *Peers) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	if p.l != nil {
+		p.l.Close()
+	}
+	for conn := range p.conns {
+		conn.Close()
+	}
+}
--- a/internal/platform/dispatch.go
+++ b/internal/platform/dispatch.go
@@ -46,16 +46,17 @@
 	fragile   []bool          // by class: may be sent once
 	doubt     atomic.Int64    // Unix nanoseconds up to which kept connections are in doubt
 	columns   []string
-	sockets   chan struct{} // one for each socket open to loan workers
 	finishing sync.WaitGroup
 
 	mu   sync.Mutex
+	max  int // sockets to loan workers
+	held int // of them, open or being opened
 	open map[*line]struct{}
 }
 
 // NewLines makes the connections' owner; sockets bounds how many it may hold.
 func NewLines(cfg *config.Config, sockets int) *Lines {
-	l := &Lines{columns: cfg.Columns, sockets: make(chan struct{}, sockets), open: map[*line]struct{}{}}
+	l := &Lines{columns: cfg.Columns, max: sockets, open: map[*line]struct{}{}}
 	l.transport = &http.Transport{
 		DialContext:        l.dial(&net.Dialer{Timeout: cfg.ConnectTimeout, KeepAlive: -1}),
 		DisableCompression: true,
@@ -92,6 +93,28 @@
 // Settle waits until answers that have ended are read to their end.
 func (l *Lines) Settle() { l.finishing.Wait() }
 
+// Resize bounds how many sockets may be held from now on.
+func (l *Lines) Resize(sockets int) {
+	l.mu.Lock()
+	less := sockets < l.max
+	l.max = sockets
+	l.mu.Unlock()
+	if less {
+		l.CloseIdle()
+	}
+}
+
+// take takes one socket of those that may be held.
+func (l *Lines) take() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held >= l.max {
+		return false
+	}
+	l.held++
+	return true
+}
+
 // line is one connection. Closing it is complete when Close returns, which is
 // what lets a dispatch be told as ended.
 type line struct {
@@ -151,27 +174,25 @@
 
 func (l *Lines) dial(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		select {
-		case l.sockets <- struct{}{}:
-		default:
+		if !l.take() {
 			l.CloseIdle()
-			select {
-			case l.sockets <- struct{}{}:
-			default:
+			if !l.take() {
 				return nil, errSockets
 			}
 		}
 		conn, err := d.DialContext(ctx, network, addr)
 		if err != nil {
-			<-l.sockets
+			l.mu.Lock()
+			l.held--
+			l.mu.Unlock()
 			return nil, err
 		}
 		c := &line{Conn: conn, addr: addr}
 		c.release = func() {
 			l.mu.Lock()
 			delete(l.open, c)
+			l.held--
 			l.mu.Unlock()
-			<-l.sockets
 		}
 		l.mu.Lock()
 		l.open[c] = struct{}{}
@@ -289,7 +310,7 @@
 // ended words the end of a dispatch whose bytes were all written.
 func ended(ctx context.Context) broker.Outcome {
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
 		return broker.Outcome{Code: broker.TimedOut}
 	case ctx.Err() != nil:
 		return broker.Outcome{Code: broker.Cancelled}
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -224,6 +224,7 @@
 	reader   *Reader
 	guard    *Guard
 	draining atomic.Bool
+	leaving  atomic.Bool
 }
 
 // NewFrontend makes the platform's front.
@@ -270,7 +271,8 @@
 // guard that all fronts share. It is to serve on the guard's listener.
 func (f *Frontend) Serve(session http.HandlerFunc) *http.Server {
 	return &http.Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		Handler: http.HandlerFunc(func(plain http.ResponseWriter, r *http.Request) {
+			w := lastly{plain, f}
 			if deny := sound(w, r); deny != nil {
 				deny.Write(w)
 				return
@@ -293,6 +295,35 @@
 // Drain makes the health check say that this dispatcher is stopping.
 func (f *Frontend) Drain() { f.draining.Store(true) }
 
+// Leave makes every answer from now on its connection's last: another process
+// has taken over. Idle connections stay until they are used, since closing one
+// races with the request that is on its way.
+func (f *Frontend) Leave() { f.leaving.Store(true) }
+
+// lastly is a response that says at its head whether more may follow on its
+// connection. A session may be out when that changes.
+type lastly struct {
+	http.ResponseWriter
+	f *Frontend
+}
+
+func (w lastly) WriteHeader(status int) {
+	if w.f.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func (w lastly) Write(p []byte) (int, error) {
+	if w.f.leaving.Load() {
+		w.Header().Set("Connection", "close") // without effect once the head is out
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap is for http.ResponseController.
+func (w lastly) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // Draining tells whether Drain was called.
 func (f *Frontend) Draining() bool { return f.draining.Load() }
 
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -33,15 +33,24 @@
 
 // Guard keeps the budget of sockets that all fronts share.
 type Guard struct {
-	max int // as many as clients may hold
-
 	mu    sync.Mutex
+	max   int // as many as clients may hold
 	conns map[*conn]struct{}
 }
 
 // NewGuard makes a guard for at most max clients' connections.
 func NewGuard(max int) *Guard { return &Guard{max: max, conns: map[*conn]struct{}{}} }
 
+// Resize bounds how many connections clients may hold from now on, and closes
+// idle ones past that.
+func (g *Guard) Resize(max int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.max = max
+	for len(g.conns) > g.max && g.evict() {
+	}
+}
+
 // Full tells whether clients hold more sockets than they may.
 func (g *Guard) Full() bool {
 	g.mu.Lock()
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -60,7 +60,7 @@
 	if got := b.Serve(t.Context(), s.Request, lines.Do(s)); got.Verdict != broker.Refused {
 		t.Errorf("got %+v, want a refusal: nothing has run", got)
 	}
-	if n := len(lines.sockets); n != 0 {
+	if n := lines.held; n != 0 {
 		t.Error(n, "sockets are still counted")
 	}
 }
@@ -154,7 +154,7 @@
 	b := testBroker(t, cfg)
 	b.List(linnetlift.ListFull, []broker.Worker{{ID: "s", Addr: "127.0.0.1:1"}})
 	lines := NewLines(cfg, 1)
-	lines.sockets <- struct{}{}
+	lines.take()
 	s := &Session{ID: "r", method: "POST", uri: "/unsafe", header: http.Header{},
 		Request: broker.Request{Slots: 1, Deadline: time.Now().Add(300 * time.Millisecond)}}
 	got := b.Serve(t.Context(), s.Request, func(ctx context.Context, a *broker.Attempt) broker.Outcome {
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -43,8 +43,10 @@
 	generation uint64
 	known      bool
 
-	mu  sync.Mutex
-	now *source
+	mu     sync.Mutex
+	now    *source
+	latest tableReply    // the whole list as last told, for the process that takes over
+	heard  chan struct{} // closed at the first word of discovery
 }
 
 // source is one address of discovery, with its own connections. Its context
@@ -101,7 +103,7 @@
 
 // NewTable makes the table and hands the broker the list last known.
 func NewTable(cfg *config.Config, b *broker.Broker, log func(string)) (*Table, error) {
-	t := &Table{cfg: cfg, broker: b, log: log, now: newSource(cfg.Discovery)}
+	t := &Table{cfg: cfg, broker: b, log: log, now: newSource(cfg.Discovery), heard: make(chan struct{})}
 	var known tableReply
 	if len(cfg.Known) > 0 {
 		if err := json.Unmarshal(cfg.Known, &known); err != nil {
@@ -111,15 +113,44 @@
 	if known.Generation != nil {
 		t.generation, t.known = *known.Generation, true
 	}
+	t.note(known, true)
 	b.List(linnetlift.ListCached, t.workers(known.Instances))
 	return t, nil
 }
 
+// note keeps the whole list up to date.
+func (t *Table) note(reply tableReply, full bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if full {
+		t.latest.Instances = nil
+	}
+	for _, e := range reply.Instances {
+		t.latest.Instances = slices.DeleteFunc(t.latest.Instances, func(old tableEntry) bool { return old.InstanceID == e.InstanceID })
+		if e.Lifecycle != "DELETED" {
+			t.latest.Instances = append(t.latest.Instances, e)
+		}
+	}
+	t.latest.Generation, t.latest.Reset = reply.Generation, true
+}
+
+// State is the whole list as last told, in the form of the configuration's known.
+func (t *Table) State() []byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	text, _ := json.Marshal(t.latest)
+	return text
+}
+
+// Heard is closed once discovery has told the list.
+func (t *Table) Heard() <-chan struct{} { return t.heard }
+
 // Run follows discovery until ctx ends. A watch goes on for as long as the next
 // call comes within 200 ms of the last answer, so the next one is made at once.
 func (t *Table) Run(ctx context.Context) {
 	on := t.source()
 	context.AfterFunc(ctx, func() { t.source().end() })
+	told := false
 	for ask := true; ctx.Err() == nil; {
 		if ask && t.broker.AwaitAsk(on.ctx) != nil && on.ctx.Err() == nil {
 			return // the broker is closed
@@ -145,7 +176,11 @@
 			if reply.Reset || !t.known {
 				form = linnetlift.ListFull
 			}
-			t.generation, t.known = *reply.Generation, true
+			if t.generation, t.known = *reply.Generation, true; !told {
+				told = true
+				close(t.heard)
+			}
+			t.note(*reply, form == linnetlift.ListFull)
 			t.broker.List(form, t.workers(reply.Instances))
 			ask = false
 		}
