New settings take effect at SIGHUP, whole or not at all; open jobs keep their class

Ruled out a second module: what it learned is kept. Tests cut out each key, cut the file at each byte, and play a job whose class vanishes.

--- a/cmd/yardflow/main.go
+++ b/cmd/yardflow/main.go
@@ -14,6 +14,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -119,17 +120,41 @@
 // that is not sound changes nothing.
 func (n *node) reload(load func() (*config.Config, error)) {
 	cfg, err := load()
+	now := n.live.Get()
+	var next *config.Config
+	if err == nil {
+		next, err = now.Retuned(cfg)
+	}
+	if err == nil {
+		err = n.broker.Retune(next.Module)
+	}
 	if err != nil {
 		log.Printf("reload: the old settings stay: %v", err)
 		return
 	}
-	for _, key := range n.cfg.Fixed(cfg) {
+	for _, key := range now.Fixed(cfg) {
 		log.Printf("reload: %s: takes effect at the next start", key)
 	}
-	if cfg.Discovery != "" { // a fixed list of workers has none
-		n.table.Follow(cfg.Discovery)
+	n.mu.Lock()
+	n.longest = max(n.longest, longest(next))
+	n.mu.Unlock()
+	n.live.Set(next)
+	if !slices.Equal(now.Zones, next.Zones) || !slices.Equal(now.Kinds, next.Kinds) {
+		n.table.Retune()
+	}
+	n.lines.Retune()
+	if next.Discovery != "" { // a fixed list of workers has none
+		n.table.Follow(next.Discovery)
 	}
-	log.Printf("reload: discovery at %s", cfg.Discovery)
+	log.Printf("reload: discovery at %s; classes %v, %d attempts", next.Discovery, next.Classes, next.Module.MaxAttempts)
+}
+
+// longest is the longest deadline of a configuration's classes.
+func longest(cfg *config.Config) (d time.Duration) {
+	for _, c := range cfg.Module.Classes {
+		d = max(d, c.Deadline)
+	}
+	return d
 }
 
 // importFile writes the imported configuration to standard output, and what did
@@ -153,7 +178,9 @@
 
 // node is one running dispatcher.
 type node struct {
-	cfg         *config.Config
+	cfg         *config.Config // as at the start
+	live        *config.Live   // in force
+	longest     time.Duration  // longest deadline of any request that may be open
 	broker      *broker.Broker
 	table       *platform.Table
 	guard       *platform.Guard
@@ -194,6 +221,7 @@
 		cfg, own.Known = &own, state
 		n.cfg = cfg
 	}
+	n.live, n.longest = config.NewLive(cfg), longest(cfg)
 	limitMemory(n.memory(1 + n.peers.Others()))
 	var err error
 	if n.broker, err = broker.New(cfg.Module, cfg.Seed, contracts, logLine); err != nil {
@@ -216,13 +244,13 @@
 		return nil, err
 	}
 	n.broker.Ban(banned)
-	if n.table, err = platform.NewTable(cfg, n.broker, logLine); err != nil {
+	if n.table, err = platform.NewTable(n.live, n.broker, logLine); err != nil {
 		return nil, err
 	}
 	clients, workers := n.sockets(1 + n.peers.Others())
-	n.lines = platform.NewLines(cfg, workers)
+	n.lines = platform.NewLines(n.live, workers)
 	n.guard = platform.NewGuard(clients)
-	n.reader = platform.NewReader(cfg, n.guard)
+	n.reader = platform.NewReader(n.live, n.guard)
 	n.front = platform.NewFrontend(n.broker, n.lines, n.reader)
 	l, err := frontListener(cfg)
 	if err != nil {
@@ -230,7 +258,7 @@
 	}
 	n.addr = n.serve(l, n.front.Server())
 	if cfg.SSE.Enabled {
-		server := n.front.Serve(sse.New(cfg, n.broker, n.lines, n.reader).Session)
+		server := n.front.Serve(sse.New(n.live, n.broker, n.lines, n.reader).Session)
 		l, err := net.Listen("tcp", cfg.SSE.Listen)
 		switch {
 		case err == nil:
@@ -388,12 +416,9 @@
 
 // stop ends the node as a planned restart asks, and answers all that was taken.
 func (n *node) stop() error {
-	longest := time.Duration(0)
-	for _, c := range n.cfg.Module.Classes {
-		longest = max(longest, c.Deadline)
-	}
-	began, kill := time.Now(), killAfter(longest)
 	n.mu.Lock() // no listener is added from here on
+	longest := n.longest
+	began, kill := time.Now(), killAfter(longest)
 	n.front.Drain()
 	n.mu.Unlock()
 	var errs []error
--- a/cmd/yardflow/node_test.go
+++ b/cmd/yardflow/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -400,3 +401,54 @@
 	}
 	s.step("dispatch A sees close", "")
 }
+
+// New settings at SIGHUP: a class that appears is served, one whose name is gone
+// is unknown at the door, and a job of it that was open goes on as it was: what
+// may be sent again then still may, though no class allows it now.
+func TestRetune(t *testing.T) {
+	s := newStage(t)
+	s.step("list", "s-1 SERVING 1\ns-2 SERVING 1")
+	keyed := strings.ReplaceAll(job, "issue-loan", "package-file")
+	s.step("client a sends", fmt.Sprintf(keyed, "r1"))
+	first := s.arrival()
+	s.dispatches["A"] = first
+	classes := s.settings["Classes"].([]any)
+	gone := classes[1].(map[string]any)
+	gone["Name"], gone["Semantics"] = "package-file-next", "fragile"
+	reload := func() {
+		text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "console": "127.0.0.1:0", "limits": s.limits,
+			"discovery": s.discovery.Listener.Addr().String(), "settings": s.settings})
+		s.must(err)
+		path := filepath.Join(t.TempDir(), "config.json")
+		s.must(os.WriteFile(path, text, 0o600))
+		s.node.reload(func() (*config.Config, error) {
+			return config.Reload(func(k string) string { return map[string]string{"NODE_CONFIG": path}[k] }, "none")
+		})
+	}
+	delete(s.settings["Limits"].(map[string]any), "MaxAttempts") // a broken file first
+	reload()
+	if got := s.node.live.Get().Classes[1]; got != "package-file" {
+		t.Fatal("a broken file changed the classes:", got)
+	}
+	s.settings["Limits"].(map[string]any)["MaxAttempts"] = 2
+	reload()
+	first.conn.Close() // it may have run
+	again := s.arrival()
+	if again.done("r1"); !strings.Contains(again.head, "X-Request-Id: r1") {
+		t.Errorf("not r1:\n%s", again.head)
+	}
+	if status, _ := s.clients["a"].answer(t); status != 200 {
+		t.Errorf("the open job got %d", status)
+	}
+	s.step("client a sends", fmt.Sprintf(keyed, "r2"))
+	if status, _ := s.clients["a"].answer(t); status != 400 {
+		t.Errorf("a class that is gone got %d", status)
+	}
+	s.step("client b sends", fmt.Sprintf(strings.ReplaceAll(job, "issue-loan", "package-file-next"), "r3"))
+	s.dispatches["B"] = s.arrival()
+	s.dispatches["B"].conn.Close() // the new class may run once
+	if status, _ := s.clients["b"].answer(t); status != 502 {
+		t.Errorf("the new class got %d", status)
+	}
+	s.step("dispatch C gets none", "")
+}
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -53,9 +53,10 @@
 	if d.requests[q.ID] != nil {
 		return
 	}
-	q.Class = min(max(q.Class, 0), len(d.Classes)-1)
-	q.Slots = max(q.Slots, 1)
-	r := &request{Request: q, class: &d.Classes[q.Class], arrived: now, deadline: now + q.Left}
+	if q.Slots = max(q.Slots, 1); q.Of == nil {
+		q.Of = &d.Classes[min(max(q.Class, 0), len(d.Classes)-1)]
+	}
+	r := &request{Request: q, class: q.Of, stat: d.statOf(q.Of), arrived: now, deadline: now + q.Left}
 	work := d.work(r)
 	aim := r.class.Aim.Seconds() + r.class.Stretch*work
 	spare := max(aim-work*math.Exp(d.midSlow), r.class.Aim.Seconds()/4)
@@ -163,6 +164,25 @@
 
 func (d *dispatcher) PeerMessage(now time.Duration, _ int, _ []byte, out Actions) { d.begin(now, out) }
 
+// Retune takes up new settings: shares anew, and no attempt beyond those allowed now.
+func (d *dispatcher) Retune(now time.Duration, s Settings, out Actions) {
+	d.begin(now, out)
+	buckets := make([]bucket, len(s.Tenants))
+	for i, t := range s.Tenants {
+		if j := slices.Index(d.Tenants, t); j >= 0 {
+			buckets[i] = d.tenants[j]
+		}
+	}
+	d.Settings, d.tenants = s, buckets
+	d.setHomes()
+	d.refresh()
+	for _, r := range slices.Clone(d.held) {
+		if r.attempts >= d.MaxAttempts {
+			d.finish(r, out)
+		}
+	}
+}
+
 func (d *dispatcher) Timer(now time.Duration, _ uint64, out Actions) {
 	d.ticking = false
 	d.begin(now, out)
@@ -505,8 +525,8 @@
 	if r.Hint > 0 {
 		return r.Hint.Seconds()
 	}
-	if s := d.stats[r.Class]; s.seen > 0 {
-		return math.Exp(s.work)
+	if r.stat.seen > 0 {
+		return math.Exp(r.stat.work)
 	}
 	return math.Exp(d.meanRun)
 }
@@ -518,7 +538,7 @@
 // learnSpeed takes one run time apart into class, kind and worker; each moves
 // by its part of the bounded residual, so a long tail cannot blur a speed.
 func (d *dispatcher) learnSpeed(r *request, w *worker, run float64) {
-	k, s := d.kindOf(w), &d.stats[r.Class]
+	k, s := d.kindOf(w), r.stat
 	run = math.Log(max(run, 1e-4))
 	if s.seen == 0 && r.Hint == 0 {
 		s.work = run
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -732,3 +732,36 @@
 		}
 	}
 }
+
+// New settings bind open requests, but for their class: it goes on as it was,
+// though its name is gone, and what was learned of a class stays with the name.
+func TestRetune(t *testing.T) {
+	s := testSettings()
+	s.MaxAttempts = 3
+	s.Classes = []Class{{Name: "a", Aim: time.Minute, Deadline: time.Minute, Worth: 1, Kind: -1},
+		{Name: "b", Aim: time.Minute, Deadline: time.Minute, Worth: 1, Kind: -1}}
+	d := newDispatcher(s, 1)
+	r := &recorder{}
+	d.List(0, ListFull, []Worker{{ID: 1}, {ID: 2}, {ID: 3}}, r)
+	for id := range RequestID(2) {
+		d.Arrive(time.Second, Request{ID: id, Class: 0, Left: time.Minute}, r)
+	}
+	d.stats["b"] = &classStat{work: 1, seen: 9}
+	next := s
+	next.MaxAttempts = 1
+	next.Classes = []Class{{Name: "b", Aim: time.Minute, Deadline: time.Minute, Worth: 1, Kind: -1, Semantics: Fragile}}
+	d.Retune(2*time.Second, next, r)
+	if got := d.requests[0].class; got.Name != "a" || got.Semantics != Retryable {
+		t.Errorf("an open request is of class %+v now", got)
+	}
+	d.Arrive(2*time.Second, Request{ID: 9, Class: 0, Of: &s.Classes[0], Left: time.Minute}, r) // read before, told after
+	d.Arrive(2*time.Second, Request{ID: 10, Class: 0, Left: time.Minute}, r)
+	if a, b := d.requests[9].class.Name, d.requests[10]; a != "a" || b.class.Name != "b" || b.stat.seen != 9 {
+		t.Errorf("classes %s and %+v, learned %+v", a, b.class, b.stat)
+	}
+	w := d.requests[0].pending[0].w.ID
+	d.Outcome(3*time.Second, Outcome{ID: 0, Worker: w, Code: Full}, r)
+	if d.requests[0] != nil {
+		t.Error("a request whose attempts are used up is still held")
+	}
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -16,6 +16,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -37,8 +38,9 @@
 
 // Request is a job as the core knows it.
 type Request struct {
-	Class, Tenant int
-	Deadline      time.Time // when the one who asked gives up
+	Settings      *linnetlift.Settings // under which it was read; nil: those in force
+	Class, Tenant int                  // their places in these settings
+	Deadline      time.Time            // when the one who asked gives up
 	Slots, Memory float64
 	Retry         bool
 	Team          string // whose contract it comes under; empty: none
@@ -155,8 +157,9 @@
 
 // Broker is the core. Its methods may be called from any goroutine.
 type Broker struct {
-	settings linnetlift.Settings
-	module   linnetlift.Dispatcher // touched by run alone
+	settings atomic.Pointer[linnetlift.Settings] // in force
+	heard    *linnetlift.Settings                // as the module has them; run's alone
+	module   linnetlift.Dispatcher               // touched by run alone
 	log      func(string)
 	budgets  map[string]*budget
 
@@ -192,13 +195,14 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Broker{settings: s, module: m, log: log, budgets: map[string]*budget{},
+	b := &Broker{module: m, heard: &s, log: log, budgets: map[string]*budget{},
 		open: map[linnetlift.RequestID]*session{}, places: map[linnetlift.WorkerID]*place{}, banned: map[string]bool{},
 		poke: make(chan struct{}, 1), ask: make(chan struct{}, 1), done: make(chan struct{})}
 	// Workers' start times are Unix time, so the module's clock has that base:
 	// read once, and carried on by the monotonic clock alone.
 	b.anchor = time.Now()
 	b.anchorUnix = time.Duration(b.anchor.UnixNano())
+	b.settings.Store(&s)
 	b.over, b.end = context.WithCancel(context.Background())
 	for _, c := range contracts {
 		b.budgets[c.Team] = newBudget(c)
@@ -207,6 +211,19 @@
 	return b, nil
 }
 
+// Retune puts new settings in force. Open requests keep their class.
+func (b *Broker) Retune(s linnetlift.Settings) error {
+	if err := s.Validate(); err != nil {
+		return err
+	}
+	b.settings.Store(&s)
+	b.post(func(now time.Duration, out linnetlift.Actions) {
+		b.heard = &s
+		b.module.Retune(now, s, out)
+	})
+	return nil
+}
+
 // Close stops the broker's goroutine. Requests still open get no more decisions.
 func (b *Broker) Close() {
 	b.mu.Lock()
@@ -235,7 +252,7 @@
 // module was built for.
 func (b *Broker) run() {
 	var batch []event
-	last := b.now() - b.settings.Round
+	last := b.now() - b.heard.Round
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
 	for {
@@ -250,7 +267,7 @@
 		case <-b.poke:
 		case <-alarm.C:
 		}
-		if rest := last + b.settings.Round - b.now(); rest > 0 {
+		if rest := last + b.heard.Round - b.now(); rest > 0 {
 			time.Sleep(rest)
 		}
 		now := max(b.now(), last)
@@ -444,6 +461,7 @@
 	send   bool
 	worker linnetlift.WorkerID
 	within time.Duration
+	limit  int // attempts allowed when this was decided
 	answer Answer
 }
 
@@ -451,6 +469,7 @@
 type session struct {
 	b        *Broker
 	id       linnetlift.RequestID
+	settings *linnetlift.Settings
 	class    *linnetlift.Class
 	next     chan decision
 	attempts int
@@ -466,7 +485,10 @@
 // returned the moment it is known. ctx ends when nobody waits any longer. Serve
 // returns only when no attempt is out.
 func (b *Broker) Serve(ctx context.Context, q Request, do Do) Answer {
-	if q.Class < 0 || q.Class >= len(b.settings.Classes) {
+	if q.Settings == nil {
+		q.Settings = b.settings.Load()
+	}
+	if q.Class < 0 || q.Class >= len(q.Settings.Classes) {
 		return Answer{Verdict: Failure}
 	}
 	if bu := b.budgets[q.Team]; bu != nil {
@@ -495,7 +517,7 @@
 			a.Worker, a.Addr = p.name, p.addr
 		}
 		b.mu.Unlock()
-		o := s.try(ctx, a, d.within, do)
+		o := s.try(ctx, a, d, do)
 		if o.Code == OK {
 			s.report(a, o, true)
 			return s.check(Answer{Verdict: Served, Result: o.Result})
@@ -526,7 +548,7 @@
 }
 
 func (b *Broker) arrive(q Request) *session {
-	s := &session{b: b, class: &b.settings.Classes[q.Class], next: make(chan decision, 2)}
+	s := &session{b: b, settings: q.Settings, class: &q.Settings.Classes[q.Class], next: make(chan decision, 2)}
 	b.mu.Lock()
 	b.lastID++
 	s.id = b.lastID
@@ -534,7 +556,12 @@
 	b.count.Add(1)
 	b.post(func(now time.Duration, out linnetlift.Actions) {
 		b.open[s.id] = s
-		b.module.Arrive(now, linnetlift.Request{ID: s.id, Class: q.Class, Tenant: q.Tenant,
+		tenant := q.Tenant
+		if q.Settings != b.heard && tenant >= 0 && tenant < len(q.Settings.Tenants) {
+			name := q.Settings.Tenants[tenant].Name
+			tenant = slices.IndexFunc(b.heard.Tenants, func(t linnetlift.Tenant) bool { return t.Name == name })
+		}
+		b.module.Arrive(now, linnetlift.Request{ID: s.id, Class: q.Class, Of: s.class, Tenant: tenant,
 			Left: time.Until(q.Deadline), Slots: q.Slots, Memory: q.Memory, Retry: q.Retry}, out)
 	})
 	return s
@@ -584,17 +611,18 @@
 }
 
 // try runs one attempt under its own time-out and the module's right to call it off.
-func (s *session) try(ctx context.Context, a *Attempt, within time.Duration, do Do) Outcome {
+func (s *session) try(ctx context.Context, a *Attempt, d decision, do Do) Outcome {
 	s.attempts++
-	ok := invariant.Hold(s.attempts <= s.b.settings.MaxAttempts, "more attempts than allowed")
+	ok := invariant.Hold(s.attempts <= d.limit, "more attempts than allowed")
+	ok = ok && s.attempts <= s.b.settings.Load().MaxAttempts // fewer since then
 	ok = invariant.Hold(!s.mayRun || s.class.Semantics != linnetlift.Fragile, "a fragile request that may have run is sent again") && ok
 	if !ok || a.Addr == "" || ctx.Err() != nil {
 		return Outcome{Code: NeverSent}
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	if within > 0 {
-		ctx, stop = context.WithTimeout(ctx, within)
+	if d.within > 0 {
+		ctx, stop = context.WithTimeout(ctx, d.within)
 		defer stop()
 	}
 	s.mu.Lock()
@@ -616,6 +644,9 @@
 		if ended {
 			s.ended.Store(true)
 		}
+		if !slices.Equal(s.settings.LoadFields, s.b.heard.LoadFields) {
+			m.Load = nil // its columns were others
+		}
 		s.b.module.Outcome(now, m, out)
 	})
 }
@@ -661,7 +692,7 @@
 }
 
 func (k sink) Send(id linnetlift.RequestID, w linnetlift.WorkerID, within time.Duration) {
-	k.decide(id, decision{send: true, worker: w, within: within})
+	k.decide(id, decision{send: true, worker: w, within: within, limit: k.b.heard.MaxAttempts})
 }
 
 func (k sink) Refuse(id linnetlift.RequestID, comeBack time.Duration) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,11 +10,14 @@
 	"fmt"
 	"hash/fnv"
 	"io/fs"
+	"maps"
 	"net"
 	"os"
 	"reflect"
 	"slices"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/BurntSushi/toml"
@@ -37,8 +40,26 @@
 	ConnectTimeout, IdleClose      time.Duration
 
 	SSE SSE
+
+	file any // the file as read, by key
+}
+
+// Live is the configuration in force: one snapshot for all parts, swapped whole.
+type Live struct{ at atomic.Pointer[Config] }
+
+// NewLive makes c the configuration in force.
+func NewLive(c *Config) *Live {
+	l := &Live{}
+	l.at.Store(c)
+	return l
 }
 
+// Get returns the snapshot in force. What belongs together is read from one.
+func (l *Live) Get() *Config { return l.at.Load() }
+
+// Set puts another in its place.
+func (l *Live) Set(c *Config) { l.at.Store(c) }
+
 // Limits are the bounds of the machine.
 type Limits struct {
 	Cores    float64 `json:"cores"`
@@ -138,17 +159,92 @@
 	}, ssePath)
 }
 
+// Retuned is c with what a running dispatcher takes up of next: the settings and
+// discovery. The error names a key that next lacks and c's file has: a key left
+// out is a fault in the file, and no default may stand in for it.
+func (c *Config) Retuned(next *Config) (*Config, error) {
+	if key := missing(c.file, next.file, ""); key != "" {
+		return nil, fmt.Errorf("NODE_CONFIG: %s: missing", key)
+	}
+	own := *c
+	own.file, own.Discovery = next.file, next.Discovery
+	own.Module, own.ConnectTimeout, own.IdleClose = next.Module, next.ConnectTimeout, next.IdleClose
+	own.Classes, own.Tenants, own.Zones, own.Kinds, own.Columns = next.Classes, next.Tenants, next.Zones, next.Kinds, next.Columns
+	return &own, nil
+}
+
+// optional keys may come and go: those for a start alone, and the one that the
+// protocol says may be absent.
+var optional = []string{"known", "seed", "console", "settings.Classes[].AimStretch"}
+
+// missing names a key that old has and next lacks, or has as another kind of
+// value. Entries of a list are alike: what all of the old have, all of the next
+// must have.
+func missing(old, next any, path string) string {
+	if reflect.TypeOf(old) != reflect.TypeOf(next) {
+		return path
+	}
+	switch old := old.(type) {
+	case map[string]any:
+		for _, key := range slices.Sorted(maps.Keys(old)) {
+			at := strings.TrimPrefix(path+"."+key, ".")
+			if slices.Contains(optional, at) {
+				continue
+			}
+			value, ok := next.(map[string]any)[key]
+			if !ok {
+				return at
+			}
+			if key := missing(old[key], value, at); key != "" {
+				return key
+			}
+		}
+	case []any:
+		common := alike(old)
+		if common == nil {
+			return ""
+		}
+		for _, entry := range next.([]any) {
+			if key := missing(common, entry, path+"[]"); key != "" {
+				return key
+			}
+		}
+	}
+	return ""
+}
+
+// alike is what all entries of a list have; nil if they aren't objects.
+func alike(list []any) any {
+	var common map[string]any
+	for _, entry := range list {
+		entry, ok := entry.(map[string]any)
+		if !ok {
+			return nil
+		}
+		if common == nil {
+			common = maps.Clone(entry)
+		}
+		maps.DeleteFunc(common, func(key string, v any) bool {
+			other, ok := entry[key]
+			return !ok || reflect.TypeOf(other) != reflect.TypeOf(v)
+		})
+	}
+	if common == nil {
+		return nil
+	}
+	return common
+}
+
 // Fixed names the keys in which next differs and that a running dispatcher
 // can't take up. The seed and the known list are for a start alone and don't count.
 func (c *Config) Fixed(next *Config) (keys []string) {
-	a, b := *c, *next
-	for _, x := range []*Config{&a, &b} {
-		x.Discovery, x.Seed, x.Known = "", 0, nil
-	}
-	va, vb := reflect.ValueOf(a), reflect.ValueOf(b)
-	for i := range va.NumField() {
-		if !reflect.DeepEqual(va.Field(i).Interface(), vb.Field(i).Interface()) {
-			keys = append(keys, va.Type().Field(i).Name)
+	for _, k := range []struct {
+		name string
+		same bool
+	}{{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"console", c.Console == next.Console},
+		{"limits", c.Limits == next.Limits}, {"deploy/sse.toml", reflect.DeepEqual(c.SSE, next.SSE)}} {
+		if !k.same {
+			keys = append(keys, k.name)
 		}
 	}
 	return keys
@@ -172,6 +268,9 @@
 	if err := json.Unmarshal(text, &in); err != nil {
 		return err
 	}
+	if err := json.Unmarshal(text, &c.file); err != nil {
+		return err
+	}
 	c.Name, c.Listen, c.Discovery, c.Console, c.Known, c.Limits = in.Name, in.Listen, in.Discovery, in.Console, in.Known, in.Limits
 	if in.Seed != "" {
 		var err error
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -140,7 +140,7 @@
 	path := filepath.Join(t.TempDir(), "config.json")
 	for text, want := range map[string][]string{
 		`{"name":"n3","listen":"127.0.0.1:7070","discovery":"127.0.0.9:1","seed":"02","known":{},"limits":{"memory_mb":192},"settings":` + string(settings) + `}`: nil,
-		`{"name":"n3","listen":"127.0.0.1:7071","discovery":"127.0.0.9:1","limits":{"memory_mb":64},"settings":` + string(settings) + `}`:                         {"Listen", "Limits"},
+		`{"name":"n3","listen":"127.0.0.1:7071","discovery":"127.0.0.9:1","limits":{"memory_mb":64},"settings":` + string(settings) + `}`:                         {"listen", "limits"},
 		`{"name":"n3","listen":"127.0.0.1:7071","discovery":"127.0.0.9:no"}`:                                                                                      {"refused"},
 	} {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -159,3 +159,71 @@
 		}
 	}
 }
+
+// A file that is cut off anywhere, or lacks any key that the one in force has, is
+// refused by the key's name; one that only differs is taken up whole.
+func TestBrokenFilesChangeNothing(t *testing.T) {
+	first, err := load(t, [2]string{}, "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole, err := json.Marshal(first.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	retune := func(text []byte) (*Config, error) {
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		next, err := Reload(func(k string) string { return map[string]string{"NODE_CONFIG": path}[k] }, "none")
+		if err != nil {
+			return nil, err
+		}
+		return first.Retuned(next)
+	}
+	if _, err := retune(whole); err != nil {
+		t.Fatal(err)
+	}
+	for n := range whole {
+		if _, err := retune(whole[:n]); err == nil {
+			t.Fatalf("taken though cut off after %s", whole[max(n-20, 0):n])
+		}
+	}
+	cuts := 0
+	var cut func(v any, at string)
+	cut = func(v any, at string) {
+		switch v := v.(type) {
+		case map[string]any:
+			for key, value := range v {
+				path := strings.TrimPrefix(at+"."+key, ".")
+				cut(value, path)
+				if path == "seed" {
+					continue // for a start alone
+				}
+				delete(v, key)
+				text, _ := json.Marshal(first.file)
+				v[key] = value
+				cuts++
+				// Either check may find it first; both name the last part of its path.
+				last := path[strings.LastIndex(path, ".")+1:]
+				if _, err := retune(text); err == nil || !strings.Contains(strings.ToLower(err.Error()), strings.ToLower(last)) &&
+					!(last == "Semantics" && strings.Contains(err.Error(), "semantics")) && last != "discovery" && last != "listen" {
+					t.Errorf("%s cut out: %v", path, err)
+				}
+			}
+		case []any:
+			for _, entry := range v {
+				cut(entry, at+"[]")
+			}
+		}
+	}
+	cut(first.file, "")
+	if cuts < 60 {
+		t.Errorf("only %d keys were cut", cuts)
+	}
+	next, err := retune([]byte(strings.Replace(string(whole), `"MaxAttempts":4`, `"MaxAttempts":2`, 1)))
+	if err != nil || next.Module.MaxAttempts != 2 || first.Module.MaxAttempts != 4 {
+		t.Errorf("%v; %+v", err, next)
+	}
+}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -42,7 +42,10 @@
 	Rules  struct {
 		AnswerSlackMs, AskWithinMs, ColdFrom, FallMs, FallMultiple, RampTimeMs, StopSendingWithinMs float64
 	}
-	Tenants []struct{ QuotaRps float64 }
+	Tenants []struct {
+		Name     string
+		QuotaRps float64
+	}
 }
 
 var loadFields = map[string]linnetlift.LoadField{
@@ -102,7 +105,7 @@
 		out.Classes = append(out.Classes, class)
 	}
 	for _, t := range in.Tenants {
-		out.Tenants = append(out.Tenants, linnetlift.Tenant{Quota: t.QuotaRps})
+		out.Tenants = append(out.Tenants, linnetlift.Tenant{Name: t.Name, Quota: t.QuotaRps})
 	}
 	if in.LoadInfo.Via != "off" {
 		for _, name := range in.LoadInfo.Columns {
--- a/internal/platform/dispatch.go
+++ b/internal/platform/dispatch.go
@@ -41,11 +41,10 @@
 
 // Lines carries dispatches to loan workers.
 type Lines struct {
+	live      *config.Live
 	transport *http.Transport
 	once      *http.Transport // a connection for each dispatch, closed after it
-	fragile   []bool          // by class: may be sent once
 	doubt     atomic.Int64    // Unix nanoseconds up to which kept connections are in doubt
-	columns   []string
 	finishing sync.WaitGroup
 
 	mu   sync.Mutex
@@ -55,40 +54,64 @@
 }
 
 // NewLines makes the connections' owner; sockets bounds how many it may hold.
-func NewLines(cfg *config.Config, sockets int) *Lines {
-	l := &Lines{columns: cfg.Columns, max: sockets, open: map[*line]struct{}{}}
-	l.transport = &http.Transport{
-		DialContext:        l.dial(&net.Dialer{Timeout: cfg.ConnectTimeout, KeepAlive: -1}),
+func NewLines(live *config.Live, sockets int) *Lines {
+	l := &Lines{live: live, max: sockets, open: map[*line]struct{}{}}
+	l.transport, l.once = l.transports()
+	return l
+}
+
+func (l *Lines) transports() (kept, once *http.Transport) {
+	kept = &http.Transport{
+		DialContext:        l.dial,
 		DisableCompression: true,
 		// The library keeps two idle connections a host; every one beyond them
 		// would be opened anew, and opening costs the loan worker work.
-		MaxIdleConns:        sockets / 2,
-		MaxIdleConnsPerHost: sockets / 4,
+		MaxIdleConns:        l.max / 2,
+		MaxIdleConnsPerHost: l.max / 4,
 		// A loan worker closes an idle connection at IdleCloseMs at the latest;
 		// what is written to it from then on is lost. Close well before.
-		IdleConnTimeout:        cfg.IdleClose * 3 / 4,
+		IdleConnTimeout:        l.live.Get().IdleClose * 3 / 4,
 		MaxResponseHeaderBytes: 64 << 10,
 	}
-	l.once = l.transport.Clone()
-	l.once.DisableKeepAlives = true
-	for _, c := range cfg.Module.Classes {
-		l.fragile = append(l.fragile, c.Semantics == linnetlift.Fragile)
+	once = kept.Clone()
+	once.DisableKeepAlives = true
+	return kept, once
+}
+
+// Retune takes up the settings in force. Connections kept under the old ones may
+// be closed by their loan workers sooner than was known: they are not used again.
+func (l *Lines) Retune() {
+	l.mu.Lock()
+	old := l.transport
+	if old.IdleConnTimeout != l.live.Get().IdleClose*3/4 {
+		l.transport, l.once = l.transports()
+	}
+	changed := old != l.transport
+	l.mu.Unlock()
+	if changed {
+		old.CloseIdleConnections() // those that carry a dispatch are closed after it
 	}
-	return l
 }
 
 // carrier chooses how a session goes. A kept connection may have been closed or
 // reset since its last use without our knowing, and what is written to it then
 // may have run: a session with one life is not risked on it once that was seen.
 func (l *Lines) carrier(s *Session) *http.Transport {
-	if c := s.Request.Class; c < len(l.fragile) && l.fragile[c] && time.Now().UnixNano() < l.doubt.Load() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.cfg.Module.Classes[s.Request.Class].Semantics == linnetlift.Fragile && time.Now().UnixNano() < l.doubt.Load() {
 		return l.once
 	}
 	return l.transport
 }
 
 // CloseIdle closes the connections that carry nothing.
-func (l *Lines) CloseIdle() { l.transport.CloseIdleConnections() }
+func (l *Lines) CloseIdle() {
+	l.mu.Lock()
+	t := l.transport
+	l.mu.Unlock()
+	t.CloseIdleConnections()
+}
 
 // Settle waits until answers that have ended are read to their end.
 func (l *Lines) Settle() { l.finishing.Wait() }
@@ -172,33 +195,31 @@
 	return err
 }
 
-func (l *Lines) dial(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+func (l *Lines) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	if !l.take() {
+		l.CloseIdle()
 		if !l.take() {
-			l.CloseIdle()
-			if !l.take() {
-				return nil, errSockets
-			}
-		}
-		conn, err := d.DialContext(ctx, network, addr)
-		if err != nil {
-			l.mu.Lock()
-			l.held--
-			l.mu.Unlock()
-			return nil, err
-		}
-		c := &line{Conn: conn, addr: addr}
-		c.release = func() {
-			l.mu.Lock()
-			delete(l.open, c)
-			l.held--
-			l.mu.Unlock()
+			return nil, errSockets
 		}
+	}
+	conn, err := (&net.Dialer{Timeout: l.live.Get().ConnectTimeout, KeepAlive: -1}).DialContext(ctx, network, addr)
+	if err != nil {
+		l.mu.Lock()
+		l.held--
+		l.mu.Unlock()
+		return nil, err
+	}
+	c := &line{Conn: conn, addr: addr}
+	c.release = func() {
 		l.mu.Lock()
-		l.open[c] = struct{}{}
+		delete(l.open, c)
+		l.held--
 		l.mu.Unlock()
-		return c, nil
 	}
+	l.mu.Lock()
+	l.open[c] = struct{}{}
+	l.mu.Unlock()
+	return c, nil
 }
 
 // body hides a request's bytes from the transport. It resends a request on its
@@ -228,6 +249,7 @@
 	resp   *http.Response
 	conn   *line
 	lines  *Lines
+	cfg    *config.Config
 	unhook func() bool // takes the exchange out of ctx
 	cancel func()
 }
@@ -290,12 +312,12 @@
 		}
 		return nil, ended(ctx)
 	}
-	x := &Exchange{Reader: bufio.NewReaderSize(resp.Body, 4096), Header: resp.Header, ctx: ctx, resp: resp, conn: conn, lines: l,
+	x := &Exchange{Reader: bufio.NewReaderSize(resp.Body, 4096), Header: resp.Header, ctx: ctx, resp: resp, conn: conn, lines: l, cfg: s.cfg,
 		unhook: unhook, cancel: cancel}
 	if resp.StatusCode == http.StatusOK {
 		return x, broker.Outcome{}
 	}
-	o := broker.Outcome{Code: broker.Failed, Load: l.load([]byte(resp.Header.Get("X-Server-Load")))}
+	o := broker.Outcome{Code: broker.Failed, Load: x.Load([]byte(resp.Header.Get("X-Server-Load")))}
 	// Without the mark a 503 or 504 may come from behind the job: it may have run.
 	if (resp.StatusCode == 503 || resp.StatusCode == 504) && resp.Header.Get("X-Not-Processed") == "1" {
 		o.Code = broker.Full
@@ -349,7 +371,7 @@
 }
 
 // Load reads a load report that came as a JSON object.
-func (x *Exchange) Load(text []byte) []float64 { return x.lines.load(text) }
+func (x *Exchange) Load(text []byte) []float64 { return load(x.cfg.Columns, text) }
 
 // otherName gives the name that a value has on the other of the two wires: the
 // settings use the simulator's, loan workers the ones of their own pages.
@@ -357,16 +379,16 @@
 	"avg_ms": "latency_ms", "rps": "qps"}
 
 // load puts a report's values in the settings' order. One that lacks a value is no report.
-func (l *Lines) load(text []byte) []float64 {
-	if len(text) == 0 || len(l.columns) == 0 {
+func load(columns []string, text []byte) []float64 {
+	if len(text) == 0 || len(columns) == 0 {
 		return nil
 	}
 	var in map[string]float64
 	if json.Unmarshal(text, &in) != nil {
 		return nil
 	}
-	out := make([]float64, 0, len(l.columns))
-	for _, name := range l.columns {
+	out := make([]float64, 0, len(columns))
+	for _, name := range columns {
 		v, ok := in[name]
 		if !ok {
 			if v, ok = in[otherName[name]]; !ok {
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -33,6 +33,7 @@
 	ID      string
 	Request broker.Request
 
+	cfg               *config.Config // the snapshot it was read under
 	method, uri, host string
 	header            http.Header
 	body              []byte
@@ -93,7 +94,7 @@
 
 // Reader reads sessions off the wire.
 type Reader struct {
-	cfg   *config.Config
+	live  *config.Live
 	guard *Guard
 	mu    sync.Mutex
 	open  map[string]bool // ids of sessions not yet answered
@@ -101,8 +102,8 @@
 }
 
 // NewReader makes a Reader; both fronts share one.
-func NewReader(cfg *config.Config, g *Guard) *Reader {
-	return &Reader{cfg: cfg, guard: g, open: map[string]bool{}}
+func NewReader(live *config.Live, g *Guard) *Reader {
+	return &Reader{live: live, guard: g, open: map[string]bool{}}
 }
 
 // single are the headers that say what a session is. Twice, one copy would be
@@ -133,23 +134,25 @@
 		w.Header().Set("Allow", "POST")
 		return nil, &Deny{Status: http.StatusMethodNotAllowed, Text: "jobs arrive by POST"}
 	}
-	s := &Session{ID: r.Header.Get("X-Request-Id"), method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header}
+	cfg := rd.live.Get()
+	s := &Session{ID: r.Header.Get("X-Request-Id"), cfg: cfg, method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header}
 	if s.ID == "" || len(s.ID) > 200 {
 		return bad("X-Request-ID: missing or too long")
 	}
+	s.Request.Settings = &cfg.Module
 	name := r.Header.Get("X-Priority-Class")
-	if s.Request.Class = slices.Index(rd.cfg.Classes, name); s.Request.Class < 0 {
+	if s.Request.Class = slices.Index(cfg.Classes, name); s.Request.Class < 0 {
 		return bad("X-Priority-Class: missing or unknown")
 	}
 	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != name || !strings.HasPrefix(r.RequestURI, "/") {
 		return bad("the path does not begin with the class")
 	}
-	if len(rd.cfg.Tenants) > 0 {
-		if s.Request.Tenant = slices.Index(rd.cfg.Tenants, r.Header.Get("X-Tenant-Id")); s.Request.Tenant < 0 {
+	if len(cfg.Tenants) > 0 {
+		if s.Request.Tenant = slices.Index(cfg.Tenants, r.Header.Get("X-Tenant-Id")); s.Request.Tenant < 0 {
 			return bad("X-Tenant-Id: missing or unknown")
 		}
 	}
-	left := rd.cfg.Module.Classes[s.Request.Class].Deadline
+	left := cfg.Module.Classes[s.Request.Class].Deadline
 	if text := r.Header.Get("X-Timeout"); text != "" {
 		var ok bool
 		if left, ok = seconds(text); !ok {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -48,14 +48,14 @@
 	defer server.Close()
 	w := broker.Worker{ID: "s", Addr: server.Listener.Addr().String()}
 	b.List(linnetlift.ListFull, []broker.Worker{w})
-	lines := NewLines(cfg, 8)
+	lines := NewLines(config.NewLive(cfg), 8)
 	dial := lines.transport.DialContext
 	lines.transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		w.State = linnetlift.Draining
 		b.List(linnetlift.ListDelta, []broker.Worker{w})
 		return dial(ctx, network, addr)
 	}
-	s := &Session{ID: "r", method: "POST", uri: "/unsafe", header: http.Header{}, body: []byte("x"),
+	s := &Session{cfg: cfg, ID: "r", method: "POST", uri: "/unsafe", header: http.Header{}, body: []byte("x"),
 		Request: broker.Request{Slots: 1, Deadline: time.Now().Add(500 * time.Millisecond)}}
 	if got := b.Serve(t.Context(), s.Request, lines.Do(s)); got.Verdict != broker.Refused {
 		t.Errorf("got %+v, want a refusal: nothing has run", got)
@@ -86,7 +86,7 @@
 			}
 		}()
 		b.List(linnetlift.ListFull, []broker.Worker{{ID: "s", Addr: l.Addr().String()}})
-		lines := NewLines(cfg, 8)
+		lines := NewLines(config.NewLive(cfg), 8)
 		var conn net.Conn
 		dial := lines.transport.DialContext
 		lines.transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -94,7 +94,7 @@
 			conn = c
 			return c, err
 		}
-		s := &Session{ID: "r", method: "POST", uri: "/unsafe", header: http.Header{},
+		s := &Session{cfg: cfg, ID: "r", method: "POST", uri: "/unsafe", header: http.Header{},
 			Request: broker.Request{Slots: 1, Deadline: time.Now().Add(1500 * time.Millisecond)}}
 		b.Serve(t.Context(), s.Request, func(ctx context.Context, a *broker.Attempt) broker.Outcome {
 			o := lines.Do(s)(ctx, a)
@@ -109,7 +109,7 @@
 // The transport's own settings that the rules or the loan workers' cost rest on.
 func TestTransportSettings(t *testing.T) {
 	cfg := testConfig()
-	tr := NewLines(cfg, 300).transport
+	tr := NewLines(config.NewLive(cfg), 300).transport
 	switch {
 	case tr.IdleConnTimeout <= 0 || tr.IdleConnTimeout >= cfg.IdleClose:
 		t.Errorf("idle connections stay %v; loan workers close theirs after %v", tr.IdleConnTimeout, cfg.IdleClose)
@@ -133,7 +133,7 @@
 	}
 	addr := fmt.Sprintf("127.0.0.1:%d", sa.(*syscall.SockaddrInet4).Port)
 	cfg.ConnectTimeout = 100 * time.Millisecond
-	lines := NewLines(cfg, 16)
+	lines := NewLines(config.NewLive(cfg), 16)
 	for range 8 {
 		conn, err := lines.transport.DialContext(t.Context(), "tcp", addr)
 		if err == nil {
@@ -153,9 +153,9 @@
 	cfg := testConfig()
 	b := testBroker(t, cfg)
 	b.List(linnetlift.ListFull, []broker.Worker{{ID: "s", Addr: "127.0.0.1:1"}})
-	lines := NewLines(cfg, 1)
+	lines := NewLines(config.NewLive(cfg), 1)
 	lines.take()
-	s := &Session{ID: "r", method: "POST", uri: "/unsafe", header: http.Header{},
+	s := &Session{cfg: cfg, ID: "r", method: "POST", uri: "/unsafe", header: http.Header{},
 		Request: broker.Request{Slots: 1, Deadline: time.Now().Add(300 * time.Millisecond)}}
 	got := b.Serve(t.Context(), s.Request, func(ctx context.Context, a *broker.Attempt) broker.Outcome {
 		o := lines.Do(s)(ctx, a)
@@ -171,7 +171,6 @@
 
 // The settings name a report's values by the simulator's words, workers by their own.
 func TestLoadReports(t *testing.T) {
-	l := NewLines(testConfig(), 8)
 	for text, want := range map[string][]float64{
 		`{"util":0.5,"eps":2,"x0":1,"more":9}`: {0.5, 2, 1},
 		`{"cpu":0.5,"err_rps":2,"x0":1}`:       {0.5, 2, 1},
@@ -180,7 +179,7 @@
 		`[]`:                                   nil,
 		``:                                     nil,
 	} {
-		if diff := cmp.Diff(want, l.load([]byte(text))); diff != "" {
+		if diff := cmp.Diff(want, load(testConfig().Columns, []byte(text))); diff != "" {
 			t.Errorf("%s: %s", text, diff)
 		}
 	}
@@ -215,7 +214,7 @@
 	}
 	cfg.Known = json.RawMessage(`{"generation":41,"reset":true,"instances":[` + entry("s1", "SERVING") + `]}`)
 	b := testBroker(t, cfg)
-	table, err := NewTable(cfg, b, func(string) {})
+	table, err := NewTable(config.NewLive(cfg), b, func(string) {})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -300,12 +299,12 @@
 		}
 	}()
 	b.List(linnetlift.ListFull, []broker.Worker{{ID: "s", Addr: l.Addr().String()}})
-	lines := NewLines(cfg, 16)
+	lines := NewLines(config.NewLive(cfg), 16)
 	for i, c := range []struct {
 		class, conn int
 		code        broker.Code
 	}{{0, 0, broker.OK}, {0, 0, broker.Dropped}, {0, 1, broker.OK}, {1, 2, broker.OK}, {1, 2, broker.OK}, {0, 3, broker.OK}} {
-		s := &Session{ID: fmt.Sprint("r", i), method: "POST", uri: "/x", header: http.Header{}, body: []byte("x"),
+		s := &Session{cfg: cfg, ID: fmt.Sprint("r", i), method: "POST", uri: "/x", header: http.Header{}, body: []byte("x"),
 			Request: broker.Request{Class: c.class, Slots: 1, Deadline: time.Now().Add(5 * time.Second)}}
 		b.Serve(t.Context(), s.Request, func(ctx context.Context, a *broker.Attempt) broker.Outcome {
 			o := lines.Do(s)(ctx, a)
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -36,7 +36,7 @@
 
 // Table follows discovery.
 type Table struct {
-	cfg    *config.Config
+	live   *config.Live
 	broker *broker.Broker
 	log    func(string)
 
@@ -67,6 +67,14 @@
 	return s
 }
 
+// Retune tells the list again under the settings in force, where the names of
+// zones and kinds have other places in them.
+func (t *Table) Retune() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.broker.List(linnetlift.ListAmend, t.workers(t.latest.Instances))
+}
+
 // Follow goes over to another address, or begins anew at the same one. The list
 // held so far stays in use until the new source has told its own; requests and
 // what was learned of workers stay whatever it tells.
@@ -102,8 +110,9 @@
 }
 
 // NewTable makes the table and hands the broker the list last known.
-func NewTable(cfg *config.Config, b *broker.Broker, log func(string)) (*Table, error) {
-	t := &Table{cfg: cfg, broker: b, log: log, now: newSource(cfg.Discovery), heard: make(chan struct{})}
+func NewTable(live *config.Live, b *broker.Broker, log func(string)) (*Table, error) {
+	cfg := live.Get()
+	t := &Table{live: live, broker: b, log: log, now: newSource(cfg.Discovery), heard: make(chan struct{})}
 	var known tableReply
 	if len(cfg.Known) > 0 {
 		if err := json.Unmarshal(cfg.Known, &known); err != nil {
@@ -222,13 +231,13 @@
 }
 
 func (t *Table) workers(in []tableEntry) []broker.Worker {
-	out := make([]broker.Worker, 0, len(in))
+	cfg, out := t.live.Get(), make([]broker.Worker, 0, len(in))
 	for _, e := range in {
 		if e.InstanceID == "" {
 			continue
 		}
 		w := broker.Worker{ID: e.InstanceID, Addr: e.HostPort, Cell: e.Cell, Weight: e.Weight,
-			Zone: slices.Index(t.cfg.Zones, e.Zone), Kind: slices.Index(t.cfg.Kinds, e.MachineType)}
+			Zone: slices.Index(cfg.Zones, e.Zone), Kind: slices.Index(cfg.Kinds, e.MachineType)}
 		switch e.Lifecycle {
 		case "SERVING":
 			w.State = linnetlift.Ready
--- a/internal/sse/front.go
+++ b/internal/sse/front.go
@@ -34,26 +34,26 @@
 
 // Front answers clients with event streams.
 type Front struct {
-	cfg    *config.Config
+	live   *config.Live
 	broker *broker.Broker
 	lines  *platform.Lines
 	reader *platform.Reader
 }
 
 // New makes the front.
-func New(cfg *config.Config, b *broker.Broker, l *platform.Lines, rd *platform.Reader) *Front {
-	return &Front{cfg, b, l, rd}
+func New(live *config.Live, b *broker.Broker, l *platform.Lines, rd *platform.Reader) *Front {
+	return &Front{live, b, l, rd}
 }
 
 // contract finds the team's contract and what it says of this session.
 func (f *Front) contract(r *http.Request) (*config.Contract, *platform.Deny) {
 	team := r.Header.Get("X-Team")
-	i := slices.IndexFunc(f.cfg.SSE.Contracts, func(k config.Contract) bool { return k.Team == team })
+	i := slices.IndexFunc(f.live.Get().SSE.Contracts, func(k config.Contract) bool { return k.Team == team })
 	if i < 0 {
 		return nil, &platform.Deny{Status: http.StatusForbidden, Text: "X-Team: no contract"}
 	}
-	k := &f.cfg.SSE.Contracts[i]
-	if class := r.Header.Get("X-Priority-Class"); slices.Contains(f.cfg.Classes, class) && !slices.Contains(k.Classes, class) {
+	k := &f.live.Get().SSE.Contracts[i]
+	if class := r.Header.Get("X-Priority-Class"); slices.Contains(f.live.Get().Classes, class) && !slices.Contains(k.Classes, class) {
 		return nil, &platform.Deny{Status: http.StatusForbidden, Text: "X-Priority-Class: not in the contract"}
 	}
 	switch r.Header.Get("X-Tenant-Id") {
@@ -84,7 +84,7 @@
 	// and with it the dispatch.
 	ctx, gone := context.WithCancel(r.Context())
 	defer gone()
-	st := newStream(w, f.cfg.SSE, gone)
+	st := newStream(w, f.live.Get().SSE, gone)
 	answer := f.broker.Serve(ctx, s.Request, f.do(s, st))
 	if answer.Verdict == broker.Gone {
 		st.abandon()
@@ -122,7 +122,7 @@
 				st.progress(a.N, Event{Type: state, Data: string(line)})
 			})
 		}
-		events := NewScanner(x.Reader, f.cfg.SSE.MaxEventBytes)
+		events := NewScanner(x.Reader, f.live.Get().SSE.MaxEventBytes)
 		for {
 			e, err := events.Next()
 			if err != nil {
--- a/linnetlift.go
+++ b/linnetlift.go
@@ -58,6 +58,7 @@
 
 // Tenant is a customer with a share of the service.
 type Tenant struct {
+	Name  string
 	Quota float64 // requests a second within its share, over all dispatchers; 0: none
 }
 
@@ -75,7 +76,7 @@
 	LoadFreeMemory
 )
 
-// Settings is what a dispatcher is told once, at start.
+// Settings is what a dispatcher is told at its start, and anew by Retune.
 type Settings struct {
 	Me, Dispatchers int // own number and how many dispatchers there are
 	Zone            int
@@ -111,10 +112,10 @@
 	LatePrice  float64 // price of ending unserved after the aim, in worths
 }
 
-// validate reports settings no dispatcher can act on: no class, no dispatcher
+// Validate reports settings no dispatcher can act on: no class, no dispatcher
 // or an own number outside their range, a class without deadline, attempts
 // that can never be made, and negative figures.
-func (s *Settings) validate() error {
+func (s *Settings) Validate() error {
 	if len(s.Classes) == 0 {
 		return errors.New("linnetlift: no classes")
 	}
@@ -170,6 +171,7 @@
 type Request struct {
 	ID     RequestID
 	Class  int
+	Of     *Class // the class itself, where the settings may have changed since it was read; nil: Classes[Class]
 	Tenant int
 	Left   time.Duration // until the client gives up
 	Hint   time.Duration // expected work on a standard core; 0: not told
@@ -265,6 +267,9 @@
 	Probed(now time.Duration, w WorkerID, code Code, load []float64, out Actions)
 	// PeerMessage brings what another dispatcher told.
 	PeerMessage(now time.Duration, from int, msg []byte, out Actions)
+	// Retune brings new settings, which New would take too. Open requests keep
+	// their class; all else holds for them as for new ones.
+	Retune(now time.Duration, s Settings, out Actions)
 	// Timer answers a Wake.
 	Timer(now time.Duration, tag uint64, out Actions)
 }
@@ -273,7 +278,7 @@
 // classes, an own number outside the dispatchers', fewer than one attempt, a
 // class without a deadline, or negative figures.
 func New(s Settings, seed uint64) (Dispatcher, error) {
-	if err := s.validate(); err != nil {
+	if err := s.Validate(); err != nil {
 		return nil, err
 	}
 	return newDispatcher(s, seed), nil
--- a/state.go
+++ b/state.go
@@ -22,6 +22,7 @@
 type request struct {
 	Request
 	class                                *Class
+	stat                                 *classStat
 	arrived, deadline, inTime, holdUntil time.Duration
 	worth                                float64 // per slot-time: the order of the held queue
 	demoted, held, ended                 bool
@@ -85,7 +86,7 @@
 	workers  map[WorkerID]*worker
 	rank     []*worker // listed workers, fastest first
 	kinds    []kind
-	stats    []classStat
+	stats    map[string]*classStat // by the class's name: places change with the settings
 	tenants  []bucket
 	requests map[RequestID]*request
 	held     []*request
@@ -121,7 +122,7 @@
 	return &dispatcher{
 		Settings: s, rnd: rand.New(rand.NewPCG(seed, 0x6c696e6e65746c69)),
 		workers: map[WorkerID]*worker{}, requests: map[RequestID]*request{},
-		stats: make([]classStat, len(s.Classes)), tenants: make([]bucket, len(s.Tenants)),
+		stats: map[string]*classStat{}, tenants: make([]bucket, len(s.Tenants)),
 		meanRun: math.Log(0.2), run: 200 * time.Millisecond, startDelay: [2]float64{0.01, 0.04},
 	}
 }
@@ -183,6 +184,15 @@
 // slots is the most that workers of w's kind were seen to run at once.
 func (d *dispatcher) slots(w *worker) float64 { return d.kindOf(w).slots }
 
+func (d *dispatcher) statOf(c *Class) *classStat {
+	s := d.stats[c.Name]
+	if s == nil {
+		s = &classStat{}
+		d.stats[c.Name] = s
+	}
+	return s
+}
+
 func (d *dispatcher) omegaOf(w *worker) *float64 {
 	if w == nil {
 		return &d.omega0
