Jobs go by lot where dispatchers outnumber workers; calls to discovery are spaced

Seen: 503 from discovery in a row, each after 2 s of waiting: it serves about 7 calls a second, and 36 watches carried on at once ask for more at every change. Ruled out: the failed calls' own back-off (0.2 s and up, too short to matter when the queue itself is the wait).

Lines at fault: homeSlots rounds a quarter of a slot to none; mayStart lets no job to a cold worker from a share of 0; Table.Run carried every watch on at once.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -39,6 +39,7 @@
 	coldSafety   = 0.3                    // part of the slow-start budget that is used
 	guessWeight  = 8.0                    // how much worse a guessed wait is than a known slow run
 	sightings    = 4                      // times a higher slot count must be seen
+	lots         = 2                      // workers drawn for a job where shares are small
 	lookAhead    = 4                      // held jobs tried when the head fits nowhere
 	overtake     = 400 * time.Millisecond // connecting may delay a job so long against a later one
 	failWeight   = 0.15                   // error share that one failure tells of
@@ -148,32 +149,10 @@
 	}
 }
 
-func (d *dispatcher) ClientGone(now time.Duration, id RequestID, out Actions) {
-	d.begin(now, out)
-	if r := d.requests[id]; r != nil {
-		d.end(r)
-	}
-}
-
-func (d *dispatcher) Probed(now time.Duration, id WorkerID, code Code, load []float64, out Actions) {
-	d.begin(now, out)
-	if w := d.workers[id]; w != nil && code == OK {
-		d.report(w, load, false)
-	}
-}
-
-func (d *dispatcher) PeerMessage(now time.Duration, _ int, _ []byte, out Actions) { d.begin(now, out) }
-
 // Retune takes up new settings: shares anew, and no attempt beyond those allowed now.
 func (d *dispatcher) Retune(now time.Duration, s Settings, out Actions) {
 	d.begin(now, out)
-	buckets := make([]bucket, len(s.Tenants))
-	for i, t := range s.Tenants {
-		if j := slices.Index(d.Tenants, t); j >= 0 {
-			buckets[i] = d.tenants[j]
-		}
-	}
-	d.Settings, d.tenants = s, buckets
+	d.settings(s)
 	d.setHomes()
 	d.refresh()
 	for _, r := range slices.Clone(d.held) {
@@ -198,15 +177,6 @@
 	d.overdueHeld(out)
 }
 
-// begin notes the time and keeps one timer running.
-func (d *dispatcher) begin(now time.Duration, out Actions) {
-	d.now = now
-	if !d.ticking {
-		d.ticking = true
-		out.Wake(tickEvery, 0)
-	}
-}
-
 // ---- the ordinary path
 
 // decide takes ACHQ's decisions at an arrival or completion: the head of the
@@ -248,6 +218,10 @@
 
 // pick returns the fastest worker with room for r and the fastest that could run it at all.
 func (d *dispatcher) pick(r *request) (f, fastest *worker) {
+	if d.sparse() {
+		f = d.lot(r)
+		return f, f
+	}
 	for _, w := range d.rank {
 		never := w.limit < 1 && w.home == 0 && d.now-w.reportAt >= d.run // has room, seen at a glance
 		if fastest != nil && never || !d.able(w, r) {
@@ -263,6 +237,37 @@
 	return nil, fastest
 }
 
+// sparse tells that this dispatcher's share is less than one worker.
+func (d *dispatcher) sparse() bool { return d.Dispatchers > len(d.rank) }
+
+// lot draws the worker for r where shares are too small for counting slots: too
+// few jobs pass here to know who has room. By speed, warmth and health, so that
+// all dispatchers together send each worker its part; of two drawn the better.
+func (d *dispatcher) lot(r *request) (best *worker) {
+	all := 0.0
+	open := func(w *worker) bool { return d.now >= w.trialAt && d.able(w, r) && d.mayStart(w, r) }
+	for _, w := range d.rank {
+		if open(w) {
+			all += 1 / w.time
+		}
+	}
+	for range lots {
+		at := d.rnd.Float64() * all
+		for _, w := range d.rank {
+			if !open(w) {
+				continue
+			}
+			if at -= 1 / w.time; at < 0 {
+				if best == nil || d.endsAt(w, r) < d.endsAt(best, r) {
+					best = w
+				}
+				break
+			}
+		}
+	}
+	return best
+}
+
 // able tells whether w may be given r at all, room aside.
 func (d *dispatcher) able(w *worker, r *request) bool {
 	switch {
@@ -645,7 +650,7 @@
 // average, and one that lately refused or kept a job waiting counts as busy.
 func (d *dispatcher) guess(r *request) *worker {
 	var best *worker
-	least, run := math.Inf(1), d.run.Seconds()
+	least := math.Inf(1)
 	for _, w := range d.rank {
 		if w.time >= least {
 			break // ranked by time: none behind can end sooner
@@ -653,25 +658,31 @@
 		if !d.able(w, r) || !d.mayStart(w, r) {
 			continue
 		}
-		free := max(w.limit, 1) - w.own
-		if w.reported {
-			fade := max(1-(d.now-w.reportAt).Seconds()/(2*run), 0)
-			free = w.freeMean - w.own + (w.free-w.freeMean)*fade
-		}
-		if d.now < w.trialAt {
-			free = min(free, 0)
-		}
-		wait := guessWeight * max(r.Slots-free, 0) * run / d.slots(w)
-		if wait > 0 && r.demoted {
+		t := d.endsAt(w, r)
+		if t > w.time && r.demoted {
 			continue
 		}
-		if t := w.time + wait; t < least {
+		if t < least {
 			best, least = w, t
 		}
 	}
 	return best
 }
 
+// endsAt is the time that r is taken to need at w with the wait before it.
+func (d *dispatcher) endsAt(w *worker, r *request) float64 {
+	run := d.run.Seconds()
+	free := max(w.limit, 1) - w.own
+	if w.reported {
+		fade := max(1-(d.now-w.reportAt).Seconds()/(2*run), 0)
+		free = w.freeMean - w.own + (w.free-w.freeMean)*fade
+	}
+	if d.now < w.trialAt {
+		free = min(free, 0)
+	}
+	return w.time + guessWeight*max(r.Slots-free, 0)*run/d.slots(w)
+}
+
 // setHomes gives this dispatcher its own share of the workers' slots. All
 // dispatchers lay the workers on one circle by size and each takes an arc of its
 // fair length, from its own number on: with many dispatchers that see each worker
@@ -860,12 +871,16 @@
 	if d.warmth(w) == 1 {
 		return true
 	}
+	share := w.home
+	if d.sparse() {
+		share = 1.5 / float64(d.Dispatchers) // by lot all may send there; few jobs are there to do it
+	}
 	cost := r.Slots * d.expect(r, w)
 	bears := d.FallMultiple * d.warmth(w) * d.slots(w)
-	if w.home == 0 || bears*d.FallTime.Seconds() < 2*cost {
+	if share == 0 || bears*d.FallTime.Seconds() < 2*cost {
 		return false
 	}
-	rate := coldSafety * bears * w.home
+	rate := coldSafety * bears * share
 	if w.tokensFor != w.Launched {
 		w.tokensFor, w.tokensAt = w.Launched, d.now
 		w.tokens = -d.rnd.Float64() * cost
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -159,7 +160,8 @@
 func (t *Table) Run(ctx context.Context) {
 	on := t.source()
 	context.AfterFunc(ctx, func() { t.source().end() })
-	told := false
+	// At a start all may start together, and after a failed call it was busy.
+	told, pace := false, spread
 	for ask := true; ctx.Err() == nil; {
 		if ask && t.broker.AwaitAsk(on.ctx) != nil && on.ctx.Err() == nil {
 			return // the broker is closed
@@ -172,6 +174,7 @@
 				on.end()
 			}
 		}
+		t.space(on, pace)
 		reply, err := t.call(on)
 		switch {
 		case on.ctx.Err() != nil:
@@ -179,7 +182,7 @@
 		case err != nil:
 			t.log("server table: " + err.Error())
 			t.broker.List(linnetlift.ListFailed, nil)
-			ask = true
+			ask, pace = true, spread
 		default:
 			form := linnetlift.ListDelta
 			if reply.Reset || !t.known {
@@ -188,14 +191,39 @@
 			if t.generation, t.known = *reply.Generation, true; !told {
 				told = true
 				close(t.heard)
+				t.log(fmt.Sprintf("server table: first told, %d loan workers", len(reply.Instances)))
 			}
 			t.note(*reply, form == linnetlift.ListFull)
 			t.broker.List(form, t.workers(reply.Instances))
-			ask = false
+			ask, pace = false, gap
 		}
 	}
 }
 
+// A watch that is carried on at once is answered at every change, to every
+// dispatcher. Past a few of them that is more than discovery can serve: calls
+// wait in turn until they fail, and the list grows old for all. So each leaves
+// perCall for each of the others, and starts at a time of its own.
+const (
+	perCall   = 150 * time.Millisecond
+	fewCalls  = 6                       // dispatchers that need not wait
+	longSpace = 4800 * time.Millisecond // news counts as told some seconds later, heard or not
+)
+
+func gap(all time.Duration) time.Duration    { return all*4/5 + rand.N(all*2/5+1) }
+func spread(all time.Duration) time.Duration { return rand.N(all + 1) }
+
+func (t *Table) space(on *source, pace func(time.Duration) time.Duration) {
+	others := t.live.Get().Module.Dispatchers - fewCalls
+	if others <= 0 {
+		return
+	}
+	select {
+	case <-time.After(pace(min(time.Duration(others)*perCall, longSpace))):
+	case <-on.ctx.Done():
+	}
+}
+
 func (t *Table) call(on *source) (*tableReply, error) {
 	url, limit := "http://"+on.addr+"/v1/servers", listWait
 	if t.known {
--- a/state.go
+++ b/state.go
@@ -127,6 +127,44 @@
 	}
 }
 
+// ---- events that are only noted
+
+func (d *dispatcher) ClientGone(now time.Duration, id RequestID, out Actions) {
+	d.begin(now, out)
+	if r := d.requests[id]; r != nil {
+		d.end(r)
+	}
+}
+
+func (d *dispatcher) Probed(now time.Duration, id WorkerID, code Code, load []float64, out Actions) {
+	d.begin(now, out)
+	if w := d.workers[id]; w != nil && code == OK {
+		d.report(w, load, false)
+	}
+}
+
+func (d *dispatcher) PeerMessage(now time.Duration, _ int, _ []byte, out Actions) { d.begin(now, out) }
+
+// begin notes the time and keeps one timer running.
+func (d *dispatcher) begin(now time.Duration, out Actions) {
+	d.now = now
+	if !d.ticking {
+		d.ticking = true
+		out.Wake(tickEvery, 0)
+	}
+}
+
+// settings takes in new ones; what was counted of a tenant goes with it.
+func (d *dispatcher) settings(s Settings) {
+	buckets := make([]bucket, len(s.Tenants))
+	for i, t := range s.Tenants {
+		if j := slices.Index(d.Tenants, t); j >= 0 {
+			buckets[i] = d.tenants[j]
+		}
+	}
+	d.Settings, d.tenants = s, buckets
+}
+
 func (d *dispatcher) end(r *request) {
 	r.ended = true
 	d.unhold(r)
