What was learned goes over to the process that takes over in an upgrade

Kept since a new process otherwise gives a failing worker fresh trust and begins with one slot a machine.

--- a/cmd/yardflow/main.go
+++ b/cmd/yardflow/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log"
@@ -216,9 +217,15 @@
 	// half. It knows a newer list than the configuration's.
 	var state []byte
 	n.peers, state = handover.Meet(dir, cfg.Name, logLine)
+	var before inheritance
 	if len(state) > 0 {
+		if err := json.Unmarshal(state, &before); err != nil {
+			log.Printf("what the process before tells is left out: %v", err)
+		}
+	}
+	if len(before.Table) > 0 {
 		own := *cfg
-		cfg, own.Known = &own, state
+		cfg, own.Known = &own, before.Table
 		n.cfg = cfg
 	}
 	n.live, n.longest = config.NewLive(cfg), longest(cfg)
@@ -244,6 +251,9 @@
 		return nil, err
 	}
 	n.broker.Ban(banned)
+	if len(before.Learned) > 0 {
+		n.broker.Recall(before.Learned)
+	}
 	if n.table, err = platform.NewTable(n.live, n.broker, logLine); err != nil {
 		return nil, err
 	}
@@ -277,12 +287,26 @@
 	go n.table.Run(follow)
 	n.serving.Store(true)
 	// The name in dir goes over last: a process that failed before is not met.
-	if err := n.peers.Serve(handover.Hooks{State: n.table.State, Shared: n.share, Bans: n.rereadBans}); err != nil {
+	if err := n.peers.Serve(handover.Hooks{State: n.inheritance, Shared: n.share, Bans: n.rereadBans}); err != nil {
 		log.Printf("the next process can't meet this one: %v", err)
 	}
 	return n, nil
 }
 
+// inheritance is what the process that takes over starts on.
+type inheritance struct {
+	Table   json.RawMessage `json:"table"`             // as the configuration's known
+	Learned json.RawMessage `json:"learned,omitempty"` // by the module
+}
+
+func (n *node) inheritance() []byte {
+	text, err := json.Marshal(inheritance{n.table.State(), n.broker.Memory(300 * time.Millisecond)})
+	if err != nil {
+		log.Printf("the next process gets nothing from this one: %v", err)
+	}
+	return text
+}
+
 // sockets parts the descriptors that one of n processes may hold: a few in
 // reserve, a third to loan workers (clients hold at most a third with requests,
 // and each takes one dispatch at a time), the rest to clients.
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -941,13 +941,7 @@
 
 // enter takes in one entry and tells whether it changes the fleet.
 func (d *dispatcher) enter(l Worker) bool {
-	w := d.workers[l.ID]
-	if w == nil {
-		w = &worker{}
-		d.workers[l.ID] = w
-		w.place = mix(uint64(l.ID))
-		_, w.order = math.Modf(float64(w.place>>11)/(1<<53) + float64(d.Me)*0.6180339887498949)
-	}
+	w := d.know(l.ID)
 	restarted := w.Launched != l.Launched
 	if restarted {
 		w.slow, w.seen, w.bad, w.late, w.limit = 0, 0, 0, 0, 0
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -765,3 +765,28 @@
 		t.Error("a request whose attempts are used up is still held")
 	}
 }
+
+// A dispatcher that takes over knows what the one before had learned, a worker
+// that restarted between excepted, and nothing of its requests.
+func TestMemoryGoesOver(t *testing.T) {
+	s, list := testSettings(), []Worker{{ID: 1, Launched: time.Second}, {ID: 2, Kind: 1}}
+	old, out := newDispatcher(s, 1), &recorder{}
+	old.List(time.Hour, ListFull, list, out)
+	old.Arrive(time.Hour, Request{ID: 1, Left: time.Minute}, out)
+	for _, w := range old.workers {
+		w.slow, w.bad, w.theta, w.limit, w.seen = 0.5, 0.25, 3, 2, 9
+	}
+	old.kindOf(old.workers[2]).slots = 3
+	old.statOf(&s.Classes[0]).work = -1
+	next := newDispatcher(s, 2)
+	next.Recall([]byte("no memory"))
+	next.Recall(old.Memory())
+	list[0].Launched = 2 * time.Second
+	next.List(time.Hour, ListCached, list, out)
+	if a, b := next.workers[1], next.workers[2]; a.slow != 0 || a.bad != 0 || b.slow != 0.5 || b.bad < 0.2 || b.limit != 2 || b.seen != 9 {
+		t.Errorf("restarted %+v, the other %+v", a, b)
+	}
+	if k := next.kindOf(next.workers[2]).slots; k != 3 || next.stats["safe"].work != -1 || len(next.requests)+len(next.out) != 0 {
+		t.Errorf("%v slots, %+v, %d requests", k, next.stats["safe"], len(next.requests))
+	}
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -224,6 +224,24 @@
 	return nil
 }
 
+// Memory is what the module has learned; nothing if it does not say so in time.
+func (b *Broker) Memory(within time.Duration) []byte {
+	told := make(chan []byte, 1)
+	b.post(func(time.Duration, linnetlift.Actions) { told <- b.module.Memory() })
+	select {
+	case m := <-told:
+		return m
+	case <-time.After(within):
+	case <-b.done:
+	}
+	return nil
+}
+
+// Recall hands the module what another process's learned, before the first list.
+func (b *Broker) Recall(memory []byte) {
+	b.post(func(time.Duration, linnetlift.Actions) { b.module.Recall(memory) })
+}
+
 // Close stops the broker's goroutine. Requests still open get no more decisions.
 func (b *Broker) Close() {
 	b.mu.Lock()
--- a/linnetlift.go
+++ b/linnetlift.go
@@ -270,6 +270,12 @@
 	// Retune brings new settings, which New would take too. Open requests keep
 	// their class; all else holds for them as for new ones.
 	Retune(now time.Duration, s Settings, out Actions)
+	// Memory is what was learned so far, in a form of the module's own, for a
+	// dispatcher that takes over under the same settings and clock.
+	Memory() []byte
+	// Recall takes in a Memory, before the first list. One that can't be read, or
+	// of another version, counts as none.
+	Recall(memory []byte)
 	// Timer answers a Wake.
 	Timer(now time.Duration, tag uint64, out Actions)
 }
--- a/state.go
+++ b/state.go
@@ -3,6 +3,7 @@
 // What a dispatcher remembers. Nothing is decided here.
 
 import (
+	"encoding/json"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -281,3 +282,87 @@
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// ---- what goes over to the dispatcher that takes over
+
+const memoryVersion = 1
+
+// memory is all that was learned, with nothing of requests or attempts in it:
+// those end where they began. Times are of the host's clock.
+type memory struct {
+	Version                    int
+	MeanRun, MidSlow, MeanStep float64
+	Eta, Omega0, ForceGap      float64
+	StartDelay                 [2]float64
+	Kinds                      []kindMemory
+	Classes                    map[string][2]float64 // work and seen
+	Workers                    map[WorkerID]workerMemory
+}
+
+type kindMemory struct{ Slow, Seen, Slots float64 }
+
+type workerMemory struct {
+	Launched, TrialAt, ReportAt time.Duration
+	Slow, Seen, Late, Bad       float64
+	Limit, Theta, Omega         float64
+	Free, FreeMem, FreeMean     float64
+	Misses, Visits              int
+	Reported                    bool
+}
+
+func (d *dispatcher) Memory() []byte {
+	m := memory{Version: memoryVersion, MeanRun: d.meanRun, MidSlow: d.midSlow, MeanStep: d.meanStep, Eta: d.eta,
+		Omega0: d.omega0, ForceGap: d.forceGap, StartDelay: d.startDelay,
+		Classes: map[string][2]float64{}, Workers: map[WorkerID]workerMemory{}}
+	for _, k := range d.kinds {
+		m.Kinds = append(m.Kinds, kindMemory{k.slow, k.seen, k.slots})
+	}
+	for name, s := range d.stats {
+		m.Classes[name] = [2]float64{s.work, s.seen}
+	}
+	for _, w := range d.rank { // the listed ones: others start anew when they are back
+		m.Workers[w.ID] = workerMemory{w.Launched, w.trialAt, w.reportAt, w.slow, w.seen, w.late, w.bad, w.limit,
+			w.theta, w.omega, w.free, w.freeMem, w.freeMean, w.misses, w.visits, w.reported}
+	}
+	text, err := json.Marshal(m)
+	if err != nil {
+		return nil // a figure that is not a number: better nothing than a fault
+	}
+	return text
+}
+
+func (d *dispatcher) Recall(text []byte) {
+	var m memory
+	if json.Unmarshal(text, &m) != nil || m.Version != memoryVersion {
+		return
+	}
+	d.meanRun, d.midSlow, d.meanStep, d.eta, d.forceGap = m.MeanRun, m.MidSlow, m.MeanStep, m.Eta, m.ForceGap
+	d.run = seconds(math.Exp(d.meanRun))
+	d.omega0, d.omegaLen, d.startDelay = m.Omega0, m.Omega0*m.Omega0, m.StartDelay
+	for _, k := range m.Kinds {
+		d.kinds = append(d.kinds, kind{slow: k.Slow, seen: k.Seen, slots: k.Slots})
+	}
+	for name, s := range m.Classes {
+		d.stats[name] = &classStat{s[0], s[1]}
+	}
+	for id, m := range m.Workers {
+		w := d.know(id)
+		w.Launched, w.trialAt, w.reportAt = m.Launched, m.TrialAt, m.ReportAt
+		w.slow, w.seen, w.late, w.bad, w.limit = m.Slow, m.Seen, m.Late, m.Bad, m.Limit
+		w.theta, w.omega, w.free, w.freeMem, w.freeMean = m.Theta, m.Omega, m.Free, m.FreeMem, m.FreeMean
+		w.misses, w.visits, w.reported = m.Misses, m.Visits, m.Reported
+		d.omegaLen += w.omega * w.omega
+	}
+}
+
+// know finds a worker's place in memory, or makes one.
+func (d *dispatcher) know(id WorkerID) *worker {
+	w := d.workers[id]
+	if w == nil {
+		w = &worker{}
+		d.workers[id] = w
+		w.place = mix(uint64(id))
+		_, w.order = math.Modf(float64(w.place>>11)/(1<<53) + float64(d.Me)*0.6180339887498949)
+	}
+	return w
+}
