--- a/dispatcher.go
+++ b/dispatcher.go
@@ -39,7 +39,7 @@
 	coldSafety   = 0.3                    // part of the slow-start budget that is used
 	guessWeight  = 8.0                    // how much worse a guessed wait is than a known slow run
 	sightings    = 4                      // times a higher slot count must be seen
-	lots         = 2                      // workers drawn for a job where shares are small
+	lots         = 2                      // draws for a job where shares are small
 	lookAhead    = 4                      // held jobs tried when the head fits nowhere
 	overtake     = 400 * time.Millisecond // connecting may delay a job so long against a later one
 	failWeight   = 0.15                   // error share that one failure tells of
@@ -241,14 +241,15 @@
 func (d *dispatcher) sparse() bool { return d.Dispatchers > len(d.rank) }
 
 // lot draws the worker for r where shares are too small for counting slots: too
-// few jobs pass here to know who has room. By speed, warmth and health, so that
-// all dispatchers together send each worker its part; of two drawn the better.
+// few jobs pass here to know who has room. By slots, speed, warmth and health, so
+// that all dispatchers together send each worker its part. Only one that is known
+// to be busy is drawn anew: choosing the faster of two would overload the fast.
 func (d *dispatcher) lot(r *request) (best *worker) {
 	all := 0.0
 	open := func(w *worker) bool { return d.now >= w.trialAt && d.able(w, r) && d.mayStart(w, r) }
 	for _, w := range d.rank {
 		if open(w) {
-			all += 1 / w.time
+			all += d.slots(w) / w.time
 		}
 	}
 	for range lots {
@@ -257,8 +258,8 @@
 			if !open(w) {
 				continue
 			}
-			if at -= 1 / w.time; at < 0 {
-				if best == nil || d.endsAt(w, r) < d.endsAt(best, r) {
+			if at -= d.slots(w) / w.time; at < 0 {
+				if best == nil || d.wait(w, r) < d.wait(best, r) {
 					best = w
 				}
 				break
@@ -658,19 +659,19 @@
 		if !d.able(w, r) || !d.mayStart(w, r) {
 			continue
 		}
-		t := d.endsAt(w, r)
-		if t > w.time && r.demoted {
+		wait := d.wait(w, r)
+		if wait > 0 && r.demoted {
 			continue
 		}
-		if t < least {
+		if t := w.time + wait; t < least {
 			best, least = w, t
 		}
 	}
 	return best
 }
 
-// endsAt is the time that r is taken to need at w with the wait before it.
-func (d *dispatcher) endsAt(w *worker, r *request) float64 {
+// wait is the time that r is taken to wait for room at w.
+func (d *dispatcher) wait(w *worker, r *request) float64 {
 	run := d.run.Seconds()
 	free := max(w.limit, 1) - w.own
 	if w.reported {
@@ -680,7 +681,7 @@
 	if d.now < w.trialAt {
 		free = min(free, 0)
 	}
-	return w.time + guessWeight*max(r.Slots-free, 0)*run/d.slots(w)
+	return guessWeight * max(r.Slots-free, 0) * run / d.slots(w)
 }
 
 // setHomes gives this dispatcher its own share of the workers' slots. All
@@ -729,7 +730,8 @@
 // may be heard of before the end that made room for it.
 func (d *dispatcher) seeSlots(w *worker, n float64) {
 	if k := d.kindOf(w); n > k.slots {
-		if k.more++; k.more >= sightings {
+		// Where few jobs pass, that would never be: there once is enough.
+		if k.more++; k.more >= sightings || d.sparse() {
 			k.slots, k.more = k.slots+1, 0
 		}
 	}
