--- a/dispatcher.go
+++ b/dispatcher.go
@@ -34,7 +34,7 @@
 	overdueAt    = 3.0                    // a job past this many expected runs is overdue
 	surprise     = 1.5                    // bound (ln) on what one job tells of speed
 	fullPauses   = 3                      // times the pause after a refusal or late start doubles
-	failPauses   = 6                      // and after failures
+	failPauses   = 3                      // and after failures
 	trustAt      = 0.1                    // error share above which unsafe jobs stay away
 	coldSafety   = 0.3                    // part of the slow-start budget that is used
 	guessWeight  = 8.0                    // how much worse a guessed wait is than a known slow run
@@ -249,7 +249,7 @@
 	open := func(w *worker) bool { return d.now >= w.trialAt && d.able(w, r) && d.mayStart(w, r) }
 	for _, w := range d.rank {
 		if open(w) {
-			all += d.slots(w) / w.time
+			all += d.slots(w) / (w.time * w.time)
 		}
 	}
 	for range lots {
@@ -258,7 +258,7 @@
 			if !open(w) {
 				continue
 			}
-			if at -= d.slots(w) / w.time; at < 0 {
+			if at -= d.slots(w) / (w.time * w.time); at < 0 {
 				if best == nil || d.wait(w, r) < d.wait(best, r) {
 					best = w
 				}
@@ -602,7 +602,7 @@
 	}
 	d.crossing = d.startDelay[1] + crossWeight*d.CrossPrice*aim/float64(len(d.Classes))
 	for _, w := range d.rank {
-		w.bad *= 0.94
+		w.bad *= 0.9
 		w.late *= 0.8 // a job still overdue raises it again
 		// What was gained beyond the own share is given back where it is not used.
 		if home := d.homeSlots(w); w.limit > home && w.own < w.limit {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -139,16 +139,18 @@
 	ready      bool
 	banned     bool
 	told       linnetlift.Worker // as the list has it
-	back       time.Duration     // when it was last called back; 0: never
+	out, back  time.Duration     // when it was last taken out, and called back; 0: never
 }
 
 // entry is what the module is handed of a worker. A ban is a fact, not a
-// decision: such a worker drains, whatever the list says. One that was called
-// back counts as started then, at the latest: operators restart it while it is
-// out, and the list tells of that seconds late or, if it never left, not at all.
+// decision: such a worker drains, whatever the list says. Operators restart it
+// while it is out; where the list has not told of that, being seconds late, one
+// that was called back counts as started then.
 func (p *place) entry() linnetlift.Worker {
 	w := p.told
-	w.Launched = max(w.Launched, p.back)
+	if w.Launched < p.out {
+		w.Launched = max(w.Launched, p.back)
+	}
 	if p.banned && w.State == linnetlift.Ready {
 		w.State = linnetlift.Draining
 	}
@@ -378,6 +380,9 @@
 		p := b.places[id]
 		if p == nil {
 			p = &place{name: w.ID, banned: b.banned[w.ID]}
+			if p.banned { // by a process before this one
+				p.out = b.now()
+			}
 			b.places[id] = p
 		}
 		if !invariant.Hold(p.name == w.ID, "two workers share an id") {
@@ -435,6 +440,7 @@
 		if was {
 			p.back = b.now()
 		} else {
+			p.out = b.now()
 			addrs = append(addrs, p.addr)
 		}
 		list = append(list, p.entry())
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -312,12 +312,13 @@
 		Young bool
 	}
 	var heard []told
+	var lastStart time.Duration
 	s := &script{}
 	b := with(t, s)
 	ready := make(chan struct{})
 	b.post(func(time.Duration, linnetlift.Actions) {
 		b.module = &lists{Dispatcher: s, to: func(now time.Duration, form linnetlift.ListForm, w linnetlift.Worker) {
-			heard = append(heard, told{form, w.State, now-w.Launched < time.Minute})
+			heard, lastStart = append(heard, told{form, w.State, now-w.Launched < time.Minute}), w.Launched
 		}}
 		close(ready)
 	})
@@ -335,6 +336,15 @@
 		t.Error("not called back")
 	}
 	settled(b)
+	// A start that the list has told of since it was taken out is better known.
+	b.Ban([]string{"w"})
+	b.List(linnetlift.ListDelta, []Worker{{ID: "w", Addr: "addr", Started: time.Now().Add(time.Hour)}})
+	b.Ban(nil)
+	settled(b)
+	if last := heard[len(heard)-1]; last.State != linnetlift.Ready || lastStart < time.Duration(time.Now().Add(30*time.Minute).UnixNano()) {
+		t.Errorf("called back as %+v, started %v", last, lastStart)
+	}
+	heard = heard[:5]
 	want := []told{{linnetlift.ListAmend, linnetlift.Draining, false}, {linnetlift.ListFull, linnetlift.Draining, false},
 		{linnetlift.ListFull, linnetlift.Draining, false}, {linnetlift.ListAmend, linnetlift.Ready, true}, {linnetlift.ListAmend, linnetlift.Ready, true}}
 	if diff := cmp.Diff(want, heard); diff != "" {
