Many dispatchers watch longer, and ask at once again after a failed call

The watch it made was reset when the release killed the others; its news counts as told 2 s after its wait would have ended all the same, and the pause after a failure (up to 4.5 s) was ours. Ruled out: a lost answer (no call timed out). Lines at fault: Table.Run paused for failures as for news.

--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -160,8 +160,7 @@
 func (t *Table) Run(ctx context.Context) {
 	on := t.source()
 	context.AfterFunc(ctx, func() { t.source().end() })
-	// At a start all may start together, and after a failed call it was busy.
-	told, pace := false, spread
+	told, called := false, false
 	for ask := true; ctx.Err() == nil; {
 		if ask && t.broker.AwaitAsk(on.ctx) != nil && on.ctx.Err() == nil {
 			return // the broker is closed
@@ -174,7 +173,11 @@
 				on.end()
 			}
 		}
-		t.space(on, pace)
+		select {
+		case <-time.After(pause(t.live.Get().Module.Dispatchers, called, ask)):
+		case <-on.ctx.Done():
+		}
+		called = true
 		reply, err := t.call(on)
 		switch {
 		case on.ctx.Err() != nil:
@@ -182,7 +185,7 @@
 		case err != nil:
 			t.log("server table: " + err.Error())
 			t.broker.List(linnetlift.ListFailed, nil)
-			ask, pace = true, spread
+			ask = true
 		default:
 			form := linnetlift.ListDelta
 			if reply.Reset || !t.known {
@@ -195,7 +198,7 @@
 			}
 			t.note(*reply, form == linnetlift.ListFull)
 			t.broker.List(form, t.workers(reply.Instances))
-			ask, pace = false, gap
+			ask = false
 		}
 	}
 }
@@ -203,32 +206,40 @@
 // A watch that is carried on at once is answered at every change, to every
 // dispatcher. Past a few of them that is more than discovery can serve: calls
 // wait in turn until they fail, and the list grows old for all. So each leaves
-// perCall for each of the others, and starts at a time of its own.
+// perCall for each of the others before it goes on, and one watch waits longer,
+// since each that ends with nothing costs discovery as much as one with news.
 const (
+	fewCalls  = 6 // dispatchers that need not wait
 	perCall   = 150 * time.Millisecond
-	fewCalls  = 6                       // dispatchers that need not wait
-	longSpace = 4800 * time.Millisecond // news counts as told some seconds later, heard or not
+	longSpace = 4800 * time.Millisecond
+	manyWait  = 20 * time.Second
 )
 
-func gap(all time.Duration) time.Duration    { return all*4/5 + rand.N(all*2/5+1) }
-func spread(all time.Duration) time.Duration { return rand.N(all + 1) }
+func (t *Table) many() bool { return t.live.Get().Module.Dispatchers > fewCalls }
 
-func (t *Table) space(on *source, pace func(time.Duration) time.Duration) {
-	others := t.live.Get().Module.Dispatchers - fewCalls
-	if others <= 0 {
-		return
+// pause leaves the others their time before a call. After a failed one there is
+// none to leave: what it had to tell counts as told all the same, 2 s after its
+// wait would have ended, and the module has waited its own time before it asked.
+func pause(dispatchers int, called, again bool) time.Duration {
+	if dispatchers <= fewCalls || called && again {
+		return 0
 	}
-	select {
-	case <-time.After(pace(min(time.Duration(others)*perCall, longSpace))):
-	case <-on.ctx.Done():
+	all := min(time.Duration(dispatchers-fewCalls)*perCall, longSpace)
+	if !called {
+		return rand.N(all + 1) // they may all have started together
 	}
+	return all*4/5 + rand.N(all*2/5+1)
 }
 
 func (t *Table) call(on *source) (*tableReply, error) {
 	url, limit := "http://"+on.addr+"/v1/servers", listWait
 	if t.known {
-		url += fmt.Sprintf("?since=%d&timeout_ms=%d", t.generation, watchWait.Milliseconds())
-		limit = watchWait + watchSlack
+		wait := watchWait
+		if t.many() {
+			wait = manyWait
+		}
+		url += fmt.Sprintf("?since=%d&timeout_ms=%d", t.generation, wait.Milliseconds())
+		limit = wait + watchSlack
 	}
 	ctx, stop := context.WithTimeout(on.ctx, limit)
 	defer stop()
