--- a/internal/platform/dispatch.go
+++ b/internal/platform/dispatch.go
@@ -45,12 +45,12 @@
 	transport *http.Transport
 	once      *http.Transport // a connection for each dispatch, closed after it
 	doubt     atomic.Int64    // Unix nanoseconds up to which kept connections are in doubt
-	finishing sync.WaitGroup
 
-	mu   sync.Mutex
-	max  int // sockets to loan workers
-	held int // of them, open or being opened
-	open map[*line]struct{}
+	mu        sync.Mutex
+	finishing int // answers that have ended and are read to their end
+	max       int // sockets to loan workers
+	held      int // of them, open or being opened
+	open      map[*line]struct{}
 }
 
 // NewLines makes the connections' owner; sockets bounds how many it may hold.
@@ -113,8 +113,25 @@
 	t.CloseIdleConnections()
 }
 
-// Settle waits until answers that have ended are read to their end.
-func (l *Lines) Settle() { l.finishing.Wait() }
+// Settle waits until answers that have ended are read to their end. Others may end
+// meanwhile, which a WaitGroup does not allow.
+func (l *Lines) Settle() {
+	for {
+		l.mu.Lock()
+		n := l.finishing
+		l.mu.Unlock()
+		if n == 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (l *Lines) finish(by int) {
+	l.mu.Lock()
+	l.finishing += by
+	l.mu.Unlock()
+}
 
 // Resize bounds how many sockets may be held from now on.
 func (l *Lines) Resize(sockets int) {
@@ -356,7 +373,9 @@
 // back, so that the connection can carry the next dispatch.
 func (x *Exchange) Finish() {
 	x.unhook()
-	x.lines.finishing.Go(func() {
+	x.lines.finish(1)
+	go func() {
+		defer x.lines.finish(-1)
 		defer x.cancel()
 		slow := time.AfterFunc(drainTime, func() {
 			if x.conn != nil {
@@ -367,7 +386,7 @@
 		slow.Stop()
 		x.lines.carries(x.conn, false) // before the transport can lend it out again
 		x.resp.Body.Close()
-	})
+	}()
 }
 
 // Load reads a load report that came as a JSON object.
