--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Build, test, lint and run. 'make test' is what CI calls.
-.PHONY: build test lint run check clean
+.PHONY: build test lint run check clean demo fuzz prove-srv
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -15,6 +15,20 @@
 test: lint check
 	go test -timeout 300s ./...
 	go test -race -timeout 300s -tags debug ./...
+	$(MAKE) fuzz FUZZTIME=200x
+
+# What comes from outside, thrown at its reader: make fuzz FUZZTIME=1m for long.
+FUZZTIME = 10s
+fuzz:
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/srv
+
+# The whole at work on this machine, with stand-ins on loopback; ends by itself.
+demo: build
+	go run ./lab/demo
+
+# Measurements, each with its aim beside it; exit code 1 where one is missed.
+prove-srv: build
+	go run ./lab/prove-srv
 
 # A dispatcher by hand: make run CONFIG=config.json
 run: build
--- a/cmd/yardflow/exchange_test.go
+++ b/cmd/yardflow/exchange_test.go
@@ -29,7 +29,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"net/http/httputil"
 	"os"
 	"path/filepath"
@@ -37,7 +36,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -45,6 +43,7 @@
 
 	"linnetlift/internal/config"
 	"linnetlift/internal/invariant"
+	"linnetlift/internal/standin/roster"
 )
 
 const (
@@ -76,25 +75,22 @@
 
 // stage is the world around one node.
 type stage struct {
-	t        *testing.T
-	settings map[string]any
-	dir      string // TMPDIR; empty: none
-	fd       string // NODE_LISTEN_FD; empty: none
-	limits   map[string]any
-	sse      string
-	node     *node
+	t          *testing.T
+	settings   map[string]any
+	dir        string // TMPDIR; empty: none
+	fd         string // NODE_LISTEN_FD; empty: none
+	limits     map[string]any
+	sse        string
+	configFile string
+	operator   string // the operator's file
+	node       *node
 
 	workers    map[string]string // address by id
 	arrivals   chan *dispatch
 	dispatches map[string]*dispatch
 	clients    map[string]*client
 
-	mu         sync.Mutex
-	generation int
-	list       string
-	changed    chan struct{}
-	asked      chan int // the generation each watch asks from
-	discovery  *httptest.Server
+	roster *roster.Roster
 }
 
 type dispatch struct {
@@ -112,12 +108,11 @@
 
 func newStage(t *testing.T) *stage {
 	s := &stage{t: t, workers: map[string]string{}, arrivals: make(chan *dispatch, 16), dispatches: map[string]*dispatch{},
-		clients: map[string]*client{}, changed: make(chan struct{}), asked: make(chan int, 1024)}
+		clients: map[string]*client{}, roster: roster.Start()}
+	t.Cleanup(s.roster.Close)
 	text, err := os.ReadFile("testdata/settings.json")
 	s.must(err)
 	s.must(json.Unmarshal(text, &s.settings))
-	s.discovery = httptest.NewServer(http.HandlerFunc(s.servers))
-	t.Cleanup(s.discovery.Close)
 	return s
 }
 
@@ -128,31 +123,6 @@
 	}
 }
 
-// servers is the stand-in discovery: a watch waits for what is newer.
-func (s *stage) servers(w http.ResponseWriter, r *http.Request) {
-	since, _ := strconv.Atoi(r.FormValue("since"))
-	wait, _ := strconv.Atoi(r.FormValue("timeout_ms"))
-	s.asked <- since
-	limit := time.After(time.Duration(wait) * time.Millisecond)
-	for {
-		s.mu.Lock()
-		generation, list, changed := s.generation, s.list, s.changed
-		s.mu.Unlock()
-		if generation > since {
-			fmt.Fprintf(w, `{"generation":%d,"reset":true,"instances":[%s]}`, generation, list)
-			return
-		}
-		select {
-		case <-changed:
-		case <-limit:
-			fmt.Fprintf(w, `{"generation":%d,"reset":false,"instances":[]}`, generation)
-			return
-		case <-r.Context().Done():
-			return
-		}
-	}
-}
-
 // worker starts a stand-in loan worker and returns its address.
 func (s *stage) worker(id string) string {
 	if s.workers[id] == "" {
@@ -276,14 +246,17 @@
 		return filepath.Join(dir, name)
 	}
 	text, err := json.Marshal(map[string]any{"name": "n0", "seed": "01", "settings": s.settings, "limits": s.limits, "listen": "127.0.0.1:0",
-		"console": "127.0.0.1:0", "discovery": s.discovery.Listener.Addr().String(), "known": map[string]any{"generation": 0, "instances": []any{}}})
+		"console": "127.0.0.1:0", "discovery": s.roster.Addr, "known": map[string]any{"generation": 0, "instances": []any{}}})
 	s.must(err)
-	env := map[string]string{"NODE_CONFIG": write("config.json", text), "NODE_LISTEN_FD": s.fd}
-	toml := filepath.Join(dir, "none")
-	if s.sse != "" {
-		toml = write("sse.toml", []byte(s.sse))
+	s.configFile = write("config.json", text)
+	env := map[string]string{"NODE_CONFIG": s.configFile, "NODE_LISTEN_FD": s.fd}
+	if s.sse != "" { // the old file, which is still read where the operator's has no [sse]
+		write("sse.toml", []byte(s.sse))
 	}
-	cfg, err := config.Load(func(k string) string { return env[k] }, toml)
+	if s.operator != "" {
+		write("yardflow.toml", []byte(s.operator))
+	}
+	cfg, err := config.Load(func(k string) string { return env[k] }, filepath.Join(dir, "yardflow.toml"))
 	s.must(err)
 	s.run(cfg)
 }
@@ -308,32 +281,18 @@
 // tell changes the list and waits until the node has it: its next watch asks
 // from the new generation.
 func (s *stage) tell(text string) {
-	var list []string
+	var list []roster.Entry
 	for line := range strings.Lines(text) {
 		f := append(strings.Fields(line), "1")
-		list = append(list, fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"praha-holesovice","machineType":"dual-fast","cell":%s,"lifecycle":%q,"weight":1,"startedAtMs":0}`,
-			f[0], s.worker(f[0]), f[2], f[1]))
+		cell, err := strconv.Atoi(f[2])
+		s.must(err)
+		list = append(list, roster.Entry{ID: f[0], Addr: s.worker(f[0]), Zone: "praha-holesovice", Kind: "dual-fast", Cell: cell, Lifecycle: f[1], Weight: 1})
 	}
-	s.mu.Lock()
-	s.generation++
-	generation := s.generation
-	s.list = strings.Join(list, ",")
-	close(s.changed)
-	s.changed = make(chan struct{})
-	s.mu.Unlock()
+	generation := s.roster.Set(list...)
 	if s.node == nil {
 		s.start()
 	}
-	for limit := time.After(patience); ; {
-		select {
-		case since := <-s.asked:
-			if since == generation {
-				return
-			}
-		case <-limit:
-			s.t.Fatal("the node never asked for what comes after the list")
-		}
-	}
+	s.must(s.roster.Taken(generation, patience))
 }
 
 // wire turns a text into bytes: lines of the head end in CRLF, and what follows
--- a/cmd/yardflow/main.go
+++ b/cmd/yardflow/main.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"slices"
@@ -28,6 +29,7 @@
 	"linnetlift/internal/haproxy"
 	"linnetlift/internal/invariant"
 	"linnetlift/internal/platform"
+	"linnetlift/internal/sources"
 	"linnetlift/internal/sse"
 )
 
@@ -59,7 +61,8 @@
 	}
 }
 
-const sseFile = "deploy/sse.toml"
+// operatorFile is where an installation says what it switches on.
+const operatorFile = "deploy/yardflow.toml"
 
 const usage = `usage: yardflow              run as a dispatcher; NODE_CONFIG names its configuration
        yardflow check        read and check the configuration, start nothing
@@ -75,10 +78,13 @@
 	// First of all: by default SIGHUP ends a program.
 	hup := make(chan os.Signal, 1) // one that waits stands for all that came meanwhile
 	signal.Notify(hup, syscall.SIGHUP)
-	cfg, err := config.Load(os.Getenv, sseFile)
+	cfg, err := config.Load(os.Getenv, operatorFile)
 	if err != nil {
 		return err
 	}
+	for _, notice := range cfg.Notices {
+		log.Print(notice)
+	}
 	if len(os.Args) == 2 {
 		fmt.Println("configuration is sound")
 		return nil
@@ -103,7 +109,7 @@
 	log.Printf("%s serves on %s", cfg.Name, n.addr)
 	go func() { // to the end, since a reload may cross a stop
 		for range hup {
-			n.reload(func() (*config.Config, error) { return config.Reload(os.Getenv, sseFile) })
+			n.reload(func() (*config.Config, error) { return config.Reload(os.Getenv, operatorFile) })
 		}
 	}()
 	select {
@@ -140,8 +146,11 @@
 	n.longest = max(n.longest, longest(next))
 	n.mu.Unlock()
 	n.live.Set(next)
-	if !slices.Equal(now.Zones, next.Zones) || !slices.Equal(now.Kinds, next.Kinds) {
-		n.table.Retune()
+	if !slices.Equal(now.Zones, next.Zones) || !slices.Equal(now.Kinds, next.Kinds) ||
+		!reflect.DeepEqual(now.Membership, next.Membership) || !reflect.DeepEqual(now.SRV, next.SRV) {
+		if err := n.sources.Retune(); err != nil { // checked before; nothing has changed then
+			log.Printf("reload: the sources stay as they were: %v", err)
+		}
 	}
 	n.lines.Retune()
 	if next.Discovery != "" { // a fixed list of workers has none
@@ -184,6 +193,7 @@
 	longest     time.Duration  // longest deadline of any request that may be open
 	broker      *broker.Broker
 	table       *platform.Table
+	sources     *sources.Sources
 	guard       *platform.Guard
 	reader      *platform.Reader
 	lines       *platform.Lines
@@ -250,15 +260,24 @@
 	if err != nil {
 		return nil, err
 	}
-	n.broker.Ban(banned)
+	hooks := sources.Hooks{Log: logLine, Moved: func(addr string) { n.lines.Part(addr) }}
+	clients, workers := n.sockets(1 + n.peers.Others())
+	n.lines = platform.NewLines(n.live, workers)
+	if n.sources, err = sources.New(n.live, n.broker, hooks); err != nil {
+		return nil, err
+	}
+	if len(before.Members) > 0 {
+		if err := n.sources.Restore(before.Members); err != nil {
+			log.Printf("what the process before tells is left out: %v", err)
+		}
+	}
+	n.sources.Ban(banned)
 	if len(before.Learned) > 0 {
 		n.broker.Recall(before.Learned)
 	}
-	if n.table, err = platform.NewTable(n.live, n.broker, logLine); err != nil {
+	if n.table, err = platform.NewTable(n.live, n.broker, n.sources.Roster, logLine); err != nil {
 		return nil, err
 	}
-	clients, workers := n.sockets(1 + n.peers.Others())
-	n.lines = platform.NewLines(n.live, workers)
 	n.guard = platform.NewGuard(clients)
 	n.reader = platform.NewReader(n.live, n.guard)
 	n.front = platform.NewFrontend(n.broker, n.lines, n.reader)
@@ -279,12 +298,13 @@
 			log.Printf("event streams: %v; taken over once it is free", err)
 			go n.takeOver(cfg.SSE.Listen, server)
 		default:
-			return nil, fmt.Errorf("deploy/sse.toml: listen: %w", err)
+			return nil, fmt.Errorf("sse.listen: %w", err)
 		}
 	}
 	var follow context.Context
 	follow, n.unfollow = context.WithCancel(context.Background())
 	go n.table.Run(follow)
+	n.sources.Follow()
 	n.serving.Store(true)
 	// The name in dir goes over last: a process that failed before is not met.
 	if err := n.peers.Serve(handover.Hooks{State: n.inheritance, Shared: n.share, Bans: n.rereadBans}); err != nil {
@@ -297,10 +317,11 @@
 type inheritance struct {
 	Table   json.RawMessage `json:"table"`             // as the configuration's known
 	Learned json.RawMessage `json:"learned,omitempty"` // by the module
+	Members json.RawMessage `json:"members,omitempty"` // by all sources, where there are more than the roster
 }
 
 func (n *node) inheritance() []byte {
-	text, err := json.Marshal(inheritance{n.table.State(), n.broker.Memory(300 * time.Millisecond)})
+	text, err := json.Marshal(inheritance{n.table.State(), n.broker.Memory(300 * time.Millisecond), n.sources.State()})
 	if err != nil {
 		log.Printf("the next process gets nothing from this one: %v", err)
 	}
@@ -384,6 +405,20 @@
 func (d door) Exclude(id string) error { return d.n.ban(id, true) }
 func (d door) Include(id string) error { return d.n.ban(id, false) }
 
+func (d door) Sources() (string, error) {
+	if !d.n.serving.Load() {
+		return "", errStarting
+	}
+	return d.n.sources.Describe(), nil
+}
+
+func (d door) Worker(name string) (string, error) {
+	if !d.n.serving.Load() {
+		return "", errStarting
+	}
+	return d.n.sources.Worker(name)
+}
+
 // ban takes a loan worker out or back in. The yes comes once the file has it and
 // no new dispatch can pass.
 func (n *node) ban(id string, out bool) error {
@@ -391,7 +426,7 @@
 		return errStarting
 	}
 	// One that was taken out may have left every list since: it can be called back.
-	if !n.broker.Knows(id) && (out || !n.bans.Has(id)) {
+	if !n.broker.Knows(id) && !n.sources.Knows(id) && (out || !n.bans.Has(id)) {
 		return errors.New("no such loan worker")
 	}
 	ids, err := n.bans.Set(id, out)
@@ -405,11 +440,7 @@
 }
 
 // takeOut makes exactly these loan workers the ones that get nothing new.
-func (n *node) takeOut(ids []string) {
-	for _, addr := range n.broker.Ban(ids) {
-		n.lines.Part(addr)
-	}
-}
+func (n *node) takeOut(ids []string) { n.sources.Ban(ids) }
 
 // takeOver serves at an address as soon as the process before has left it.
 func (n *node) takeOver(addr string, server *http.Server) {
@@ -492,6 +523,7 @@
 	}
 	n.peers.Close()
 	n.unfollow()
+	n.sources.Close()
 	n.lines.CloseIdle()
 	n.broker.Close()
 	return errors.Join(errs...)
--- a/cmd/yardflow/node_test.go
+++ b/cmd/yardflow/node_test.go
@@ -257,28 +257,25 @@
 	}
 }
 
-// An imported HAProxy configuration is one that serves: each class goes to its
-// backend's servers alone, and what may have run is not repeated.
-func TestImportedConfigurationServes(t *testing.T) {
-	s := newStage(t)
-	text, _, err := haproxy.Import(strings.NewReader(fmt.Sprintf(`
-defaults
-  timeout connect 250ms
-  timeout server 5s
-frontend f
-  bind 127.0.0.1:0
-backend loans
-  server one %s
-backend files
-  server two %s
-  server three %s disabled
-`, s.worker("loans/one"), s.worker("files/two"), s.worker("files/three"))))
+// fixed runs a node on what is imported from HAProxy's format; servers are those
+// of the backend loans, and may be followed by other backends.
+func (s *stage) fixed(servers string) {
+	text, _, err := haproxy.Import(strings.NewReader("defaults\n timeout connect 250ms\n timeout server 5s\n" +
+		"frontend f\n bind 127.0.0.1:0\nbackend loans\n " + servers + "\n"))
 	s.must(err)
-	path := filepath.Join(t.TempDir(), "config.json")
+	path := filepath.Join(s.t.TempDir(), "config.json")
 	s.must(os.WriteFile(path, text, 0o600))
-	cfg, err := config.Load(func(k string) string { return map[string]string{"NODE_CONFIG": path}[k] }, "none")
+	cfg, err := config.Load(func(k string) string { return map[string]string{"NODE_CONFIG": path}[k] }, filepath.Join(s.t.TempDir(), "yardflow.toml"))
 	s.must(err)
 	s.run(cfg)
+}
+
+// An imported HAProxy configuration is one that serves: each class goes to its
+// backend's servers alone, and what may have run is not repeated.
+func TestImportedConfigurationServes(t *testing.T) {
+	s := newStage(t)
+	s.fixed(fmt.Sprintf("server one %s\nbackend files\n server two %s\n server three %s disabled",
+		s.worker("loans/one"), s.worker("files/two"), s.worker("files/three")))
 	for i, class := range []string{"loans", "files", "files", "loans"} {
 		id := fmt.Sprint("r", i)
 		s.step("client a sends", fmt.Sprintf("POST /%s HTTP/1.1\nHost: h\nX-Request-ID: %s\nX-Priority-Class: %s\n\nx", class, id, class))
@@ -417,7 +414,7 @@
 	gone["Name"], gone["Semantics"] = "package-file-next", "fragile"
 	reload := func() {
 		text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "console": "127.0.0.1:0", "limits": s.limits,
-			"discovery": s.discovery.Listener.Addr().String(), "settings": s.settings})
+			"discovery": s.roster.Addr, "settings": s.settings})
 		s.must(err)
 		path := filepath.Join(t.TempDir(), "config.json")
 		s.must(os.WriteFile(path, text, 0o600))
--- a/deploy/check.sh
+++ b/deploy/check.sh
@@ -14,11 +14,13 @@
 	echo "a faulty configuration was taken"; exit 1
 fi
 grep -q 'Limits.MaxAttempts' "$dir/err" || { echo "the faulty key is not named:"; cat "$dir/err"; exit 1; }
+( cd deploy/example && mkdir "$dir/example" && cp config.json "$dir/example/" && mkdir "$dir/example/deploy" && cp yardflow.toml "$dir/example/deploy/" )
+( bin=$PWD/bin; cd "$dir/example" && NODE_CONFIG=config.json "$bin/yardflow" check )
 bin/yardflow import internal/haproxy/testdata/loans.cfg > "$dir/imported.json" 2> /dev/null
 NODE_CONFIG="$dir/imported.json" bin/yardflow check
-# The start itself has the second front on, as deploy/sse.toml would set it.
-mkdir "$dir/deploy"
-sed 's/^enabled = false/enabled = true/; s/:7171/:0/' deploy/sse.toml > "$dir/deploy/sse.toml"
+# The start itself has the second front on, as deploy/yardflow.toml would set it.
+mkdir -p "$dir/deploy"
+sed 's/^enabled = false/enabled = true/; s/:7171/:0/' deploy/yardflow.toml > "$dir/deploy/yardflow.toml"
 bin=$PWD/bin
 cd "$dir"
 NODE_CONFIG="$dir/config.json" "$bin/yardflow" 2> "$dir/log" &
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -116,8 +116,9 @@
 
 // Allowed tells whether the worker may still be sent new work. A front asks
 // again once its connection is up: connecting takes time, and what the list
-// has told meanwhile counts.
-func (a *Attempt) Allowed() bool { return a.s.b.allowed(a.id) }
+// has told meanwhile counts. One that is reached elsewhere now may not: at the old
+// address another may answer.
+func (a *Attempt) Allowed() bool { return a.s.b.allowed(a.id, a.Addr) }
 
 // Do carries one attempt to its end and reports it. When ctx ends it must give
 // the attempt up, and return only once the worker can no longer see it as out.
@@ -164,6 +165,7 @@
 	module   linnetlift.Dispatcher               // touched by run alone
 	log      func(string)
 	budgets  map[string]*budget
+	observe  func(worker string, code Code) // nil: nobody wants to know
 
 	anchor     time.Time // with its monotonic reading: the clock never runs back
 	anchorUnix time.Duration
@@ -471,11 +473,14 @@
 	}
 }
 
-func (b *Broker) allowed(id linnetlift.WorkerID) bool {
+// Observe sets who is told how each attempt at a worker ended. Before any request.
+func (b *Broker) Observe(f func(worker string, code Code)) { b.observe = f }
+
+func (b *Broker) allowed(id linnetlift.WorkerID, addr string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.places[id]
-	return p != nil && p.ready && !p.banned
+	return p != nil && p.ready && !p.banned && p.addr == addr
 }
 
 // ---- one request
@@ -542,6 +547,9 @@
 		}
 		b.mu.Unlock()
 		o := s.try(ctx, a, d, do)
+		if b.observe != nil {
+			b.observe(a.Worker, o.Code)
+		}
 		if o.Code == OK {
 			s.report(a, o, true)
 			return s.check(Answer{Verdict: Served, Result: o.Result})
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -323,12 +323,12 @@
 		close(ready)
 	})
 	<-ready
-	allowed := func() bool { return b.allowed(workerID("w")) }
+	allowed := func() bool { return b.allowed(workerID("w"), "addr") }
 	if got := b.Ban([]string{"w", "other"}); len(got) != 1 || got[0] != "addr" || allowed() {
 		t.Error("banned", got, allowed())
 	}
 	b.List(linnetlift.ListFull, []Worker{{ID: "w", Addr: "addr"}, {ID: "other", Addr: "addr2"}})
-	if allowed() || b.allowed(workerID("other")) || b.Stats().Ready != 0 {
+	if allowed() || b.allowed(workerID("other"), "addr") || b.Stats().Ready != 0 {
 		t.Error("a list lifts a ban")
 	}
 	b.Ban(nil)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,5 +1,6 @@
 // Package config is the one place where configuration is read, checked and
-// given defaults: the platform's variables and JSON file, and deploy/sse.toml.
+// given defaults: the platform's variables and JSON file, and the operator's
+// deploy/yardflow.toml.
 // Every error names the faulty key. It must never open a socket, start a
 // goroutine or keep anything that changes after start.
 package config
@@ -9,7 +10,6 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
-	"io/fs"
 	"maps"
 	"net"
 	"os"
@@ -20,8 +20,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
 	"linnetlift"
 )
 
@@ -39,7 +37,11 @@
 	Columns                        []string // names of the values in a load report, in the module's order
 	ConnectTimeout, IdleClose      time.Duration
 
-	SSE SSE
+	// From the operator's file.
+	SSE        SSE
+	Membership Membership
+	SRV        []SRV
+	Notices    []string // what an operator should know of how it was read
 
 	file any // the file as read, by key
 }
@@ -97,9 +99,9 @@
 	return err
 }
 
-// Load reads the platform's variables through env and the files they and
-// ssePath name. A missing SSE file leaves that front off.
-func Load(env func(string) string, ssePath string) (*Config, error) {
+// Load reads the platform's variables through env, the file they name, and the
+// operator's file. Without the latter everything in it is off.
+func Load(env func(string) string, operatorFile string) (*Config, error) {
 	c := &Config{}
 	text := []byte("{}")
 	if path := env("NODE_CONFIG"); path != "" {
@@ -119,8 +121,8 @@
 		if s := env(v.key); s != "" {
 			*v.to = s
 		}
-		// A fixed list of workers needs no discovery, and nobody need be able to call.
-		if *v.to == "" && v.key != "NODE_CONSOLE" && (v.key != "NODE_DISCOVERY" || c.Module.MustSubscribe) {
+		// Nobody need be able to call; whether discovery is needed shows below.
+		if *v.to == "" && v.key != "NODE_CONSOLE" && v.key != "NODE_DISCOVERY" {
 			return nil, fmt.Errorf("%s: missing", v.key)
 		}
 	}
@@ -145,22 +147,32 @@
 		}
 		c.ListenFD = int(fd)
 	}
-	return c, c.loadSSE(ssePath)
+	if err := c.loadOperator(operatorFile); err != nil {
+		return nil, err
+	}
+	// A fixed list of workers, or one in DNS, needs no discovery.
+	if c.Discovery == "" && c.Module.MustSubscribe {
+		if len(c.SRV) == 0 {
+			return nil, errors.New("NODE_DISCOVERY: missing")
+		}
+		c.Module.MustSubscribe = false
+	}
+	return c, nil
 }
 
 // Reload reads and checks the same anew while a dispatcher runs. The file's
 // discovery wins over the environment's, which can't have changed since the start.
-func Reload(env func(string) string, ssePath string) (*Config, error) {
+func Reload(env func(string) string, operatorFile string) (*Config, error) {
 	return Load(func(key string) string {
 		if key == "NODE_DISCOVERY" {
 			return ""
 		}
 		return env(key)
-	}, ssePath)
+	}, operatorFile)
 }
 
-// Retuned is c with what a running dispatcher takes up of next: the settings and
-// discovery. The error names a key that next lacks and c's file has: a key left
+// Retuned is c with what a running dispatcher takes up of next: the settings,
+// discovery, and the sources of loan workers. The error names a key that next lacks and c's file has: a key left
 // out is a fault in the file, and no default may stand in for it.
 func (c *Config) Retuned(next *Config) (*Config, error) {
 	if key := missing(c.file, next.file, ""); key != "" {
@@ -168,6 +180,7 @@
 	}
 	own := *c
 	own.file, own.Discovery = next.file, next.Discovery
+	own.Membership, own.SRV, own.Notices = next.Membership, next.SRV, next.Notices
 	own.Module, own.ConnectTimeout, own.IdleClose = next.Module, next.ConnectTimeout, next.IdleClose
 	own.Classes, own.Tenants, own.Zones, own.Kinds, own.Columns = next.Classes, next.Tenants, next.Zones, next.Kinds, next.Columns
 	return &own, nil
@@ -242,7 +255,7 @@
 		name string
 		same bool
 	}{{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"console", c.Console == next.Console},
-		{"limits", c.Limits == next.Limits}, {"deploy/sse.toml", reflect.DeepEqual(c.SSE, next.SSE)}} {
+		{"limits", c.Limits == next.Limits}, {"[sse]", reflect.DeepEqual(c.SSE, next.SSE)}} {
 		if !k.same {
 			keys = append(keys, k.name)
 		}
@@ -371,74 +384,54 @@
 	return nil
 }
 
-func (c *Config) loadSSE(path string) error {
-	s := SSE{MaxEventBytes: 64 << 10, Buffer: 32,
-		WriteTimeout: Duration{2 * time.Second}, Heartbeat: Duration{10 * time.Second}}
-	meta, err := toml.DecodeFile(path, &s)
-	if errors.Is(err, fs.ErrNotExist) {
-		c.SSE = s
-		return nil
-	}
-	if err != nil {
-		return fmt.Errorf("%s: %w", path, err)
-	}
-	if extra := meta.Undecoded(); len(extra) > 0 {
-		return fmt.Errorf("%s: %s: unknown key", path, extra[0])
-	}
-	c.SSE = s
-	if err := c.CheckSSE(); err != nil {
-		return fmt.Errorf("%s: %w", path, err)
-	}
-	return nil
-}
-
-// CheckSSE checks the second front against the settings. A front that is off
-// keeps its contracts unchecked: the platform's names are not the shop's.
-func (c *Config) CheckSSE() error {
+// CheckSSE checks the second front against the settings; keys are named under at.
+// A front that is off keeps its contracts unchecked: the platform's names are not
+// the shop's.
+func (c *Config) CheckSSE(at string) error {
 	s := &c.SSE
 	switch {
 	case s.MaxEventBytes < 256 || s.MaxEventBytes > 1<<20:
-		return fmt.Errorf("max_event_bytes: %d is not in 256 to 1048576", s.MaxEventBytes)
+		return wrong(at+"max_event_bytes", "%d is not in 256 to 1048576", s.MaxEventBytes)
 	case s.Buffer < 1 || s.Buffer > 1024:
-		return fmt.Errorf("buffer_events: %d is not in 1 to 1024", s.Buffer)
+		return wrong(at+"buffer_events", "%d is not in 1 to 1024", s.Buffer)
 	case s.WriteTimeout.Duration <= 0:
-		return errors.New("write_timeout: must be over 0")
+		return wrong(at+"write_timeout", "must be over 0")
 	case s.Heartbeat.Duration <= 0:
-		return errors.New("heartbeat: must be over 0")
+		return wrong(at+"heartbeat", "must be over 0")
 	case !s.Enabled:
 		return nil
 	}
 	if err := address("listen", s.Listen); err != nil {
-		return err
+		return wrong(at+"listen", "%s", strings.TrimPrefix(err.Error(), "listen: "))
 	}
 	seen := map[string]bool{}
 	for i, k := range s.Contracts {
-		key := func(name string) string { return fmt.Sprintf("contract[%d].%s", i, name) }
+		key := func(name string) string { return fmt.Sprintf("%scontract[%d].%s", at, i, name) }
 		switch {
 		case k.Team == "":
-			return fmt.Errorf("%s: missing", key("team"))
+			return wrong(key("team"), "missing")
 		case seen[k.Team]:
-			return fmt.Errorf("%s: %q comes twice", key("team"), k.Team)
+			return wrong(key("team"), "%q comes twice", k.Team)
 		case len(c.Tenants) > 0 && !slices.Contains(c.Tenants, k.Tenant):
-			return fmt.Errorf("%s: unknown tenant %q", key("tenant"), k.Tenant)
+			return wrong(key("tenant"), "unknown tenant %q", k.Tenant)
 		case len(k.Classes) == 0:
-			return fmt.Errorf("%s: missing", key("classes"))
+			return wrong(key("classes"), "missing")
 		case k.Rate <= 0:
-			return fmt.Errorf("%s: must be over 0", key("rate"))
+			return wrong(key("rate"), "must be over 0")
 		case k.Burst < 1:
-			return fmt.Errorf("%s: must be 1 or more", key("burst"))
+			return wrong(key("burst"), "must be 1 or more")
 		case k.MaxOpen < 1:
-			return fmt.Errorf("%s: must be 1 or more", key("max_open"))
+			return wrong(key("max_open"), "must be 1 or more")
 		}
 		for _, name := range k.Classes {
 			if !slices.Contains(c.Classes, name) {
-				return fmt.Errorf("%s: unknown class %q", key("classes"), name)
+				return wrong(key("classes"), "unknown class %q", name)
 			}
 		}
 		seen[k.Team] = true
 	}
 	if len(s.Contracts) == 0 {
-		return errors.New("contract: at least one is needed")
+		return wrong(at+"contract", "at least one is needed")
 	}
 	return nil
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -41,9 +41,9 @@
 	for k, v := range env {
 		all[k] = v
 	}
-	path := filepath.Join(dir, "none")
+	path := filepath.Join(dir, "yardflow.toml")
 	if sse != "" {
-		path = write("sse.toml", sse)
+		write("yardflow.toml", sse)
 	}
 	return Load(func(k string) string { return all[k] }, path)
 }
@@ -71,21 +71,21 @@
 }
 
 // What ships must be sound, and off.
-func TestShippedSSEFileIsOff(t *testing.T) {
-	text, err := os.ReadFile("../../deploy/sse.toml")
+func TestShippedFileIsOff(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/yardflow.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
 	c, err := load(t, [2]string{}, string(text), nil)
-	if err != nil || c.SSE.Enabled {
-		t.Fatal(err, c.SSE.Enabled)
+	if err != nil || c.SSE.Enabled || len(c.SRV) > 0 || len(c.Notices) > 0 {
+		t.Fatal(err, c.SSE.Enabled, c.SRV, c.Notices)
 	}
 	if c, err = load(t, [2]string{}, strings.Replace(string(text), "enabled = false", "enabled = true", 1), nil); err != nil || !c.SSE.Enabled {
 		t.Fatal("switched on:", err)
 	}
 }
 
-const contract = "enabled = true\nlisten = \"127.0.0.1:7171\"\n[[contract]]\nteam = \"a\"\ntenant = \"univ-vltava\"\nclasses = [\"issue-loan\"]\nrate = 1.0\nburst = 1\nmax_open = 1\n"
+const contract = "[sse]\nenabled = true\nlisten = \"127.0.0.1:7171\"\n[[sse.contract]]\nteam = \"a\"\ntenant = \"univ-vltava\"\nclasses = [\"issue-loan\"]\nrate = 1.0\nburst = 1\nmax_open = 1\n"
 
 // Every message names the faulty key.
 func TestFaultyKeysAreNamed(t *testing.T) {
@@ -110,7 +110,7 @@
 		}
 	}
 	for key, edit := range map[string][2]string{
-		"listen: ":            {"127.0.0.1:7171", "here"},
+		"3: sse.listen: ":     {"127.0.0.1:7171", "here"},
 		"contract[0].team":    {`"a"`, `""`},
 		"contract[0].tenant":  {"univ-vltava", "nobody"},
 		"contract[0].classes": {"issue-loan", "other"},
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,357 @@
+package config
+
+// This file owns the operator's own file, deploy/yardflow.toml: everything that an
+// installation may switch on beside what the platform tells. Whatever is wrong
+// with it is named by key and line, with what was expected. It must never take
+// half of a file.
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/miekg/dns"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"linnetlift/internal/membership"
+	"linnetlift/internal/srv"
+)
+
+// Membership is how the sources of loan workers are merged.
+type Membership struct {
+	Rule         string   `toml:"rule"`
+	FailAfter    int      `toml:"fail_after"`
+	BackupSettle Duration `toml:"backup_settle"`
+	TellEvery    Duration `toml:"tell_every"`
+}
+
+// SRV is one list of loan workers in DNS.
+type SRV struct {
+	Name       string   `toml:"name"`
+	Service    string   `toml:"service"`
+	Servers    []string `toml:"servers"`
+	Zone       string   `toml:"zone"`
+	Kind       string   `toml:"kind"`
+	Cell       int      `toml:"cell"`
+	Identity   string   `toml:"identity"`
+	Addresses  string   `toml:"addresses"`
+	Timeout    Duration `toml:"timeout"`
+	Floor      Duration `toml:"floor"`
+	Ceiling    Duration `toml:"ceiling"`
+	Stale      Duration `toml:"stale"`
+	AfterStale string   `toml:"after_stale"`
+	ShrinkPart *float64 `toml:"shrink_part"`
+	ShrinkHold Duration `toml:"shrink_hold"`
+	ColdNames  *bool    `toml:"cold_names"`
+	MaxRecords int      `toml:"max_records"`
+}
+
+// operator is the file's form.
+type operator struct {
+	SSE        *SSE        `toml:"sse"`
+	Membership *Membership `toml:"membership"`
+	Source     struct {
+		SRV []SRV `toml:"srv"`
+	} `toml:"source"`
+}
+
+// fault is what is wrong with one key.
+type fault struct{ key, what string }
+
+func (f *fault) Error() string { return f.key + ": " + f.what }
+
+func wrong(key, format string, args ...any) error { return &fault{key, fmt.Sprintf(format, args...)} }
+
+// oldSSE is the second front's file from before there was this one.
+const oldSSE = "sse.toml"
+
+// DefaultMembership is how sources are merged where the file says nothing.
+func DefaultMembership() Membership {
+	return Membership{Rule: string(membership.RosterVetoes), FailAfter: 3,
+		BackupSettle: Duration{10 * time.Second}, TellEvery: Duration{200 * time.Millisecond}}
+}
+
+func defaultSSE() SSE {
+	return SSE{MaxEventBytes: 64 << 10, Buffer: 32,
+		WriteTimeout: Duration{2 * time.Second}, Heartbeat: Duration{10 * time.Second}}
+}
+
+// loadOperator reads the operator's file; one that is not there leaves everything
+// off. Without a section [sse] in it, the old file beside it counts, with a notice.
+func (c *Config) loadOperator(path string) error {
+	c.SSE = defaultSSE()
+	c.Membership = DefaultMembership()
+	in := operator{SSE: &SSE{}, Membership: &c.Membership}
+	*in.SSE = c.SSE
+	text, err := os.ReadFile(path)
+	if err == nil {
+		err = c.decode(text, &in, func() error {
+			c.SSE, c.SRV = *in.SSE, in.Source.SRV
+			return c.checkOperator()
+		})
+	} else if errors.Is(err, fs.ErrNotExist) {
+		err = nil
+	}
+	if err != nil {
+		return fmt.Errorf("%s:%w", path, err)
+	}
+	return c.loadOldSSE(filepath.Join(filepath.Dir(path), oldSSE), hasSection(text, "sse"))
+}
+
+func (c *Config) loadOldSSE(path string, replaced bool) error {
+	text, err := os.ReadFile(path)
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		return nil
+	case err != nil:
+		return err
+	case replaced:
+		c.Notices = append(c.Notices, path+": not read: the operator's file has [sse]")
+		return nil
+	}
+	s := defaultSSE()
+	err = c.decode(text, &s, func() error {
+		c.SSE = s
+		return c.CheckSSE("")
+	})
+	if err != nil {
+		return fmt.Errorf("%s:%w", path, err)
+	}
+	c.Notices = append(c.Notices, path+": still read; its keys belong under [sse] in yardflow.toml, [[contract]] as [[sse.contract]]")
+	return nil
+}
+
+// decode reads a file's text into to, then checks it. The error begins with the line.
+func (c *Config) decode(text []byte, to any, check func() error) error {
+	lines := keyLines(text)
+	in := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields()
+	err := in.Decode(to)
+	var strict *toml.StrictMissingError
+	var one *toml.DecodeError
+	switch {
+	case errors.As(err, &strict):
+		line, _ := strict.Errors[0].Position()
+		return fmt.Errorf("%d: %s: unknown key", line, strings.Join(strict.Errors[0].Key(), "."))
+	case errors.As(err, &one):
+		line, _ := one.Position()
+		key := strings.Join(one.Key(), ".")
+		if key == "" {
+			key = lines.at(line)
+		}
+		return fmt.Errorf("%d: %s: %s", line, key, strings.TrimPrefix(one.Error(), "toml: "))
+	case err != nil:
+		return fmt.Errorf(" %w", err)
+	}
+	err = check()
+	var f *fault
+	if errors.As(err, &f) {
+		return fmt.Errorf("%d: %w", lines.of(f.key), err)
+	}
+	if err != nil {
+		return fmt.Errorf(" %w", err)
+	}
+	return nil
+}
+
+// keyLine is where a key stands.
+type keyLine struct {
+	key  string
+	line int
+}
+
+type keyIndex []keyLine
+
+// keyLines finds the line of every key. Tables of a list count from 0.
+func keyLines(text []byte) (out keyIndex) {
+	var p unstable.Parser
+	p.Reset(text)
+	prefix, lists := "", map[string]int{}
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		line := 0
+		for it := e.Key(); it.Next(); {
+			parts = append(parts, string(it.Node().Data))
+			line = p.Shape(it.Node().Raw).Start.Line
+		}
+		key := strings.Join(parts, ".")
+		switch e.Kind {
+		case unstable.ArrayTable:
+			prefix = fmt.Sprintf("%s[%d]", key, lists[key])
+			lists[key]++
+			key = prefix
+		case unstable.Table:
+			prefix = key
+		case unstable.KeyValue:
+			if prefix != "" {
+				key = prefix + "." + key
+			}
+		}
+		out = append(out, keyLine{key, line})
+	}
+	return out
+}
+
+// of is a key's line, or that of the innermost table around it that is there.
+func (x keyIndex) of(key string) int {
+	for key != "" {
+		for _, k := range x {
+			if k.key == key {
+				return k.line
+			}
+		}
+		key = key[:max(strings.LastIndexAny(key, ".["), 0)]
+	}
+	return 1
+}
+
+// at is the last key that begins on a line or before it.
+func (x keyIndex) at(line int) (key string) {
+	for _, k := range x {
+		if k.line <= line {
+			key = k.key
+		}
+	}
+	return key
+}
+
+func hasSection(text []byte, name string) bool {
+	for _, k := range keyLines(text) {
+		if k.key == name || strings.HasPrefix(k.key, name+".") || strings.HasPrefix(k.key, name+"[") {
+			return true
+		}
+	}
+	return false
+}
+
+var sourceName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// checkOperator checks the whole file, and fills in what is left out.
+func (c *Config) checkOperator() error {
+	if err := c.CheckSSE("sse."); err != nil {
+		return err
+	}
+	m := &c.Membership
+	switch r := membership.Rule(m.Rule); {
+	case r != membership.RosterVetoes && r != membership.Any && r != membership.All:
+		return wrong("membership.rule", "%q; expected %q, %q or %q", m.Rule, membership.RosterVetoes, membership.Any, membership.All)
+	case m.FailAfter < 1 || m.FailAfter > 100:
+		return wrong("membership.fail_after", "%d; expected 1 to 100 connects", m.FailAfter)
+	case m.BackupSettle.Duration < 0 || m.BackupSettle.Duration > time.Hour:
+		return wrong("membership.backup_settle", "%v; expected 0s to 1h", m.BackupSettle)
+	// With a drain's word underway for so long, 500 ms must still hold.
+	case m.TellEvery.Duration < 10*time.Millisecond || m.TellEvery.Duration > 400*time.Millisecond:
+		return wrong("membership.tell_every", "%v; expected 10ms to 400ms", m.TellEvery)
+	}
+	seen := map[string]bool{membership.Roster: true}
+	for i := range c.SRV {
+		if err := c.checkSRV(&c.SRV[i], fmt.Sprintf("source.srv[%d].", i), seen); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func orDefault(d *Duration, v time.Duration) {
+	if d.Duration == 0 {
+		d.Duration = v
+	}
+}
+
+func (c *Config) checkSRV(s *SRV, at string, seen map[string]bool) error {
+	orDefault(&s.Timeout, 400*time.Millisecond)
+	orDefault(&s.Floor, time.Second)
+	orDefault(&s.Ceiling, time.Hour)
+	orDefault(&s.Stale, time.Hour)
+	orDefault(&s.ShrinkHold, 30*time.Second)
+	if s.ShrinkPart == nil {
+		s.ShrinkPart = new(0.5)
+	}
+	if s.ColdNames == nil {
+		s.ColdNames = new(true)
+	}
+	if s.MaxRecords == 0 {
+		s.MaxRecords = 4096
+	}
+	for _, d := range []struct {
+		to    *string
+		value string
+	}{{&s.Identity, string(membership.ByHostPort)}, {&s.Addresses, "any"}, {&s.AfterStale, "drain"}} {
+		if *d.to == "" {
+			*d.to = d.value
+		}
+	}
+	span := func(key string, d Duration, least, most time.Duration) error {
+		if d.Duration < least || d.Duration > most {
+			return wrong(at+key, "%v; expected %v to %v", d, least, most)
+		}
+		return nil
+	}
+	name, valid := dns.IsDomainName(s.Service)
+	switch {
+	case !sourceName.MatchString(s.Name):
+		return wrong(at+"name", "%q; expected letters, digits, '.', '_' or '-', 63 at most", s.Name)
+	case seen[s.Name]:
+		return wrong(at+"name", "%q is another source's name already", s.Name)
+	case !valid || name < 2 || !strings.HasPrefix(s.Service, "_"):
+		return wrong(at+"service", "%q; expected a full name such as _loans._tcp.example.cz", s.Service)
+	case len(s.Servers) == 0:
+		return wrong(at+"servers", "missing; expected at least one address such as 10.0.0.53:53")
+	case len(c.Zones) > 0 && !slices.Contains(c.Zones, s.Zone):
+		return wrong(at+"zone", "%q; expected one of %q", s.Zone, c.Zones)
+	case len(c.Kinds) > 0 && !slices.Contains(c.Kinds, s.Kind):
+		return wrong(at+"kind", "%q; expected one of %q", s.Kind, c.Kinds)
+	case s.Identity != string(membership.ByHostPort) && s.Identity != string(membership.ByLabel):
+		return wrong(at+"identity", "%q; expected %q or %q", s.Identity, membership.ByHostPort, membership.ByLabel)
+	case families[s.Addresses] == nil:
+		return wrong(at+"addresses", "%q; expected \"any\", \"ipv4\" or \"ipv6\"", s.Addresses)
+	case s.AfterStale != "drain" && s.AfterStale != "keep":
+		return wrong(at+"after_stale", "%q; expected \"drain\" or \"keep\"", s.AfterStale)
+	case *s.ShrinkPart <= 0 || *s.ShrinkPart > 1:
+		return wrong(at+"shrink_part", "%v; expected over 0 and up to 1", *s.ShrinkPart)
+	case s.MaxRecords < 1 || s.MaxRecords > 1<<16:
+		return wrong(at+"max_records", "%d; expected 1 to 65536", s.MaxRecords)
+	}
+	seen[s.Name] = true
+	for i, text := range s.Servers {
+		if a, err := netip.ParseAddrPort(text); err != nil || a.Port() == 0 {
+			return wrong(at+"servers", "[%d] is %q; expected an IP address and a port such as 10.0.0.53:53", i, text)
+		}
+	}
+	return errors.Join(span("timeout", s.Timeout, 10*time.Millisecond, 10*time.Second), span("floor", s.Floor, 100*time.Millisecond, time.Hour),
+		span("ceiling", s.Ceiling, s.Floor.Duration, 7*24*time.Hour), span("stale", s.Stale, 0, 7*24*time.Hour),
+		span("shrink_hold", s.ShrinkHold, 0, time.Hour))
+}
+
+var families = map[string][]uint16{"any": {dns.TypeA, dns.TypeAAAA}, "ipv4": {dns.TypeA}, "ipv6": {dns.TypeAAAA}}
+
+// Resolver is the source as its resolver is told of it.
+func (s *SRV) Resolver() srv.Config {
+	out := srv.Config{Service: dns.Fqdn(s.Service), Timeout: s.Timeout.Duration, Floor: s.Floor.Duration, Ceiling: s.Ceiling.Duration,
+		Stale: s.Stale.Duration, Families: families[s.Addresses], MaxRecords: s.MaxRecords}
+	for _, text := range s.Servers {
+		out.Servers = append(out.Servers, netip.MustParseAddrPort(text))
+	}
+	return out
+}
+
+// Sources is the whole of the settings of the merged list: the roster first, then
+// the lists in DNS in the order of the file.
+func (c *Config) Sources() membership.Config {
+	out := membership.Config{Rule: membership.Rule(c.Membership.Rule), FailAfter: c.Membership.FailAfter,
+		BackupSettle: c.Membership.BackupSettle.Duration, Sources: []membership.Source{{Name: membership.Roster, Identity: membership.ByID}}}
+	for i := range c.SRV {
+		s := &c.SRV[i]
+		out.Sources = append(out.Sources, membership.Source{Name: s.Name, Identity: membership.Identity(s.Identity), Stale: s.Stale.Duration,
+			Keep: s.AfterStale == "keep", ShrinkPart: *s.ShrinkPart, ShrinkHold: s.ShrinkHold.Duration, ColdNames: *s.ColdNames})
+	}
+	return out
+}
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -32,6 +32,8 @@
 	Ready() error
 	Exclude(worker string) error
 	Include(worker string) error
+	Sources() (string, error)           // what each source of loan workers says, in one line
+	Worker(name string) (string, error) // who says what of one, in one line
 }
 
 // Console answers callers on one listener.
@@ -153,10 +155,22 @@
 func (c *Console) call(line string) (string, error) {
 	word := strings.Fields(line)
 	if len(word) == 0 {
-		return "", errors.New("no call; readyz, exclude ID and include ID are known")
+		return "", errors.New("no call; readyz, exclude ID, include ID, sources and worker ID are known")
 	}
 	var do func(string) error
 	switch word[0] {
+	case "sources":
+		if len(word) != 1 {
+			return "", errors.New("sources takes nothing more")
+		}
+		text, err := c.door.Sources()
+		return oneLine.Replace(text), err
+	case "worker":
+		if len(word) != 2 {
+			return "", errors.New("worker takes one id")
+		}
+		text, err := c.door.Worker(word[1])
+		return oneLine.Replace(text), err
 	case "readyz":
 		if len(word) != 1 {
 			return "", errors.New("readyz takes nothing more")
@@ -167,7 +181,7 @@
 	case "include":
 		do = c.door.Include
 	default:
-		return "", errors.New("unknown call; readyz, exclude ID and include ID are known")
+		return "", errors.New("unknown call; readyz, exclude ID, include ID, sources and worker ID are known")
 	}
 	if len(word) != 2 {
 		return "", errors.New(word[0] + " takes one id")
--- a/internal/console/console_test.go
+++ b/internal/console/console_test.go
@@ -21,7 +21,11 @@
 	}
 	return nil
 }
-func (calls) Include(id string) error { return calls{}.Exclude(id) }
+func (calls) Include(id string) error  { return calls{}.Exclude(id) }
+func (calls) Sources() (string, error) { return "roster: 2 serving\n", nil }
+func (calls) Worker(name string) (string, error) {
+	return name + ": serving", calls{}.Exclude(name)
+}
 
 func open(t *testing.T) func() net.Conn {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/haproxy/haproxy.go
+++ b/internal/haproxy/haproxy.go
@@ -43,6 +43,9 @@
 	name, addr      string
 	weight, maxconn float64
 	disabled        bool
+	backup          bool
+	resting         bool   // its weight is 0
+	unlike          string // why it can't be spoken to as we speak; empty: it can
 }
 
 // proxy is a frontend, a backend or both, with the defaults it stands under.
@@ -390,27 +393,72 @@
 	if len(l.words) < 3 {
 		return fmt.Errorf("line %d: server: its name or address is missing", l.n)
 	}
-	if _, port, err := net.SplitHostPort(l.words[2]); err != nil || port == "" {
+	addr, ok := address(l.words[2])
+	if !ok {
 		im.note(l, "left out: an address and a port are needed")
 		return nil
 	}
 	s := p.base
-	s.name, s.addr = l.words[1], l.words[2]
+	s.name, s.addr = l.words[1], addr
 	if slices.ContainsFunc(p.servers, func(o server) bool { return o.name == s.name }) {
 		return fmt.Errorf("line %d: server %s: the name comes twice", l.n, s.name)
 	}
 	if err := im.params(&s, l, l.words[3:]); err != nil {
 		return err
 	}
+	if s.unlike != "" {
+		// Taken over without it, jobs would go out in plain text, or to a server that
+		// reads them as something else.
+		im.note(l, "left out: "+s.unlike)
+		return nil
+	}
 	p.servers = append(p.servers, s)
 	return nil
 }
 
-// alone are a server's parameters that take no value.
-var alone = []string{"check", "backup", "ssl", "send-proxy", "send-proxy-v2", "non-stick", "tfo", "check-ssl", "allow-0rtt"}
+// address reads a server's address; only one TCP port at a host will do.
+func address(text string) (string, bool) {
+	text = strings.TrimPrefix(strings.TrimPrefix(text, "ipv4@"), "ipv6@")
+	host, port, err := net.SplitHostPort(text)
+	if err != nil || host == "" || strings.Contains(host, "@") {
+		return "", false
+	}
+	n, err := strconv.ParseUint(port, 10, 16) // "+5" and ranges map the client's port
+	return text, err == nil && n > 0
+}
+
+// HAProxy's parameters of a server (its configuration manual, 5.2, up to 3.3) that
+// have no counterpart: those that take a value, and those that stand alone.
+var valued = words(`addr agent-addr agent-inter agent-port agent-send alpn ca-file cc check-alpn check-pool-conn-name
+	check-proto check-sni ciphers ciphersuites client-sigalgs cookie crl-file crt curves downinter error-limit fall
+	fastinter guid hash-key healthcheck id idle-ping init-addr init-state inter interface ktls log-bufsize log-proto
+	max-reuse maxqueue minconn namespace npn observe on-error on-marked-down on-marked-up pool-conn-name pool-low-conn
+	pool-max-conn pool-purge-delay port proxy-v2-options redir resolve-net resolve-opts resolve-prefer resolvers rise
+	shard sigalgs slowstart sni source ssl-max-ver ssl-min-ver tcp-md5sig tcp-ut track usesrc verify verifyhost ws`)
+
+var alone = words(`agent-check allow-0rtt check check-reuse-pool check-send-proxy check-sni-auto check-ssl
+	check-via-socks4 force-sslv3 force-tlsv10 force-tlsv11 force-tlsv12 force-tlsv13 no-agent-check no-allow-0rtt
+	no-check no-check-reuse-pool no-check-send-proxy no-check-sni-auto no-check-ssl no-renegotiate no-sni-auto
+	no-ssl-reuse no-sslv3 no-strict-maxconn no-tfo no-tls-tickets no-tlsv10 no-tlsv11 no-tlsv12 no-tlsv13 no-verifyhost
+	non-stick renegotiate sni-auto ssl-reuse stick strict-maxconn tfo tls-tickets`)
+
+func words(text string) map[string]bool {
+	out := map[string]bool{}
+	for _, w := range strings.Fields(text) {
+		out[w] = true
+	}
+	return out
+}
+
+const (
+	overTLS   = "it is spoken to over TLS, and loan workers are reached in plain text here"
+	overProxy = "it expects the PROXY protocol"
+	overSOCKS = "it is reached through a SOCKS proxy"
+)
 
 func (im *importer) params(s *server, l line, words []string) error {
 	for i := 0; i < len(words); i++ {
+		part := line{l.n, []string{l.words[0], words[i]}}
 		switch name := words[i]; name {
 		case "weight", "maxconn":
 			n, err := number(line{l.n, words[i:]}, 0)
@@ -418,19 +466,52 @@
 				return err
 			}
 			if i++; name == "weight" {
-				s.weight = float64(n)
+				s.weight, s.resting = float64(n), n == 0
+				if s.resting {
+					im.note(part, "of 0: gets nothing new, as if it drained")
+				}
 			} else {
 				s.maxconn = float64(n)
-				im.note(line{l.n, []string{l.words[0], "maxconn"}}, "taken as the relative size; the bound itself is learned")
+				im.note(part, "taken as the relative size; the bound itself is learned")
 			}
 		case "disabled":
 			s.disabled = true
 		case "enabled":
 			s.disabled = false
+		case "backup":
+			s.backup = true
+			im.note(part, "of worse priority: used while no other server of the backend can serve; several are used together")
+		case "no-backup":
+			s.backup = false
+		case "ssl":
+			s.unlike = overTLS
+		case "send-proxy", "send-proxy-v2", "send-proxy-v2-ssl", "send-proxy-v2-ssl-cn":
+			s.unlike = overProxy
+		case "no-ssl", "no-send-proxy", "no-send-proxy-v2", "no-send-proxy-v2-ssl", "no-send-proxy-v2-ssl-cn":
+			if (name == "no-ssl") == (s.unlike == overTLS) {
+				s.unlike = ""
+			}
+		case "socks4", "proto":
+			if i++; i == len(words) {
+				return fmt.Errorf("line %d: %s: its value is missing", l.n, name)
+			}
+			if name == "socks4" {
+				s.unlike = overSOCKS
+			} else if words[i] != "h1" {
+				s.unlike = "it speaks " + words[i] + ", and loan workers are spoken to in HTTP/1.1 here"
+			}
 		default:
-			im.note(line{l.n, []string{l.words[0], name}}, "no counterpart for this parameter")
-			if !slices.Contains(alone, name) {
-				i++ // its value
+			takes := valued[name] || strings.HasPrefix(name, "set-proxy-v2-tlv-fmt")
+			switch {
+			case takes && i+1 == len(words):
+				return fmt.Errorf("line %d: %s: its value is missing", l.n, name)
+			case takes:
+				i++
+				im.note(part, "no counterpart for this parameter")
+			case alone[name]:
+				im.note(part, "no counterpart for this parameter")
+			default:
+				im.note(part, "not a parameter of a server that is known here; taken as one without a value")
 			}
 		}
 	}
@@ -494,11 +575,15 @@
 				weight = s.maxconn
 			}
 			state := "SERVING"
-			if s.disabled {
+			if s.disabled || s.resting {
 				state = "DRAINING"
 			}
-			instances = append(instances, object{"instanceId": p.name + "/" + s.name, "hostPort": s.addr, "zone": "local",
-				"machineType": p.name, "cell": 0, "lifecycle": state, "weight": max(weight, 1), "startedAtMs": 0})
+			instance := object{"instanceId": p.name + "/" + s.name, "hostPort": s.addr, "zone": "local",
+				"machineType": p.name, "cell": 0, "lifecycle": state, "weight": max(weight, 1), "startedAtMs": 0}
+			if s.backup {
+				instance["priority"] = 1
+			}
+			instances = append(instances, instance)
 		}
 	}
 	if listen == "" {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -19,6 +19,8 @@
 	"linnetlift"
 	"linnetlift/internal/broker"
 	"linnetlift/internal/config"
+	"linnetlift/internal/membership"
+	"linnetlift/internal/sources"
 )
 
 func testConfig() *config.Config {
@@ -214,16 +216,22 @@
 	}
 	cfg.Known = json.RawMessage(`{"generation":41,"reset":true,"instances":[` + entry("s1", "SERVING") + `]}`)
 	b := testBroker(t, cfg)
-	table, err := NewTable(config.NewLive(cfg), b, func(string) {})
+	cfg.Membership = config.DefaultMembership()
+	live := config.NewLive(cfg)
+	merged, err := sources.New(live, b, sources.Hooks{Log: func(string) {}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := []broker.Worker{{ID: "s1", Addr: "h:1", Zone: 1, Kind: 1, Cell: 3, Weight: 1, Started: time.UnixMicro(1700000000123500)}}
+	table, err := NewTable(live, b, merged.Roster, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []membership.Worker{{ID: "s1", Addr: "h:1", Zone: "b", Kind: "m2", Cell: 3, Weight: 1, Started: time.UnixMicro(1700000000123500)}}
 	var known tableReply
 	if err := json.Unmarshal(cfg.Known, &known); err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff(want, table.workers(known.Instances)); diff != "" {
+	if diff := cmp.Diff(want, members(known.Instances)); diff != "" {
 		t.Error(diff)
 	}
 	ctx, stop := context.WithCancel(t.Context())
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -1,7 +1,7 @@
 package platform
 
 // This file owns the server table: the list of loan workers as discovery tells
-// it, and the watch that keeps it fresh. The module says when to ask, and backs
+// it, one source of membership beside others, and the watch that keeps it fresh. The module says when to ask, and backs
 // off when a call fails; nothing here asks on its own but to carry on a watch.
 // It must never send anything to a loan worker or judge one.
 
@@ -21,6 +21,7 @@
 	"linnetlift"
 	"linnetlift/internal/broker"
 	"linnetlift/internal/config"
+	"linnetlift/internal/membership"
 )
 
 const (
@@ -39,6 +40,7 @@
 type Table struct {
 	live   *config.Live
 	broker *broker.Broker
+	tell   func(linnetlift.ListForm, []membership.Worker)
 	log    func(string)
 
 	generation uint64
@@ -68,14 +70,6 @@
 	return s
 }
 
-// Retune tells the list again under the settings in force, where the names of
-// zones and kinds have other places in them.
-func (t *Table) Retune() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.broker.List(linnetlift.ListAmend, t.workers(t.latest.Instances))
-}
-
 // Follow goes over to another address, or begins anew at the same one. The list
 // held so far stays in use until the new source has told its own; requests and
 // what was learned of workers stay whatever it tells.
@@ -107,13 +101,15 @@
 	Cell        int     `json:"cell"`
 	Lifecycle   string  `json:"lifecycle"`
 	Weight      float64 `json:"weight"`
+	Priority    int     `json:"priority,omitempty"` // ours, for fixed lists: the lower the better
 	StartedAtMs float64 `json:"startedAtMs"`
 }
 
-// NewTable makes the table and hands the broker the list last known.
-func NewTable(live *config.Live, b *broker.Broker, log func(string)) (*Table, error) {
+// NewTable makes the table and tells the list last known. The broker says when to
+// ask; tell takes what the roster says, in the form in which it said it.
+func NewTable(live *config.Live, b *broker.Broker, tell func(linnetlift.ListForm, []membership.Worker), log func(string)) (*Table, error) {
 	cfg := live.Get()
-	t := &Table{live: live, broker: b, log: log, now: newSource(cfg.Discovery), heard: make(chan struct{})}
+	t := &Table{live: live, broker: b, tell: tell, log: log, now: newSource(cfg.Discovery), heard: make(chan struct{})}
 	var known tableReply
 	if len(cfg.Known) > 0 {
 		if err := json.Unmarshal(cfg.Known, &known); err != nil {
@@ -124,7 +120,7 @@
 		t.generation, t.known = *known.Generation, true
 	}
 	t.note(known, true)
-	b.List(linnetlift.ListCached, t.workers(known.Instances))
+	t.tell(linnetlift.ListCached, members(known.Instances))
 	return t, nil
 }
 
@@ -184,7 +180,7 @@
 			ask = false // replaced meanwhile: whatever came is the old source's word
 		case err != nil:
 			t.log("server table: " + err.Error())
-			t.broker.List(linnetlift.ListFailed, nil)
+			t.tell(linnetlift.ListFailed, nil)
 			ask = true
 		default:
 			form := linnetlift.ListDelta
@@ -197,7 +193,7 @@
 				t.log(fmt.Sprintf("server table: first told, %d loan workers", len(reply.Instances)))
 			}
 			t.note(*reply, form == linnetlift.ListFull)
-			t.broker.List(form, t.workers(reply.Instances))
+			t.tell(form, members(reply.Instances))
 			ask = false
 		}
 	}
@@ -269,21 +265,22 @@
 	return &reply, nil
 }
 
-func (t *Table) workers(in []tableEntry) []broker.Worker {
-	cfg, out := t.live.Get(), make([]broker.Worker, 0, len(in))
+// members words entries of the roster as what a source says.
+func members(in []tableEntry) []membership.Worker {
+	out := make([]membership.Worker, 0, len(in))
 	for _, e := range in {
 		if e.InstanceID == "" {
 			continue
 		}
-		w := broker.Worker{ID: e.InstanceID, Addr: e.HostPort, Cell: e.Cell, Weight: e.Weight,
-			Zone: slices.Index(cfg.Zones, e.Zone), Kind: slices.Index(cfg.Kinds, e.MachineType)}
+		w := membership.Worker{ID: e.InstanceID, Addr: e.HostPort, Cell: e.Cell, Weight: e.Weight, Priority: e.Priority,
+			Zone: e.Zone, Kind: e.MachineType}
 		switch e.Lifecycle {
 		case "SERVING":
-			w.State = linnetlift.Ready
+			w.State = membership.Serving
 		case "DELETED":
-			w.State = linnetlift.Gone
+			w.State = membership.Gone
 		default:
-			w.State = linnetlift.Draining // an unknown state is not one to send to
+			w.State = membership.Draining // an unknown state is not one to send to
 		}
 		if e.StartedAtMs > 0 {
 			w.Started = time.UnixMicro(int64(e.StartedAtMs * 1000))
--- /dev/null
+++ b/internal/sources/sources.go
@@ -0,0 +1,452 @@
+// Package sources carries what the sources of loan workers tell to the merged list
+// (package membership), and its changes on to the broker.
+//
+// It owns the book, its clock and its one timer, the followers of DNS lists, and
+// the log's lines about members. The roster's word and an operator's are handed on
+// at once, changes from lists of names at most once every TellEvery. It must never
+// decide who is a member, that is membership's, and never keep a drain back.
+package sources
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"linnetlift"
+	"linnetlift/internal/broker"
+	"linnetlift/internal/config"
+	"linnetlift/internal/membership"
+	"linnetlift/internal/srv"
+)
+
+// Hooks are what the list's changes mean to others.
+type Hooks struct {
+	Log   func(string)
+	Moved func(addr string) // a worker is no longer reached there
+}
+
+// Sources merges and hands on. Its methods may be called from any goroutine.
+type Sources struct {
+	live   *config.Live
+	broker *broker.Broker
+	hooks  Hooks
+	watch  atomic.Bool // whether connects bear on the list
+
+	mu       sync.Mutex
+	book     *membership.Book
+	bans     []string // as spoken by operators
+	list     membership.List
+	shown    map[string]membership.Entry // as the broker has them, by id
+	times    int                         // that the broker was told of a change
+	told     time.Time                   // when the broker was last told of a change
+	timer    *time.Timer                 // for the next look; nil: none needed yet
+	names    map[string]*follower        // by the source's name
+	saidLine time.Time
+	plus     int // changes not yet logged
+	minus    int
+	held     map[string]bool
+	faults   []string
+	closed   bool
+}
+
+// follower is one running resolver.
+type follower struct {
+	cfg      config.SRV
+	resolver *srv.Resolver
+	stop     context.CancelFunc
+	failing  bool
+}
+
+// New makes the merger under the settings in force. Nothing is followed yet.
+func New(live *config.Live, b *broker.Broker, hooks Hooks) (*Sources, error) {
+	book, err := membership.New(live.Get().Sources())
+	if err != nil {
+		return nil, err
+	}
+	s := &Sources{live: live, broker: b, hooks: hooks, book: book, shown: map[string]membership.Entry{},
+		names: map[string]*follower{}, held: map[string]bool{}}
+	b.Observe(s.heard)
+	return s, nil
+}
+
+// Restore takes over what another process's sources had said, before Follow.
+func (s *Sources) Restore(state []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Restore(state)
+}
+
+// State is all that the sources have said, for the process that takes over.
+func (s *Sources) State() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.names) == 0 {
+		return nil // the roster's list goes over by itself
+	}
+	text, err := s.book.State()
+	if err != nil {
+		s.hooks.Log("membership: what the sources said is not handed over: " + err.Error())
+	}
+	return text
+}
+
+// Follow begins to follow the lists in DNS that the settings name, and ends those
+// that they no longer do.
+func (s *Sources) Follow() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	cfg := s.live.Get()
+	keep := map[string]bool{}
+	for _, c := range cfg.SRV {
+		keep[c.Name] = true
+		old := s.names[c.Name]
+		if old != nil {
+			if reflect.DeepEqual(old.cfg, c) {
+				continue
+			}
+			old.stop()
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		f := &follower{cfg: c, resolver: srv.New(c.Resolver()), stop: stop}
+		s.names[c.Name] = f
+		go f.resolver.Follow(ctx, func(u srv.Update) { s.update(f, u) })
+	}
+	for name, f := range s.names {
+		if !keep[name] {
+			f.stop()
+			delete(s.names, name)
+		}
+	}
+}
+
+// Close ends all followers; the list stays as it is.
+func (s *Sources) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, f := range s.names {
+		f.stop()
+	}
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+}
+
+// Retune puts the settings now in force to use: the rule, the sources, and the
+// places of zones and kinds. The settings must be sound.
+func (s *Sources) Retune() error {
+	s.mu.Lock()
+	err := s.book.Configure(s.live.Get().Sources())
+	if err == nil {
+		clear(s.shown) // places may be others: all is told anew
+		s.publish(linnetlift.ListAmend, nil)
+	}
+	s.mu.Unlock()
+	s.Follow()
+	return err
+}
+
+// Roster takes in the roster's word, of the given form, and hands it on at once.
+func (s *Sources) Roster(form linnetlift.ListForm, workers []membership.Worker) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if form == linnetlift.ListFailed {
+		s.book.Silent(time.Now(), membership.Roster, true)
+		s.broker.List(form, nil)
+		return
+	}
+	whole := form == linnetlift.ListFull || form == linnetlift.ListCached
+	if err := s.book.Tell(time.Now(), membership.Roster, whole, workers); err != nil {
+		s.hooks.Log("server table: " + err.Error())
+	}
+	s.publish(form, workers)
+}
+
+// update takes in what a resolver has found.
+func (s *Sources) update(f *follower, u srv.Update) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || s.names[f.cfg.Name] != f {
+		return // replaced meanwhile
+	}
+	if u.Err != nil {
+		if s.book.Silent(u.At, f.cfg.Name, true); !f.failing {
+			f.failing = true
+			s.hooks.Log(fmt.Sprintf("source %s: no answer, going on with what is known: %s", f.cfg.Name, oneLine(u.Err)))
+		}
+		s.due()
+		return
+	}
+	if f.failing {
+		f.failing = false
+		s.hooks.Log(fmt.Sprintf("source %s: answers again", f.cfg.Name))
+	}
+	if err := s.book.Tell(u.At, f.cfg.Name, true, workers(f.cfg, u.Records)); err != nil {
+		s.hooks.Log(fmt.Sprintf("source %s: %s", f.cfg.Name, oneLine(err)))
+	}
+	s.due()
+}
+
+func oneLine(err error) string { return strings.ReplaceAll(err.Error(), "\n", "; ") }
+
+// workers words SRV records as members. A weight counts against the mean of its
+// priority, so that 1 is usual, as it is in a roster; the least that a weight of
+// 0 leaves is "a very small chance" (RFC 2782).
+func workers(cfg config.SRV, records []srv.Record) []membership.Worker {
+	sum, n := map[uint16]float64{}, map[uint16]float64{}
+	for _, r := range records {
+		sum[r.Priority] += float64(r.Weight)
+		n[r.Priority]++
+	}
+	out := make([]membership.Worker, 0, len(records))
+	for _, r := range records {
+		weight := 1.0
+		if total := sum[r.Priority]; total > 0 {
+			weight = max(float64(r.Weight)*n[r.Priority]/total, 0.05)
+		}
+		out = append(out, membership.Worker{Target: r.Target, Addr: r.Addr.String(), Zone: cfg.Zone, Kind: cfg.Kind, Cell: cfg.Cell,
+			Weight: weight, Priority: int(r.Priority), Until: r.Until})
+	}
+	return out
+}
+
+// due hands on what has changed, now or once TellEvery has passed. The caller
+// holds mu.
+func (s *Sources) due() {
+	if rest := time.Until(s.told.Add(s.live.Get().Membership.TellEvery.Duration)); rest > 0 {
+		s.look(rest)
+		return
+	}
+	s.publish(linnetlift.ListAmend, nil)
+}
+
+// look sets the timer, unless it fires sooner already. The caller holds mu.
+func (s *Sources) look(in time.Duration) {
+	if s.timer == nil {
+		s.timer = time.AfterFunc(in, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if !s.closed {
+				s.due()
+			}
+		})
+		return
+	}
+	s.timer.Reset(in)
+}
+
+// publish merges, and hands the broker the list in the given form: whole, or what
+// has changed together with those that the roster named. The caller holds mu.
+func (s *Sources) publish(form linnetlift.ListForm, named []membership.Worker) {
+	now := time.Now()
+	list := s.book.Merge(now)
+	whole := form == linnetlift.ListFull || form == linnetlift.ListCached
+	want := map[string]bool{}
+	for _, w := range named {
+		want[w.ID] = true
+	}
+	var out []broker.Worker
+	next := make(map[string]membership.Entry, len(list.Entries))
+	levels := map[int]bool{}
+	var banned, moved []string
+	for _, e := range list.Entries {
+		next[e.ID] = e
+		levels[e.Priority] = true
+		if e.Banned {
+			banned = append(banned, e.ID)
+		}
+		old, known := s.shown[e.ID]
+		if known && old.Addr != e.Addr {
+			moved = append(moved, old.Addr)
+		}
+		if !known || old.Told != e.Told {
+			if e.Told == membership.Serving {
+				s.plus++
+			} else if known {
+				s.minus++
+			}
+		}
+		if whole || want[e.ID] || !known || !same(old, e) {
+			out = append(out, s.worker(e))
+		}
+	}
+	for _, w := range named { // told as gone, or never known
+		if _, ok := next[w.ID]; !ok && !whole && w.ID != "" {
+			out = append(out, broker.Worker{ID: w.ID, Addr: w.Addr, State: linnetlift.Gone})
+		}
+	}
+	for _, e := range s.list.Entries {
+		if _, ok := next[e.ID]; ok {
+			continue
+		}
+		s.minus++
+		if !whole && !want[e.ID] {
+			out = append(out, broker.Worker{ID: e.ID, State: linnetlift.Gone})
+		}
+	}
+	s.list, s.shown = list, next
+	s.watch.Store(len(s.names) > 0 || len(levels) > 1)
+	s.ban(banned)
+	// The list service's own word goes on even if it is empty: it answers a call.
+	if form != linnetlift.ListAmend || len(out) > 0 {
+		s.told = now
+		s.times++
+		s.broker.List(form, out)
+	}
+	for _, addr := range moved {
+		s.hooks.Moved(addr)
+	}
+	s.report(now)
+	if !list.Next.IsZero() {
+		s.look(max(time.Until(list.Next), time.Millisecond))
+	}
+}
+
+func same(a, b membership.Entry) bool {
+	return a.Addr == b.Addr && a.Zone == b.Zone && a.Kind == b.Kind && a.Cell == b.Cell && a.Weight == b.Weight &&
+		a.Told == b.Told && a.Started.Equal(b.Started)
+}
+
+// worker words an entry for the broker, which knows zones and kinds by their
+// places and holds bans itself.
+func (s *Sources) worker(e membership.Entry) broker.Worker {
+	cfg := s.live.Get()
+	w := broker.Worker{ID: e.ID, Addr: e.Addr, Cell: e.Cell, Weight: e.Weight, Started: e.Started,
+		Zone: slices.Index(cfg.Zones, e.Zone), Kind: slices.Index(cfg.Kinds, e.Kind), State: linnetlift.Draining}
+	if e.Told == membership.Serving {
+		w.State = linnetlift.Ready
+	}
+	return w
+}
+
+// Ban makes exactly these names the ones that get nothing new, from this call on.
+// A worker may be named by its id, address or target.
+func (s *Sources) Ban(names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bans = slices.Clone(names)
+	s.book.Ban(names)
+	s.publish(linnetlift.ListAmend, nil)
+}
+
+// ban tells the broker whom the operators' words concern. The caller holds mu.
+func (s *Sources) ban(ids []string) {
+	all := slices.Concat(s.bans, ids)
+	slices.Sort(all)
+	for _, addr := range s.broker.Ban(slices.Compact(all)) {
+		s.hooks.Moved(addr)
+	}
+}
+
+// Knows tells whether a worker goes by that name.
+func (s *Sources) Knows(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.list.Find(name)
+	return ok || len(s.book.Says(time.Now(), name)) > 0
+}
+
+// heard takes in how an attempt ended, where that bears on the list.
+func (s *Sources) heard(worker string, code broker.Code) {
+	if !s.watch.Load() {
+		return
+	}
+	answered := code == broker.OK || code == broker.Failed || code == broker.Full || code == broker.Rejected
+	if !answered && code != broker.ConnectFailed {
+		return // it tells nothing of whether the worker can be reached
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.book.Heard(worker, answered) && !s.closed {
+		s.due()
+	}
+}
+
+// report writes what has changed to the log, a line a second at most. The caller
+// holds mu.
+func (s *Sources) report(now time.Time) {
+	if len(s.names) == 0 && len(s.list.Faults) == 0 {
+		return // the roster alone: its own lines tell of it
+	}
+	for _, f := range s.list.Faults {
+		if !slices.Contains(s.faults, f) {
+			s.hooks.Log("membership: fault: " + f)
+		}
+	}
+	s.faults = s.list.Faults
+	for _, sum := range s.book.Summaries() {
+		if held := sum.Held > 0; held != s.held[sum.Name] {
+			s.held[sum.Name] = held
+			if held {
+				s.hooks.Log(fmt.Sprintf("membership: %s: the list shrank by %d of %d at once: held while they answer", sum.Name, sum.Held, sum.Held+sum.Serving))
+			} else {
+				s.hooks.Log(fmt.Sprintf("membership: %s: nothing is held any more", sum.Name))
+			}
+		}
+	}
+	if s.plus+s.minus == 0 || now.Sub(s.saidLine) < time.Second {
+		return
+	}
+	serving := 0
+	for _, e := range s.list.Entries {
+		if e.State == membership.Serving {
+			serving++
+		}
+	}
+	s.hooks.Log(fmt.Sprintf("membership: %d serving of %d listed (%d came, %d left)", serving, len(s.list.Entries), s.plus, s.minus))
+	s.saidLine, s.plus, s.minus = now, 0, 0
+}
+
+// Describe is one line on every source.
+func (s *Sources) Describe() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := []string{fmt.Sprintf("rule %s, told %d times", s.live.Get().Membership.Rule, s.times)}
+	for _, sum := range s.book.Summaries() {
+		text := fmt.Sprintf("%s: %d serving, %d draining, %d held, %d tombstones", sum.Name, sum.Serving, sum.Draining, sum.Held, sum.Tombstones)
+		switch {
+		case !sum.Told && !sum.Silent.IsZero():
+			text += fmt.Sprintf(", never answered, asked since %s", clock(sum.Silent))
+		case !sum.Told:
+			text += ", not heard yet"
+		case !sum.Silent.IsZero():
+			text += ", silent since " + clock(sum.Silent)
+		}
+		if f := s.names[sum.Name]; f != nil {
+			c := &f.resolver.Counts
+			text += fmt.Sprintf(", %d questions (%d over TCP, %d timed out, %d refused, %d server failures, %d not answers, %d targets without address)",
+				c.Questions.Load(), c.OverTCP.Load(), c.TimedOut.Load(), c.Refused.Load(), c.ServerFailed.Load(), c.Dropped(), c.Unresolved.Load())
+		}
+		out = append(out, text)
+	}
+	if n := len(s.list.Faults); n > 0 {
+		out = append(out, fmt.Sprintf("%d faults: %s", n, s.list.Faults[0]))
+	}
+	return strings.Join(out, "; ")
+}
+
+func clock(t time.Time) string { return t.UTC().Format("15:04:05") }
+
+// Worker is one line on one worker: who says what, and which word won.
+func (s *Sources) Worker(name string) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	says := s.book.Says(time.Now(), name)
+	e, ok := s.list.Find(name)
+	if !ok && len(says) == 0 {
+		return "", errors.New("no such loan worker")
+	}
+	if !ok {
+		return fmt.Sprintf("%s: not listed; %s", name, strings.Join(says, "; ")), nil
+	}
+	return fmt.Sprintf("%s at %s: %s, by %s; said: %s", e.ID, e.Addr, e.State, e.Reason, strings.Join(says, "; ")), nil
+}
--- /dev/null
+++ b/internal/standin/worker/worker.go
@@ -0,0 +1,125 @@
+// Package worker is a stand-in loan worker on loopback: it takes a job, says that
+// it has started, and some time later that it is done, as the platform's protocol
+// has it.
+//
+// It serves tests, proofs and the demonstration. It must never listen anywhere but
+// on loopback. It keeps when the first byte of each request came, since that is
+// what drains are counted by.
+package worker
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Arrival is one request that came.
+type Arrival struct {
+	ID, Class string
+	First     time.Time // its first byte
+	Done      bool      // it ran to its end
+}
+
+// Worker is one stand-in.
+type Worker struct {
+	ID, Addr string
+	Work     func(class string) time.Duration // how long a job runs; before Start
+
+	l      net.Listener
+	server *http.Server
+	slots  chan struct{}
+
+	mu       sync.Mutex
+	arrivals []Arrival
+}
+
+// Start listens on a loopback port and runs so many jobs at once; others wait.
+func Start(id string, slots int, work func(class string) time.Duration) (*Worker, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	w := &Worker{ID: id, Addr: l.Addr().String(), Work: work, l: l, slots: make(chan struct{}, slots)}
+	w.server = &http.Server{Handler: http.HandlerFunc(w.serve),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
+	go w.server.Serve(listener{l})
+	return w, nil
+}
+
+// Close ends it at once, with whatever it runs.
+func (w *Worker) Close() { w.server.Close() }
+
+// Arrivals is what has come so far, in order.
+func (w *Worker) Arrivals() []Arrival {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Arrival(nil), w.arrivals...)
+}
+
+type connKey struct{}
+
+// listener gives connections that keep when a request's first byte came.
+type listener struct{ net.Listener }
+
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c}, nil
+}
+
+type conn struct {
+	net.Conn
+	first atomic.Int64 // Unix nanoseconds of the first byte since the last answer; 0: none yet
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.first.CompareAndSwap(0, time.Now().UnixNano())
+	}
+	return n, err
+}
+
+func (w *Worker) serve(out http.ResponseWriter, q *http.Request) {
+	c := q.Context().Value(connKey{}).(*conn)
+	id, class := q.Header.Get("X-Request-Id"), q.Header.Get("X-Priority-Class")
+	first := time.Unix(0, c.first.Load())
+	defer c.first.Store(0)
+	if id == "" {
+		out.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.mu.Lock()
+	place := len(w.arrivals)
+	w.arrivals = append(w.arrivals, Arrival{ID: id, Class: class, First: first})
+	w.mu.Unlock()
+	flush := http.NewResponseController(out).Flush
+	out.WriteHeader(http.StatusOK)
+	flush()
+	select {
+	case w.slots <- struct{}{}:
+	case <-q.Context().Done():
+		return
+	}
+	defer func() { <-w.slots }()
+	fmt.Fprintf(out, "{\"id\":%q,\"from\":%q,\"state\":\"started\"}\n", id, w.ID)
+	flush()
+	t := time.NewTimer(w.Work(class))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-q.Context().Done():
+		return
+	}
+	w.mu.Lock()
+	w.arrivals[place].Done = true
+	w.mu.Unlock()
+	fmt.Fprintf(out, "{\"id\":%q,\"from\":%q,\"state\":\"done\",\"result\":\"%s by %s\",\"load\":{\"util\":%.2f,\"eps\":0,\"x0\":%d}}\n",
+		id, w.ID, class, w.ID, float64(len(w.slots))/float64(cap(w.slots)), cap(w.slots)-len(w.slots)+1)
+}
