Room for large jobs: reservations with backfilling, built in and off

Need: a job of several slots waits behind a stream of small ones, or is sent to where it does not fit and holds up a worker's queue.

Change: package room (pure) plans workers' slots by quantiles of run times: reservations, shadow times, backfills after EASY and the conservative form, bounded in number, life, idle time and in what a small job may wait. The module asks it when it ranks and when it holds. [room] in the operator's file, at SIGHUP too; console: room; two processes of an upgrade have half of the bounds each.

Ruled out by measurement: earlier reservations, a larger budget, EASY alone.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Build, test, lint and run. 'make test' is what CI calls.
-.PHONY: build test lint run check clean demo fuzz prove-srv
+.PHONY: build test lint run check clean demo fuzz prove-room prove-srv
 
 # HTTP/2 is spoken on no side, and its code would lie in memory all the same.
 build:
@@ -28,6 +28,9 @@
 	go run ./lab/demo
 
 # Measurements, each with its aim beside it; exit code 1 where one is missed.
+prove-room:
+	go run ./lab/prove-room
+
 prove-srv: build
 	go run ./lab/prove-srv
 
--- a/cmd/yardflow/main.go
+++ b/cmd/yardflow/main.go
@@ -17,11 +17,13 @@
 	"runtime"
 	"runtime/debug"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"linnetlift"
 	"linnetlift/internal/broker"
 	"linnetlift/internal/config"
 	"linnetlift/internal/console"
@@ -272,6 +274,7 @@
 		}
 	}
 	n.sources.Ban(banned)
+	n.broker.ShareRoom(1 / float64(1+n.peers.Others()))
 	if len(before.Learned) > 0 {
 		n.broker.Recall(before.Learned)
 	}
@@ -351,6 +354,7 @@
 	clients, workers := n.sockets(processes)
 	n.guard.Resize(clients)
 	n.lines.Resize(workers)
+	n.broker.ShareRoom(1 / float64(processes))
 	n.limitMemory(n.memory(processes))
 }
 
@@ -412,6 +416,24 @@
 	return d.n.sources.Describe(), nil
 }
 
+func (d door) Room() (string, error) {
+	if !d.n.serving.Load() {
+		return "", errStarting
+	}
+	held, err := d.n.broker.RoomHeld(500 * time.Millisecond)
+	if err != nil {
+		return "", err
+	}
+	out := []string{fmt.Sprintf("%d held, %.2f%% of the slot time idle by it; since the start %d made, %d used, %d lapsed, %d jobs backfilled, %d kept waiting",
+		len(held.Reservations), 100*held.Idle, held.Made, held.Kept, held.Lapsed, held.Backfilled, held.Denied)}
+	clock := func(at time.Duration) string { return d.n.broker.Clock(at).UTC().Format("15:04:05.000") }
+	for _, r := range held.Reservations {
+		out = append(out, fmt.Sprintf("%v slots at %s for job %d since %s, free by %s, until %s, %.1f slot seconds idle", r.Slots,
+			d.n.broker.Name(linnetlift.WorkerID(r.Worker)), r.Job, clock(r.Made), clock(r.Shadow), clock(r.Until), r.Idle))
+	}
+	return strings.Join(out, "; "), nil
+}
+
 func (d door) Worker(name string) (string, error) {
 	if !d.n.serving.Load() {
 		return "", errStarting
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -39,6 +39,9 @@
 	coldSafety   = 0.3                    // part of the slow-start budget that is used
 	guessWeight  = 8.0                    // how much worse a guessed wait is than a known slow run
 	sightings    = 4                      // times a higher slot count must be seen
+	places       = 8                      // workers looked at for room for a large job
+	roomLead     = time.Second            // before the latest start, room is held from then on
+	crowdedAt    = 0.6                    // part of the slots taken from which room is held
 	lots         = 2                      // draws for a job where shares are small
 	lookAhead    = 4                      // held jobs tried when the head fits nowhere
 	overtake     = 400 * time.Millisecond // connecting may delay a job so long against a later one
@@ -119,6 +122,7 @@
 			a.started = now
 			a.w.startSent = max(a.w.startSent, a.sent)
 			d.pace(a, false)
+			d.plan(a)
 			if a.orphan { // it was only late: it holds a slot after all
 				a.orphan = false
 				a.w.own += r.Slots
@@ -174,6 +178,7 @@
 	if now >= d.refreshAt {
 		d.refresh()
 	}
+	d.tidyRoom()
 	d.overdueHeld(out)
 }
 
@@ -184,6 +189,7 @@
 // fastest overall, else with the probability of its soft threshold.
 func (d *dispatcher) decide(out Actions) {
 	d.step()
+	d.rooms(out)
 	misfits := 0
 	for i := 0; i < len(d.held) && misfits < lookAhead; {
 		r := d.held[i]
@@ -230,11 +236,63 @@
 		if fastest == nil {
 			fastest = w
 		}
-		if d.fits(w, r) && d.mayStart(w, r) {
-			return w, fastest
+		if !d.fits(w, r) || !d.mayStart(w, r) || !d.clear(w, r) ||
+			f != nil && d.spare(w) >= d.spare(f) {
+			continue
+		}
+		if f = w; !d.tight { // else the tightest fit, so that slots stay free together
+			break
+		}
+	}
+	return f, fastest
+}
+
+// rooms sends large jobs that would else miss their time to wherever there is room,
+// and has room held for them where they would end first (package room).
+func (d *dispatcher) rooms(out Actions) {
+	d.tight = false
+	if !d.crowded() {
+		return
+	}
+	for i := 0; i < len(d.held); i++ {
+		r := d.held[i]
+		if d.now >= r.inTime || !d.Room.IsLarge(r.Slots, d.work(r)/d.run.Seconds()) {
+			continue
+		}
+		d.tight = true
+		w, at := d.soonest(r)
+		if w == nil || d.room.Has(uint64(r.ID)) == nil && at+roomLead < r.inTime {
+			continue // nowhere, or in time without
+		}
+		if f, _ := d.pick(r); f != nil && d.send(r, f, out) {
+			i--
+		} else {
+			d.room.Reserve(d.now, uint64(w.ID), uint64(r.ID), r.Slots, d.capacity(w),
+				d.ramp(w), at)
 		}
 	}
-	return nil, fastest
+}
+
+// soonest is where r would end first with the room it needs, and when that is free.
+func (d *dispatcher) soonest(r *request) (best *worker, at time.Duration) {
+	least := time.Duration(math.MaxInt64)
+	for _, w := range d.rank[:min(len(d.rank), places)] {
+		if d.now < w.trialAt || !d.able(w, r) || !d.mayStart(w, r) {
+			continue
+		}
+		ramp := d.ramp(w)
+		free, _, ok := d.room.Shadow(d.now, uint64(w.ID), uint64(r.ID), r.Slots, d.capacity(w), ramp)
+		if end := free + ramp.Takes(free, d.length(r, w).Quantile(0.5)); ok && end < least {
+			best, at, least = w, free, end
+		}
+	}
+	return best, at
+}
+
+// crowded tells that room is to be held where it is needed: most slots are taken.
+func (d *dispatcher) crowded() bool {
+	return d.room != nil && !d.sparse() && d.room.Settled(d.now) &&
+		d.room.Used() >= crowdedAt*d.fleet
 }
 
 // sparse tells that this dispatcher's share is less than one worker.
@@ -297,7 +355,9 @@
 			d.hold(r)
 			continue
 		}
-		if d.now >= r.holdUntil && misfits < lookAhead && d.now >= d.forceAt {
+		// A job of several slots, sent to where it does not fit, would keep a queue waiting.
+		if d.now >= r.holdUntil && misfits < lookAhead && d.now >= d.forceAt &&
+			(r.Slots == 1 || !d.crowded()) {
 			r.refusedBy = r.refusedBy[:0]
 			f := d.guess(r)
 			if f != nil && d.send(r, f, out) {
@@ -360,26 +420,6 @@
 	}
 }
 
-func (d *dispatcher) openStep() {
-	d.phi = d.features(d.phi[:0])
-	d.stepJobs = float64(len(d.held) + len(d.out))
-	d.stepAt, d.open = d.now, true
-}
-
-// features lists the non-zero entries of phi: held queue and slot shares, over 1+k.
-func (d *dispatcher) features(into []feature) []feature {
-	k := float64(1 + len(d.rank))
-	if n := len(d.held); n > 0 {
-		into = append(into, feature{nil, min(float64(n)/bufferSize, 1) / k})
-	}
-	for _, a := range d.out {
-		if w := a.w; w.listed {
-			into = append(into, feature{w, a.r.Slots / max(d.slots(w), w.own) / k})
-		}
-	}
-	return into
-}
-
 // ---- request lifecycle and rules
 
 // allowed keeps rule 2: whether one more attempt may go to w.
@@ -419,6 +459,7 @@
 	w.own += r.Slots
 	w.ownMem += r.Memory
 	w.limit = max(w.limit, 1)
+	d.plan(a)
 	out.Send(r.ID, w.ID, 0)
 	return true
 }
@@ -555,6 +596,7 @@
 		few, many = 3, 8
 	}
 	s.seen = min(s.seen+1, 200)
+	s.vary += (e*e - s.vary) / (3 + s.seen)
 	if r.Hint == 0 {
 		s.work += e / (1 + s.seen)
 	}
@@ -575,20 +617,6 @@
 	w.time *= math.Exp(nearEqual*w.order+foreignCost*(1-w.home)+3*w.bad) / d.warmth(w)
 }
 
-// reprice prices w and moves it to its place, mostly a step or two away.
-func (d *dispatcher) reprice(w *worker) {
-	if !w.listed {
-		return
-	}
-	d.price(w)
-	for w.pos > 0 && d.rank[w.pos-1].time > w.time {
-		d.swap(w.pos-1, w.pos)
-	}
-	for w.pos+1 < len(d.rank) && d.rank[w.pos+1].time < w.time {
-		d.swap(w.pos, w.pos+1)
-	}
-}
-
 // refresh ages what is known and sets thresholds that have not learned yet:
 // the paper's ratio of service rates, less the jobs' own run, for own share.
 func (d *dispatcher) refresh() {
@@ -624,6 +652,7 @@
 		slots += n
 		mid += n * (d.kindOf(w).slow + w.slow)
 	}
+	d.fleet = slots
 	if slots > 0 {
 		d.midSlow = mid / slots
 	}
@@ -656,7 +685,7 @@
 		if w.time >= least {
 			break // ranked by time: none behind can end sooner
 		}
-		if !d.able(w, r) || !d.mayStart(w, r) {
+		if !d.able(w, r) || !d.mayStart(w, r) || !d.clear(w, r) {
 			continue
 		}
 		wait := d.wait(w, r)
@@ -725,18 +754,6 @@
 	}
 }
 
-// seeSlots takes in how many slots w seems to have. More than its kind was seen
-// to have counts once it comes up again and again: reports are noisy, and a start
-// may be heard of before the end that made room for it.
-func (d *dispatcher) seeSlots(w *worker, n float64) {
-	if k := d.kindOf(w); n > k.slots {
-		// Where few jobs pass, that would never be: there once is enough.
-		if k.more++; k.more >= sightings || d.sparse() {
-			k.slots, k.more = k.slots+1, 0
-		}
-	}
-}
-
 // shrink lowers the slot limit to what runs there now; the way back is one
 // trial after a jittered pause.
 func (d *dispatcher) shrink(w *worker, pauses int) {
@@ -762,6 +779,7 @@
 			w.running -= r.Slots
 		}
 		w.own, w.ownMem = max(w.own-r.Slots, 0), max(w.ownMem-r.Memory, 0)
+		d.unplan(a)
 		if d.Cancelling && r.attempts < d.MaxAttempts && d.now < r.inTime && d.retryPays(r) {
 			out.Cancel(r.ID, a.n)
 		}
@@ -922,7 +940,7 @@
 		}
 	}
 	if changed { // shares and ranks are dear on a large fleet
-		d.rank = slices.DeleteFunc(d.rank, func(w *worker) bool { return !w.listed })
+		d.rank = slices.DeleteFunc(d.rank, d.left)
 		d.setHomes()
 		d.refresh()
 	}
@@ -976,18 +994,3 @@
 	}
 	a.forced = false
 }
-
-// withinQuota takes one request from its tenant's own part of the quota.
-func (d *dispatcher) withinQuota(tenant int) bool {
-	if tenant < 0 || tenant >= len(d.tenants) || d.Tenants[tenant].Quota <= 0 {
-		return true
-	}
-	b, rate := &d.tenants[tenant], d.Tenants[tenant].Quota/float64(d.Dispatchers)
-	b.tokens = min(b.tokens+rate*(d.now-b.at).Seconds(), max(rate, 2))
-	b.at = d.now
-	if b.tokens < 1 {
-		return false
-	}
-	b.tokens--
-	return true
-}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -241,6 +241,42 @@
 	return nil
 }
 
+// RoomHeld is what the module holds for large jobs; an error where it holds none by
+// its settings, or does not say so in time.
+func (b *Broker) RoomHeld(within time.Duration) (*linnetlift.RoomHeld, error) {
+	told := make(chan *linnetlift.RoomHeld, 1)
+	b.post(func(time.Duration, linnetlift.Actions) { told <- b.module.RoomHeld() })
+	select {
+	case r := <-told:
+		if r == nil {
+			return nil, errors.New("no room is held: [room] is off")
+		}
+		return r, nil
+	case <-time.After(within):
+		return nil, errors.New("the module is busy")
+	case <-b.done:
+		return nil, ErrClosed
+	}
+}
+
+// ShareRoom bounds what may be held to a part, where several processes hold room.
+func (b *Broker) ShareRoom(part float64) {
+	b.post(func(time.Duration, linnetlift.Actions) { b.module.ShareRoom(part) })
+}
+
+// Name is a worker's name, by the number that the module knows it by.
+func (b *Broker) Name(id linnetlift.WorkerID) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p := b.places[id]; p != nil {
+		return p.name
+	}
+	return fmt.Sprintf("%x", uint64(id))
+}
+
+// Clock is the time of the module's clock as the wall shows it.
+func (b *Broker) Clock(at time.Duration) time.Time { return b.anchor.Add(at - b.anchorUnix) }
+
 // Recall hands the module what another process's learned, before the first list.
 func (b *Broker) Recall(memory []byte) {
 	b.post(func(time.Duration, linnetlift.Actions) { b.module.Recall(memory) })
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -21,6 +21,7 @@
 	"github.com/pelletier/go-toml/v2/unstable"
 
 	"linnetlift/internal/membership"
+	"linnetlift/internal/room"
 	"linnetlift/internal/srv"
 )
 
@@ -53,10 +54,23 @@
 	MaxRecords int      `toml:"max_records"`
 }
 
+// Room is how room is held for large jobs.
+type Room struct {
+	Enabled   bool     `toml:"enabled"`
+	Mode      string   `toml:"mode"`
+	Quantile  float64  `toml:"quantile"`
+	Most      int      `toml:"most"`
+	Longest   Duration `toml:"longest"`
+	Budget    float64  `toml:"budget"`
+	SmallWait Duration `toml:"small_wait"`
+	Large     float64  `toml:"large"`
+}
+
 // operator is the file's form.
 type operator struct {
 	SSE        *SSE        `toml:"sse"`
 	Membership *Membership `toml:"membership"`
+	Room       Room        `toml:"room"`
 	Source     struct {
 		SRV []SRV `toml:"srv"`
 	} `toml:"source"`
@@ -88,12 +102,17 @@
 func (c *Config) loadOperator(path string) error {
 	c.SSE = defaultSSE()
 	c.Membership = DefaultMembership()
-	in := operator{SSE: &SSE{}, Membership: &c.Membership}
+	d := room.Default()
+	in := operator{SSE: &SSE{}, Membership: &c.Membership, Room: Room{Mode: string(d.Mode), Quantile: d.Quantile, Most: d.Most,
+		Longest: Duration{d.Longest}, Budget: d.Budget, SmallWait: Duration{d.SmallWait}, Large: d.Large}}
 	*in.SSE = c.SSE
 	text, err := os.ReadFile(path)
 	if err == nil {
 		err = c.decode(text, &in, func() error {
 			c.SSE, c.SRV = *in.SSE, in.Source.SRV
+			if err := c.holdRoom(in.Room); err != nil {
+				return err
+			}
 			return c.checkOperator()
 		})
 	} else if errors.Is(err, fs.ErrNotExist) {
@@ -262,6 +281,20 @@
 	return nil
 }
 
+// holdRoom checks [room], on or off, and hands it to the module where it is on.
+func (c *Config) holdRoom(in Room) error {
+	s := room.Settings{Mode: room.Mode(in.Mode), Quantile: in.Quantile, Most: in.Most, Longest: in.Longest.Duration,
+		Budget: in.Budget, SmallWait: in.SmallWait.Duration, Large: in.Large}
+	if err := s.Check(); err != nil {
+		key, what, _ := strings.Cut(err.Error(), ": ")
+		return wrong("room."+key, "%s", what)
+	}
+	if in.Enabled {
+		c.Module.Room = &s
+	}
+	return nil
+}
+
 func orDefault(d *Duration, v time.Duration) {
 	if d.Duration == 0 {
 		d.Duration = v
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -49,6 +49,17 @@
 			t.Errorf("%v: got %v, want %q in it", edit, err, want)
 		}
 	}
+	for want, line := range map[string]string{":2: room.budget: 0.9 is not over 0": "budget = 0.9", ":2: room.mode: \"x\" is neither": "mode = \"x\"", ":2: room.rooms: unknown key": "rooms = 1"} {
+		if _, err := load(t, [2]string{}, "[room]\n"+line+"\n", nil); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: got %v", line, err)
+		}
+	}
+	if c, err := load(t, [2]string{}, "[room]\nenabled = true\nmost = 3\n", nil); err != nil || c.Module.Room == nil || c.Module.Room.Most != 3 {
+		t.Error(err)
+	}
+	if c, err := load(t, [2]string{}, "[room]\nmost = 3\n", nil); err != nil || c.Module.Room != nil {
+		t.Error("room is held, and nobody asked for it", err)
+	}
 	two := sourced + sourced[strings.Index(sourced, "[[source"):]
 	if _, err := load(t, [2]string{}, two, nil); err == nil || !strings.Contains(err.Error(), `:12: source.srv[1].name: "loans" is another source's name`) {
 		t.Error(err)
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -34,6 +34,7 @@
 	Include(worker string) error
 	Sources() (string, error)           // what each source of loan workers says, in one line
 	Worker(name string) (string, error) // who says what of one, in one line
+	Room() (string, error)              // what is held for large jobs, in one line
 }
 
 // Console answers callers on one listener.
@@ -155,15 +156,19 @@
 func (c *Console) call(line string) (string, error) {
 	word := strings.Fields(line)
 	if len(word) == 0 {
-		return "", errors.New("no call; readyz, exclude ID, include ID, sources and worker ID are known")
+		return "", errors.New("no call; readyz, exclude ID, include ID, sources, worker ID and room are known")
 	}
 	var do func(string) error
 	switch word[0] {
-	case "sources":
+	case "sources", "room":
 		if len(word) != 1 {
-			return "", errors.New("sources takes nothing more")
+			return "", errors.New(word[0] + " takes nothing more")
 		}
-		text, err := c.door.Sources()
+		ask := c.door.Sources
+		if word[0] == "room" {
+			ask = c.door.Room
+		}
+		text, err := ask()
 		return oneLine.Replace(text), err
 	case "worker":
 		if len(word) != 2 {
@@ -181,7 +186,7 @@
 	case "include":
 		do = c.door.Include
 	default:
-		return "", errors.New("unknown call; readyz, exclude ID, include ID, sources and worker ID are known")
+		return "", errors.New("unknown call; readyz, exclude ID, include ID, sources, worker ID and room are known")
 	}
 	if len(word) != 2 {
 		return "", errors.New(word[0] + " takes one id")
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -12,9 +12,12 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"linnetlift/internal/standin/machine"
 )
 
 // Arrival is one request that came.
@@ -29,21 +32,23 @@
 	ID, Addr string
 	Work     func(class string) time.Duration // how long a job runs; before Start
 
-	l      net.Listener
+	Engine *Engine // its inside
+
+	slots  int
 	server *http.Server
-	slots  chan struct{}
 
 	mu       sync.Mutex
 	arrivals []Arrival
 }
 
-// Start listens on a loopback port and runs so many jobs at once; others wait.
+// Start listens on a loopback port and runs so many jobs at once; others wait, in
+// order.
 func Start(id string, slots int, work func(class string) time.Duration) (*Worker, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	w := &Worker{ID: id, Addr: l.Addr().String(), Work: work, l: l, slots: make(chan struct{}, slots)}
+	w := &Worker{ID: id, Addr: l.Addr().String(), Work: work, slots: slots, Engine: NewEngine(machine.New(slots, 64*slots, 1))}
 	w.server = &http.Server{Handler: http.HandlerFunc(w.serve),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
 	go w.server.Serve(listener{l})
@@ -102,24 +107,31 @@
 	flush := http.NewResponseController(out).Flush
 	out.WriteHeader(http.StatusOK)
 	flush()
-	select {
-	case w.slots <- struct{}{}:
-	case <-q.Context().Done():
-		return
+	slots, err := strconv.Atoi(q.Header.Get("X-Slots"))
+	if err != nil {
+		slots = 1
 	}
-	defer func() { <-w.slots }()
-	fmt.Fprintf(out, "{\"id\":%q,\"from\":%q,\"state\":\"started\"}\n", id, w.ID)
-	flush()
-	t := time.NewTimer(w.Work(class))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-q.Context().Done():
-		return
+	number, news := w.Engine.Submit(slots, w.Work(class))
+	for {
+		var e machine.Event
+		select {
+		case e = <-news:
+		case <-q.Context().Done():
+			w.Engine.Cancel(number)
+			return
+		}
+		state := [...]string{"started", "done", "returned", "lost"}[e.Kind]
+		if e.Kind == machine.Done {
+			w.mu.Lock()
+			w.arrivals[place].Done = true
+			w.mu.Unlock()
+		}
+		free := w.Engine.Free()
+		fmt.Fprintf(out, "{\"id\":%q,\"from\":%q,\"state\":%q,\"result\":\"%s by %s\",\"load\":{\"util\":%.2f,\"eps\":0,\"x0\":%d}}\n",
+			id, w.ID, state, class, w.ID, float64(w.slots-free)/float64(w.slots), free)
+		if e.Kind != machine.Started {
+			return
+		}
+		flush()
 	}
-	w.mu.Lock()
-	w.arrivals[place].Done = true
-	w.mu.Unlock()
-	fmt.Fprintf(out, "{\"id\":%q,\"from\":%q,\"state\":\"done\",\"result\":\"%s by %s\",\"load\":{\"util\":%.2f,\"eps\":0,\"x0\":%d}}\n",
-		id, w.ID, class, w.ID, float64(len(w.slots))/float64(cap(w.slots)), cap(w.slots)-len(w.slots)+1)
 }
--- a/linnetlift.go
+++ b/linnetlift.go
@@ -14,6 +14,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"linnetlift/internal/room"
 )
 
 // RequestID names a request; the host never uses one twice.
@@ -107,9 +109,11 @@
 	FallMultiple float64       // more than this multiple of the present capacity
 	FallTime     time.Duration // for this time makes it fall over
 
-	CrossPrice float64 // price of one attempt crossing zones, in mean worths
-	WastePrice float64 // price of work that served nothing, in worths
-	LatePrice  float64 // price of ending unserved after the aim, in worths
+	CrossPrice float64        // price of one attempt crossing zones, in mean worths
+	WastePrice float64        // price of work that served nothing, in worths
+	Room       *room.Settings // by which room is held for large jobs; nil: none is
+
+	LatePrice float64 // price of ending unserved after the aim, in worths
 }
 
 // Validate reports settings no dispatcher can act on: no class, no dispatcher
@@ -135,9 +139,21 @@
 		s.ColdShare < 0 || s.ColdShare > 1 || s.ColdTime < 0 || s.FallMultiple < 0 || s.FallTime < 0 {
 		return errors.New("linnetlift: negative or impossible rule figures")
 	}
+	if s.Room != nil {
+		if err := s.Room.Check(); err != nil {
+			return fmt.Errorf("linnetlift: room: %w", err)
+		}
+	}
 	return nil
 }
 
+// RoomHeld is what is held for large jobs now, and what came of it since the start.
+type RoomHeld struct {
+	Reservations                           []room.Reservation // by the time at which they were made
+	Idle                                   float64            // part of the last minute's slot time left idle by them
+	Made, Kept, Lapsed, Backfilled, Denied int
+}
+
 // WorkerState is what the list says of a worker.
 type WorkerState uint8
 
@@ -276,6 +292,10 @@
 	// Recall takes in a Memory, before the first list. One that can't be read, or
 	// of another version, counts as none.
 	Recall(memory []byte)
+	// RoomHeld tells what is held for large jobs; nil where none may be.
+	RoomHeld() *RoomHeld
+	// ShareRoom bounds what may be held to a part, over 0 to 1, where several hold together.
+	ShareRoom(part float64)
 	// Timer answers a Wake.
 	Timer(now time.Duration, tag uint64, out Actions)
 }
--- a/state.go
+++ b/state.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"linnetlift/internal/room"
 )
 
 type attempt struct {
@@ -68,7 +70,7 @@
 	growAt      time.Duration
 	misses      int
 }
-type classStat struct{ work, seen float64 } // ln of the typical work
+type classStat struct{ work, seen, vary float64 } // ln of the typical work, evidence for it, and its variance
 type bucket struct {
 	tokens float64
 	at     time.Duration
@@ -117,15 +119,22 @@
 	gradient    float64 // of log pi for the open step
 	actor       *worker // whose threshold the open step used; nil: none
 	lastLog     time.Duration
+
+	room  *room.Plan // nil: no room is held
+	share float64    // part of its bounds that is this process's; 0: all
+	fleet float64    // slots of all listed workers
+	tight bool       // a large job is held: small ones go where they fit most tightly
 }
 
 func newDispatcher(s Settings, seed uint64) *dispatcher {
-	return &dispatcher{
+	d := &dispatcher{
 		Settings: s, rnd: rand.New(rand.NewPCG(seed, 0x6c696e6e65746c69)),
 		workers: map[WorkerID]*worker{}, requests: map[RequestID]*request{},
 		stats: map[string]*classStat{}, tenants: make([]bucket, len(s.Tenants)),
 		meanRun: math.Log(0.2), run: 200 * time.Millisecond, startDelay: [2]float64{0.01, 0.04},
 	}
+	d.setRoom()
+	return d
 }
 
 // ---- events that are only noted
@@ -164,11 +173,15 @@
 		}
 	}
 	d.Settings, d.tenants = s, buckets
+	d.setRoom()
 }
 
 func (d *dispatcher) end(r *request) {
 	r.ended = true
 	d.unhold(r)
+	if d.room != nil {
+		d.room.Forget(d.now, uint64(r.ID))
+	}
 	d.forget(r)
 }
 
@@ -186,6 +199,7 @@
 		a.w.own = max(a.w.own-r.Slots, 0)
 		a.w.ownMem = max(a.w.ownMem-r.Memory, 0)
 	}
+	d.unplan(a)
 	r.out--
 	r.pending = slices.DeleteFunc(r.pending, func(p *attempt) bool { return p == a })
 	last := d.out[len(d.out)-1]
@@ -226,7 +240,7 @@
 func (d *dispatcher) statOf(c *Class) *classStat {
 	s := d.stats[c.Name]
 	if s == nil {
-		s = &classStat{}
+		s = &classStat{vary: unknownVary}
 		d.stats[c.Name] = s
 	}
 	return s
@@ -266,6 +280,21 @@
 	}
 }
 
+// withinQuota takes one request from its tenant's own part of the quota.
+func (d *dispatcher) withinQuota(tenant int) bool {
+	if tenant < 0 || tenant >= len(d.tenants) || d.Tenants[tenant].Quota <= 0 {
+		return true
+	}
+	b, rate := &d.tenants[tenant], d.Tenants[tenant].Quota/float64(d.Dispatchers)
+	b.tokens = min(b.tokens+rate*(d.now-b.at).Seconds(), max(rate, 2))
+	b.at = d.now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
 // mix spreads an id over 64 bits (splitmix64's finish).
 func mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
@@ -283,6 +312,145 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// seeSlots takes in how many slots w seems to have. More than its kind was seen
+// to have counts once it comes up again and again: reports are noisy, and a start
+// may be heard of before the end that made room for it.
+func (d *dispatcher) seeSlots(w *worker, n float64) {
+	if k := d.kindOf(w); n > k.slots {
+		// Where few jobs pass, that would never be: there once is enough.
+		if k.more++; k.more >= sightings || d.sparse() {
+			k.slots, k.more = k.slots+1, 0
+		}
+	}
+}
+
+// ---- the plan of rooms: what it is told, and what it is asked
+
+// unknownVary is the variance of ln sizes taken until jobs have shown theirs.
+const unknownVary = 0.25
+
+// setRoom makes the plan, bounds it anew, or ends it, by the settings in force.
+func (d *dispatcher) setRoom() {
+	switch {
+	case d.Room == nil:
+		d.room, d.tight = nil, false
+	case d.room == nil:
+		d.room = room.New(*d.Room)
+		d.ShareRoom(d.share)
+		for _, a := range d.out {
+			d.plan(a)
+		}
+	default:
+		d.room.Settings = *d.Room
+	}
+}
+
+// plan notes an attempt's way at its worker, from its send or its start.
+func (d *dispatcher) plan(a *attempt) {
+	if d.room != nil && !a.orphan {
+		d.room.Start(a.began(), uint64(a.w.ID), uint64(a.r.ID), a.r.Slots, d.length(a.r, a.w))
+	}
+}
+
+func (d *dispatcher) unplan(a *attempt) {
+	if d.room != nil {
+		d.room.End(d.now, uint64(a.w.ID), uint64(a.r.ID))
+	}
+}
+
+// length is what is known of r's run time at w, warm.
+func (d *dispatcher) length(r *request, w *worker) room.Length {
+	return room.Length{LnMean: math.Log(d.expect(r, w)), Spread: math.Sqrt(r.stat.vary)}
+}
+
+// ramp is w's way from cold to warm.
+func (d *dispatcher) ramp(w *worker) room.Ramp {
+	if w.Launched == 0 {
+		return room.Ramp{}
+	}
+	return room.Ramp{Launched: w.Launched, Share: d.ColdShare, Time: d.ColdTime}
+}
+
+// capacity is how many slots of w are this dispatcher's to fill, as fits has it.
+func (d *dispatcher) capacity(w *worker) float64 {
+	if w.reportAt != 0 && d.now-w.reportAt < d.run {
+		return max(w.limit, w.free)
+	}
+	return max(w.limit, d.homeSlots(w))
+}
+
+// spare is how many of those are free.
+func (d *dispatcher) spare(w *worker) float64 { return d.capacity(w) - w.own }
+
+// clear tells that r would not delay what room is held for at w.
+func (d *dispatcher) clear(w *worker, r *request) bool {
+	return d.room == nil || d.room.Backfill(d.now, uint64(w.ID), uint64(r.ID), r.Slots, d.capacity(w), d.length(r, w), d.ramp(w))
+}
+
+// left tells that w is no longer listed; room held there is given up.
+func (d *dispatcher) left(w *worker) bool {
+	if !w.listed && d.room != nil {
+		d.room.Leave(d.now, uint64(w.ID))
+	}
+	return !w.listed
+}
+
+func (d *dispatcher) tidyRoom() {
+	if d.room != nil {
+		d.room.Tick(d.now, d.fleet)
+	}
+}
+
+func (d *dispatcher) RoomHeld() *RoomHeld {
+	if d.room == nil {
+		return nil
+	}
+	return &RoomHeld{Reservations: d.room.Reservations(), Idle: d.room.Idle(), Made: d.room.Made, Kept: d.room.Kept,
+		Lapsed: d.room.Lapsed, Backfilled: d.room.Backfilled, Denied: d.room.Denied}
+}
+
+func (d *dispatcher) ShareRoom(part float64) {
+	if d.share = part; d.room != nil && part > 0 {
+		d.room.Share(part)
+	}
+}
+
+// ---- the order of ranks, and the steps of the learner
+
+func (d *dispatcher) openStep() {
+	d.phi = d.features(d.phi[:0])
+	d.stepJobs = float64(len(d.held) + len(d.out))
+	d.stepAt, d.open = d.now, true
+}
+
+// features lists the non-zero entries of phi: held queue and slot shares, over 1+k.
+func (d *dispatcher) features(into []feature) []feature {
+	k := float64(1 + len(d.rank))
+	if n := len(d.held); n > 0 {
+		into = append(into, feature{nil, min(float64(n)/bufferSize, 1) / k})
+	}
+	for _, a := range d.out {
+		if w := a.w; w.listed {
+			into = append(into, feature{w, a.r.Slots / max(d.slots(w), w.own) / k})
+		}
+	}
+	return into
+}
+
+// reprice prices w and moves it to its place, mostly a step or two away.
+func (d *dispatcher) reprice(w *worker) {
+	if !w.listed {
+		return
+	}
+	d.price(w)
+	for w.pos > 0 && d.rank[w.pos-1].time > w.time {
+		d.swap(w.pos-1, w.pos)
+	}
+	for w.pos+1 < len(d.rank) && d.rank[w.pos+1].time < w.time {
+		d.swap(w.pos, w.pos+1)
+	}
+}
+
 // ---- what goes over to the dispatcher that takes over
 
 const memoryVersion = 1
@@ -343,7 +511,7 @@
 		d.kinds = append(d.kinds, kind{slow: k.Slow, seen: k.Seen, slots: k.Slots})
 	}
 	for name, s := range m.Classes {
-		d.stats[name] = &classStat{s[0], s[1]}
+		d.stats[name] = &classStat{work: s[0], seen: s[1], vary: unknownVary}
 	}
 	for id, m := range m.Workers {
 		w := d.know(id)
