Room for large jobs: nothing goes out on old reports while large jobs come

Cause, by following each late small job: every one of them had been queued at its worker, most of them sent on arrival. The worker was thought to have room by a report up to a second old, to which jobs sent since had been added back.

Change, where [room] is on, large jobs come and most slots are taken: no send on a report beyond what is counted, no growth past the slots seen, nothing sent to where it does not fit while a large job is due, room held 2 s ahead.

Ruled out: a larger budget, longer lives, EASY, earlier reservations alone.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -40,7 +40,7 @@
 	guessWeight  = 8.0                    // how much worse a guessed wait is than a known slow run
 	sightings    = 4                      // times a higher slot count must be seen
 	places       = 8                      // workers looked at for room for a large job
-	roomLead     = time.Second            // before the latest start, room is held from then on
+	roomLead     = 2 * time.Second        // before the latest start, room is held from then on
 	crowdedAt    = 0.6                    // part of the slots taken from which room is held
 	lots         = 2                      // draws for a job where shares are small
 	lookAhead    = 4                      // held jobs tried when the head fits nowhere
@@ -77,7 +77,7 @@
 	if !d.withinQuota(q.Tenant) {
 		r.worth *= d.OverShareWorth
 	}
-	d.requests[q.ID] = r
+	d.enlist(r)
 	d.hold(r)
 	d.decide(out)
 	// The next look at the held queue may come too late for a short-lived retry.
@@ -289,9 +289,9 @@
 	return best, at
 }
 
-// crowded tells that room is to be held where it is needed: most slots are taken.
+// crowded tells that room may be needed: most slots are taken, and large jobs come.
 func (d *dispatcher) crowded() bool {
-	return d.room != nil && !d.sparse() && d.room.Settled(d.now) &&
+	return d.room != nil && !d.sparse() && d.room.Settled(d.now) && d.now < d.largeUntil &&
 		d.room.Used() >= crowdedAt*d.fleet
 }
 
@@ -355,9 +355,10 @@
 			d.hold(r)
 			continue
 		}
-		// A job of several slots, sent to where it does not fit, would keep a queue waiting.
+		// Sent to where it does not fit, a large job would keep a queue waiting; so would any
+		// while one is due.
 		if d.now >= r.holdUntil && misfits < lookAhead && d.now >= d.forceAt &&
-			(r.Slots == 1 || !d.crowded()) {
+			(!d.crowded() || r.Slots == 1 && !d.tight) {
 			r.refusedBy = r.refusedBy[:0]
 			f := d.guess(r)
 			if f != nil && d.send(r, f, out) {
@@ -659,13 +660,14 @@
 }
 
 // fits tells whether w has room for r. Beyond the slot limit there is room where
-// a fresh report leaves a slot to spare for other dispatchers that saw it too.
+// a fresh report leaves a slot to spare for other dispatchers that saw it too; not
+// where room is held, since a report may be older than what was sent.
 func (d *dispatcher) fits(w *worker, r *request) bool {
 	if w.reportAt != 0 && d.now-w.reportAt < d.run {
 		spare := w.free - w.own - r.Slots
 		if spare < 0 || w.freeMem >= 0 && w.freeMem-w.ownMem < r.Memory {
 			return false
-		} else if spare >= 1 {
+		} else if spare >= 1 && !d.crowded() {
 			return true
 		}
 	}
@@ -748,7 +750,7 @@
 	if !d.TellsStart && len(d.LoadFields) == 0 {
 		d.seeSlots(w, w.own+freed)
 	}
-	if k := d.kindOf(w); d.now >= w.trialAt && (w.limit < k.slots || d.now >= k.growAt) {
+	if k := d.kindOf(w); d.now >= w.trialAt && (w.limit < k.slots || d.now >= k.growAt && !d.crowded()) {
 		w.limit++
 		w.misses /= 2
 	}
--- a/state.go
+++ b/state.go
@@ -120,10 +120,11 @@
 	actor       *worker // whose threshold the open step used; nil: none
 	lastLog     time.Duration
 
-	room  *room.Plan // nil: no room is held
-	share float64    // part of its bounds that is this process's; 0: all
-	fleet float64    // slots of all listed workers
-	tight bool       // a large job is held: small ones go where they fit most tightly
+	room       *room.Plan    // nil: no room is held
+	share      float64       // part of its bounds that is this process's; 0: all
+	fleet      float64       // slots of all listed workers
+	tight      bool          // a large job is due: small ones go where they fit most tightly
+	largeUntil time.Duration // up to when large jobs are reckoned with
 }
 
 func newDispatcher(s Settings, seed uint64) *dispatcher {
@@ -329,6 +330,17 @@
 // unknownVary is the variance of ln sizes taken until jobs have shown theirs.
 const unknownVary = 0.25
 
+// largeFor is how long after a large job another is reckoned with.
+const largeFor = 10 * time.Second
+
+// enlist takes a request in.
+func (d *dispatcher) enlist(r *request) {
+	d.requests[r.ID] = r
+	if d.room != nil && d.Room.IsLarge(r.Slots, d.work(r)/d.run.Seconds()) {
+		d.largeUntil = d.now + largeFor
+	}
+}
+
 // setRoom makes the plan, bounds it anew, or ends it, by the settings in force.
 func (d *dispatcher) setRoom() {
 	switch {
@@ -373,9 +385,6 @@
 
 // capacity is how many slots of w are this dispatcher's to fill, as fits has it.
 func (d *dispatcher) capacity(w *worker) float64 {
-	if w.reportAt != 0 && d.now-w.reportAt < d.run {
-		return max(w.limit, w.free)
-	}
 	return max(w.limit, d.homeSlots(w))
 }
 
