--- /dev/null
+++ b/internal/broker/room_test.go
@@ -0,0 +1,125 @@
+package broker
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"linnetlift"
+	"linnetlift/internal/room"
+	"linnetlift/internal/standin/machine"
+	"linnetlift/internal/standin/worker"
+)
+
+// Room is held through the broker, in virtual time, on stand-in workers: at half of
+// the bound while two processes share the dispatcher, none once new settings take it
+// away, and again when they give it back; whatever is held, no unsafe job runs twice.
+func TestRoomThroughTheBroker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := settings()
+		s.TellsStart, s.InOrder, s.Cancelling = true, true, true
+		s.Classes[0].Aim, s.Classes[1].Aim = 600*time.Millisecond, 4*time.Second
+		plan := room.Default()
+		plan.Most = 2
+		s.Room = &plan
+		b, err := New(s, 1, nil, func(string) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		engines := map[string]*worker.Engine{}
+		var list []Worker
+		for _, id := range []string{"a", "b", "c"} {
+			engines[id] = worker.NewEngine(machine.New(2, 16, 1))
+			list = append(list, Worker{ID: id, Addr: id, Weight: 1})
+		}
+		b.List(linnetlift.ListFull, list)
+		var twice atomic.Int64
+		do := func(class int, slots int, work time.Duration) Do {
+			runs := 0
+			return func(ctx context.Context, a *Attempt) Outcome {
+				e := engines[a.Addr]
+				id, news := e.Submit(slots, work)
+				for {
+					select {
+					case n := <-news:
+						switch n.Kind {
+						case machine.Started:
+							if runs++; runs > 1 && class == 0 {
+								twice.Add(1)
+							}
+							a.Started()
+						case machine.Done:
+							return Outcome{Code: OK}
+						case machine.Returned:
+							return Outcome{Code: Full}
+						default:
+							return Outcome{Code: Broken}
+						}
+					case <-ctx.Done():
+						e.Cancel(id)
+						return Outcome{Code: TimedOut}
+					}
+				}
+			}
+		}
+		var wg sync.WaitGroup
+		most := 0
+		// stretch plays some time: a stream of small jobs, and a large one now and then.
+		stretch := func(length time.Duration) {
+			most = 0
+			for began, n := time.Now(), 0; time.Since(began) < length; n++ {
+				class, slots, work := 0, 1, 300*time.Millisecond
+				if n%12 == 11 {
+					class, slots, work = 1, 2, 800*time.Millisecond
+				}
+				wg.Go(func() {
+					b.Serve(context.Background(), Request{Class: class, Deadline: time.Now().Add(5 * time.Second), Slots: float64(slots)},
+						do(class, slots, work))
+				})
+				time.Sleep(62 * time.Millisecond)
+				if held, err := b.RoomHeld(time.Second); err == nil {
+					most = max(most, len(held.Reservations))
+				}
+			}
+		}
+		stretch(15 * time.Second)
+		if most != plan.Most {
+			t.Errorf("room is held for %d jobs at once, want %d", most, plan.Most)
+		}
+		b.ShareRoom(0.5) // a second process has come
+		time.Sleep(plan.Longest)
+		if stretch(10 * time.Second); most != 1 {
+			t.Errorf("room is held for %d jobs by one of two processes, want 1", most)
+		}
+		off := s
+		off.Room = nil
+		if err := b.Retune(off); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+		if _, err := b.RoomHeld(time.Second); err == nil {
+			t.Error("room is held under settings without")
+		}
+		if stretch(3 * time.Second); most != 0 {
+			t.Errorf("room is held for %d jobs under settings without", most)
+		}
+		if err := b.Retune(s); err != nil {
+			t.Fatal(err)
+		}
+		if stretch(15 * time.Second); most != 1 { // still one of two processes
+			t.Errorf("room is held for %d jobs after it was given back, want 1", most)
+		}
+		wg.Wait()
+		if n := twice.Load(); n > 0 {
+			t.Errorf("%d unsafe jobs ran twice", n)
+		}
+		if held, err := b.RoomHeld(time.Second); err != nil || len(held.Reservations) > 0 {
+			t.Errorf("%+v is left, %v", held, err)
+		}
+		b.Close()
+		time.Sleep(time.Second)
+	})
+}
