Demo: longer jobs, so that every loan worker has work when one is taken out

Change: issue-loan runs 250 ms and package-file 700 ms in the demonstration, which keeps half of the slots busy.

--- a/lab/demo/main.go
+++ b/lab/demo/main.go
@@ -56,9 +56,9 @@
 	}
 	work := func(class string) time.Duration {
 		if class == "package-file" {
-			return 400 * time.Millisecond
+			return 700 * time.Millisecond
 		}
-		return 120 * time.Millisecond
+		return 250 * time.Millisecond
 	}
 	zone := ""
 	for i := 1; i <= 6; i++ {
