A backup serves a second after the others fail, not after three failed connects

Need: a test of backups took 15.6 s. Cause: the module sends little to a worker that failed a connect, so three failures in a row, which let the worse priority in, took some 30 jobs to come together; nothing was served meanwhile.

Change: one failed connect and a second without an answer will do as well. The test bounds the jobs that may fail at 12.

--- a/cmd/yardflow/sources_test.go
+++ b/cmd/yardflow/sources_test.go
@@ -66,6 +66,21 @@
 	}
 }
 
+// served hands in a job, which must go to that worker, and sees it answered.
+func (s *stage) served(id, worker string) *dispatch {
+	s.t.Helper()
+	s.step("client a sends", fmt.Sprintf(job, id))
+	d := s.arrival()
+	if addr := d.conn.LocalAddr().String(); addr != s.workers[worker] {
+		s.t.Errorf("went to %s, want %s at %s", addr, worker, s.workers[worker])
+	}
+	d.done(id)
+	if status, _ := s.clients["a"].answer(s.t); status != 200 {
+		s.t.Error("got", status)
+	}
+	return d
+}
+
 // slowWorker listens with no room for a connection: the next connect waits until
 // free is called.
 func (s *stage) slowWorker() (addr string, free func()) {
@@ -141,25 +156,11 @@
 	s.zone(d, 0, "s-1")
 	s.step("list", "")
 	s.until("worker s-1", "serving")
-	s.step("client a sends", fmt.Sprintf(job, "r1"))
-	first := s.arrival()
-	s.dispatches["A"] = first
-	first.done("r1")
-	if status, _ := s.clients["a"].answer(t); status != 200 {
-		t.Fatal("got", status)
-	}
+	s.dispatches["A"] = s.served("r1", "s-1")
 	s.zone(d, 0, "s-1="+s.worker("elsewhere"))
 	s.until("worker s-1", s.workers["elsewhere"])
 	s.step("dispatch A sees close", "")
-	s.step("client a sends", fmt.Sprintf(job, "r2"))
-	second := s.arrival()
-	if got := second.conn.LocalAddr().String(); got != s.workers["elsewhere"] {
-		t.Error("went to", got)
-	}
-	second.done("r2")
-	if status, _ := s.clients["a"].answer(t); status != 200 {
-		t.Error("got", status)
-	}
+	s.served("r2", "elsewhere")
 }
 
 // The resolver falls silent, the process is upgraded, and the next one goes on
@@ -187,15 +188,7 @@
 	if n := s.node.broker.Stats(); n.Ready != 1 {
 		t.Errorf("%+v", n)
 	}
-	s.step("client a sends", fmt.Sprintf(job, "r1"))
-	got := s.arrival()
-	if addr := got.conn.LocalAddr().String(); addr != s.workers["s-3"] {
-		t.Error("went to", addr)
-	}
-	got.done("r1")
-	if status, _ := s.clients["a"].answer(t); status != 200 {
-		t.Error("got", status)
-	}
+	s.served("r1", "s-3")
 }
 
 // The operator's file takes effect at SIGHUP, whole or not at all.
@@ -252,7 +245,7 @@
 			s.until("worker loans/two", "serving")
 			return
 		case got := <-status:
-			if n > 50 {
+			if n > 12 { // at half a second each
 				t.Fatal("the backup never serves; got", got)
 			}
 		}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -19,8 +19,10 @@
 //     drains (rosters) are never held.
 //   - Workers of a worse priority are listed while no worker of a better one in the
 //     same pool can serve: none is listed as serving, or every one of them has
-//     failed FailAfter connects in a row and answered nothing since. They leave
-//     once one of the better has been able to serve for BackupSettle.
+//     failed FailAfter connects in a row, or one connect FailFor ago, and answered
+//     nothing since (one that fails is soon sent little, so that a count alone
+//     would take long). They leave once one of the better has been able to serve
+//     for BackupSettle.
 //   - An id is one worker. Two workers that claim one id are a fault; the one that
 //     claimed it first keeps it, and the other is not listed.
 //
@@ -207,10 +209,20 @@
 	voices []*voice
 	by     map[string]*voice
 	banned map[string]bool
-	fails  map[string]int       // connects failed in a row, by the worker's id
+	fails  map[string]failing   // by the worker's id
 	open   map[string]*openness // by pool
 }
 
+// FailFor is how long after one failed connect without an answer since a worker
+// counts as unable to serve.
+const FailFor = time.Second
+
+// failing is a row of failed connects.
+type failing struct {
+	n     int
+	since time.Time // the first of them
+}
+
 // openness is the hysteresis of one pool's priorities.
 type openness struct {
 	upTo int       // worst priority that is listed
@@ -219,7 +231,7 @@
 
 // New makes an empty book. The settings must be sound.
 func New(cfg Config) (*Book, error) {
-	b := &Book{banned: map[string]bool{}, fails: map[string]int{}, open: map[string]*openness{}, by: map[string]*voice{}}
+	b := &Book{banned: map[string]bool{}, fails: map[string]failing{}, open: map[string]*openness{}, by: map[string]*voice{}}
 	return b, b.Configure(cfg)
 }
 
@@ -402,18 +414,23 @@
 }
 
 // Heard notes how a connect to the worker of that id ended. It tells whether the
-// list may have changed by it.
-func (b *Book) Heard(id string, answered bool) (changed bool) {
-	n := b.fails[id]
+// list may have changed by it, or will.
+func (b *Book) Heard(now time.Time, id string, answered bool) (changed bool) {
+	f := b.fails[id]
 	switch {
 	case !answered:
-		b.fails[id] = min(n+1, b.cfg.FailAfter)
-		return n+1 == b.cfg.FailAfter
-	case n > 0:
+		if f.n++; f.n == 1 {
+			f.since = now
+		}
+		f.n = min(f.n, b.cfg.FailAfter+1)
+		b.fails[id] = f
+		return f.n == 1 || f.n == b.cfg.FailAfter
+	case f.n > 0:
 		delete(b.fails, id)
-		return n >= b.cfg.FailAfter
+		return true
 	}
 	return false
 }
 
-func (b *Book) down(id string) bool { return b.fails[id] >= b.cfg.FailAfter }
+// down tells that so many connects failed in a row that the worker is gone.
+func (b *Book) down(id string) bool { return b.fails[id].n >= b.cfg.FailAfter }
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -216,7 +216,7 @@
 	}
 	s.reason(2, "b", "held")
 	for range 3 {
-		s.b.Heard("b", false)
+		s.b.Heard(at(2.5), "b", false)
 	}
 	s.list(3, "a serving, c serving") // b answers no more
 	s.tell(4, Roster, false, Worker{ID: "a", State: Gone})
@@ -244,19 +244,28 @@
 	s.reason(0, "c", "standby: priority 1")
 	for _, id := range []string{"a", "b"} {
 		for range 3 {
-			s.b.Heard(id, false)
+			s.b.Heard(at(0.5), id, false)
 		}
 	}
 	s.list(1, "a serving, b serving, c serving")
-	if s.b.Heard("b", true) != true {
+	if !s.b.Heard(at(2), "b", true) {
 		t.Error("b's answer changes nothing")
 	}
 	if l := s.list(2, "a serving, b serving, c serving"); !l.Next.Equal(at(10)) && !l.Next.Equal(at(12)) {
 		t.Error("looks again at", l.Next)
 	}
 	s.list(12, "a serving, b serving, c draining")
+	// One failed connect and nothing since is enough, after a while; an answer ends it.
+	s.b.Heard(at(13), "b", false)
+	if l := s.list(13.9, "a serving, b serving, c draining"); !l.Next.Equal(at(14)) {
+		t.Error("looks again at", l.Next)
+	}
+	s.list(14, "a serving, b serving, c serving")
+	s.b.Heard(at(15), "b", true)
+	s.list(15, "a serving, b serving, c serving")
+	s.list(25, "a serving, b serving, c draining")
 	s.b.Ban([]string{"a", "b"}) // taken out by whatever word: not able to serve
-	s.list(13, "a draining, b draining, c serving")
+	s.list(26, "a draining, b draining, c serving")
 }
 
 func TestRuleAll(t *testing.T) {
@@ -367,7 +376,7 @@
 					facts = append(facts, fact{source, func(b *Book) { b.Ban(some) }})
 				case "answers":
 					id, ok := rapid.SampledFrom(hosts).Draw(t, "id"), rapid.Bool().Draw(t, "answered")
-					facts = append(facts, fact{source, func(b *Book) { b.Heard(id, ok) }})
+					facts = append(facts, fact{source, func(b *Book) { b.Heard(now, id, ok) }})
 				default:
 					if rapid.IntRange(0, 4).Draw(t, "silent") == 0 {
 						facts = append(facts, fact{source, func(b *Book) { b.Silent(now, source, true) }})
@@ -411,9 +420,15 @@
 				}
 			}
 			switch rapid.IntRange(0, 5).Draw(t, "then") {
-			case 0: // a reload with the same settings
-				if err := one.Configure(cfg); err != nil {
-					t.Fatal(err)
+			case 0: // a reload: another rule, and a source that goes and may come back
+				cfg = shop(rapid.SampledFrom([]Rule{RosterVetoes, Any, All}).Draw(t, "rule after"))
+				if rapid.Bool().Draw(t, "without a source") {
+					cfg.Sources = cfg.Sources[:2]
+				}
+				for _, b := range []*Book{one, two} {
+					if err := b.Configure(cfg); err != nil {
+						t.Fatal(err)
+					}
 				}
 			case 1: // an upgrade
 				text, err := one.State()
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -330,6 +330,18 @@
 	})
 }
 
+// unable tells that a worker can't serve: it is down, or failed a while ago and has
+// not answered since.
+func (m *merging) unable(id string) bool {
+	f := m.b.fails[id]
+	if f.n == 0 || m.b.down(id) {
+		return f.n > 0
+	}
+	end := f.since.Add(FailFor)
+	m.again(end)
+	return !m.now.Before(end)
+}
+
 // priorities puts on standby whom a better priority of the pool makes needless.
 func (m *merging) priorities() {
 	levels := map[string]map[int]bool{} // by pool: whether a priority can serve
@@ -337,7 +349,7 @@
 		if levels[e.pool] == nil {
 			levels[e.pool] = map[int]bool{}
 		}
-		able := e.State == Serving && !m.b.down(e.ID)
+		able := e.State == Serving && !m.unable(e.ID)
 		levels[e.pool][e.Priority] = levels[e.pool][e.Priority] || able
 	}
 	maps.DeleteFunc(m.b.open, func(pool string, _ *openness) bool { return levels[pool] == nil })
--- a/internal/sources/sources.go
+++ b/internal/sources/sources.go
@@ -366,7 +366,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.book.Heard(worker, answered) && !s.closed {
+	if s.book.Heard(time.Now(), worker, answered) && !s.closed {
 		s.due()
 	}
 }
