--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 .PHONY: build test lint run check clean demo fuzz prove-room prove-srv
 
 # HTTP/2 is spoken on no side, and its code would lie in memory all the same.
+# Linked dynamically against the C library, as deploy/balancer.toml does.
 build:
-	mkdir -p bin && go build -tags nethttpomithttp2 -o bin/ ./cmd/...
+	mkdir -p bin && CGO_ENABLED=1 go build -tags nethttpomithttp2 -ldflags=-linkmode=external -o bin/ ./cmd/...
 
 lint:
 	@test -z "$$(gofmt -l .)" || { echo "gofmt is due:"; gofmt -l .; exit 1; }
--- a/deploy/check.sh
+++ b/deploy/check.sh
@@ -1,8 +1,11 @@
 #!/bin/sh
 # Starts what was built, as the platform would: the real program takes its
 # configuration, serves its health check and stops on SIGTERM; the adapter ends
-# with its input; a faulty configuration is named by its key.
+# with its input; a faulty configuration is named by its key. The real program is
+# linked dynamically against the C library: where the platform loads a library of
+# its own into the process, a static one would go past it unseen.
 set -eu
+readelf -d bin/yardflow | grep -q 'NEEDED.*libc\.so' || { echo "bin/yardflow is not linked dynamically against the C library"; exit 1; }
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
 printf '{"name":"n0","seed":"01","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":%s}' \
