Many dispatchers choose by the waits of their own jobs; list calls by what one costs

And with 16 calls a second to a discovery that does 11, all calls failed from the 18th second on: 393 failed, none answered in the last 13 s (table.go, pause: nothing was left after a failed call, and a fixed 4.8 s after others).

Change: package estimate keeps what own jobs waited at a worker, fading into the usual wait; the lot goes where that is least, by odds among equals. Package cadence spaces calls by what an answered one took, times the dispatchers, and doubles after a failure. Both are pure.

--- a/cmd/yardflow/main.go
+++ b/cmd/yardflow/main.go
@@ -246,6 +246,9 @@
 	if n.broker, err = broker.New(cfg.Module, cfg.Seed, contracts, logLine); err != nil {
 		return nil, err
 	}
+	if cfg.Trace {
+		n.broker.Trace(logLine)
+	}
 	if n.bans, err = handover.OpenBans(dir, cfg.Name); err != nil {
 		return nil, err
 	}
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -42,7 +42,9 @@
 	places       = 8                      // workers looked at for room for a large job
 	roomLead     = 2 * time.Second        // before the latest start, room is held from then on
 	crowdedAt    = 0.6                    // part of the slots taken from which room is held
-	lots         = 2                      // draws for a job where shares are small
+	lotPower     = 1.3                    // of speed, in the odds of a lot
+	lotRange     = 0.02                   // waits (s) so close are drawn among; shorter ones are none
+	lotOwn       = 1.0                    // wait (s) that own jobs in all slots of a worker stand for
 	lookAhead    = 4                      // held jobs tried when the head fits nowhere
 	overtake     = 400 * time.Millisecond // connecting may delay a job so long against a later one
 	failWeight   = 0.15                   // error share that one failure tells of
@@ -132,6 +134,8 @@
 			// A low quantile: a mean would take waiting at the workers for the
 			// ordinary delay and stop seeing it just when every worker is full.
 			delay, typical := (now - a.sent).Seconds(), &d.startDelay[zoneIndex(a.w)]
+			a.w.wait.See(now, delay)
+			d.usual.See(delay)
 			if delay < *typical {
 				*typical += 0.2 * (delay - *typical)
 			} else {
@@ -298,35 +302,30 @@
 // sparse tells that this dispatcher's share is less than one worker.
 func (d *dispatcher) sparse() bool { return d.Dispatchers > len(d.rank) }
 
-// lot draws the worker for r where shares are too small for counting slots: too
-// few jobs pass here to know who has room. By slots, speed, warmth and health, so
-// that all dispatchers together send each worker its part. Only one that is known
-// to be busy is drawn anew: choosing the faster of two would overload the fast.
+// lot draws the worker for r where shares are too small for counting slots: too few
+// jobs pass here to know who has room. Where the last jobs had the least wait this
+// one should; among equals by slots and speed, so that all dispatchers together send
+// each its part. Not by when r would end: all would then rush the fastest first.
 func (d *dispatcher) lot(r *request) (best *worker) {
-	all := 0.0
-	open := func(w *worker) bool { return d.now >= w.trialAt && d.able(w, r) && d.mayStart(w, r) }
+	least := math.Inf(1)
 	for _, w := range d.rank {
-		if open(w) {
-			all += d.slots(w) / (w.time * w.time)
+		if d.now < w.trialAt || !d.able(w, r) || !d.mayStart(w, r) {
+			continue
 		}
-	}
-	for range lots {
-		at := d.rnd.Float64() * all
-		for _, w := range d.rank {
-			if !open(w) {
-				continue
-			}
-			if at -= d.slots(w) / (w.time * w.time); at < 0 {
-				if best == nil || d.wait(w, r) < d.wait(best, r) {
-					best = w
-				}
-				break
-			}
+		tie := lotRange * d.rnd.ExpFloat64() / (d.slots(w) * math.Pow(d.rate(w), lotPower))
+		wait := max(w.wait.Now(d.now, &d.usual), lotRange) + lotOwn*w.own/d.slots(w) + tie
+		if wait < least {
+			best, least = w, wait
 		}
 	}
 	return best
 }
 
+// rate is the speed of w as it is now, against a worker of slowness 0.
+func (d *dispatcher) rate(w *worker) float64 {
+	return d.warmth(w) * math.Exp(-d.kindOf(w).slow-w.slow-w.late-3*w.bad)
+}
+
 // able tells whether w may be given r at all, room aside.
 func (d *dispatcher) able(w *worker, r *request) bool {
 	switch {
@@ -677,9 +676,8 @@
 	return w.own+r.Slots <= w.limit || w.own == 0 && w.limit >= 1
 }
 
-// guess picks for a job that can be held no longer the worker where it should
-// end first by what is known, room or not: a report fades into the worker's
-// average, and one that lately refused or kept a job waiting counts as busy.
+// guess picks for a job that can be held no longer the worker where it should end first by what
+// is known, room or not: a report fades into the worker's average, and trialAt counts as busy.
 func (d *dispatcher) guess(r *request) *worker {
 	var best *worker
 	least := math.Inf(1)
@@ -789,6 +787,9 @@
 	if a.orphan {
 		return
 	}
+	if a.started == 0 {
+		w.wait.AtLeast(d.now, (d.now - a.sent).Seconds(), &d.usual)
+	}
 	if d.TellsStart && a.started == 0 && !a.late &&
 		(d.now-a.sent).Seconds() > 3*d.startDelay[zoneIndex(w)]+(2*d.Round).Seconds()+0.01 {
 		a.late = true
@@ -819,8 +820,7 @@
 
 // lost tells that no more is to be heard of a, and that its worker is not to
 // blame: in strict order a job sent well after it could not have started first,
-// and a run very far past what is expected, while later ones end well, is a stream that
-// stopped. One silent connection must not leave a sound worker out.
+// and a run very far past what is expected, while later ones end well, is a stream that stopped.
 func (d *dispatcher) lost(a *attempt) bool {
 	if a.started == 0 {
 		return d.InOrder && d.TellsStart && a.w.startSent > a.sent+overtake
@@ -895,7 +895,7 @@
 	}
 	share := w.home
 	if d.sparse() {
-		share = 1.5 / float64(d.Dispatchers) // by lot all may send there; few jobs are there to do it
+		share = 1.5 / float64(d.Dispatchers) // by lot all may send there
 	}
 	cost := r.Slots * d.expect(r, w)
 	bears := d.FallMultiple * d.warmth(w) * d.slots(w)
@@ -968,6 +968,7 @@
 	if restarted {
 		w.slow, w.seen, w.bad, w.late, w.limit = 0, 0, 0, 0, 0
 		w.trialAt, w.misses, w.reportAt = 0, 0, 0 // what its last life was blamed for
+		w.wait.Forget()
 	}
 	w.Worker = l
 	if w.stamp, w.Kind = d.listStamp, max(l.Kind, 0); w.Weight <= 0 {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -111,9 +111,17 @@
 
 func (a *Attempt) note(kind linnetlift.NoteKind, share float64) {
 	n := linnetlift.Note{ID: a.s.id, Attempt: a.N, Worker: a.id, Kind: kind, Share: share}
+	a.s.b.Tracef("note %d n=%d to=%s kind=%d share=%.2f", a.s.id, a.N, a.Worker, kind, share)
 	a.s.b.post(func(now time.Duration, out linnetlift.Actions) { a.s.b.module.Note(now, n, out) })
 }
 
+// Tracef writes a line on this attempt where lines are wanted.
+func (a *Attempt) Tracef(format string, args ...any) {
+	if a.s != nil && a.s.b.trace != nil {
+		a.s.b.trace(fmt.Sprintf("try %d n=%d ", a.s.id, a.N) + fmt.Sprintf(format, args...))
+	}
+}
+
 // Allowed tells whether the worker may still be sent new work. A front asks
 // again once its connection is up: connecting takes time, and what the list
 // has told meanwhile counts. One that is reached elsewhere now may not: at the old
@@ -166,6 +174,7 @@
 	log      func(string)
 	budgets  map[string]*budget
 	observe  func(worker string, code Code) // nil: nobody wants to know
+	trace    func(line string)              // nil: off
 
 	anchor     time.Time // with its monotonic reading: the clock never runs back
 	anchorUnix time.Duration
@@ -447,6 +456,11 @@
 	}
 	b.hand(form, list)
 	b.mu.Unlock()
+	if b.trace != nil {
+		for _, w := range workers {
+			b.Tracef("list form=%d %s state=%d started=%d zone=%d kind=%d cell=%d", form, w.ID, w.State, max(w.Started.UnixMilli(), 0), w.Zone, w.Kind, w.Cell)
+		}
+	}
 }
 
 // hand queues a list for the module. The caller holds mu: lists reach the module
@@ -509,6 +523,17 @@
 	}
 }
 
+// Trace sets who is told, a line each, what came in and what was decided: lab/fleet
+// counts it over a whole fleet. Before any request.
+func (b *Broker) Trace(f func(line string)) { b.trace = f }
+
+// Tracef writes a line where lines are wanted.
+func (b *Broker) Tracef(format string, args ...any) {
+	if b.trace != nil {
+		b.trace(fmt.Sprintf(format, args...))
+	}
+}
+
 // Observe sets who is told how each attempt at a worker ended. Before any request.
 func (b *Broker) Observe(f func(worker string, code Code)) { b.observe = f }
 
@@ -565,6 +590,7 @@
 	}
 	s := b.arrive(q)
 	defer s.leave()
+	b.Tracef("arrive %d class=%d left=%.3f retry=%t", s.id, q.Class, time.Until(q.Deadline).Seconds(), q.Retry)
 	ctx, stop := context.WithDeadline(ctx, q.Deadline.Add(-Margin))
 	defer stop()
 	ctx, cut := context.WithCancelCause(ctx)
@@ -574,6 +600,7 @@
 		d := s.pick(ctx)
 		if !d.send {
 			d.answer.Late = d.answer.Late || late
+			b.Tracef("answer %d verdict=%d", s.id, d.answer.Verdict)
 			return s.check(d.answer)
 		}
 		a := &Attempt{N: s.attempts, s: s, id: d.worker}
@@ -582,7 +609,9 @@
 			a.Worker, a.Addr = p.name, p.addr
 		}
 		b.mu.Unlock()
+		b.Tracef("send %d n=%d to=%s", s.id, a.N, a.Worker)
 		o := s.try(ctx, a, d, do)
+		b.Tracef("end %d n=%d to=%s code=%d load=%v", s.id, a.N, a.Worker, o.Code, o.Load)
 		if b.observe != nil {
 			b.observe(a.Worker, o.Code)
 		}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -41,6 +41,7 @@
 	SSE        SSE
 	Membership Membership
 	SRV        []SRV
+	Trace      bool     // write a line for all that comes in and is decided
 	Notices    []string // what an operator should know of how it was read
 
 	file any // the file as read, by key
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -71,7 +71,10 @@
 	SSE        *SSE        `toml:"sse"`
 	Membership *Membership `toml:"membership"`
 	Room       Room        `toml:"room"`
-	Source     struct {
+	Log        struct {
+		Trace bool `toml:"trace"`
+	} `toml:"log"`
+	Source struct {
 		SRV []SRV `toml:"srv"`
 	} `toml:"source"`
 }
@@ -109,7 +112,7 @@
 	text, err := os.ReadFile(path)
 	if err == nil {
 		err = c.decode(text, &in, func() error {
-			c.SSE, c.SRV = *in.SSE, in.Source.SRV
+			c.SSE, c.SRV, c.Trace = *in.SSE, in.Source.SRV, in.Log.Trace
 			if err := c.holdRoom(in.Room); err != nil {
 				return err
 			}
--- /dev/null
+++ b/internal/estimate/estimate.go
@@ -0,0 +1,58 @@
+// Package estimate keeps what one dispatcher of many can know of how long a job would
+// wait at a worker. It meets each worker seldom, so a report of free slots is long out
+// of date when it is used; but a queue that has built up stays for some seconds, and
+// how long the last job waited there tells of it. What is known fades into what is
+// common to the fleet, which all of this dispatcher's jobs together tell.
+//
+// It owns these figures. It has no clock and no randomness, and it must never choose.
+package estimate
+
+import (
+	"math"
+	"time"
+)
+
+// Fade is the time in which what is known of one worker's queue fades to a third.
+const Fade = 5 * time.Second
+
+// Common is the wait that is usual in the fleet, in seconds.
+type Common struct{ mean, seen float64 }
+
+// commonMemory is how many jobs the usual wait is taken over.
+const commonMemory = 40
+
+// See takes in one wait, in seconds.
+func (c *Common) See(wait float64) {
+	c.seen = min(c.seen+1, commonMemory)
+	c.mean += (wait - c.mean) / c.seen
+}
+
+// Mean is the usual wait in seconds; 0 before any was seen.
+func (c *Common) Mean() float64 { return c.mean }
+
+// Wait is what is known of one worker; the zero value knows nothing.
+type Wait struct {
+	last float64       // seconds
+	at   time.Duration // when it held; 0: never seen
+}
+
+// See takes in how long a job waited, or what a report tells of waiting now.
+func (w *Wait) See(now time.Duration, wait float64) { w.last, w.at = wait, now }
+
+// AtLeast takes in that a job has waited so long already.
+func (w *Wait) AtLeast(now time.Duration, wait float64, c *Common) {
+	if wait > w.Now(now, c) {
+		w.last, w.at = wait, now
+	}
+}
+
+// Forget forgets: the worker has started anew.
+func (w *Wait) Forget() { *w = Wait{} }
+
+// Now is the wait that is expected, in seconds.
+func (w *Wait) Now(now time.Duration, c *Common) float64 {
+	if w.at == 0 {
+		return c.mean
+	}
+	return c.mean + (w.last-c.mean)*math.Exp(-float64(now-w.at)/float64(Fade))
+}
--- /dev/null
+++ b/internal/estimate/estimate_test.go
@@ -0,0 +1,39 @@
+package estimate
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+func TestWhatIsSeenFadesIntoWhatIsUsual(t *testing.T) {
+	var c Common
+	var w Wait
+	if w.Now(time.Second, &c) != 0 {
+		t.Error("a wait is expected before any was seen")
+	}
+	for range 100 {
+		c.See(0.3)
+	}
+	if got := w.Now(time.Second, &c); math.Abs(got-0.3) > 1e-9 {
+		t.Errorf("an unknown worker: %v, want the usual 0.3", got)
+	}
+	w.See(10*time.Second, 2.3)
+	for after, want := range map[time.Duration]float64{0: 2.3, Fade: 0.3 + 2/math.E, 20 * Fade: 0.3} {
+		if got := w.Now(10*time.Second+after, &c); math.Abs(got-want) > 1e-6 {
+			t.Errorf("%v later: %v, want %v", after, got, want)
+		}
+	}
+	w.AtLeast(11*time.Second, 1, &c) // a job sent later that waits less: the earlier word stands
+	if got := w.Now(11*time.Second, &c); got < 1.5 {
+		t.Errorf("a shorter wait that is not over yet has taken a longer one's place: %v", got)
+	}
+	w.AtLeast(11*time.Second, 4, &c)
+	if got := w.Now(11*time.Second, &c); got != 4 {
+		t.Errorf("a job that has waited 4 s already: %v", got)
+	}
+	w.Forget()
+	if got := w.Now(11*time.Second, &c); math.Abs(got-0.3) > 1e-9 {
+		t.Errorf("a worker that started anew: %v", got)
+	}
+}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -324,20 +324,3 @@
 		})
 	}
 }
-
-// Few dispatchers carry a watch on at once, many leave each other time; none does
-// after a failed call, since its news counts as told whether it came or not.
-func TestManyDispatchersSpaceTheirCalls(t *testing.T) {
-	for range 100 {
-		for _, c := range []struct {
-			dispatchers   int
-			called, again bool
-			least, most   time.Duration
-		}{{3, false, true, 0, 0}, {3, true, false, 0, 0}, {36, true, true, 0, 0}, {36, false, true, 0, 4500 * time.Millisecond},
-			{36, true, false, 3600 * time.Millisecond, 5400 * time.Millisecond}, {48, true, false, 3840 * time.Millisecond, 5760 * time.Millisecond}} {
-			if got := pause(c.dispatchers, c.called, c.again); got < c.least || got > c.most {
-				t.Fatalf("%+v: %v", c, got)
-			}
-		}
-	}
-}
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -20,6 +20,7 @@
 
 	"linnetlift"
 	"linnetlift/internal/broker"
+	"linnetlift/internal/cadence"
 	"linnetlift/internal/config"
 	"linnetlift/internal/membership"
 )
@@ -156,7 +157,9 @@
 func (t *Table) Run(ctx context.Context) {
 	on := t.source()
 	context.AfterFunc(ctx, func() { t.source().end() })
-	told, called := false, false
+	told := false
+	var pace cadence.Cadence
+	pause := pace.First(t.dispatchers(), rand.Float64())
 	for ask := true; ctx.Err() == nil; {
 		if ask && t.broker.AwaitAsk(on.ctx) != nil && on.ctx.Err() == nil {
 			return // the broker is closed
@@ -170,18 +173,21 @@
 			}
 		}
 		select {
-		case <-time.After(pause(t.live.Get().Module.Dispatchers, called, ask)):
+		case <-time.After(pause):
 		case <-on.ctx.Done():
 		}
-		called = true
+		t.broker.Tracef("ask since=%d known=%t", t.generation, t.known)
+		began := time.Now()
 		reply, err := t.call(on)
+		t.broker.Tracef("asked err=%v", err)
 		switch {
 		case on.ctx.Err() != nil:
 			ask = false // replaced meanwhile: whatever came is the old source's word
+			pause = pace.First(t.dispatchers(), rand.Float64())
 		case err != nil:
 			t.log("server table: " + err.Error())
 			t.tell(linnetlift.ListFailed, nil)
-			ask = true
+			ask, pause = true, pace.Failed(t.dispatchers(), rand.Float64())
 		default:
 			form := linnetlift.ListDelta
 			if reply.Reset || !t.known {
@@ -194,44 +200,24 @@
 			}
 			t.note(*reply, form == linnetlift.ListFull)
 			t.tell(form, members(reply.Instances))
-			ask = false
+			ask, pause = false, pace.Told(t.dispatchers(), time.Since(began), rand.Float64())
 		}
 	}
 }
 
 // A watch that is carried on at once is answered at every change, to every
-// dispatcher. Past a few of them that is more than discovery can serve: calls
-// wait in turn until they fail, and the list grows old for all. So each leaves
-// perCall for each of the others before it goes on, and one watch waits longer,
-// since each that ends with nothing costs discovery as much as one with news.
-const (
-	fewCalls  = 6 // dispatchers that need not wait
-	perCall   = 150 * time.Millisecond
-	longSpace = 4800 * time.Millisecond
-	manyWait  = 20 * time.Second
-)
-
-func (t *Table) many() bool { return t.live.Get().Module.Dispatchers > fewCalls }
+// dispatcher. Past a few of them that is more than discovery can serve: each leaves
+// the others their time (package cadence), and one watch waits longer, since each
+// that ends with nothing costs discovery as much as one with news.
+const manyWait = 20 * time.Second
 
-// pause leaves the others their time before a call. After a failed one there is
-// none to leave: what it had to tell counts as told all the same, 2 s after its
-// wait would have ended, and the module has waited its own time before it asked.
-func pause(dispatchers int, called, again bool) time.Duration {
-	if dispatchers <= fewCalls || called && again {
-		return 0
-	}
-	all := min(time.Duration(dispatchers-fewCalls)*perCall, longSpace)
-	if !called {
-		return rand.N(all + 1) // they may all have started together
-	}
-	return all*4/5 + rand.N(all*2/5+1)
-}
+func (t *Table) dispatchers() int { return t.live.Get().Module.Dispatchers }
 
 func (t *Table) call(on *source) (*tableReply, error) {
 	url, limit := "http://"+on.addr+"/v1/servers", listWait
 	if t.known {
 		wait := watchWait
-		if t.many() {
+		if t.dispatchers() > cadence.Few {
 			wait = manyWait
 		}
 		url += fmt.Sprintf("?since=%d&timeout_ms=%d", t.generation, wait.Milliseconds())
--- a/internal/standin/day/day.go
+++ b/internal/standin/day/day.go
@@ -195,7 +195,7 @@
 	}
 	for i := range cfg.Dispatchers {
 		own := s
-		own.Me = i
+		own.Me = i % s.Dispatchers // the number told may be wrong
 		m, err := linnetlift.New(own, cfg.Seed*1000+uint64(i))
 		if err != nil {
 			return nil, err
--- /dev/null
+++ b/internal/standin/day/fleet_test.go
@@ -0,0 +1,60 @@
+package day
+
+import (
+	"testing"
+	"time"
+
+	"linnetlift"
+)
+
+// fleet is a day of many dispatchers that each meet every worker seldom.
+func fleet(seed uint64, dispatchers, workers int) Config {
+	cfg := busy(seed, nil)
+	cfg.Dispatchers, cfg.Workers, cfg.Load = dispatchers, workers, 0.72
+	cfg.Slots, cfg.Speeds = []int{2, 3}, []float64{1.5, 0.9}
+	for i := range cfg.Classes {
+		cfg.Classes[i].Slots, cfg.Classes[i].Sigma = 1, 0.9
+	}
+	return cfg
+}
+
+// share is the mean part of the worth that is served in time on some seeds.
+func share(t *testing.T, seeds uint64, cfg func(seed uint64) Config) float64 {
+	t.Helper()
+	sum := 0.0
+	for seed := range seeds {
+		sum += play(t, cfg(seed+1)).Worth()
+	}
+	t.Logf("%.3f", sum/float64(seeds))
+	return sum / float64(seeds)
+}
+
+// Eighty dispatchers that draw by size and speed alone serve 0.86 here (0.83 with slow ones), since a
+// queue that has built up stays and each of them goes on adding to it. What the own
+// jobs have waited tells where not to send, also where a few workers turn slow.
+func TestManyDispatchersLearnFromTheWaitsOfTheirOwnJobs(t *testing.T) {
+	if got := share(t, 3, func(seed uint64) Config { return fleet(seed, 80, 60) }); got < 0.885 {
+		t.Errorf("calm: %.3f of the worth is served in time", got)
+	}
+	slow := func(seed uint64) Config {
+		cfg := fleet(seed, 80, 60)
+		for i := range 7 {
+			cfg.Faults = append(cfg.Faults, Fault{At: 4 * time.Second, Worker: 8 * i, Do: "slow", Factor: 6},
+				Fault{At: 14 * time.Second, Worker: 8 * i, Do: "back"})
+		}
+		return cfg
+	}
+	if got := share(t, 3, slow); got < 0.845 {
+		t.Errorf("7 of 60 workers 6 times slower for 10 s: %.3f", got)
+	}
+	for _, told := range []int{40, 160} { // the number told is wrong by a factor of two
+		wrong := func(seed uint64) Config {
+			cfg := fleet(seed, 80, 60)
+			cfg.Settings = func(s *linnetlift.Settings) { s.Dispatchers = told }
+			return cfg
+		}
+		if got := share(t, 3, wrong); got < 0.85 {
+			t.Errorf("told of %d dispatchers where 80 are: %.3f", told, got)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"linnetlift/internal/estimate"
 	"linnetlift/internal/room"
 )
 
@@ -61,6 +62,7 @@
 	reported            bool
 	running             float64 // slots of our jobs known to have started
 	visits              int
+	wait                estimate.Wait
 	startSent, okSent   time.Duration // when the latest job known to have started, or to have ended well, was sent
 }
 
@@ -120,11 +122,12 @@
 	actor       *worker // whose threshold the open step used; nil: none
 	lastLog     time.Duration
 
-	room       *room.Plan    // nil: no room is held
-	share      float64       // part of its bounds that is this process's; 0: all
-	fleet      float64       // slots of all listed workers
-	tight      bool          // a large job is due: small ones go where they fit most tightly
-	largeUntil time.Duration // up to when large jobs are reckoned with
+	usual      estimate.Common // of waits at workers
+	room       *room.Plan      // nil: no room is held
+	share      float64         // part of its bounds that is this process's; 0: all
+	fleet      float64         // slots of all listed workers
+	tight      bool            // a large job is due: small ones go where they fit most tightly
+	largeUntil time.Duration   // up to when large jobs are reckoned with
 }
 
 func newDispatcher(s Settings, seed uint64) *dispatcher {
