Watches at discovery are carried on at once; a gone worker keeps its cell

Change: a standing watch is carried on at once, whatever the number of dispatchers; only the first call after a start, and those after failures, are spaced. A gone entry changes the state alone.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -438,6 +438,13 @@
 		if w.Addr != "" {
 			p.addr = w.Addr
 		}
+		if w.State == linnetlift.Gone && p.told.ID == id {
+			// Such an entry need say no more than the id. What is known of the worker
+			// stays: by its cell the module knows where a repeat would be dropped.
+			p.ready, p.told.State, listed[id] = false, linnetlift.Gone, true
+			list = append(list, p.entry())
+			continue
+		}
 		p.ready = w.State == linnetlift.Ready
 		listed[id] = true
 		l := linnetlift.Worker{ID: id, Zone: w.Zone, Kind: w.Kind, Cell: w.Cell, State: w.State, Weight: w.Weight}
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -363,3 +363,26 @@
 		l.to(now, form, w)
 	}
 }
+
+// An entry that says a worker is gone need say no more. Its cell stays known: taken
+// for cell 0, what may have run there was sent again to any worker of cell 0, which
+// does not drop the repeat.
+func TestAGoneWorkerKeepsItsCell(t *testing.T) {
+	var heard []linnetlift.Worker
+	s := &script{}
+	b := with(t, s)
+	b.post(func(time.Duration, linnetlift.Actions) {
+		b.module = &lists{Dispatcher: s, to: func(_ time.Duration, _ linnetlift.ListForm, w linnetlift.Worker) { heard = append(heard, w) }}
+	})
+	b.List(linnetlift.ListDelta, []Worker{{ID: "w", Addr: "addr", Zone: 1, Kind: 1, Cell: 7, Started: time.Unix(5, 0)}})
+	b.List(linnetlift.ListDelta, []Worker{{ID: "w", State: linnetlift.Gone}, {ID: "never seen", State: linnetlift.Gone}})
+	if b.allowed(workerID("w"), "addr") {
+		t.Error("a gone worker may be sent to")
+	}
+	settled(b)
+	want := heard[0]
+	want.State = linnetlift.Gone
+	if diff := cmp.Diff(want, heard[1]); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/cadence/cadence.go
+++ b/internal/cadence/cadence.go
@@ -1,17 +1,18 @@
 // Package cadence says how long one of many dispatchers leaves the list service to
-// the others before it calls again. They cannot talk, and the service handles calls
-// in turn and fails those that have waited too long: past what it can do, nearly
-// every call fails, and none is told anything (seen with 80 dispatchers: 393 calls
-// failed in 15 s, none was answered in the last 13 of them). So what one leaves
-// grows with how many there are, and doubles with each failure until calls are
-// answered again.
+// the others before it begins a watch there. They cannot talk, and the service handles
+// calls in turn and fails those that have waited too long; one that fails has taken
+// its turn all the same. Past what it can do, nearly every call fails and none is told
+// anything: seen with 80 dispatchers, where 393 calls failed in 15 s and none was
+// answered in the last 13 of them. So the pause before a watch grows with how many
+// there are, is drawn over its whole length, and doubles with each failure.
 //
-// A call that has news to fetch is answered as soon as its turn comes, so the time it
-// took is a bound on what one call costs the service. So many calls as there are
-// dispatchers, each of that cost, are what the service can do in a while: that is how
-// often each may call.
+// A watch that stands is carried on at once: that is not a call anew, and costs the
+// service no more than the lines it tells (80 dispatchers, a list that changes every
+// half second: 162 answers in a second, none failed). Left for a while instead, every
+// change costs a call from each; and what changes in the 200 ms after an answer counts
+// as told although nobody was there to hear it.
 //
-// It owns these figures. It has no clock and no randomness of its own, and it must
+// It owns that one pause. It has no clock and no randomness of its own, and it must
 // never say whether to call at all: the module does.
 package cadence
 
@@ -20,62 +21,41 @@
 const (
 	// Few is how many dispatchers need not wait for each other.
 	Few = 6
-	// unknown is what a call is taken to cost before one was answered at once.
-	unknown = 60 * time.Millisecond
-	// spare is how much more than the cost of all calls is left: others come at any
-	// time, and a queue that has built up has to go.
-	spare = 1.25
-	// prompt is the time within which an answer was not waiting for news.
-	prompt = time.Second
-	// shortest is the least pause between two calls, for each dispatcher there is.
-	shortest = 20 * time.Millisecond
-	// longest is the most that is left after a call that was answered: past
-	// AskWithin (10 s) without a call, all that is listed counts as told.
-	longest = 7200 * time.Millisecond
+	// part is what one dispatcher's first call may take of the service. An old list is
+	// all that a dispatcher knows until then, so it is not much.
+	part = 75 * time.Millisecond
+	// longest is the most that is left before a first call: past AskWithin (10 s)
+	// without one, all that is listed counts as told.
+	longest = 7 * time.Second
 	// backedOff bounds doubling: what a failed call asked for counts as told 2 s
 	// after the wait it named (20 s), whether it came or not.
 	backedOff = 15 * time.Second
-	// firstPart is the part of a dispatcher's cost that a start counts: an old list
-	// is all that it knows.
-	firstPart = 75 * time.Millisecond
 )
 
 // Cadence is the state of one dispatcher; the zero value is ready.
 type Cadence struct {
-	cost time.Duration // of one call, as far as known; 0: not
+	failed int // calls in a row
 }
 
-// others is how many more there are than need not wait.
-func others(dispatchers int) time.Duration { return time.Duration(max(dispatchers-Few, 0)) }
-
-func (c *Cadence) mean(dispatchers int) time.Duration {
-	if c.cost == 0 {
-		c.cost = unknown
-	}
-	return max(time.Duration(spare*float64(others(dispatchers)*c.cost)), others(dispatchers)*shortest)
+// base is the pause that the dispatchers need to have their calls one after the other.
+func base(dispatchers int) time.Duration {
+	return min(time.Duration(max(dispatchers-Few, 0))*part, longest)
 }
 
 // First is the pause before the first call after a start, draw being uniform in
 // [0, 1): many may have started together.
 func (c *Cadence) First(dispatchers int, draw float64) time.Duration {
-	return time.Duration(draw * float64(min(others(dispatchers)*firstPart, longest)))
+	return time.Duration(draw * float64(base(dispatchers)))
 }
 
-// Told is the pause after a call that was answered, and how long that took.
-func (c *Cadence) Told(dispatchers int, took time.Duration, draw float64) time.Duration {
-	if took < prompt {
-		if c.cost == 0 || took < c.cost {
-			c.cost = took
-		}
-		c.cost += (took - c.cost) / 4
-	}
-	return time.Duration((0.7 + 0.6*draw) * float64(min(c.mean(dispatchers), longest)))
-}
+// Told takes in that a call was answered; the watch is carried on at once.
+func (c *Cadence) Told() { c.failed = 0 }
 
-// Failed is the pause after a call that was not. It is longer than any after an
-// answer, so that a service which can't serve all comes to serve some.
+// Failed is the pause after a call that was not: none for few, since the module has
+// waited its own time then.
 func (c *Cadence) Failed(dispatchers int, draw float64) time.Duration {
-	pause := min(2*c.mean(dispatchers), backedOff)
-	c.cost = min(2*c.cost, backedOff/max(others(dispatchers), 1))
-	return time.Duration((0.6 + 0.8*draw) * float64(pause))
+	if c.failed < 8 {
+		c.failed++
+	}
+	return time.Duration((0.6 + 0.8*draw) * float64(min(base(dispatchers)<<c.failed, backedOff)))
 }
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -177,7 +177,6 @@
 		case <-on.ctx.Done():
 		}
 		t.broker.Tracef("ask since=%d known=%t", t.generation, t.known)
-		began := time.Now()
 		reply, err := t.call(on)
 		t.broker.Tracef("asked err=%v", err)
 		switch {
@@ -200,15 +199,14 @@
 			}
 			t.note(*reply, form == linnetlift.ListFull)
 			t.tell(form, members(reply.Instances))
-			ask, pause = false, pace.Told(t.dispatchers(), time.Since(began), rand.Float64())
+			ask, pause = false, 0 // carried on within 200 ms, it is still the same watch
+			pace.Told()
 		}
 	}
 }
 
-// A watch that is carried on at once is answered at every change, to every
-// dispatcher. Past a few of them that is more than discovery can serve: each leaves
-// the others their time (package cadence), and one watch waits longer, since each
-// that ends with nothing costs discovery as much as one with news.
+// Many dispatchers leave each other their time before they begin a watch (package
+// cadence), and let one wait longer: one that ends with nothing costs a call.
 const manyWait = 20 * time.Second
 
 func (t *Table) dispatchers() int { return t.live.Get().Module.Dispatchers }
