A worker that has just started counts as one where nothing waits

Ruled out: the list (told within 0.1 s), the slow-start budget (3 jobs a second for each). Cause: dispatcher.go, enter: a restarted worker's wait was forgotten, so it counted as the usual one (1 s and more then), and lot passed it over for those known to have less.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -968,7 +968,7 @@
 	if restarted {
 		w.slow, w.seen, w.bad, w.late, w.limit = 0, 0, 0, 0, 0
 		w.trialAt, w.misses, w.reportAt = 0, 0, 0 // what its last life was blamed for
-		w.wait.Forget()
+		w.wait.See(d.now, 0)                      // nothing waits there yet
 	}
 	w.Worker = l
 	if w.stamp, w.Kind = d.listStamp, max(l.Kind, 0); w.Weight <= 0 {
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -190,7 +191,7 @@
 func TestListServiceRecovery(t *testing.T) {
 	s := testSettings()
 	s.MustSubscribe = true
-	d, out := mustNew(t, s, 3), &recorder{}
+	d, out := mustNew(t, s, 5), &recorder{}
 	d.List(0, ListCached, nil, out)
 	if got := out.take(); len(got) != 1 || got[0].what != "subscribe" {
 		t.Fatalf("got %v, want a subscription at once", got)
@@ -639,7 +640,7 @@
 		s := testSettings()
 		s.MaxRetryAfter = 2 * time.Second
 		s.Classes[2].LateShare = c.late
-		d, out := mustNew(t, s, 1), &recorder{}
+		d, out := mustNew(t, s, 5), &recorder{}
 		d.List(0, ListCached, nil, out) // no worker: nothing can be sent
 		out.take()
 		d.Arrive(ms, Request{ID: 7, Class: 2, Left: c.left, Retry: c.retry}, out)
@@ -659,7 +660,7 @@
 func TestGivenUpAtAnOutcomeIsAnsweredAtOnce(t *testing.T) {
 	s := testSettings()
 	s.Classes[2].LateShare = 0
-	d, out := mustNew(t, s, 1), &recorder{}
+	d, out := mustNew(t, s, 5), &recorder{}
 	d.List(0, ListCached, []Worker{{ID: 1, Weight: 1}}, out)
 	out.take()
 	d.Arrive(ms, Request{ID: 7, Class: 2, Left: 5 * time.Second}, out)
@@ -790,3 +791,42 @@
 		t.Errorf("%v slots, %+v, %d requests", k, next.stats["safe"], len(next.requests))
 	}
 }
+
+// Where queues stand everywhere, a worker that has just started has none: it is
+// used as far as the slow-start budget allows, not kept for when the others are worse.
+func TestAStartedWorkerHasNoQueue(t *testing.T) {
+	s := testSettings()
+	s.Dispatchers, s.ColdShare = 4, 0.9
+	d, out := mustNew(t, s, 5), &recorder{}
+	list := []Worker{{ID: 1, Weight: 1}, {ID: 2, Weight: 1}, {ID: 3, Weight: 1}}
+	d.List(0, ListFull, list, out)
+	var to []WorkerID
+	id, now := RequestID(0), time.Duration(0)
+	job := func(wait time.Duration) {
+		id++
+		d.Arrive(now, Request{ID: id, Left: 5 * time.Second, Slots: 1}, out)
+		for _, a := range out.take() {
+			if a.what == "send" {
+				to = append(to, a.w)
+				d.Note(now+wait, Note{ID: id, Worker: a.w, Kind: NoteStarted}, out)
+				d.Outcome(now+wait+100*ms, Outcome{ID: id, Worker: a.w, Ended: true}, out)
+			}
+		}
+		now += wait + 900*ms
+	}
+	for range 20 {
+		job(1600 * ms)
+	}
+	for range 6 {
+		job(600 * ms) // the queues have become shorter than usual
+	}
+	to = to[:0]
+	list[2].Launched = now
+	d.List(now, ListDelta, list[2:], out)
+	for range 6 {
+		job(600 * ms)
+	}
+	if !slices.Contains(to, 3) {
+		t.Errorf("sent to %v, never to 3, which has just started", to)
+	}
+}
