Past what the fleet can do, waits that are hopeless are not joined

Change: where the usual wait is longer than what a job can spare, it is tried with odds of 1.5 times that over the wait expected, else given up and answered at once.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -47,6 +47,7 @@
 	lotOwn       = 3.0                    // wait (s) that own jobs in all slots of a worker stand for
 	lotAway      = 1.0                    // and being no home
 	lotHomes     = 4.0                    // shares of the fleet that are home then
+	lotHope      = 1.5                    // waits of so many times that to spare are mostly tried
 	lotCold      = 1.2                    // part of the slow-start budget then, over all dispatchers
 	lookAhead    = 4                      // held jobs tried when the head fits nowhere
 	overtake     = 400 * time.Millisecond // connecting may delay a job so long against a later one
@@ -321,6 +322,12 @@
 			best, least = w, wait
 		}
 	}
+	// Past what the fleet can do, what would wait too long takes the place of what need not.
+	if spare := (r.inTime - d.now).Seconds(); best != nil && d.usual.Mean() > spare &&
+		d.rnd.Float64() >= lotHope*spare/best.wait.Now(d.now, &d.usual) {
+		r.inTime = d.now
+		return nil
+	}
 	return best
 }
 
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -830,3 +830,33 @@
 		t.Errorf("sent to %v, never to 3, which has just started", to)
 	}
 }
+
+// Where jobs wait longer than they can everywhere, part of them is given up at once, as
+// many as it takes; none is while waits are short.
+func TestHopelessWaitsAreNotJoined(t *testing.T) {
+	for _, c := range []struct {
+		wait        time.Duration
+		least, most int // of 60 given up
+	}{{50 * ms, 0, 0}, {1500 * ms, 10, 50}, {6 * time.Second, 45, 60}} {
+		s := testSettings()
+		s.Dispatchers, s.Classes[0].LateShare, s.MaxRetryAfter = 40, 0, time.Second
+		d, out := mustNew(t, s, 5), &recorder{}
+		d.List(0, ListFull, []Worker{{ID: 1, Weight: 1}, {ID: 2, Weight: 1}, {ID: 3, Weight: 1}}, out)
+		refused, now := 0, time.Duration(0)
+		for id := RequestID(1); id <= 120; id++ {
+			d.Arrive(now, Request{ID: id, Left: 8 * time.Second, Slots: 1}, out)
+			for _, a := range out.take() {
+				if a.what == "send" {
+					d.Note(now+c.wait, Note{ID: id, Worker: a.w, Kind: NoteStarted}, out)
+					d.Outcome(now+c.wait+300*ms, Outcome{ID: id, Worker: a.w, Ended: true}, out)
+				} else if a.what == "refuse" && id > 60 {
+					refused++
+				}
+			}
+			now += c.wait + 400*ms
+		}
+		if refused < c.least || refused > c.most {
+			t.Errorf("waits of %v: %d of 60 given up, want %d to %d", c.wait, refused, c.least, c.most)
+		}
+	}
+}
