--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -860,3 +860,56 @@
 		}
 	}
 }
+
+// A report that is cut short, too long or absurd is none: it tells nothing, and what
+// is known stays.
+func TestAbsurdReportsTellNothing(t *testing.T) {
+	s := testSettings()
+	s.LoadFields = []LoadField{LoadErrorRate, LoadFreeSlots}
+	d, out := mustNew(t, s, 1).(*dispatcher), &recorder{}
+	d.List(0, ListFull, []Worker{{ID: 1, Weight: 1}}, out)
+	for id, load := range [][]float64{{0, 2}, nil, {0}, {0, 1, 2}, {0, math.NaN()}, {math.Inf(1), 1}, {0, 1e300}, {-1e9, 5}} {
+		q := RequestID(id + 1)
+		now := time.Duration(id+1) * time.Second
+		d.Arrive(now, Request{ID: q, Left: 5 * time.Second, Slots: 1}, out)
+		d.Outcome(now+100*ms, Outcome{ID: q, Worker: 1, Ended: true, Load: load}, out)
+	}
+	w := d.workers[1]
+	if w.free != 3 || w.freeMean != 3 || w.bad != 0 || !w.reported {
+		t.Errorf("after absurd reports: free %v, mean %v, errors %v", w.free, w.freeMean, w.bad)
+	}
+}
+
+// A connect that fails proves that the job never ran, as where a worker holds all the
+// connections it takes: an unsafe job goes on to another worker, and is never failed for it.
+func TestAFailedConnectIsNoFailureOfAnUnsafeJob(t *testing.T) {
+	s := testSettings()
+	s.Dispatchers = 40 // as one of many
+	d, out := mustNew(t, s, 3), &recorder{}
+	var list []Worker
+	for id := WorkerID(1); id <= 8; id++ {
+		list = append(list, Worker{ID: id, Weight: 1})
+	}
+	d.List(0, ListFull, list, out)
+	d.Arrive(0, Request{ID: 1, Class: 2, Left: 5 * time.Second, Slots: 1}, out)
+	tried, now := map[WorkerID]bool{}, time.Duration(0)
+	for n := range s.MaxAttempts {
+		var sent *action
+		for _, a := range out.take() {
+			if a.what == "send" {
+				sent = &a
+			} else if a.what == "fail" {
+				t.Fatalf("failed after %d connects that failed", n)
+			}
+		}
+		if sent == nil || tried[sent.w] {
+			t.Fatalf("after %d failed connects: sent %v, tried %v", n, sent, tried)
+		}
+		tried[sent.w] = true
+		now += 20 * ms
+		d.Outcome(now, Outcome{ID: 1, Attempt: n, Worker: sent.w, Code: ConnectFailed}, out)
+	}
+	if got := out.take(); len(got) != 1 || got[0].what != "refuse" {
+		t.Errorf("after the last attempt: %+v, want a refusal", got)
+	}
+}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -218,11 +220,17 @@
 	b := testBroker(t, cfg)
 	cfg.Membership = config.DefaultMembership()
 	live := config.NewLive(cfg)
-	merged, err := sources.New(live, b, sources.Hooks{Log: func(string) {}})
+	merged, err := sources.New(live, b, sources.Hooks{Log: func(string) {}, Moved: func(string) {}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	table, err := NewTable(live, b, merged.Roster, func(string) {})
+	var mu sync.Mutex
+	var said []string
+	table, err := NewTable(live, b, merged.Roster, func(line string) {
+		mu.Lock()
+		defer mu.Unlock()
+		said = append(said, line)
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -250,6 +258,13 @@
 		{43, `{"generation":44,"reset":true,"instances":[` + entry("s1", "SERVING") + `]}`, [2]int{3, 1}},
 		{44, `{"generation":45,"reset":false,"instances":[` + entry("s1", "DELETED") + `]}`, [2]int{3, 1}},
 		{45, `{"generation":45,"reset":false,"instances":[]}`, [2]int{3, 0}},
+		// An id told twice: its last word counts. Then an outage: lists cut off, of nobody, none.
+		{45, `{"generation":46,"reset":false,"instances":[` + entry("s4", "DRAINING") + "," + entry("s4", "SERVING") + `]}`, [2]int{3, 0}},
+		{46, `{"generation":47,"reset":true,"instances":[` + entry("s4", "SERV")[:60], [2]int{4, 1}},
+		{46, `{"generation":47,"reset":true,"instances":[]}`, [2]int{4, 1}},
+		{46, ``, [2]int{4, 1}},
+		{46, `{"generation":47,"reset":false,"instances":[` + strings.Replace(entry("s4", "SERVING"), "h:1", "h:2", 1) + `]}`, [2]int{4, 1}},
+		{47, `{"generation":47,"reset":false,"instances":[]}`, [2]int{4, 1}},
 	} {
 		select {
 		case got := <-calls:
@@ -264,6 +279,17 @@
 		}
 		answers <- step.text
 	}
+	mu.Lock()
+	defer mu.Unlock()
+	lines := []string{"first told", "discovery answers 503", "told again after 2", "unexpected end", "told again after 3"}
+	for i, line := range said {
+		if i >= len(lines) || !strings.Contains(line, lines[i]) {
+			t.Fatalf("logged %q, want lines with %q", said, lines)
+		}
+	}
+	if len(said) != len(lines) {
+		t.Errorf("logged %q, want lines with %q", said, lines)
+	}
 }
 
 // A kept connection that was reset unseen costs the session that finds it, and no
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -46,6 +46,7 @@
 
 	generation uint64
 	known      bool
+	failed     int // calls in a row; Run's alone
 
 	mu     sync.Mutex
 	now    *source
@@ -141,6 +142,13 @@
 	t.latest.Generation, t.latest.Reset = reply.Generation, true
 }
 
+// size is how many loan workers are known.
+func (t *Table) size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.latest.Instances)
+}
+
 // State is the whole list as last told, in the form of the configuration's known.
 func (t *Table) State() []byte {
 	t.mu.Lock()
@@ -184,7 +192,9 @@
 			ask = false // replaced meanwhile: whatever came is the old source's word
 			pause = pace.First(t.dispatchers(), rand.Float64())
 		case err != nil:
-			t.log("server table: " + err.Error())
+			if t.failed++; t.failed == 1 { // once, not once a call: an outage makes many
+				t.log(fmt.Sprintf("server table: %v; going on with %d loan workers known", err, t.size()))
+			}
 			t.tell(linnetlift.ListFailed, nil)
 			ask, pause = true, pace.Failed(t.dispatchers(), rand.Float64())
 		default:
@@ -197,6 +207,10 @@
 				close(t.heard)
 				t.log(fmt.Sprintf("server table: first told, %d loan workers", len(reply.Instances)))
 			}
+			if t.failed > 0 {
+				t.log(fmt.Sprintf("server table: told again after %d failed calls", t.failed))
+				t.failed = 0
+			}
 			t.note(*reply, form == linnetlift.ListFull)
 			t.tell(form, members(reply.Instances))
 			ask, pause = false, 0 // carried on within 200 ms, it is still the same watch
@@ -246,6 +260,11 @@
 	if reply.Generation == nil {
 		return nil, errors.New("a list without generation")
 	}
+	// Workers go one by one, by entries that say so. A whole list of nobody is a fault of
+	// the one who made it, and taken at its word it would end all service.
+	if (reply.Reset || !t.known) && len(reply.Instances) == 0 && t.size() > 0 {
+		return nil, errors.New("a whole list that names nobody")
+	}
 	return &reply, nil
 }
 
--- a/internal/standin/day/fleet_test.go
+++ b/internal/standin/day/fleet_test.go
@@ -23,7 +23,11 @@
 	t.Helper()
 	sum := 0.0
 	for seed := range seeds {
-		sum += play(t, cfg(seed+1)).Worth()
+		res := play(t, cfg(seed+1))
+		sum += res.Worth()
+		if res.LateSend > 500*time.Millisecond { // by any of the dispatchers
+			t.Errorf("a job went out %v after its worker's drain was told", res.LateSend)
+		}
 	}
 	t.Logf("%.3f", sum/float64(seeds))
 	return sum / float64(seeds)
@@ -48,6 +52,17 @@
 	if got := share(t, 3, slow); got < 0.885 {
 		t.Errorf("7 of 60 workers 6 times slower for 10 s: %.3f", got)
 	}
+	failing := func(seed uint64) Config { // and taken back once they have recovered
+		cfg := fleet(seed, 80, 60)
+		for i := range 7 {
+			cfg.Faults = append(cfg.Faults, Fault{At: 3 * time.Second, Worker: 8 * i, Do: "errors", Factor: 0.8},
+				Fault{At: 9 * time.Second, Worker: 8 * i, Do: "back"})
+		}
+		return cfg
+	}
+	if got := share(t, 3, failing); got < 0.9 {
+		t.Errorf("7 of 60 workers fail fast for 6 s: %.3f", got)
+	}
 	for _, told := range []int{40, 160} { // the number told is wrong by a factor of two
 		wrong := func(seed uint64) Config {
 			cfg := fleet(seed, 80, 60)
