--- a/dispatcher.go
+++ b/dispatcher.go
@@ -332,11 +332,6 @@
 	return best
 }
 
-// rate is the speed of w as it is now, against a worker of slowness 0.
-func (d *dispatcher) rate(w *worker) float64 {
-	return d.warmth(w) * math.Exp(-d.kindOf(w).slow-w.slow-w.late-3*w.bad)
-}
-
 // able tells whether w may be given r at all, room aside.
 func (d *dispatcher) able(w *worker, r *request) bool {
 	switch {
@@ -540,6 +535,11 @@
 	return r.class.Semantics == Retryable || d.now < r.mayRunAt+r.class.Window/2
 }
 
+// recalls tells whether an attempt of r that stands still is cancelled, to try elsewhere.
+func (d *dispatcher) recalls(r *request) bool {
+	return d.Cancelling && r.attempts < d.MaxAttempts && d.now < r.inTime && d.retryPays(r)
+}
+
 // ending tells that r has no time left to be held until the next look but one.
 func (d *dispatcher) ending(r *request) bool { return d.now+2*(tickEvery+d.Round) >= r.deadline }
 
@@ -794,7 +794,7 @@
 		}
 		w.own, w.ownMem = max(w.own-r.Slots, 0), max(w.ownMem-r.Memory, 0)
 		d.unplan(a)
-		if d.Cancelling && r.attempts < d.MaxAttempts && d.now < r.inTime && d.retryPays(r) {
+		if d.recalls(r) {
 			out.Cancel(r.ID, a.n)
 		}
 	}
@@ -838,7 +838,7 @@
 func (d *dispatcher) lost(a *attempt) bool {
 	if a.started == 0 {
 		return d.InOrder && d.TellsStart && (a.w.startSent > a.sent+overtake ||
-			d.sparse() && a.r.class.Semantics == Dedup && d.now-a.sent > takeBack)
+			d.sparse() && d.now-a.sent > takeBack && d.recalls(a.r))
 	}
 	return a.w.okSent > a.sent && (d.now-a.started).Seconds() > 4*overdueAt*d.expect(a.r, a.w) &&
 		(d.Progress == 0 || d.now-a.heard > 2*d.Progress)
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -191,7 +191,7 @@
 func TestListServiceRecovery(t *testing.T) {
 	s := testSettings()
 	s.MustSubscribe = true
-	d, out := mustNew(t, s, 5), &recorder{}
+	d, out := mustNew(t, s, 3), &recorder{}
 	d.List(0, ListCached, nil, out)
 	if got := out.take(); len(got) != 1 || got[0].what != "subscribe" {
 		t.Fatalf("got %v, want a subscription at once", got)
@@ -640,7 +640,7 @@
 		s := testSettings()
 		s.MaxRetryAfter = 2 * time.Second
 		s.Classes[2].LateShare = c.late
-		d, out := mustNew(t, s, 5), &recorder{}
+		d, out := mustNew(t, s, 1), &recorder{}
 		d.List(0, ListCached, nil, out) // no worker: nothing can be sent
 		out.take()
 		d.Arrive(ms, Request{ID: 7, Class: 2, Left: c.left, Retry: c.retry}, out)
@@ -660,7 +660,7 @@
 func TestGivenUpAtAnOutcomeIsAnsweredAtOnce(t *testing.T) {
 	s := testSettings()
 	s.Classes[2].LateShare = 0
-	d, out := mustNew(t, s, 5), &recorder{}
+	d, out := mustNew(t, s, 1), &recorder{}
 	d.List(0, ListCached, []Worker{{ID: 1, Weight: 1}}, out)
 	out.take()
 	d.Arrive(ms, Request{ID: 7, Class: 2, Left: 5 * time.Second}, out)
@@ -869,8 +869,7 @@
 	d, out := mustNew(t, s, 1).(*dispatcher), &recorder{}
 	d.List(0, ListFull, []Worker{{ID: 1, Weight: 1}}, out)
 	for id, load := range [][]float64{{0, 2}, nil, {0}, {0, 1, 2}, {0, math.NaN()}, {math.Inf(1), 1}, {0, 1e300}, {-1e9, 5}} {
-		q := RequestID(id + 1)
-		now := time.Duration(id+1) * time.Second
+		q, now := RequestID(id+1), time.Duration(id+1)*time.Second
 		d.Arrive(now, Request{ID: q, Left: 5 * time.Second, Slots: 1}, out)
 		d.Outcome(now+100*ms, Outcome{ID: q, Worker: 1, Ended: true, Load: load}, out)
 	}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -111,13 +111,18 @@
 
 func (a *Attempt) note(kind linnetlift.NoteKind, share float64) {
 	n := linnetlift.Note{ID: a.s.id, Attempt: a.N, Worker: a.id, Kind: kind, Share: share}
-	a.s.b.Tracef("note %d n=%d to=%s kind=%d share=%.2f", a.s.id, a.N, a.Worker, kind, share)
+	if a.s.b.Traced() {
+		a.s.b.Tracef("note %d n=%d to=%s kind=%d share=%.2f", a.s.id, a.N, a.Worker, kind, share)
+	}
 	a.s.b.post(func(now time.Duration, out linnetlift.Actions) { a.s.b.module.Note(now, n, out) })
 }
 
+// Traced tells whether lines are wanted, as the broker's does.
+func (a *Attempt) Traced() bool { return a.s != nil && a.s.b.Traced() }
+
 // Tracef writes a line on this attempt where lines are wanted.
 func (a *Attempt) Tracef(format string, args ...any) {
-	if a.s != nil && a.s.b.trace != nil {
+	if a.Traced() {
 		a.s.b.trace(fmt.Sprintf("try %d n=%d ", a.s.id, a.N) + fmt.Sprintf(format, args...))
 	}
 }
@@ -463,7 +468,7 @@
 	}
 	b.hand(form, list)
 	b.mu.Unlock()
-	if b.trace != nil {
+	if b.Traced() {
 		for _, w := range workers {
 			b.Tracef("list form=%d %s state=%d started=%d zone=%d kind=%d cell=%d", form, w.ID, w.State, max(w.Started.UnixMilli(), 0), w.Zone, w.Kind, w.Cell)
 		}
@@ -534,6 +539,10 @@
 // counts it over a whole fleet. Before any request.
 func (b *Broker) Trace(f func(line string)) { b.trace = f }
 
+// Traced tells whether lines are wanted. Callers ask first: a call of Tracef costs memory
+// for its values even where nothing is written.
+func (b *Broker) Traced() bool { return b.trace != nil }
+
 // Tracef writes a line where lines are wanted.
 func (b *Broker) Tracef(format string, args ...any) {
 	if b.trace != nil {
@@ -597,7 +606,9 @@
 	}
 	s := b.arrive(q)
 	defer s.leave()
-	b.Tracef("arrive %d class=%d left=%.3f retry=%t", s.id, q.Class, time.Until(q.Deadline).Seconds(), q.Retry)
+	if b.Traced() {
+		b.Tracef("arrive %d class=%d left=%.3f retry=%t", s.id, q.Class, time.Until(q.Deadline).Seconds(), q.Retry)
+	}
 	ctx, stop := context.WithDeadline(ctx, q.Deadline.Add(-Margin))
 	defer stop()
 	ctx, cut := context.WithCancelCause(ctx)
@@ -607,7 +618,9 @@
 		d := s.pick(ctx)
 		if !d.send {
 			d.answer.Late = d.answer.Late || late
-			b.Tracef("answer %d verdict=%d", s.id, d.answer.Verdict)
+			if b.Traced() {
+				b.Tracef("answer %d verdict=%d", s.id, d.answer.Verdict)
+			}
 			return s.check(d.answer)
 		}
 		a := &Attempt{N: s.attempts, s: s, id: d.worker}
@@ -616,9 +629,13 @@
 			a.Worker, a.Addr = p.name, p.addr
 		}
 		b.mu.Unlock()
-		b.Tracef("send %d n=%d to=%s", s.id, a.N, a.Worker)
+		if b.Traced() {
+			b.Tracef("send %d n=%d to=%s", s.id, a.N, a.Worker)
+		}
 		o := s.try(ctx, a, d, do)
-		b.Tracef("end %d n=%d to=%s code=%d load=%v", s.id, a.N, a.Worker, o.Code, o.Load)
+		if b.Traced() {
+			b.Tracef("end %d n=%d to=%s code=%d load=%v", s.id, a.N, a.Worker, o.Code, o.Load)
+		}
 		if b.observe != nil {
 			b.observe(a.Worker, o.Code)
 		}
--- a/internal/cadence/cadence.go
+++ b/internal/cadence/cadence.go
@@ -12,8 +12,9 @@
 // change costs a call from each; and what changes in the 200 ms after an answer counts
 // as told although nobody was there to hear it.
 //
-// It owns that one pause. It has no clock and no randomness of its own, and it must
-// never say whether to call at all: the module does.
+// It works out that one pause, which comes on top of the module's own. It has no state,
+// clock or randomness (which is why the library for backing off that srv uses does not
+// serve here), and it must never say whether to call at all: the module does.
 package cadence
 
 import "time"
@@ -32,30 +33,19 @@
 	backedOff = 15 * time.Second
 )
 
-// Cadence is the state of one dispatcher; the zero value is ready.
-type Cadence struct {
-	failed int // calls in a row
-}
-
 // base is the pause that the dispatchers need to have their calls one after the other.
 func base(dispatchers int) time.Duration {
 	return min(time.Duration(max(dispatchers-Few, 0))*part, longest)
 }
 
-// First is the pause before the first call after a start, draw being uniform in
-// [0, 1): many may have started together.
-func (c *Cadence) First(dispatchers int, draw float64) time.Duration {
+// First is the pause before the first call after a start, draw being uniform in [0, 1):
+// many may have started together. 0 to 7 s; none for few.
+func First(dispatchers int, draw float64) time.Duration {
 	return time.Duration(draw * float64(base(dispatchers)))
 }
 
-// Told takes in that a call was answered; the watch is carried on at once.
-func (c *Cadence) Told() { c.failed = 0 }
-
-// Failed is the pause after a call that was not: none for few, since the module has
-// waited its own time then.
-func (c *Cadence) Failed(dispatchers int, draw float64) time.Duration {
-	if c.failed < 8 {
-		c.failed++
-	}
-	return time.Duration((0.6 + 0.8*draw) * float64(min(base(dispatchers)<<c.failed, backedOff)))
+// AfterFailure is the pause after so many failed calls in a row (1 or more), draw being
+// uniform in [0, 1). 0 to 21 s; none for few, since the module has waited its own time then.
+func AfterFailure(dispatchers, failed int, draw float64) time.Duration {
+	return time.Duration((0.6 + 0.8*draw) * float64(min(base(dispatchers)<<min(failed, 8), backedOff)))
 }
--- a/internal/estimate/estimate.go
+++ b/internal/estimate/estimate.go
@@ -12,7 +12,8 @@
 	"time"
 )
 
-// Fade is the time in which what is known of one worker's queue fades to a third.
+// Fade is the time in which what is known of one worker's queue fades to 1/e. By
+// measurement: 3, 5, 8 and 10 s differ by less than 0.01 of the worth served.
 const Fade = 5 * time.Second
 
 // Common is the wait that is usual in the fleet, in seconds.
@@ -36,19 +37,16 @@
 	at   time.Duration // when it held; 0: never seen
 }
 
-// See takes in how long a job waited, or what a report tells of waiting now.
+// See takes in how long a job waited, in seconds; now is on the host's clock, over 0.
 func (w *Wait) See(now time.Duration, wait float64) { w.last, w.at = wait, now }
 
-// AtLeast takes in that a job has waited so long already.
+// AtLeast takes in that a job has waited so long already, in seconds, and still does.
 func (w *Wait) AtLeast(now time.Duration, wait float64, c *Common) {
 	if wait > w.Now(now, c) {
 		w.last, w.at = wait, now
 	}
 }
 
-// Forget forgets: the worker has started anew.
-func (w *Wait) Forget() { *w = Wait{} }
-
 // Now is the wait that is expected, in seconds.
 func (w *Wait) Now(now time.Duration, c *Common) float64 {
 	if w.at == 0 {
--- a/internal/estimate/estimate_test.go
+++ b/internal/estimate/estimate_test.go
@@ -32,8 +32,4 @@
 	if got := w.Now(11*time.Second, &c); got != 4 {
 		t.Errorf("a job that has waited 4 s already: %v", got)
 	}
-	w.Forget()
-	if got := w.Now(11*time.Second, &c); math.Abs(got-0.3) > 1e-9 {
-		t.Errorf("a worker that started anew: %v", got)
-	}
 }
--- a/internal/platform/dispatch.go
+++ b/internal/platform/dispatch.go
@@ -283,7 +283,9 @@
 			conn, _ = info.Conn.(*line)
 			l.carries(conn, true)
 			reused = info.Reused
-			a.Tracef("conn to=%s reused=%t", a.Worker, reused)
+			if a.Traced() {
+				a.Tracef("conn to=%s reused=%t", a.Worker, reused)
+			}
 			// A slow connect can cross the time by which nothing new may go to a
 			// loan worker that drains: ask again now that the bytes would flow.
 			if !a.Allowed() {
@@ -294,7 +296,9 @@
 		GotFirstResponseByte: func() { answered.Store(true) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
 			wrote.Store(info.Err == nil)
-			a.Tracef("wrote to=%s err=%v", a.Worker, info.Err)
+			if a.Traced() {
+				a.Tracef("wrote to=%s err=%v", a.Worker, info.Err)
+			}
 		},
 	}
 	before := int64(0)
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -282,12 +283,7 @@
 	mu.Lock()
 	defer mu.Unlock()
 	lines := []string{"first told", "discovery answers 503", "told again after 2", "unexpected end", "told again after 3"}
-	for i, line := range said {
-		if i >= len(lines) || !strings.Contains(line, lines[i]) {
-			t.Fatalf("logged %q, want lines with %q", said, lines)
-		}
-	}
-	if len(said) != len(lines) {
+	if !slices.EqualFunc(said, lines, strings.Contains) {
 		t.Errorf("logged %q, want lines with %q", said, lines)
 	}
 }
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -166,8 +166,7 @@
 	on := t.source()
 	context.AfterFunc(ctx, func() { t.source().end() })
 	told := false
-	var pace cadence.Cadence
-	pause := pace.First(t.dispatchers(), rand.Float64())
+	pause := cadence.First(t.dispatchers(), rand.Float64())
 	for ask := true; ctx.Err() == nil; {
 		if ask && t.broker.AwaitAsk(on.ctx) != nil && on.ctx.Err() == nil {
 			return // the broker is closed
@@ -190,13 +189,13 @@
 		switch {
 		case on.ctx.Err() != nil:
 			ask = false // replaced meanwhile: whatever came is the old source's word
-			pause = pace.First(t.dispatchers(), rand.Float64())
+			pause = cadence.First(t.dispatchers(), rand.Float64())
 		case err != nil:
 			if t.failed++; t.failed == 1 { // once, not once a call: an outage makes many
 				t.log(fmt.Sprintf("server table: %v; going on with %d loan workers known", err, t.size()))
 			}
 			t.tell(linnetlift.ListFailed, nil)
-			ask, pause = true, pace.Failed(t.dispatchers(), rand.Float64())
+			ask, pause = true, cadence.AfterFailure(t.dispatchers(), t.failed, rand.Float64())
 		default:
 			form := linnetlift.ListDelta
 			if reply.Reset || !t.known {
@@ -214,7 +213,6 @@
 			t.note(*reply, form == linnetlift.ListFull)
 			t.tell(form, members(reply.Instances))
 			ask, pause = false, 0 // carried on within 200 ms, it is still the same watch
-			pace.Told()
 		}
 	}
 }
--- a/internal/standin/day/fleet_test.go
+++ b/internal/standin/day/fleet_test.go
@@ -19,11 +19,13 @@
 }
 
 // share is the mean part of the worth that is served in time on some seeds.
-func share(t *testing.T, seeds uint64, cfg func(seed uint64) Config) float64 {
+func share(t *testing.T, seeds uint64, change func(*Config)) float64 {
 	t.Helper()
 	sum := 0.0
 	for seed := range seeds {
-		res := play(t, cfg(seed+1))
+		cfg := fleet(seed+1, 80, 60)
+		change(&cfg)
+		res := play(t, cfg)
 		sum += res.Worth()
 		if res.LateSend > 500*time.Millisecond { // by any of the dispatchers
 			t.Errorf("a job went out %v after its worker's drain was told", res.LateSend)
@@ -33,61 +35,47 @@
 	return sum / float64(seeds)
 }
 
-// Eighty dispatchers that draw by size and speed alone serve 0.86 here (0.83 with slow ones), and 0.91 (0.86) if
-// they go by the waits of their own jobs all over the fleet, since a
-// queue that has built up stays and each of them goes on adding to it. What the own
-// jobs have waited tells where not to send, also where a few workers turn slow.
-func TestManyDispatchersLearnFromTheWaitsOfTheirOwnJobs(t *testing.T) {
-	if got := share(t, 3, func(seed uint64) Config { return fleet(seed, 80, 60) }); got < 0.925 {
-		t.Errorf("calm: %.3f of the worth is served in time", got)
-	}
-	slow := func(seed uint64) Config {
-		cfg := fleet(seed, 80, 60)
+// struck has some workers struck, and well again later.
+func struck(do string, factor float64, from, to time.Duration) func(*Config) {
+	return func(cfg *Config) {
 		for i := range 7 {
-			cfg.Faults = append(cfg.Faults, Fault{At: 4 * time.Second, Worker: 8 * i, Do: "slow", Factor: 6},
-				Fault{At: 14 * time.Second, Worker: 8 * i, Do: "back"})
+			cfg.Faults = append(cfg.Faults, Fault{At: from, Worker: 8 * i, Do: do, Factor: factor}, Fault{At: to, Worker: 8 * i, Do: "back"})
 		}
-		return cfg
-	}
-	if got := share(t, 3, slow); got < 0.885 {
-		t.Errorf("7 of 60 workers 6 times slower for 10 s: %.3f", got)
 	}
-	failing := func(seed uint64) Config { // and taken back once they have recovered
-		cfg := fleet(seed, 80, 60)
-		for i := range 7 {
-			cfg.Faults = append(cfg.Faults, Fault{At: 3 * time.Second, Worker: 8 * i, Do: "errors", Factor: 0.8},
-				Fault{At: 9 * time.Second, Worker: 8 * i, Do: "back"})
-		}
-		return cfg
-	}
-	if got := share(t, 3, failing); got < 0.9 {
-		t.Errorf("7 of 60 workers fail fast for 6 s: %.3f", got)
-	}
-	for _, told := range []int{40, 160} { // the number told is wrong by a factor of two
-		wrong := func(seed uint64) Config {
-			cfg := fleet(seed, 80, 60)
-			cfg.Settings = func(s *linnetlift.Settings) { s.Dispatchers = told }
-			return cfg
-		}
-		if got := share(t, 3, wrong); got < 0.85 {
-			t.Errorf("told of %d dispatchers where 80 are: %.3f", told, got)
-		}
+}
+
+// told has every dispatcher told of so many.
+func told(n int) func(*Config) {
+	return func(cfg *Config) { cfg.Settings = func(s *linnetlift.Settings) { s.Dispatchers = n } }
+}
+
+// replaced has six in ten workers leave within 7 s and come back cold.
+func replaced(cfg *Config) {
+	for i := range 36 {
+		at := 5*time.Second + time.Duration(i/18)*3*time.Second
+		cfg.Faults = append(cfg.Faults, Fault{At: at, Worker: i, Do: "drain"}, Fault{At: at + 2*time.Second, Worker: i, Do: "restart"})
 	}
 }
 
-// Six in ten workers are replaced within 7 s. The newcomers are cold: a budget split
-// evenly among all lets each of 80 dispatchers send there on its own, with nothing known
-// of the queue that they build up together. Those few whose home it is know it soon.
-func TestNewcomersAreFilledByTheFewWhoKnowThem(t *testing.T) {
-	replaced := func(seed uint64) Config {
-		cfg := fleet(seed, 80, 60)
-		for i := range 36 {
-			at := 5*time.Second + time.Duration(i/18)*3*time.Second
-			cfg.Faults = append(cfg.Faults, Fault{At: at, Worker: i, Do: "drain"}, Fault{At: at + 2*time.Second, Worker: i, Do: "restart"})
+// Each of 80 dispatchers meets a worker seldom. Those that draw by size and speed alone
+// go on adding to queues that stand (calm 0.86, slow 0.83), and with a slow-start budget
+// split evenly they fill newcomers together, blindly (0.70). What own jobs have waited
+// tells where not to send, and few dispatchers to a worker know it soon.
+func TestManyDispatchers(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		least float64
+		do    func(*Config)
+	}{
+		{"calm", 0.925, func(*Config) {}},
+		{"7 workers 6 times slower for 10 s", 0.885, struck("slow", 6, 4*time.Second, 14*time.Second)},
+		{"7 workers fail fast for 6 s", 0.9, struck("errors", 0.8, 3*time.Second, 9*time.Second)},
+		{"told of half", 0.85, told(40)},
+		{"told of twice as many", 0.85, told(160)},
+		{"36 workers replaced", 0.785, replaced},
+	} {
+		if got := share(t, 3, c.do); got < c.least {
+			t.Errorf("%s: %.3f of the worth is served in time, want %.3f", c.name, got, c.least)
 		}
-		return cfg
-	}
-	if got := share(t, 3, replaced); got < 0.785 {
-		t.Errorf("%.3f of the worth is served in time", got)
 	}
 }
--- a/state.go
+++ b/state.go
@@ -241,6 +241,11 @@
 // slots is the most that workers of w's kind were seen to run at once.
 func (d *dispatcher) slots(w *worker) float64 { return d.kindOf(w).slots }
 
+// rate is the speed of w as it is now, against a worker of slowness 0.
+func (d *dispatcher) rate(w *worker) float64 {
+	return d.warmth(w) * math.Exp(-d.kindOf(w).slow-w.slow-w.late-3*w.bad)
+}
+
 func (d *dispatcher) statOf(c *Class) *classStat {
 	s := d.stats[c.Name]
 	if s == nil {
