--- a/internal/estimate/estimate_test.go
+++ b/internal/estimate/estimate_test.go
@@ -24,12 +24,13 @@
 			t.Errorf("%v later: %v, want %v", after, got, want)
 		}
 	}
-	w.AtLeast(11*time.Second, 1, &c) // a job sent later that waits less: the earlier word stands
-	if got := w.Now(11*time.Second, &c); got < 1.5 {
+	soon := 10*time.Second + Fade/5
+	w.AtLeast(soon, 1, &c) // a job sent later that waits less: the earlier word stands
+	if got := w.Now(soon, &c); got < 1.5 {
 		t.Errorf("a shorter wait that is not over yet has taken a longer one's place: %v", got)
 	}
-	w.AtLeast(11*time.Second, 4, &c)
-	if got := w.Now(11*time.Second, &c); got != 4 {
+	w.AtLeast(soon, 4, &c)
+	if got := w.Now(soon, &c); got != 4 {
 		t.Errorf("a job that has waited 4 s already: %v", got)
 	}
 }
