--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -23,6 +23,7 @@
 
 	"linnetlift"
 	"linnetlift/internal/invariant"
+	"linnetlift/internal/timers"
 )
 
 // Margin is how long before a request's deadline its last attempt is ended:
@@ -333,7 +334,7 @@
 		if due, ok := b.nextWake(); ok {
 			wait = due - b.now()
 		}
-		alarm.Reset(max(wait, 0))
+		alarm.Reset(timers.Ahead(wait))
 		select {
 		case <-b.done:
 			return
--- a/internal/platform/move_test.go
+++ b/internal/platform/move_test.go
@@ -114,6 +114,7 @@
 					own := *cfg
 					own.Module.Me = i
 					table, b := testTable(t, &own, func(string) {})
+					table.draw = rand.New(rand.NewPCG(7, uint64(i))).Float64 // the same pauses in every play
 					go table.Run(t.Context())
 					at, again := time.Duration(rnd.Float64()*9e9), time.Duration(rnd.Float64()*3e9)
 					twice := rnd.IntN(3) == 0
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -24,6 +24,7 @@
 	"linnetlift/internal/cadence"
 	"linnetlift/internal/config"
 	"linnetlift/internal/membership"
+	"linnetlift/internal/timers"
 )
 
 const (
@@ -46,6 +47,7 @@
 	broker *broker.Broker
 	tell   func(linnetlift.ListForm, []membership.Worker)
 	log    func(string)
+	draw   func() float64 // uniform in [0, 1), for pauses; Run's alone
 
 	generation uint64
 	known      bool
@@ -172,7 +174,7 @@
 // ask; tell takes what the roster says, in the form in which it said it.
 func NewTable(live *config.Live, b *broker.Broker, tell func(linnetlift.ListForm, []membership.Worker), log func(string)) (*Table, error) {
 	cfg := live.Get()
-	t := &Table{live: live, broker: b, tell: tell, log: log, now: newSource(cfg.Discovery), heard: make(chan struct{})}
+	t := &Table{live: live, broker: b, tell: tell, log: log, draw: rand.Float64, now: newSource(cfg.Discovery), heard: make(chan struct{})}
 	var known tableReply
 	if len(cfg.Known) > 0 {
 		if err := json.Unmarshal(cfg.Known, &known); err != nil {
@@ -229,9 +231,9 @@
 	told := false
 	first := func() time.Duration {
 		if left := t.left(); left > 0 {
-			return cadence.Due(t.dispatchers(), left, t.seen, rand.Float64())
+			return cadence.Due(t.dispatchers(), left, t.seen, t.draw())
 		}
-		return cadence.First(t.dispatchers(), rand.Float64())
+		return cadence.First(t.dispatchers(), t.draw())
 	}
 	next := time.Now().Add(first()) // the earliest moment of the next call
 	for ask := true; ctx.Err() == nil; {
@@ -248,7 +250,7 @@
 			}
 		}
 		select {
-		case <-time.After(time.Until(next)):
+		case <-time.After(timers.Ahead(time.Until(next))):
 		case <-on.ctx.Done():
 			ask = false
 			continue
@@ -267,7 +269,7 @@
 			t.failing(err)
 			t.tell(linnetlift.ListFailed, nil)
 			// Beside the module's own pause, which ends with its asking again.
-			ask, next = true, time.Now().Add(cadence.AfterFailure(t.dispatchers(), t.failed, t.left(), rand.Float64()))
+			ask, next = true, time.Now().Add(cadence.AfterFailure(t.dispatchers(), t.failed, t.left(), t.draw()))
 		default:
 			if whole {
 				t.seen = time.Since(began)
--- a/internal/srv/resolver.go
+++ b/internal/srv/resolver.go
@@ -11,10 +11,11 @@
 	"net/netip"
 	"slices"
 	"sync"
-
 	"time"
 
 	"github.com/miekg/dns"
+
+	"linnetlift/internal/timers"
 )
 
 // Config is one service to follow.
@@ -92,7 +93,7 @@
 }
 
 func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
+	t := time.NewTimer(timers.Ahead(d))
 	defer t.Stop()
 	select {
 	case <-t.C:
--- /dev/null
+++ b/internal/standin/day/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package day
+
+func seeds(all, _ uint64) uint64 { return all }
--- a/internal/standin/worker/engine.go
+++ b/internal/standin/worker/engine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"linnetlift/internal/standin/machine"
+	"linnetlift/internal/timers"
 )
 
 // Engine runs one machine in time.
@@ -72,7 +73,7 @@
 		e.timer.Stop()
 	}
 	if at, ok := e.m.Next(); ok {
-		e.timer = time.AfterFunc(at-time.Since(e.began), func() {
+		e.timer = time.AfterFunc(timers.Ahead(at-time.Since(e.began)), func() {
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			e.tell(e.m.Advance(time.Since(e.began)))
