--- a/lab/fleet/main.go
+++ b/lab/fleet/main.go
@@ -20,6 +20,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // try is one attempt as its dispatcher saw it; times are seconds of the day, 0: never.
@@ -210,6 +211,7 @@
 	defer f.Close()
 	open := map[string]*job{}
 	started := map[string]float64{} // of workers, Unix ms
+	var first time.Time             // the dispatcher's clock at the day's second 0
 	base := 0.0                     // Unix ms at the day's second 0, roughly: unknown until told
 	in := bufio.NewScanner(f)
 	in.Buffer(nil, 1<<20)
@@ -218,10 +220,17 @@
 		if len(p) < 3 {
 			continue
 		}
-		t, err := strconv.ParseFloat(p[0], 64)
+		t, err := strconv.ParseFloat(strings.Trim(p[0], "[]"), 64)
 		if err != nil {
 			continue
 		}
+		if clock, err := time.Parse("15:04:05", p[1]); err == nil {
+			// The second is rounded; the dispatcher's own clock is not.
+			if first.IsZero() {
+				first = clock.Add(-time.Duration(t * 1e9))
+			}
+			t = clock.Sub(first).Seconds()
+		}
 		p = p[2:]
 		key := func(name string) string {
 			for _, s := range p {
