Dispatchers that may talk tell what they have out, and send only where there is room

Each of two dispatchers counted half of the markers as its own and sent to the rest on reports a second old, and what it could hold no longer it sent into the markers' queues, where with 100 ms of slack nearly all of it is late. Lines: dispatcher.go setHomes, fits, overdueHeld.

--- a/cmd/yardflow/main.go
+++ b/cmd/yardflow/main.go
@@ -30,6 +30,7 @@
 	"linnetlift/internal/handover"
 	"linnetlift/internal/haproxy"
 	"linnetlift/internal/invariant"
+	"linnetlift/internal/peers"
 	"linnetlift/internal/platform"
 	"linnetlift/internal/sources"
 	"linnetlift/internal/sse"
@@ -52,8 +53,8 @@
 
 // reserve is for what is neither a client's nor a loan worker's: the standard
 // streams, the poller, the listeners, discovery's connections before and after
-// a reload, a file being read, and what comes past the budget.
-const reserve = 20
+// a reload, the datagrams' socket, a file being read, and what comes past the budget.
+const reserve = 21
 
 func main() {
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
@@ -207,6 +208,7 @@
 	limitMemory func(bytes int64)
 	bans        *handover.Bans
 	peers       *handover.Peers
+	talk        *peers.Link // with the other dispatchers; nil: they don't talk
 	serving     atomic.Bool
 
 	addr, sseAddr, consoleAddr net.Addr // where the parts listen; nil: off
@@ -249,6 +251,12 @@
 	if cfg.Trace {
 		n.broker.Trace(logLine)
 	}
+	if cfg.Talks() {
+		if n.talk, err = peers.Open(cfg.PeerListen, cfg.PeersAll, cfg.Peers, n.broker.Heard, n.peers.TellSaid); err != nil {
+			return nil, err
+		}
+		n.broker.Peers(n.talk.Tell)
+	}
 	if n.bans, err = handover.OpenBans(dir, cfg.Name); err != nil {
 		return nil, err
 	}
@@ -313,7 +321,7 @@
 	n.sources.Follow()
 	n.serving.Store(true)
 	// The name in dir goes over last: a process that failed before is not met.
-	if err := n.peers.Serve(handover.Hooks{State: n.inheritance, Shared: n.share, Bans: n.rereadBans}); err != nil {
+	if err := n.peers.Serve(handover.Hooks{State: n.inheritance, Shared: n.share, Bans: n.rereadBans, Said: n.broker.Heard}); err != nil {
 		log.Printf("the next process can't meet this one: %v", err)
 	}
 	return n, nil
@@ -551,5 +559,8 @@
 	n.sources.Close()
 	n.lines.CloseIdle()
 	n.broker.Close()
+	if n.talk != nil {
+		n.talk.Close()
+	}
 	return errors.Join(errs...)
 }
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -4,7 +4,7 @@
 // interface it serves (settings, events, actions) is in linnetlift.go, what it
 // remembers in state.go.
 //
-// Reading order: constants; events; the ordinary path (decide, pick);
+// Reading order: constants; events; the ordinary path (choose, pick);
 // actor-critic; request lifecycle and rules (send, settle, finish); worker
 // knowledge (speed, room, health, slow start); list following; overload.
 
@@ -194,14 +194,15 @@
 	}
 	d.tidyRoom()
 	d.overdueHeld(out)
+	d.tell(out)
 }
 
 // ---- the ordinary path
 
-// decide takes ACHQ's decisions at an arrival or completion: the head of the
+// choose takes ACHQ's decisions at an arrival or completion: the head of the
 // held queue goes to the fastest worker with room, at once if that is the
 // fastest overall, else with the probability of its soft threshold.
-func (d *dispatcher) decide(out Actions) {
+func (d *dispatcher) choose(out Actions) {
 	d.step()
 	d.rooms(out)
 	misfits := 0
@@ -374,6 +375,9 @@
 			(!d.crowded() || r.Slots == 1 && !d.tight) {
 			r.refusedBy = r.refusedBy[:0]
 			f := d.guess(r)
+			if d.exact() {
+				f, _ = d.pick(r) // where all is known, what has no room would only wait at a worker
+			}
 			if f != nil && d.send(r, f, out) {
 				d.out[len(d.out)-1].forced = true
 				d.forceAt = d.now + seconds(d.forceGap*(0.5+d.rnd.Float64()))
@@ -472,6 +476,7 @@
 	}
 	w.own += r.Slots
 	w.ownMem += r.Memory
+	d.moved()
 	w.limit = max(w.limit, 1)
 	d.plan(a)
 	out.Send(r.ID, w.ID, 0)
@@ -482,7 +487,7 @@
 // requeues or fails the request.
 func (d *dispatcher) settle(r *request, a *attempt, o Outcome, out Actions) {
 	w := a.w
-	full := w.own >= w.limit
+	full := w.busy() >= w.limit
 	d.drop(r, a)
 	run := (d.now - a.began()).Seconds()
 	neverRan := o.Code == Full || o.Code == ConnectFailed || o.Code == NeverSent
@@ -587,32 +592,6 @@
 
 // ---- worker knowledge
 
-// learnSpeed takes one run time apart into class, kind and worker; each moves
-// by its part of the bounded residual, so a long tail cannot blur a speed.
-func (d *dispatcher) learnSpeed(r *request, w *worker, run float64) {
-	k, s := d.kindOf(w), r.stat
-	run = math.Log(max(run, 1e-4))
-	if s.seen == 0 && r.Hint == 0 {
-		s.work = run
-	}
-	e := min(max(run-math.Log(d.work(r))-k.slow-w.slow, -surprise), surprise)
-	few, many := 12.0, 30.0 // without a hint the job's own size is most of the residual
-	if r.Hint > 0 {
-		few, many = 3, 8
-	}
-	s.seen = min(s.seen+1, 200)
-	s.vary += (e*e - s.vary) / (3 + s.seen)
-	if r.Hint == 0 {
-		s.work += e / (1 + s.seen)
-	}
-	d.meanRun += 0.01 * (math.Log(d.work(r)) - d.meanRun)
-	d.run = seconds(math.Exp(d.meanRun))
-	k.seen = min(k.seen+1, 200)
-	k.slow += e / (3 + k.seen)
-	w.seen = min(w.seen+1, many)
-	w.slow += e / (few + w.seen)
-}
-
 // price works out the time a job is taken to need at w, the measure of rank.
 func (d *dispatcher) price(w *worker) {
 	w.time = math.Exp(d.meanRun + d.kindOf(w).slow + w.slow + w.late)
@@ -639,7 +618,7 @@
 		w.bad *= 0.9
 		w.late *= 0.8 // a job still overdue raises it again
 		// What was gained beyond the own share is given back where it is not used.
-		if home := d.homeSlots(w); w.limit > home && w.own < w.limit {
+		if home := d.homeSlots(w); w.limit > home && w.busy() < w.limit {
 			w.limit = max(home, w.limit-0.5)
 		}
 		d.price(w)
@@ -668,7 +647,7 @@
 // a fresh report leaves a slot to spare for other dispatchers that saw it too; not
 // where room is held, since a report may be older than what was sent.
 func (d *dispatcher) fits(w *worker, r *request) bool {
-	if w.reportAt != 0 && d.now-w.reportAt < d.run {
+	if w.reportAt != 0 && d.now-w.reportAt < d.run && !d.exact() {
 		spare := w.free - w.own - r.Slots
 		if spare < 0 || w.freeMem >= 0 && w.freeMem-w.ownMem < r.Memory {
 			return false
@@ -679,7 +658,10 @@
 	if w.home > 0 && d.now >= w.trialAt {
 		w.limit = max(w.limit, d.homeSlots(w)) // back to the own share after a pause
 	}
-	return w.own+r.Slots <= w.limit || w.own == 0 && w.limit >= 1
+	if w.busy() > 0 && w.ownMem+w.othersMem+r.Memory > d.slots(w) {
+		return false
+	}
+	return w.busy()+r.Slots <= w.limit || w.busy() == 0 && w.limit >= 1
 }
 
 // guess picks for a job that can be held no longer the worker where it should end first by what
@@ -708,7 +690,7 @@
 // wait is the time that r is taken to wait for room at w.
 func (d *dispatcher) wait(w *worker, r *request) float64 {
 	run := d.run.Seconds()
-	free := max(w.limit, 1) - w.own
+	free := max(w.limit, 1) - w.busy()
 	if w.reported {
 		fade := max(1-(d.now-w.reportAt).Seconds()/(2*run), 0)
 		free = w.freeMean - w.own + (w.free-w.freeMean)*fade
@@ -732,6 +714,8 @@
 		start := math.Mod(arc*float64(d.Me), max(c.near, 1e-9))
 		if d.sparse() {
 			arc = min(lotHomes*arc, c.near)
+		} else if d.exact() {
+			arc = c.near // what others fill is known: every worker is everyone's
 		}
 		c.lay(start, arc)
 	}
@@ -780,7 +764,7 @@
 		k.growAt = d.now + seconds(pause*math.Exp2(float64(min(k.misses, 8))))
 		k.misses++
 	}
-	w.limit = min(w.limit, w.own)
+	w.limit = min(w.limit, w.busy())
 	w.reportAt = 0
 	w.trialAt = d.now + seconds(pause*math.Exp2(float64(min(w.misses, pauses))))
 	w.misses++
@@ -824,7 +808,7 @@
 	}
 	if !a.overdue {
 		a.overdue = true
-		w.limit = min(w.limit, max(w.own, 1))
+		w.limit = min(w.limit, max(w.busy(), 1))
 	}
 	if a.started != 0 && d.Progress > 0 && d.now-a.heard < d.Progress*3/2 {
 		return // a long job that still tells its progress
@@ -847,26 +831,6 @@
 		(d.Progress == 0 || d.now-a.heard > 2*d.Progress)
 }
 
-// report takes in a load report. Our own jobs are added back, since what we
-// send and end after it is known better than it tells.
-func (d *dispatcher) report(w *worker, load []float64, finished bool) {
-	free, freeMem, errors, active := d.readLoad(load)
-	if free >= 0 && finished {
-		w.free, w.freeMem, w.reportAt = free+w.own, -1, d.now
-		if !w.reported {
-			w.freeMean, w.reported = w.free, true
-		}
-		w.freeMean += 0.1 * (w.free - w.freeMean)
-		if freeMem >= 0 {
-			w.freeMem = freeMem + w.ownMem
-		}
-		d.seeSlots(w, math.Round(free))
-	}
-	if rate := active / math.Exp(d.meanRun+d.kindOf(w).slow+w.slow); errors > 0 && rate > 0 {
-		w.bad = max(w.bad, 0.5*errors/(errors+rate))
-	}
-}
-
 // blame counts a failure. The worker loses rank and, if it isn't a single broken
 // connection, its slots for a pause that grows while it goes on failing and ends in
 // a trial. When all fail, all lose alike. One failure after a good time is mostly
@@ -899,6 +863,8 @@
 	share := w.home
 	if d.sparse() {
 		share *= lotCold / lotHomes
+	} else if d.exact() {
+		share /= float64(d.Dispatchers)
 	}
 	cost := r.Slots * d.expect(r, w)
 	bears := d.FallMultiple * d.warmth(w) * d.slots(w)
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -181,6 +181,8 @@
 	budgets  map[string]*budget
 	observe  func(worker string, code Code) // nil: nobody wants to know
 	trace    func(line string)              // nil: off
+	tell     func(msg []byte)               // to the other dispatchers; nil: no way to them
+	heardOf  atomic.Int32                   // their messages that the module has yet to take
 
 	anchor     time.Time // with its monotonic reading: the clock never runs back
 	anchorUnix time.Duration
@@ -570,6 +572,25 @@
 	}
 }
 
+// Peers sets who carries messages to the other dispatchers; it must not wait for anybody.
+// Before any request, and before the first list.
+func (b *Broker) Peers(tell func(msg []byte)) { b.tell = tell }
+
+// maxHeard bounds the messages that wait for the module: a flood costs those beyond it.
+const maxHeard = 64
+
+// Heard hands in what another dispatcher told. msg is the broker's from now on.
+func (b *Broker) Heard(msg []byte) {
+	if b.heardOf.Add(1) > maxHeard {
+		b.heardOf.Add(-1)
+		return
+	}
+	b.post(func(now time.Duration, out linnetlift.Actions) {
+		b.heardOf.Add(-1)
+		b.module.PeerMessage(now, 0, msg, out)
+	})
+}
+
 // Observe sets who is told how each attempt at a worker ended. Before any request.
 func (b *Broker) Observe(f func(worker string, code Code)) { b.observe = f }
 
@@ -867,7 +888,13 @@
 	}
 }
 
-// Probe and Tell are off on the platform: settings that allow them meet no wire here.
+// Probe meets no wire here: the module sends none.
 func (k sink) Probe(linnetlift.WorkerID) {}
-func (k sink) Tell([]byte)               {}
-func (k sink) Log(line string)           { k.b.log(fmt.Sprint("module: ", line)) }
+
+func (k sink) Tell(msg []byte) {
+	if k.b.tell != nil {
+		k.b.tell(msg)
+	}
+}
+
+func (k sink) Log(line string) { k.b.log(fmt.Sprint("module: ", line)) }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,6 +12,7 @@
 	"hash/fnv"
 	"maps"
 	"net"
+	"net/netip"
 	"os"
 	"reflect"
 	"slices"
@@ -26,8 +27,10 @@
 // Config is all that a dispatcher is told at its start.
 type Config struct {
 	Name, Listen, Discovery string
-	Console                 string // where operators call; empty: nowhere
-	ListenFD                int    // the descriptor of an inherited listening socket; 0: none
+	Console                 string   // where operators call; empty: nowhere
+	PeerListen, PeersAll    string   // where other dispatchers' datagrams come, and what reaches all of them; empty: they don't talk
+	Peers                   []string // theirs, where datagrams come from
+	ListenFD                int      // the descriptor of an inherited listening socket; 0: none
 	Seed                    uint64
 	Limits                  Limits
 	Known                   json.RawMessage // the server table as last had, in discovery's form
@@ -183,10 +186,16 @@
 	own.file, own.Discovery = next.file, next.Discovery
 	own.Membership, own.SRV, own.Notices = next.Membership, next.SRV, next.Notices
 	own.Module, own.ConnectTimeout, own.IdleClose = next.Module, next.ConnectTimeout, next.IdleClose
+	own.Module.Peers = own.Module.Peers && c.Talks() // the socket is opened at a start
 	own.Classes, own.Tenants, own.Zones, own.Kinds, own.Columns = next.Classes, next.Tenants, next.Zones, next.Kinds, next.Columns
 	return &own, nil
 }
 
+// Talks tells whether the addresses are there by which dispatchers talk.
+func (c *Config) Talks() bool {
+	return c.PeerListen != "" && (c.PeersAll != "" || len(c.Peers) > 0)
+}
+
 // optional keys may come and go: those for a start alone, and the one that the
 // protocol says may be absent.
 var optional = []string{"known", "seed", "console", "settings.Classes[].AimStretch"}
@@ -256,6 +265,7 @@
 		name string
 		same bool
 	}{{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"console", c.Console == next.Console},
+		{"peer_listen", c.PeerListen == next.PeerListen}, {"peers_all", c.PeersAll == next.PeersAll}, {"peers", slices.Equal(c.Peers, next.Peers)},
 		{"limits", c.Limits == next.Limits}, {"[sse]", reflect.DeepEqual(c.SSE, next.SSE)}} {
 		if !k.same {
 			keys = append(keys, k.name)
@@ -276,6 +286,9 @@
 func (c *Config) parse(text []byte) error {
 	var in struct {
 		Name, Listen, Discovery, Console, Seed string
+		PeerListen                             string `json:"peer_listen"`
+		PeersAll                               string `json:"peers_all"`
+		Peers                                  []string
 		Limits                                 Limits
 		Known, Settings                        json.RawMessage
 	}
@@ -286,6 +299,19 @@
 		return err
 	}
 	c.Name, c.Listen, c.Discovery, c.Console, c.Known, c.Limits = in.Name, in.Listen, in.Discovery, in.Console, in.Known, in.Limits
+	if c.PeerListen, c.PeersAll, c.Peers = in.PeerListen, in.PeersAll, in.Peers; c.PeerListen != "" {
+		for _, a := range append([]string{c.PeersAll}, c.Peers...) {
+			if a == "" {
+				continue
+			}
+			if _, err := netip.ParseAddrPort(a); err != nil {
+				return fmt.Errorf("peers, peers_all: %q: expected an address and a port", a)
+			}
+		}
+		if err := address("peer_listen", c.PeerListen); err != nil {
+			return err
+		}
+	}
 	if in.Seed != "" {
 		var err error
 		if c.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
@@ -316,6 +342,8 @@
 	if err := c.settings(in.Settings); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	// Allowed and without a way, dispatchers would take each other's silence for absence.
+	c.Module.Peers = c.Module.Peers && c.Talks()
 	return nil
 }
 
--- a/internal/handover/peers.go
+++ b/internal/handover/peers.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -14,6 +15,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -29,6 +31,7 @@
 	State  func() []byte // what the next process starts on
 	Shared func(n int)   // so many processes share the machine now; done when it returns
 	Bans   func()        // the banned ids have changed
+	Said   func([]byte)  // what it says to the other dispatchers, or heard of them
 }
 
 // Peers are the other processes of this dispatcher, mostly none.
@@ -221,6 +224,10 @@
 	for in.Scan() {
 		if in.Text() == "bans" {
 			p.hooks.Bans()
+		} else if said, ok := strings.CutPrefix(in.Text(), "said "); ok && p.hooks.Said != nil {
+			if msg, err := hex.DecodeString(said); err == nil {
+				p.hooks.Said(msg)
+			}
 		}
 	}
 	conn.Close()
@@ -246,12 +253,21 @@
 }
 
 // TellBans lets the others read the banned ids again.
-func (p *Peers) TellBans() {
+func (p *Peers) TellBans() { p.write("bans\n") }
+
+// TellSaid hands a datagram on: one socket gets it, and both processes are meant.
+func (p *Peers) TellSaid(msg []byte) {
+	if p.Others() > 0 {
+		p.write("said " + hex.EncodeToString(msg) + "\n")
+	}
+}
+
+func (p *Peers) write(line string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for conn := range p.conns {
 		conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond))
-		io.WriteString(conn, "bans\n")
+		io.WriteString(conn, line)
 	}
 }
 
--- a/state.go
+++ b/state.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"linnetlift/internal/estimate"
+	"linnetlift/internal/gossip"
 	"linnetlift/internal/pools"
 	"linnetlift/internal/room"
 )
@@ -50,6 +51,8 @@
 	pos           int
 
 	own, ownMem         float64 // slots and memory of our jobs
+	others, othersMem   float64 // and of the other dispatchers', as they tell
+	subject             uint32  // its name in what they tell
 	limit               float64
 	trialAt             time.Duration
 	misses              int
@@ -132,6 +135,8 @@
 
 	shares     []float64       // of the pools, in any unit
 	usual      estimate.Common // of waits at workers
+	book       *gossip.Book    // nil: the dispatchers don't talk
+	toldAt     time.Duration   // when the workers' others were last brought up to date
 	room       *room.Plan      // nil: no room is held
 	share      float64         // part of its bounds that is this process's; 0: all
 	fleet      float64         // slots of all listed workers
@@ -167,7 +172,73 @@
 	}
 }
 
-func (d *dispatcher) PeerMessage(now time.Duration, _ int, _ []byte, out Actions) { d.begin(now, out) }
+// ---- what the dispatchers tell each other
+
+// talkers is how many dispatchers talk at the most: what they say grows by its square.
+const talkers = 8
+
+// exact tells that what all dispatchers have out is known, a network's delay ago: there is
+// no other, or they tell. One that says nothing is taken to be down.
+func (d *dispatcher) exact() bool {
+	return d.Dispatchers == 1 || d.Peers && d.Dispatchers <= min(talkers, len(d.rank))
+}
+
+// busy is how many slots of w are known to be taken, or waited for.
+func (w *worker) busy() float64 { return w.own + w.others }
+
+func (d *dispatcher) PeerMessage(now time.Duration, _ int, msg []byte, out Actions) {
+	d.begin(now, out)
+	if d.book != nil && d.book.Hear(now, msg) {
+		d.hearsay()
+		d.decide(out)
+	}
+}
+
+// hearsay brings the workers' others up to date.
+func (d *dispatcher) hearsay() {
+	d.toldAt = d.now
+	for _, w := range d.rank {
+		t := d.book.Of(d.now, w.subject)
+		w.others, w.othersMem = t.Slots, t.Memory
+	}
+}
+
+// tell says what is out, where that is due.
+func (d *dispatcher) tell(out Actions) {
+	if !d.Peers || !d.exact() {
+		return // alone it tells, too: another process of the same dispatcher may hear it
+	}
+	if d.book == nil {
+		d.book = gossip.New(d.Me, uint32(d.now.Milliseconds()))
+	}
+	if d.now-d.toldAt > gossip.Heartbeat {
+		d.hearsay()
+	}
+	if !d.book.Due(d.now) {
+		return
+	}
+	words := make([]gossip.Word, 0, len(d.rank))
+	for _, w := range d.workers {
+		if w.own > 0 {
+			words = append(words, gossip.Word{Subject: w.subject, Slots: w.own, Memory: w.ownMem})
+		}
+	}
+	gossip.Order(words)
+	out.Tell(d.book.Say(d.now, words))
+}
+
+// decide takes what decisions can be taken, and tells the others what came of it.
+func (d *dispatcher) decide(out Actions) {
+	d.choose(out)
+	d.tell(out)
+}
+
+// moved notes that what is out has changed.
+func (d *dispatcher) moved() {
+	if d.book != nil {
+		d.book.Changed()
+	}
+}
 
 // begin notes the time and keeps one timer running.
 func (d *dispatcher) begin(now time.Duration, out Actions) {
@@ -187,6 +258,12 @@
 		}
 	}
 	d.Settings, d.tenants = s, buckets
+	if d.book != nil && !s.Peers {
+		d.book = nil
+		for _, w := range d.workers {
+			w.others, w.othersMem = 0, 0
+		}
+	}
 	d.numberPools()
 	d.setRoom()
 }
@@ -215,6 +292,7 @@
 		a.w.ownMem = max(a.w.ownMem-r.Memory, 0)
 	}
 	d.unplan(a)
+	d.moved()
 	r.out--
 	r.pending = slices.DeleteFunc(r.pending, func(p *attempt) bool { return p == a })
 	last := d.out[len(d.out)-1]
@@ -436,6 +514,54 @@
 	return
 }
 
+// ---- what outcomes and reports teach
+
+// learnSpeed takes one run time apart into class, kind and worker; each moves
+// by its part of the bounded residual, so a long tail cannot blur a speed.
+func (d *dispatcher) learnSpeed(r *request, w *worker, run float64) {
+	k, s := d.kindOf(w), r.stat
+	run = math.Log(max(run, 1e-4))
+	if s.seen == 0 && r.Hint == 0 {
+		s.work = run
+	}
+	e := min(max(run-math.Log(d.work(r))-k.slow-w.slow, -surprise), surprise)
+	few, many := 12.0, 30.0 // without a hint the job's own size is most of the residual
+	if r.Hint > 0 {
+		few, many = 3, 8
+	}
+	s.seen = min(s.seen+1, 200)
+	s.vary += (e*e - s.vary) / (3 + s.seen)
+	if r.Hint == 0 {
+		s.work += e / (1 + s.seen)
+	}
+	d.meanRun += 0.01 * (math.Log(d.work(r)) - d.meanRun)
+	d.run = seconds(math.Exp(d.meanRun))
+	k.seen = min(k.seen+1, 200)
+	k.slow += e / (3 + k.seen)
+	w.seen = min(w.seen+1, many)
+	w.slow += e / (few + w.seen)
+}
+
+// report takes in a load report. Our own jobs are added back, since what we
+// send and end after it is known better than it tells.
+func (d *dispatcher) report(w *worker, load []float64, finished bool) {
+	free, freeMem, errors, active := d.readLoad(load)
+	if free >= 0 && finished {
+		w.free, w.freeMem, w.reportAt = free+w.own, -1, d.now
+		if !w.reported {
+			w.freeMean, w.reported = w.free, true
+		}
+		w.freeMean += 0.1 * (w.free - w.freeMean)
+		if freeMem >= 0 {
+			w.freeMem = freeMem + w.ownMem
+		}
+		d.seeSlots(w, math.Round(free))
+	}
+	if rate := active / math.Exp(d.meanRun+d.kindOf(w).slow+w.slow); errors > 0 && rate > 0 {
+		w.bad = max(w.bad, 0.5*errors/(errors+rate))
+	}
+}
+
 // ---- the plan of rooms: what it is told, and what it is asked
 
 // unknownVary is the variance of ln sizes taken until jobs have shown theirs.
@@ -651,6 +777,7 @@
 		w = &worker{}
 		d.workers[id] = w
 		w.place = mix(uint64(id))
+		w.subject = uint32(w.place)
 		w.spot = float64(mix(w.place)>>11) / (1 << 53)
 		_, w.order = math.Modf(float64(w.place>>11)/(1<<53) + float64(d.Me)*0.6180339887498949)
 	}
