--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 FUZZTIME = 10s
 fuzz:
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/srv
+	go test -run '^$$' -fuzz FuzzHear -fuzztime $(FUZZTIME) ./internal/gossip
 
 # The whole at work on this machine, with stand-ins on loopback; ends by itself.
 demo: build
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync"
 	"syscall"
 	"time"
 
@@ -32,6 +33,7 @@
 	beside func(msg []byte)
 	out    chan []byte
 	done   chan struct{}
+	over   sync.Once
 }
 
 // Open listens at listen and sends to all, or to each of peers where all is empty. hear is
@@ -85,7 +87,7 @@
 
 // Close ends both ways.
 func (l *Link) Close() error {
-	close(l.done)
+	l.over.Do(func() { close(l.done) })
 	return l.conn.Close()
 }
 
--- a/internal/standin/day/day.go
+++ b/internal/standin/day/day.go
@@ -47,6 +47,14 @@
 	Factor   float64
 }
 
+// Talk is the way of datagrams: each comes after a delay of its own, up to Delay, or twice,
+// or with a bit flipped, or never.
+type Talk struct {
+	Delay                  time.Duration
+	Lost, Doubled, Spoiled float64 // shares
+	Deaf                   int     // dispatchers that hear nothing and are not heard
+}
+
 // Config is one day.
 type Config struct {
 	Seed        uint64
@@ -64,6 +72,7 @@
 	Settings    func(*linnetlift.Settings) // what is to be otherwise; may be nil
 	Retunes     map[time.Duration]func(*linnetlift.Settings)
 	Delay       time.Duration // of the network, one way
+	Talk        *Talk         // how dispatchers' datagrams reach each other; nil: they may not talk
 	Report      time.Duration // reports are refreshed so often
 }
 
@@ -82,6 +91,7 @@
 	Modules  []linnetlift.Dispatcher
 	Decided  int           // calls of modules
 	Hit      int           // faults that hit a holder of room
+	Told     int           // bytes that dispatchers told
 	LateSend time.Duration // latest send to a worker after its drain was told
 }
 
@@ -166,6 +176,7 @@
 type day struct {
 	Config
 	rnd     *rand.Rand
+	air     *rand.Rand // the datagrams' draws
 	now     time.Duration
 	events  queue
 	count   uint64
@@ -180,7 +191,7 @@
 const base = time.Hour
 
 func newDay(cfg Config) *day {
-	return &day{Config: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 7)), now: base,
+	return &day{Config: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 7)), air: rand.New(rand.NewPCG(cfg.Seed, 11)), now: base,
 		jobs: map[linnetlift.RequestID]*job{}, res: &Result{Classes: make([]Score, len(cfg.Classes))}}
 }
 
@@ -191,6 +202,7 @@
 		LoadFields: []linnetlift.LoadField{linnetlift.LoadFreeSlots}, MaxAttempts: 4, Cancelling: true, MaxRetryAfter: 2 * time.Second,
 		DrainGrace: 500 * time.Millisecond, AskWithin: 10 * time.Second, ColdShare: 0.3, ColdTime: 8 * time.Second,
 		FallMultiple: 4, FallTime: 2 * time.Second, OverShareWorth: 1, AnswerSlack: 8 * time.Millisecond}
+	s.Peers = cfg.Talk != nil
 	for _, c := range cfg.Classes {
 		s.Classes = append(s.Classes, c.Class)
 	}
@@ -408,9 +420,34 @@
 func (h *host) Fail(id linnetlift.RequestID)                    { h.d.answer(h.d.jobs[id], "failed") }
 func (h *host) Subscribe()                                      {}
 func (h *host) Probe(linnetlift.WorkerID)                       {}
-func (h *host) Tell([]byte)                                     {}
 func (h *host) Log(string)                                      {}
 
+func (h *host) Tell(msg []byte) {
+	d, t := h.d, h.d.Talk
+	if t == nil {
+		d.broken("dispatcher %d talks, and may not", h.n)
+		return
+	}
+	d.res.Told += len(msg)
+	for _, to := range d.hosts {
+		if to == h || min(to.n, h.n) < t.Deaf || d.air.Float64() < t.Lost {
+			continue
+		}
+		m := slices.Clone(msg)
+		if d.air.Float64() < t.Spoiled {
+			m[d.air.IntN(len(m))] ^= 1 << d.air.IntN(8)
+		}
+		for n := 1; n > 0; n-- {
+			d.at(d.now+time.Duration(d.air.Float64()*float64(t.Delay)), func() {
+				d.call(func() { to.m.PeerMessage(d.now, h.n, m, to) })
+			})
+			if d.air.Float64() < t.Doubled {
+				n++
+			}
+		}
+	}
+}
+
 func (h *host) Wake(in time.Duration, tag uint64) {
 	h.d.at(h.d.now+in, func() { h.d.call(func() { h.m.Timer(h.d.now, tag, h) }) })
 }
--- /dev/null
+++ b/internal/standin/day/talk_test.go
@@ -0,0 +1,60 @@
+package day
+
+import (
+	"testing"
+	"time"
+
+	"linnetlift"
+)
+
+// room is a day in one server room: two dispatchers, eight markers of two slots and two
+// speeds, short jobs with next to no time to wait.
+func oneRoom(seed uint64, talk *Talk) Config {
+	return Config{Seed: seed, Length: 20 * time.Second, Dispatchers: 2, Workers: 8, Slots: []int{2, 2}, Speeds: []float64{0.97, 0.75},
+		Load: 0.75, Delay: time.Millisecond, Report: time.Second, CellSize: 4, Talk: talk,
+		Classes: []Class{
+			{Class: linnetlift.Class{Name: "mark-round", Aim: 100 * time.Millisecond, Stretch: 1.75, Deadline: 5 * time.Second, Worth: 2,
+				Kind: -1}, Share: 0.81, Slots: 1, Mean: 220 * time.Millisecond, Sigma: 1},
+			{Class: linnetlift.Class{Name: "close-night", Aim: 300 * time.Millisecond, Stretch: 1.75, Deadline: 5 * time.Second, Worth: 3,
+				Semantics: linnetlift.Dedup, Scope: linnetlift.ScopeCell, Window: 7500 * time.Millisecond, Kind: -1}, Share: 0.19, Slots: 1,
+				Mean: 440 * time.Millisecond, Sigma: 1},
+		},
+		Settings: func(s *linnetlift.Settings) {
+			s.MaxAttempts, s.Progress, s.ColdShare, s.ColdTime, s.FallTime = 5, time.Second, 0.31, 7700*time.Millisecond, 1500*time.Millisecond
+		}}
+}
+
+// Two dispatchers that tell each other what they have out serve as if there were one: with
+// datagrams late, lost, doubled and spoilt, too. Where they may not talk, or can't hear each
+// other, they serve what they did.
+func TestDispatchersThatTalk(t *testing.T) {
+	t.Parallel()
+	worth := func(change func(*Config)) float64 {
+		sum, n := 0.0, seeds(6, 2)
+		for seed := range n {
+			cfg := oneRoom(seed+1, nil)
+			change(&cfg)
+			sum += play(t, cfg).Worth() / float64(n)
+		}
+		return sum
+	}
+	one := worth(func(c *Config) { c.Dispatchers = 1 })
+	silent := worth(func(*Config) {})
+	for _, c := range []struct {
+		name  string
+		talk  Talk
+		least float64 // of the way from silence to one dispatcher alone
+	}{
+		{"17 ms", Talk{Delay: 17 * time.Millisecond}, 0.8},
+		{"a fifth lost, doubled, spoilt", Talk{Delay: 17 * time.Millisecond, Lost: 0.2, Doubled: 0.2, Spoiled: 0.2}, 0.6},
+		{"late by up to 150 ms", Talk{Delay: 150 * time.Millisecond}, 0.2},
+		{"nothing comes through", Talk{Deaf: 1}, -0.5},
+	} {
+		got := worth(func(cfg *Config) { cfg.Talk = &c.talk })
+		closed := (got - silent) / (one - silent)
+		t.Logf("%s: %.3f, between %.3f for two that can't talk and %.3f for one alone: %.2f of the way", c.name, got, silent, one, closed)
+		if closed < c.least {
+			t.Errorf("%s: %.2f of the way, want %.2f", c.name, closed, c.least)
+		}
+	}
+}
