--- a/dispatcher.go
+++ b/dispatcher.go
@@ -865,6 +865,8 @@
 		share *= lotCold / lotHomes
 	} else if d.exact() {
 		share /= float64(d.Dispatchers)
+	} else {
+		share = max(share, 0.5/float64(d.Dispatchers)) // who is no home must be able to use it, too
 	}
 	cost := r.Slots * d.expect(r, w)
 	bears := d.FallMultiple * d.warmth(w) * d.slots(w)
--- a/state.go
+++ b/state.go
@@ -555,6 +555,9 @@
 		if freeMem >= 0 {
 			w.freeMem = freeMem + w.ownMem
 		}
+		if k := d.kindOf(w); free >= 1.5*k.slots && d.exact() {
+			k.slots = math.Round(free) // well beyond any noise
+		}
 		d.seeSlots(w, math.Round(free))
 	}
 	if rate := active / math.Exp(d.meanRun+d.kindOf(w).slow+w.slow); errors > 0 && rate > 0 {
