--- a/dispatcher.go
+++ b/dispatcher.go
@@ -53,6 +53,7 @@
 	lotHomes     = 4.0                    // shares of the fleet that are home then
 	takeBack     = 200 * time.Millisecond // unstarted for so long, what may be repeated tries elsewhere
 	lotHope      = 1.5                    // waits of so many times that to spare are mostly tried
+	coldFew      = 4                      // dispatchers up to which each may use any cold worker
 	lotCold      = 1.2                    // part of the slow-start budget then, over all dispatchers
 	lookAhead    = 4                      // held jobs tried when the head fits nowhere
 	overtake     = 400 * time.Millisecond // connecting may delay a job so long against a later one
@@ -865,8 +866,8 @@
 		share *= lotCold / lotHomes
 	} else if d.exact() {
 		share /= float64(d.Dispatchers)
-	} else {
-		share = max(share, 0.5/float64(d.Dispatchers)) // who is no home must be able to use it, too
+	} else if d.Dispatchers <= coldFew {
+		share = max(share, 0.5/float64(d.Dispatchers)) // its one home may have taken it out, or be down
 	}
 	cost := r.Slots * d.expect(r, w)
 	bears := d.FallMultiple * d.warmth(w) * d.slots(w)
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -447,6 +447,63 @@
 	}
 }
 
+// A worker that comes back cold, as one called back by hand does, is of use to each of few
+// dispatchers, also to those whose own share of the workers it is not in: its home may have
+// taken it out, or be down. It was left unused through its ramp, and nothing else was there.
+func TestWorkerPutBackIsUsedByAll(t *testing.T) {
+	const workers = 6
+	for _, talk := range []bool{false, true} {
+		for n := 1; n <= 3; n++ {
+			for me := range n {
+				for back := range workers {
+					s := testSettings()
+					s.Me, s.Dispatchers, s.Peers, s.Classes[0].Kind = me, n, talk, 1
+					d, out := mustNew(t, s, uint64(me)), &recorder{}
+					var list []Worker
+					for i := range workers {
+						list = append(list, Worker{ID: WorkerID(i + 1), Weight: 1})
+					}
+					list[back].Kind = 1 // the jobs' own: no other can run them
+					d.List(0, ListCached, list, out)
+					list[back].Launched = time.Minute
+					d.List(time.Minute, ListAmend, list[back:back+1], out)
+					out.take()
+					sent := 0
+					for now, id := time.Minute, RequestID(1); now < time.Minute+3*time.Second; now += 25 * ms {
+						if id++; id%8 == 0 {
+							d.Arrive(now, Request{ID: id, Left: 5 * time.Second, Hint: 100 * ms, Slots: 1}, out)
+						}
+						d.Timer(now, 0, out)
+						for _, a := range out.take() {
+							if a.what == "send" {
+								sent++
+								d.Outcome(now, Outcome{ID: a.id, Worker: a.w, Code: OK, Ended: true}, out)
+							}
+						}
+					}
+					if sent == 0 {
+						t.Errorf("dispatcher %d of %d, talk %v: worker %d was sent nothing in 3 s", me, n, talk, back+1)
+					}
+				}
+			}
+		}
+	}
+}
+
+// The first report that tells of far more free slots than were known counts at once where
+// all is known: a day's first seconds went with half of the slots unused.
+func TestSlotsAreSeenAtOnce(t *testing.T) {
+	s := testSettings()
+	s.LoadFields = []LoadField{LoadFreeSlots}
+	d, out := newDispatcher(s, 1), &recorder{}
+	d.List(0, ListCached, []Worker{{ID: 1, Weight: 1}}, out)
+	for _, c := range [][2]float64{{1.98, 2}, {2.4, 2}, {3.1, 3}, {0.2, 3}} {
+		if d.Outcome(ms, Outcome{ID: 1, Worker: 1, Load: []float64{c[0]}}, out); d.kinds[0].slots != c[1] {
+			t.Errorf("after a report of %v free slots the kind counts as %v, want %v", c[0], d.kinds[0].slots, c[1])
+		}
+	}
+}
+
 // A kind's slots must be learned from reports on a large fleet too: sightings
 // that fade once a worker instead of once a kind never add up.
 func TestKindSlotsAreLearnedOnALargeFleet(t *testing.T) {
