--- /dev/null
+++ b/internal/accord/accord.go
@@ -0,0 +1,150 @@
+// Package accord is a dispatcher's half of the agreement with the keepers: the policy that it
+// holds whole, the lease under which it may admit work, and what it does when it hears
+// nothing. It is a pure machine: messages and the time are handed in.
+//
+// Time is the holder's own monotonic clock. A lease counts from before it was asked for, and
+// is taken as shorter by twice the stated bound on drift than was granted; so when the keepers
+// take it to be over, it is over here. Whoever was stopped for a while finds out at its next
+// look: what is asked before each request is Admits(now), never a flag that a timer clears.
+//
+// It must have no clock, draw or I/O, and never wait for a keeper.
+package accord
+
+import (
+	"time"
+
+	"linnetlift/internal/keeper"
+)
+
+// Drift is the bound on how much faster or slower one monotonic clock runs than another.
+const Drift = 0.01
+
+// Held is a policy and what may be done under it now.
+type Held struct {
+	Version uint64
+	Admits  bool // new work may be admitted
+	Marked  bool // under Last: by a policy that may be in force no more
+}
+
+// Accord is one life of a dispatcher.
+type Accord struct {
+	fence   keeper.Fence
+	name    string
+	program string
+	life    uint64
+	seq     uint64
+
+	policy keeper.Policy // held whole, and applied
+	ever   bool          // a lease was held under it, or the one before
+	until  time.Duration // the lease ends; 0: none
+	lease  time.Duration // length of the latest
+	stop   bool          // nothing is admitted until a lease is given again
+	said   string        // the change that was answered
+
+	// Why is the keepers' last word where they gave no lease.
+	Why string
+}
+
+// New makes the half of a dispatcher that knows nothing yet. life must differ between all
+// processes that ever bear the name.
+func New(name string, life uint64, program string, fence keeper.Fence) *Accord {
+	return &Accord{name: name, life: life, program: program, fence: fence}
+}
+
+// Restore gives it a policy from before its start, by which it may go on under Last.
+func (a *Accord) Restore(p keeper.Policy) { a.policy, a.ever = p, p.Version > 0 }
+
+// Holds tells whether the lease holds now.
+func (a *Accord) Holds(now time.Duration) bool { return !a.stop && a.until > now }
+
+// Admits is what holds at this moment, asked before each request is admitted.
+func (a *Accord) Admits(now time.Duration) Held {
+	held := a.Holds(now)
+	return Held{Version: a.policy.Version, Admits: held || a.fence == keeper.Last && a.ever && !a.stop, Marked: !held}
+}
+
+// Left is how long the lease holds yet; 0: it does not.
+func (a *Accord) Left(now time.Duration) time.Duration {
+	if !a.Holds(now) {
+		return 0
+	}
+	return a.until - now
+}
+
+// Policy is the one held.
+func (a *Accord) Policy() keeper.Policy { return a.policy }
+
+// Every is how often a lease is asked for anew.
+func (a *Accord) Every() time.Duration { return max(a.lease/3, 50*time.Millisecond) }
+
+// Ask words the next call for a lease. The caller remembers when it asked.
+func (a *Accord) Ask(now time.Duration) keeper.Hold {
+	a.seq++
+	h := keeper.Hold{Name: a.name, Life: a.life, Seq: a.seq, Knows: a.policy.Version, Program: a.program}
+	if a.Admits(now).Admits {
+		h.Serves = a.policy.Version
+		if h.Serves == 0 {
+			h.Serves = none
+		}
+	}
+	return h
+}
+
+// none stands for work admitted before any policy was made; 0 says that none is.
+const none = 1<<64 - 1
+
+// Leave words the last message of this life, after which it admits nothing.
+func (a *Accord) Leave() keeper.Leave {
+	a.seq++
+	a.stop, a.until = true, 0
+	return keeper.Leave{Name: a.name, Life: a.life, Seq: a.seq}
+}
+
+// Todo is what is left to the caller after an answer.
+type Todo struct {
+	Take  *keeper.Policy // take it in, say Took, and ask again at once
+	Weigh *keeper.Change // see whether it could be run, and tell the keepers by Say
+	Again bool           // ask again at once
+}
+
+// Heard takes in the answer to what was asked at a moment of its own clock.
+func (a *Accord) Heard(asked time.Duration, r keeper.Result) (t Todo) {
+	a.Why = r.Why
+	if r.Err != "" {
+		a.Why = r.Err
+		return Todo{Again: r.Err == keeper.ErrStale.Error()}
+	}
+	if r.Change != nil && r.Change.ID != a.said {
+		t.Weigh = r.Change
+	}
+	if r.Stop {
+		// Under Last it is told so only while nobody may take up the next one: it goes on.
+		if a.fence == keeper.Refuse {
+			t.Again = a.until != 0 || r.Policy != nil // they wait to hear that it has stopped
+			a.stop, a.until = true, 0
+		}
+	}
+	if r.Policy != nil {
+		t.Take = r.Policy
+		return t
+	}
+	if r.Lease > 0 {
+		a.lease, a.ever, a.stop = r.Lease, true, false
+		a.until = asked + time.Duration(float64(r.Lease)*(1-2*Drift))
+	}
+	return t
+}
+
+// Took notes that a policy is applied, from here on and as one.
+func (a *Accord) Took(p keeper.Policy) {
+	a.policy, a.until = p, 0
+}
+
+// Say words what the keepers are told of a change; why is empty where it could be run.
+func (a *Accord) Say(c *keeper.Change, why string) keeper.Say {
+	a.said = c.ID
+	return keeper.Say{Name: a.name, Life: a.life, Change: c.ID, Why: why}
+}
+
+// Unsaid notes that the word did not get through, so that it is said again.
+func (a *Accord) Unsaid() { a.said = "" }
--- /dev/null
+++ b/internal/accord/explore.go
@@ -0,0 +1,367 @@
+package accord
+
+// This file owns the explorer: it runs the keepers' state and some holders through every order
+// of asking, delivering, losing, doubling, proposing and waiting, to a stated depth, and checks
+// after each step that no two holders admit work under different versions. A fault can be
+// planted, so that a test can show that the explorer would find it. It must never be reached
+// from a running program.
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"linnetlift/internal/keeper"
+)
+
+// Fault is a mistake planted on purpose.
+type Fault string
+
+// The faults that the explorer must find.
+const (
+	NoFault       Fault = ""
+	StaleTaken    Fault = "a late or doubled message is taken for a new one"
+	FromAnswer    Fault = "a lease counts from its answer, not from when it was asked for"
+	FastKeepers   Fault = "the keepers' time runs faster than any clock"
+	SaysNothing   Fault = "a holder says that it serves under nothing, and serves"
+	NoClosing     Fault = "a change comes into force without waiting for leases"
+	TakesEarly    Fault = "a holder goes over to a version when it is proposed"
+	LeaveGoesOn   Fault = "a holder goes on after it has left"
+	WakesBlind    Fault = "a holder that was stopped acts before it looks at its lease"
+	CountsAhead   Fault = "time that passed before a lease was given counts for it"
+	ForgetsLeases Fault = "a keeper that leads anew does not know what the one before gave"
+)
+
+// Faults are all of them.
+var Faults = []Fault{StaleTaken, FromAnswer, FastKeepers, SaysNothing, NoClosing, TakesEarly, LeaveGoesOn, WakesBlind, CountsAhead, ForgetsLeases}
+
+const step = 500 * time.Millisecond // of time, half a lease
+
+// call is a message on its way to the keepers, or the answer on its way back.
+type call struct {
+	to     int // the holder that waits for its answer
+	cmd    keeper.Command
+	seq    uint64
+	asked  time.Duration
+	answer *keeper.Result
+}
+
+type side struct {
+	a     Accord
+	out   uint64 // the call whose answer it waits for; 0: none
+	admit keeper.Policy
+	sees  Held // at its last look, for the fault of one that does not look again
+	left  bool
+	moved int // messages made, bounded
+}
+
+type world struct {
+	k     *keeper.State
+	now   time.Duration // real time
+	owed  time.Duration // real time that the leader has not read off its clock
+	tick  *keeper.Tick  // read, and on its way
+	sides []side
+	wire  []call
+	made  int // changes proposed
+}
+
+func (w *world) clone() *world {
+	text, err := w.k.Snapshot()
+	if err != nil {
+		panic(err)
+	}
+	k, err := keeper.Restore(text)
+	if err != nil {
+		panic(err)
+	}
+	return &world{k: k, now: w.now, owed: w.owed, tick: w.tick, sides: append([]side(nil), w.sides...), wire: append([]call(nil), w.wire...), made: w.made}
+}
+
+func (w *world) key() [32]byte {
+	text, _ := w.k.Snapshot()
+	h := sha256.New()
+	h.Write(text)
+	fmt.Fprint(h, w.now, w.owed, w.tick, w.sides, w.made)
+	for _, c := range w.wire {
+		text, _ := keeper.Encode(c.cmd)
+		h.Write(text)
+		text, _ = keeper.Encode(c.answer)
+		h.Write(text)
+		fmt.Fprint(h, c.to, c.seq, c.asked)
+	}
+	return [32]byte(h.Sum(nil))
+}
+
+// Explored is what an exploration came to.
+type Explored struct {
+	States int
+	Broken []string // the steps to the first state in which a promise is broken; nil: none is
+}
+
+func newWorld(holders int) *world {
+	first := &world{k: keeper.New(keeper.Config{Lease: 2 * step, Answer: 4 * step, Fence: keeper.Refuse, Keep: 4})}
+	for i := range holders {
+		first.sides = append(first.sides, side{a: *New(fmt.Sprint("n", i), uint64(i+1), "", keeper.Refuse)})
+	}
+	// All hold a lease under version 0 to begin with: the ways there are the same as later ones.
+	for i := range first.sides {
+		s := &first.sides[i]
+		h := s.a.Ask(0)
+		s.a.Heard(0, first.k.Apply(keeper.Command{Hold: &h}))
+		s.sees = s.a.Admits(0)
+	}
+	return first
+}
+
+// Explore goes through every order of events with so many holders, to a depth in steps, or to
+// so many states. It is breadth first: the steps that it prints are the fewest.
+func Explore(holders, depth, most int, fault Fault) Explored {
+	type node struct {
+		w     *world
+		steps []string
+	}
+	first := newWorld(holders)
+	seen := map[[32]byte]bool{first.key(): true}
+	front := []node{{first, nil}}
+	for range depth {
+		var next []node
+		for _, n := range front {
+			for _, e := range n.w.events(fault) {
+				w := n.w.clone()
+				e.do(w)
+				k := w.key()
+				if seen[k] {
+					continue
+				}
+				seen[k] = true
+				steps := append(append([]string(nil), n.steps...), e.name)
+				if why := w.broken(fault); why != "" {
+					return Explored{len(seen), append(steps, why)}
+				}
+				if len(seen) >= most {
+					return Explored{States: len(seen)}
+				}
+				next = append(next, node{w, steps})
+			}
+		}
+		front = next
+	}
+	return Explored{States: len(seen)}
+}
+
+// Wander takes so many walks of so many steps, each by a seed, where Explore does not reach:
+// the same seeds take the same walks. The steps that it prints are of the shortest that it
+// found to break a promise.
+func Wander(holders, walks, steps int, fault Fault) (got Explored) {
+	found := walks
+	for seed := 0; seed < min(walks, found+500); seed++ { // some more walks, for a shorter one
+		rnd := rand.New(rand.NewPCG(uint64(seed), 3))
+		w := newWorld(holders)
+		var names []string
+		for range steps {
+			if got.Broken != nil && len(names)+2 >= len(got.Broken) {
+				break
+			}
+			all := w.events(fault)
+			if len(all) == 0 {
+				break
+			}
+			sum := 0
+			for _, e := range all {
+				sum += e.odds
+			}
+			draw, e := rnd.IntN(sum), all[0]
+			for _, e = range all {
+				if draw -= e.odds; draw < 0 {
+					break
+				}
+			}
+			e.do(w)
+			got.States++
+			names = append(names, e.name)
+			if why := w.broken(fault); why != "" {
+				got.Broken, found = append(names, why), min(found, seed)
+				break
+			}
+		}
+	}
+	return got
+}
+
+type event struct {
+	name string
+	odds int // of being taken on a walk, against the others'
+	do   func(w *world)
+}
+
+// broken names a promise that does not hold: two that admit under different versions.
+func (w *world) broken(fault Fault) string {
+	var at []string
+	version, two := uint64(0), false
+	for i := range w.sides {
+		s := &w.sides[i]
+		h := s.a.Admits(w.now)
+		if fault == WakesBlind {
+			h = s.sees
+		}
+		if fault == LeaveGoesOn && s.left {
+			h.Admits = true
+		}
+		if !h.Admits {
+			continue
+		}
+		if len(at) > 0 && h.Version != version {
+			two = true
+		}
+		version = h.Version
+		at = append(at, fmt.Sprintf("n%d admits under %d", i, h.Version))
+	}
+	if !two {
+		return ""
+	}
+	return strings.Join(at, " and ")
+}
+
+// events are all that can happen next.
+func (w *world) events(fault Fault) (out []event) {
+	if w.now < 10*step {
+		out = append(out, event{"time passes", 2, func(w *world) { w.now += step; w.owed += step }})
+	}
+	if w.owed > 0 && w.tick == nil {
+		out = append(out, event{"the leader reads its clock", 4, func(w *world) {
+			w.tick = &keeper.Tick{Passed: w.owed, Seen: w.k.Grants}
+			if fault == FastKeepers {
+				w.tick.Passed *= 2
+			}
+			w.owed = 0
+		}}, event{"a new leader counts anew", 1, func(w *world) {
+			w.owed, w.tick = 0, nil
+			if fault == ForgetsLeases {
+				for _, h := range w.k.Holders {
+					h.Until, h.Grant = 0, 0
+				}
+				w.k.Apply(keeper.Command{Tick: &keeper.Tick{}})
+			}
+		}})
+	}
+	if w.tick != nil {
+		out = append(out, event{"its time is told", 4, func(w *world) {
+			t := *w.tick
+			if fault == CountsAhead {
+				t.Seen = w.k.Grants
+			}
+			w.k.Apply(keeper.Command{Tick: &t})
+			w.tick = nil
+		}})
+	}
+	if w.made < 2 {
+		out = append(out, event{"a change is proposed", 2, func(w *world) {
+			w.made++
+			w.k.Apply(keeper.Command{Propose: &keeper.Propose{ID: fmt.Sprint("c", w.made), Text: []byte{byte(w.made)}, Base: w.k.InForce().Version, Who: "me"}})
+		}})
+	}
+	for i := range w.sides {
+		if s := &w.sides[i]; s.out == 0 && s.moved < 8 && !s.left {
+			out = append(out, event{fmt.Sprintf("n%d asks", i), 4, func(w *world) {
+				s := &w.sides[i]
+				h := s.a.Ask(w.now)
+				if fault == SaysNothing {
+					h.Serves = 0
+				}
+				s.sees = s.a.Admits(w.now)
+				s.moved++
+				s.out = h.Seq
+				w.wire = append(w.wire, call{to: i, cmd: keeper.Command{Hold: &h}, seq: h.Seq, asked: w.now})
+			}})
+			if i == 0 {
+				out = append(out, event{"n0 leaves", 1, func(w *world) {
+					s := &w.sides[i]
+					l := s.a.Leave()
+					s.left = true
+					s.sees = s.a.Admits(w.now)
+					w.k.Apply(keeper.Command{Leave: &l})
+				}})
+			}
+		} else if s.out != 0 {
+			out = append(out, event{fmt.Sprintf("n%d gives up waiting", i), 1, func(w *world) { w.sides[i].out = 0 }})
+		}
+	}
+	for j, c := range w.wire {
+		name := fmt.Sprintf("n%d's message %d arrives", c.to, c.seq)
+		if c.cmd.Say != nil {
+			name = fmt.Sprintf("n%d's word on the change arrives", c.to)
+		}
+		if c.answer != nil {
+			out = append(out, event{fmt.Sprintf("n%d hears the answer to message %d", c.to, c.seq), 6, func(w *world) { w.hear(j, fault) }})
+			continue
+		}
+		out = append(out, event{name, 4, func(w *world) { w.deliver(j, false, fault) }})
+		if c.cmd.Hold != nil {
+			out = append(out, event{name + ", and stays to arrive again", 1, func(w *world) { w.deliver(j, true, fault) }})
+		}
+	}
+	return out
+}
+
+func (w *world) deliver(j int, stays bool, fault Fault) {
+	c := w.wire[j]
+	if !stays {
+		w.wire = append(append([]call(nil), w.wire[:j]...), w.wire[j+1:]...)
+	}
+	cmd := c.cmd
+	if cmd.Hold != nil && fault == StaleTaken {
+		h := *cmd.Hold
+		if known := w.k.Holders[fmt.Sprintf("%s/%d", h.Name, h.Life)]; known != nil {
+			h.Seq = max(h.Seq, known.Seq+1)
+		}
+		cmd.Hold = &h
+	}
+	r := w.k.Apply(cmd)
+	if fault == NoClosing && w.k.Change != nil && w.k.Change.Stage == keeper.Closing {
+		for _, h := range w.k.Holders {
+			h.Until, h.Grant = 0, 0
+		}
+		w.k.Apply(keeper.Command{Tick: &keeper.Tick{}})
+	}
+	if cmd.Hold != nil && w.sides[c.to].out == c.seq { // else nobody waits for this answer
+		// What is told stays as it was told.
+		text, _ := keeper.Encode(r)
+		r = keeper.Result{}
+		if err := keeper.Decode(text, &r); err != nil {
+			panic(err)
+		}
+		w.wire = append(w.wire, call{to: c.to, seq: c.seq, asked: c.asked, answer: &r})
+	}
+}
+
+func (w *world) hear(j int, fault Fault) {
+	c := w.wire[j]
+	w.wire = append(append([]call(nil), w.wire[:j]...), w.wire[j+1:]...)
+	s := &w.sides[c.to]
+	if s.out != c.seq {
+		return // given up
+	}
+	s.out = 0
+	asked := c.asked
+	if fault == FromAnswer {
+		asked = w.now
+	}
+	t := s.a.Heard(asked, *c.answer)
+	if t.Take != nil {
+		s.a.Took(*t.Take)
+		s.moved--
+	}
+	if t.Weigh != nil {
+		say := s.a.Say(t.Weigh, "")
+		w.wire = append(w.wire, call{to: c.to, cmd: keeper.Command{Say: &say}, asked: w.now})
+		if fault == TakesEarly {
+			s.a.policy = t.Weigh.Policy
+		}
+	}
+	s.sees = s.a.Admits(w.now)
+	if t.Again {
+		s.moved--
+	}
+}
--- /dev/null
+++ b/internal/accord/explore_test.go
@@ -0,0 +1,29 @@
+package accord
+
+import (
+	"testing"
+)
+
+// Every order of events with two holders keeps the promise, and walks far beyond do; each
+// planted fault is found: an explorer that finds none of them would say nothing by finding
+// nothing.
+func TestExplore(t *testing.T) {
+	t.Parallel()
+	if got := Explore(2, 9, 20000, NoFault); got.Broken != nil {
+		t.Errorf("broken by %q", got.Broken)
+	}
+	for n := 2; n <= 3; n++ {
+		got := Wander(n, 5000, 90, NoFault)
+		if got.Broken != nil {
+			t.Errorf("%d holders: broken by %q", n, got.Broken)
+		}
+		t.Logf("%d holders: %d steps", n, got.States)
+	}
+	for _, f := range Faults {
+		got := Wander(2, 50000, 90, f)
+		if got.Broken == nil {
+			t.Errorf("%s: not found in %d steps", f, got.States)
+		}
+		t.Logf("%s: %d steps: %q", f, got.States, got.Broken)
+	}
+}
--- a/internal/standin/day/day.go
+++ b/internal/standin/day/day.go
@@ -9,6 +9,7 @@
 package day
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -33,11 +34,13 @@
 // waits until there is one.
 const Holder = -1
 
-// Fault is something that happens to a worker.
+// Fault is something that happens to a worker, or to a dispatcher.
 type Fault struct {
 	At     time.Duration
-	Worker int
-	Do     string // "slow" (Factor), "drain", "restart", "hang", "errors" (Factor: share), "back" ends any
+	Worker int    // or the dispatcher, for "die" and "upgrade"
+	Do     string // "slow" (Factor), "drain", "restart", "hang", "errors" (Factor: share), "back" ends any;
+	// "exclude" and "include", by operators' hands; "die" (Factor: seconds until it is up
+	// again) and "upgrade", of a dispatcher
 	Factor float64
 }
 
@@ -55,6 +58,13 @@
 	Deaf                   int     // dispatchers that hear nothing and are not heard
 }
 
+// Surge is a stretch in which one tenant sends so many times its usual.
+type Surge struct {
+	From, To time.Duration
+	Tenant   int
+	Factor   float64
+}
+
 // Config is one day.
 type Config struct {
 	Seed        uint64
@@ -72,6 +82,13 @@
 	Settings    func(*linnetlift.Settings) // what is to be otherwise; may be nil
 	Retunes     map[time.Duration]func(*linnetlift.Settings)
 	Delay       time.Duration // of the network, one way
+	Zones       int           // workers and dispatchers are spread over; 0: one
+	Cross       time.Duration // beside Delay, between zones
+	ListLate    time.Duration // what the roster knows of is told so much later
+	ReportLate  time.Duration // what reports say is so old, beside Report
+	Tenants     []float64     // shares of the jobs; nil: one tenant
+	Surges      []Surge
+	Policy      Policy        // in place of the module; 0: the module
 	Talk        *Talk         // how dispatchers' datagrams reach each other; nil: they may not talk
 	Report      time.Duration // reports are refreshed so often
 }
@@ -86,6 +103,8 @@
 // Result is what came of a day.
 type Result struct {
 	Classes  []Score
+	Tenants  []Score // Worth and Of alone
+	Windows  []Score // likewise, of 10 s by the time of arrival
 	Broken   []string
 	Busiest  float64 // part of all slot time that was at work
 	Modules  []linnetlift.Dispatcher
@@ -129,6 +148,8 @@
 type job struct {
 	id       linnetlift.RequestID
 	class    int
+	tenant   int
+	dead     bool // its dispatcher died
 	work     time.Duration
 	arrived  time.Duration
 	aim      time.Duration // in time up to then
@@ -162,15 +183,22 @@
 	drained  time.Duration // told at; 0: serves
 	state    linnetlift.WorkerState
 	launched time.Duration
-	free     float64 // as of the last report
-	report   time.Duration
+	free     []reading // what reports have said, the latest last
+	out      bool      // taken out by hand
+	zone     int
+}
+
+type reading struct {
+	at   time.Duration
+	free float64
 }
 
 type host struct {
-	d     *day
-	m     linnetlift.Dispatcher
-	n     int
-	timer *event
+	d    *day
+	m    linnetlift.Dispatcher
+	n    int
+	zone int
+	down bool
 }
 
 type day struct {
@@ -180,7 +208,9 @@
 	now     time.Duration
 	events  queue
 	count   uint64
-	hosts   []*host
+	hosts   []*host // all processes that ever were
+	front   []*host // of each dispatcher, the one that new jobs come to
+	own     linnetlift.Settings
 	workers []*worker
 	jobs    map[linnetlift.RequestID]*job
 	res     *Result
@@ -192,7 +222,9 @@
 
 func newDay(cfg Config) *day {
 	return &day{Config: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 7)), air: rand.New(rand.NewPCG(cfg.Seed, 11)), now: base,
-		jobs: map[linnetlift.RequestID]*job{}, res: &Result{Classes: make([]Score, len(cfg.Classes))}}
+		jobs: map[linnetlift.RequestID]*job{}, res: &Result{
+			Classes: make([]Score, len(cfg.Classes)), Tenants: make([]Score, max(len(cfg.Tenants), 1)),
+			Windows: make([]Score, cfg.Length/(10*time.Second)+1)}}
 }
 
 // Play plays one day.
@@ -213,22 +245,18 @@
 		slots, speed := cfg.Slots[i%len(cfg.Slots)], cfg.Speeds[i%len(cfg.Speeds)]
 		w := &worker{m: machine.New(slots, 2*slots, speed), id: linnetlift.WorkerID(i + 1), attempts: map[uint64]*attempt{}}
 		w.m.Advance(base)
+		w.zone = i % max(cfg.Zones, 1)
 		d.workers = append(d.workers, w)
 	}
+	d.own = s
 	for i := range cfg.Dispatchers {
-		own := s
-		own.Me = i % s.Dispatchers // the number told may be wrong
-		m, err := linnetlift.New(own, cfg.Seed*1000+uint64(i))
+		h, err := d.start(i, nil)
 		if err != nil {
 			return nil, err
 		}
-		h := &host{d: d, m: m, n: i}
-		d.hosts = append(d.hosts, h)
-		d.res.Modules = append(d.res.Modules, m)
-		m.List(d.now, linnetlift.ListCached, d.list(), h)
+		d.front = append(d.front, h)
 	}
 	for _, j := range d.draw() {
-		j.host = d.hosts[j.to]
 		d.at(j.arrived, func() { d.arrive(j) })
 	}
 	for _, f := range cfg.Faults {
@@ -237,9 +265,10 @@
 	for at, f := range cfg.Retunes {
 		d.at(base+at, func() {
 			f(&s)
+			d.own = s
 			for _, h := range d.hosts {
 				own := s
-				own.Me = h.n
+				own.Me, own.Zone = h.n, h.zone
 				d.call(func() { h.m.Retune(d.now, own, h) })
 			}
 		})
@@ -256,13 +285,44 @@
 		e.do()
 	}
 	for _, j := range d.jobs {
-		if !j.answered {
+		if !j.answered && !j.dead {
 			d.broken("request %d has no answer", j.id)
 		}
 	}
 	return d.res, nil
 }
 
+// start starts a process of dispatcher n, with what it is handed of the one before.
+func (d *day) start(n int, memory []byte) (*host, error) {
+	own := d.own
+	h := &host{d: d, n: n, zone: n % max(d.Zones, 1)}
+	own.Me, own.Zone = n%own.Dispatchers, h.zone // the number told may be wrong
+	if d.Policy != 0 {
+		h.m = newPlain(d, h)
+	} else {
+		m, err := linnetlift.New(own, d.Seed*1000+uint64(len(d.hosts)))
+		if err != nil {
+			return nil, err
+		}
+		h.m = m
+	}
+	d.hosts = append(d.hosts, h)
+	d.res.Modules = append(d.res.Modules, h.m)
+	if memory != nil {
+		h.m.Recall(memory)
+	}
+	h.m.List(d.now, linnetlift.ListCached, d.list(), h)
+	return h, nil
+}
+
+// delay is one way between a dispatcher and a worker.
+func (d *day) delay(h *host, w *worker) time.Duration {
+	if h.zone != w.zone {
+		return d.Delay + d.Cross
+	}
+	return d.Delay
+}
+
 func (d *day) broken(format string, args ...any) {
 	if len(d.res.Broken) < 20 {
 		d.res.Broken = append(d.res.Broken, fmt.Sprintf(format, args...))
@@ -277,12 +337,22 @@
 }
 
 func (d *day) list() (out []linnetlift.Worker) {
-	for i, w := range d.workers { // those of the same slots are of one kind
-		out = append(out, linnetlift.Worker{ID: w.id, Weight: 1, Kind: i % len(d.Slots), Cell: i / max(d.CellSize, 1), State: w.state, Launched: w.launched})
+	for i := range d.workers {
+		out = append(out, d.entry(i))
 	}
 	return out
 }
 
+// entry is what the roster says of a worker, and a hand that has taken it out.
+func (d *day) entry(i int) linnetlift.Worker {
+	w := d.workers[i] // those of the same slots are of one kind
+	state := w.state
+	if w.out && state == linnetlift.Ready {
+		state = linnetlift.Draining
+	}
+	return linnetlift.Worker{ID: w.id, Weight: 1, Zone: w.zone, Kind: i % len(d.Slots), Cell: i / max(d.CellSize, 1), State: state, Launched: w.launched}
+}
+
 // draw draws all of the day's jobs ahead: a Poisson stream, spread evenly over the
 // dispatchers. The draws don't depend on what the dispatchers do.
 func (d *day) draw() (all []*job) {
@@ -297,6 +367,11 @@
 	for _, b := range d.Bursts {
 		most = max(most, b.Factor)
 	}
+	more := 0.0
+	for _, s := range d.Surges {
+		more += d.Tenants[s.Tenant] * (s.Factor - 1)
+	}
+	most *= 1 + more
 	ends := make([]float64, d.Dispatchers) // running sums of the dispatchers' shares
 	sum := 0.0
 	for i := range ends {
@@ -317,6 +392,11 @@
 					now = b.Factor
 				}
 			}
+			for _, s := range d.Surges {
+				if at >= base+s.From && at < base+s.To {
+					now *= 1 + d.Tenants[s.Tenant]*(s.Factor-1)
+				}
+			}
 			if d.rnd.Float64()*most > now {
 				continue
 			}
@@ -331,10 +411,34 @@
 		j := &job{id: linnetlift.RequestID(len(all) + 1), class: class, work: work, arrived: at, to: d.pick(ends),
 			aim: at + c.Aim + time.Duration(c.Stretch*float64(work)), deadline: at + c.Deadline}
 		j.aim = min(j.aim, j.deadline)
+		j.tenant = d.tenant(at)
 		all = append(all, j)
 	}
 }
 
+// tenant draws whose job it is.
+func (d *day) tenant(at time.Duration) int {
+	if len(d.Tenants) < 2 {
+		return 0
+	}
+	shares, sum := slices.Clone(d.Tenants), 0.0
+	for _, s := range d.Surges {
+		if at >= base+s.From && at < base+s.To {
+			shares[s.Tenant] *= s.Factor
+		}
+	}
+	for _, s := range shares {
+		sum += s
+	}
+	u := d.rnd.Float64() * sum
+	for i, s := range shares {
+		if u -= s; u < 0 {
+			return i
+		}
+	}
+	return len(shares) - 1
+}
+
 // pick draws the dispatcher that a job comes to.
 func (d *day) pick(ends []float64) int {
 	if d.Uneven == 0 {
@@ -346,14 +450,28 @@
 
 func (d *day) arrive(j *job) {
 	d.jobs[j.id] = j
-	c := &d.res.Classes[j.class]
-	c.Jobs++
-	c.Of += d.Classes[j.class].Worth
+	again := j.arrived < d.now // a client's, whose dispatcher has died
+	if !again {
+		d.res.Classes[j.class].Jobs++
+		for _, s := range d.scores(j) {
+			s.Of += d.Classes[j.class].Worth
+		}
+	}
+	for n := range d.front { // the front layer has noticed who is down
+		if j.host = d.front[(j.to+n)%len(d.front)]; !j.host.down {
+			break
+		}
+	}
+	if j.host.down {
+		d.answer(j, "failed")
+		return
+	}
 	d.call(func() {
-		j.host.m.Arrive(d.now, linnetlift.Request{ID: j.id, Class: j.class, Of: &d.Classes[j.class].Class, Left: j.deadline - d.now, Slots: float64(d.Classes[j.class].Slots)}, j.host)
+		j.host.m.Arrive(d.now, linnetlift.Request{ID: j.id, Class: j.class, Of: &d.Classes[j.class].Class, Tenant: j.tenant, Left: j.deadline - d.now,
+			Slots: float64(d.Classes[j.class].Slots), Retry: again}, j.host)
 	})
 	d.at(j.deadline, func() {
-		if j.answered {
+		if j.answered || j.dead {
 			return
 		}
 		d.answer(j, "late") // the host's own end of it, as the core words it
@@ -389,10 +507,17 @@
 		c.Late++
 	default:
 		c.InTime++
-		c.Worth += d.Classes[j.class].Worth
+		for _, s := range d.scores(j) {
+			s.Worth += d.Classes[j.class].Worth
+		}
 	}
 }
 
+// scores are those that a job counts in.
+func (d *day) scores(j *job) []*Score {
+	return []*Score{&d.res.Classes[j.class], &d.res.Tenants[j.tenant], &d.res.Windows[int((j.arrived-base)/(10*time.Second))]}
+}
+
 // ---- a dispatcher's actions
 
 func (h *host) Send(id linnetlift.RequestID, w linnetlift.WorkerID, _ time.Duration) {
@@ -413,7 +538,7 @@
 		}
 	}
 	j.mayRun = true
-	d.at(d.now+d.Delay, func() { d.deliver(a) })
+	d.at(d.now+d.delay(h, to), func() { d.deliver(a) })
 }
 
 func (h *host) Refuse(id linnetlift.RequestID, _ time.Duration) { h.d.answer(h.d.jobs[id], "refused") }
@@ -439,7 +564,9 @@
 		}
 		for n := 1; n > 0; n-- {
 			d.at(d.now+time.Duration(d.air.Float64()*float64(t.Delay)), func() {
-				d.call(func() { to.m.PeerMessage(d.now, h.n, m, to) })
+				if !to.down {
+					d.call(func() { to.m.PeerMessage(d.now, h.n, m, to) })
+				}
 			})
 			if d.air.Float64() < t.Doubled {
 				n++
@@ -449,7 +576,11 @@
 }
 
 func (h *host) Wake(in time.Duration, tag uint64) {
-	h.d.at(h.d.now+in, func() { h.d.call(func() { h.m.Timer(h.d.now, tag, h) }) })
+	h.d.at(h.d.now+in, func() {
+		if !h.down {
+			h.d.call(func() { h.m.Timer(h.d.now, tag, h) })
+		}
+	})
 }
 
 func (h *host) Cancel(id linnetlift.RequestID, n int) {
@@ -469,7 +600,7 @@
 
 func (d *day) deliver(a *attempt) {
 	w := a.worker
-	if a.ended || a.job.answered {
+	if a.ended || a.job.answered && !a.job.dead {
 		d.end(a, linnetlift.NeverSent)
 		return
 	}
@@ -505,8 +636,8 @@
 					c.Wait = e.At - a.job.arrived
 				}
 			}
-			d.at(d.now+d.Delay, func() {
-				if !a.ended {
+			d.at(d.now+d.delay(a.job.host, w), func() {
+				if !a.ended && !a.job.dead {
 					d.call(func() {
 						a.job.host.m.Note(d.now, linnetlift.Note{ID: a.job.id, Attempt: a.n, Worker: w.id, Kind: linnetlift.NoteStarted}, a.job.host)
 					})
@@ -534,7 +665,7 @@
 // ends tells an attempt's end to its dispatcher, a network's delay later.
 func (d *day) ends(a *attempt, code linnetlift.Code) {
 	delete(a.worker.attempts, uint64(a.job.id))
-	d.at(d.now+d.Delay, func() { d.end(a, code) })
+	d.at(d.now+d.delay(a.job.host, a.worker), func() { d.end(a, code) })
 }
 
 func (d *day) end(a *attempt, code linnetlift.Code) {
@@ -548,14 +679,24 @@
 	if code == linnetlift.Full || code == linnetlift.NeverSent {
 		j.mayRun = j.ran > 0
 	}
+	if j.dead {
+		return // nobody waits for it any more
+	}
 	if code == linnetlift.OK && !j.answered {
 		d.answer(j, "served")
 	}
-	if d.now >= w.report {
-		w.free, w.report = float64(w.m.Free()), d.now+d.Report
+	if n := len(w.free); n == 0 || d.now >= w.free[n-1].at+d.Report {
+		w.free = append(w.free, reading{d.now, float64(w.m.Free())})
+	}
+	var load []float64 // none yet
+	for _, r := range slices.Backward(w.free) {
+		if r.at <= d.now-d.ReportLate {
+			load = []float64{r.free}
+			break
+		}
 	}
 	d.call(func() {
-		j.host.m.Outcome(d.now, linnetlift.Outcome{ID: j.id, Attempt: a.n, Worker: w.id, Code: code, Ended: j.answered, Load: []float64{w.free}}, j.host)
+		j.host.m.Outcome(d.now, linnetlift.Outcome{ID: j.id, Attempt: a.n, Worker: w.id, Code: code, Ended: j.answered, Load: load}, j.host)
 	})
 }
 
@@ -578,9 +719,22 @@
 			return
 		}
 	}
-	w := d.workers[f.Worker%len(d.workers)]
+	if f.Do == "die" || f.Do == "upgrade" {
+		d.strike(f)
+		return
+	}
+	i := f.Worker % len(d.workers)
+	w := d.workers[i]
 	told := false
 	switch f.Do {
+	case "exclude", "include": // every dispatcher is called at the same moment
+		if w.out = f.Do == "exclude"; !w.out {
+			w.launched = max(w.launched, d.now)
+		}
+		for _, h := range d.hosts {
+			d.call(func() { h.m.List(d.now, linnetlift.ListAmend, []linnetlift.Worker{d.entry(i)}, h) })
+		}
+		return
 	case "slow":
 		d.take(w, w.m.Speed(d.now, d.Speeds[(f.Worker%len(d.workers))%len(d.Speeds)]/f.Factor))
 	case "errors":
@@ -600,8 +754,17 @@
 		w.m.Resume()
 		told, w.state = w.state != linnetlift.Ready, linnetlift.Ready
 	}
-	if told {
+	if !told {
+		return
+	}
+	d.at(d.now+d.ListLate, func() {
+		if w.state != linnetlift.Ready {
+			w.drained = d.now
+		}
 		for _, h := range d.hosts {
+			if h.down {
+				continue
+			}
 			d.call(func() { h.m.List(d.now, linnetlift.ListFull, d.list(), h) })
 			if held := h.m.RoomHeld(); held != nil && w.state != linnetlift.Ready {
 				for _, r := range held.Reservations {
@@ -611,5 +774,54 @@
 				}
 			}
 		}
+	})
+}
+
+// strike is a fault of a dispatcher. What one that dies had open is its clients' to bring
+// again, to whoever is up; its jobs run on at the workers. It comes back knowing nothing
+// but the list.
+func (d *day) strike(f Fault) {
+	i := f.Worker % len(d.front)
+	old := d.front[i]
+	if f.Do == "upgrade" {
+		if h, err := d.start(i, old.m.Memory()); err == nil {
+			d.front[i] = h
+		}
+		return
 	}
+	if old.down {
+		return
+	}
+	old.down = true
+	for _, j := range d.open() {
+		if j.host != old {
+			continue
+		}
+		j.dead = true
+		if d.Classes[j.class].Semantics != linnetlift.Retryable && j.mayRun {
+			d.res.Classes[j.class].Failed++
+			continue
+		}
+		own := *j
+		own.dead, own.attempts, own.out, own.mayRun, own.now = false, 0, 0, false, nil
+		d.count++
+		own.id = linnetlift.RequestID(1<<40 + d.count)
+		d.at(d.now+50*time.Millisecond, func() { d.arrive(&own) })
+	}
+	d.at(d.now+time.Duration(f.Factor*1e9), func() {
+		if h, err := d.start(i, nil); err == nil {
+			d.front[i] = h
+		}
+	})
+}
+
+// open is the jobs that wait for their answer, in the order of their arrival.
+func (d *day) open() (out []*job) {
+	for _, j := range d.jobs {
+		if !j.answered && !j.dead {
+			out = append(out, j)
+		}
+	}
+	slices.SortFunc(out, func(a, b *job) int { return cmp.Compare(a.id, b.id) })
+	return out
 }
--- a/internal/standin/machine/machine.go
+++ b/internal/standin/machine/machine.go
@@ -108,6 +108,32 @@
 	return m.Slots - m.used
 }
 
+// Starts is when a job of one slot that was handed in now would start, if all stays as it is.
+func (m *Machine) Starts() time.Duration {
+	free := make([]float64, max(m.Slots-m.used, 0), m.Slots)
+	for _, r := range m.runs {
+		for range r.Slots {
+			free = append(free, m.takes(m.now, r.left))
+		}
+	}
+	for _, j := range append(slices.Clone(m.waiting), Job{Slots: 1}) {
+		slices.Sort(free)
+		at := free[min(j.Slots, len(free))-1]
+		for i := range min(j.Slots, len(free)) {
+			free[i] = at + m.takes(m.now, j.Work.Seconds())
+		}
+		if j.ID == 0 && j.Work == 0 {
+			return m.now + time.Duration(min(at, 1e6)*1e9)
+		}
+	}
+	return m.now
+}
+
+// Takes is how long so much work would take, from now on.
+func (m *Machine) Takes(work time.Duration) time.Duration {
+	return time.Duration(min(m.takes(m.now, work.Seconds()), 1e6) * 1e9)
+}
+
 // Submit hands in a job. It is returned where there is no place, or on a drain.
 func (m *Machine) Submit(now time.Duration, j Job) []Event {
 	out := m.Advance(now)
