What is taken back is 0.15 of first sends at the most: where it does not stop the work, it adds up

Line: dispatcher.go lost: many dispatchers take back what has not started after 200 ms. On the first site a job called off leaves the worker's queue; on the second it stays and runs, so each one taken back is work for nobody, which makes more late. No setting tells which it is.

Now a budget of retries bounds it whatever cancelling does.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -52,6 +52,8 @@
 	lotOnce      = 1.3                    // times its work that a class with one life has workers for
 	lotHomes     = 4.0                    // shares of the fleet that are home then
 	takeBack     = 200 * time.Millisecond // unstarted for so long, what may be repeated tries elsewhere
+	backShare    = 0.15                   // of first sends: so many are taken back; where that doesn't stop the work, more adds up
+	backsMost    = 2.0                    // and so many at once
 	lotHope      = 1.5                    // waits of so many times that to spare are mostly tried
 	coldFew      = 4                      // dispatchers up to which each may use any cold worker
 	lotCold      = 1.2                    // part of the slow-start budget then, over all dispatchers
@@ -467,6 +469,9 @@
 	}
 	d.spend(w, r)
 	d.unhold(r)
+	if r.attempts == 0 {
+		d.backs = min(d.backs+backShare, backsMost)
+	}
 	a := &attempt{r: r, w: w, n: r.attempts, at: len(d.out), sent: d.now, heard: d.now}
 	d.out = append(d.out, a)
 	r.pending = append(r.pending, a)
@@ -783,6 +788,7 @@
 		w.own, w.ownMem = max(w.own-r.Slots, 0), max(w.ownMem-r.Memory, 0)
 		d.unplan(a)
 		if d.recalls(r) {
+			d.backs = max(d.backs-1, 0)
 			out.Cancel(r.ID, a.n)
 		}
 	}
@@ -826,7 +832,7 @@
 func (d *dispatcher) lost(a *attempt) bool {
 	if a.started == 0 {
 		return d.InOrder && d.TellsStart && (a.w.startSent > a.sent+overtake ||
-			d.sparse() && d.now-a.sent > takeBack && d.recalls(a.r))
+			d.sparse() && d.now-a.sent > takeBack && d.backs >= 1 && d.recalls(a.r))
 	}
 	return a.w.okSent > a.sent && (d.now-a.started).Seconds() > 4*overdueAt*d.expect(a.r, a.w) &&
 		(d.Progress == 0 || d.now-a.heard > 2*d.Progress)
--- a/state.go
+++ b/state.go
@@ -114,6 +114,7 @@
 	midSlow    float64
 	startDelay [2]float64 // seconds from send to start note: own zone, other zones
 	ticking    bool
+	backs      float64       // jobs that may be taken back now
 	forceAt    time.Duration // no forced send before this
 	forceGap   float64       // seconds between forced sends
 	refreshAt  time.Duration
