Many dispatchers talk, too, in messages of 10 bytes and 5 a worker, as far as the price allows

Change: short messages, none from who has nothing out and nothing new, heartbeats and lives that grow with the number; up to 64 talk, and by the price of a message (a setting) no more than costs 0.08. With it every worker is everyone's, however few jobs pass.

--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -970,6 +970,41 @@
 	}
 }
 
+// Where a job called off stays in its worker's queue, each one taken back is work for nobody and
+// makes more late: a fleet took back a fifth of its sends, and fell to half of what chance serves.
+// So many and no more are, however long all of them wait.
+func TestTakingBackHasABudget(t *testing.T) {
+	s := testSettings()
+	s.Dispatchers, s.InOrder, s.MaxAttempts = 40, true, 50
+	d, out := mustNew(t, s, 3), &recorder{}
+	var list []Worker
+	for i := range 10 {
+		list = append(list, Worker{ID: WorkerID(i + 1), Weight: 1})
+	}
+	d.List(0, ListFull, list, out)
+	const jobs = 40
+	tries, back := map[RequestID]int{}, 0
+	for now, id := time.Duration(0), RequestID(0); now < 20*time.Second; now += 25 * ms {
+		if id < jobs && now%(250*ms) == 0 {
+			id++
+			d.Arrive(now, Request{ID: id, Left: 5 * time.Second, Slots: 1, Hint: time.Second}, out)
+		}
+		d.Timer(now, 0, out)
+		for _, a := range out.take() {
+			switch a.what {
+			case "send":
+				tries[a.id]++
+			case "cancel":
+				back++
+				d.Outcome(now, Outcome{ID: a.id, Attempt: a.attempt, Worker: 1, Code: Cancelled}, out)
+			}
+		}
+	}
+	if most := int(backsMost + backShare*jobs); back < 2 || back > most {
+		t.Errorf("%d of %d jobs are taken back, want 2 to %d", back, jobs, most)
+	}
+}
+
 // One of many dispatchers finds a queue by standing in it. What may be repeated is taken
 // back from there and sent to another worker that drops a repeat; an unsafe job stays.
 func TestUnstartedRepeatableJobsAreTakenBack(t *testing.T) {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -38,7 +38,7 @@
 		Columns []string
 		Via     string
 	}
-	Prices struct{ CrossZone, LateFail, Waste float64 }
+	Prices struct{ CrossZone, LateFail, Peer, Waste float64 }
 	Rules  struct {
 		AnswerSlackMs, AskWithinMs, ColdFrom, FallMs, FallMultiple, RampTimeMs, StopSendingWithinMs float64
 	}
@@ -69,7 +69,7 @@
 		AnswerSlack: Ms(in.Rules.AnswerSlackMs), DrainGrace: Ms(in.Rules.StopSendingWithinMs),
 		AskWithin: Ms(in.Rules.AskWithinMs), ColdShare: in.Rules.ColdFrom, ColdTime: Ms(in.Rules.RampTimeMs),
 		FallMultiple: in.Rules.FallMultiple, FallTime: Ms(in.Rules.FallMs),
-		CrossPrice: in.Prices.CrossZone, WastePrice: in.Prices.Waste, LatePrice: in.Prices.LateFail,
+		CrossPrice: in.Prices.CrossZone, WastePrice: in.Prices.Waste, PeerPrice: in.Prices.Peer, LatePrice: in.Prices.LateFail,
 	}
 	if in.Limits.RetryAfter {
 		out.MaxRetryAfter = Ms(in.Limits.MaxRetryAfterMs)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,5 +1,6 @@
 // Package gossip is what dispatchers tell each other in datagrams: how much each has out
-// at every worker, and which workers have taken its work and say nothing. Messages hold
+// at every worker. A message costs its bytes at every receiver, so it is as short as can be,
+// 10 bytes and 5 a worker, and one who has nothing out and nothing new says nothing. Messages hold
 // 256 bytes at most and may be lost, late, doubled, out of order or spoilt, so each says
 // all that its sender knows (or a part, in turn, where that is too long), and a later one
 // takes an earlier one's place whatever comes first. They are hints: no promise may rest
@@ -7,7 +8,7 @@
 //
 // A dispatcher's life is its number and an incarnation, by which a restart and a second
 // process of the same dispatcher are told apart. What a life has said counts until it has
-// been silent for Life.
+// been silent for four heartbeats.
 //
 // It owns the form of a message, the merge, and the age of each word. It has no I/O, clock
 // or randomness: time is handed in. It must never decide where a job goes.
@@ -25,21 +26,19 @@
 const (
 	// MaxMessage is the longest message, in bytes: the platform's protocol.
 	MaxMessage = 256
-	// Life is how long a dispatcher that says nothing is taken to be there. Words come at
-	// least every Heartbeat, so several must have been lost.
-	Life = 600 * time.Millisecond
-	// Heartbeat is the longest time between two messages.
+	// Heartbeat is the longest time between two messages of a dispatcher that has work out,
+	// where there are up to four of them; with more it grows, since each costs all others.
 	Heartbeat = 150 * time.Millisecond
 	// gap is the least time between two messages. What happens within it goes together.
 	gap = 4 * time.Millisecond
 
-	form      = 1 // of messages; one of another form is passed over
-	headBytes = 17
-	wordBytes = 7
+	form      = 1 // of messages, in the high half of the first byte; one of another is passed over
+	headBytes = 10
+	wordBytes = 5
 	// MaxWords is how many workers one message can speak of.
 	MaxWords = (MaxMessage - headBytes) / wordBytes
 
-	maxLives = 64 // lives remembered at once: a lie must not fill the memory
+	maxLives = 256 // lives remembered at once: a lie must not fill the memory
 	maxKnown = 4096
 
 	whole = 1 // flag: whoever is not named has nothing out
@@ -47,22 +46,19 @@
 
 // Word is what a dispatcher says of one worker.
 type Word struct {
-	Subject uint32        // the worker, by a hash that all dispatchers compute alike
-	Slots   float64       // slots of its jobs out there, 0 to 63.75 in quarters
-	Memory  float64       // memory units of these, 0 to 15.9 in sixteenths
-	Quiet   time.Duration // for so long it has had work there and heard nothing, 0 to 12.75 s
+	Subject uint32  // the worker, by the low 24 bits of a hash that all dispatchers compute alike
+	Slots   float64 // slots of its jobs out there, 0 to 63.75 in quarters
+	Memory  float64 // memory units of these, 0 to 15.9 in sixteenths
 }
 
 // Told is what all others have said of one worker, added up.
-type Told struct {
-	Slots, Memory float64
-	Quiet         time.Duration // the longest that one of them has said, by now
-}
+type Told struct{ Slots, Memory float64 }
 
 type life struct {
 	who    uint16
-	number uint32 // incarnation
-	seq    uint32 // of the latest message
+	number uint16 // incarnation
+	seq    uint16 // of the latest message
+	heard  bool   // one was
 	at     time.Duration
 	words  map[uint32]known
 }
@@ -75,37 +71,46 @@
 // Book is one dispatcher's side: what it says, and what it was told.
 type Book struct {
 	who    uint16
-	number uint32
-	seq    uint32
+	number uint16
+	seq    uint16
+	beat   time.Duration // between two messages at the most
+	said   bool          // anything yet
 	saidAt time.Duration
 	fresh  bool // there is something new to say
+	again  int  // heartbeats left: while there is work out, and one for a message that was lost
 	from   int  // where the next part begins, where one message does not hold all
 	lives  []*life
 	foul   int
 }
 
-// New makes a book for dispatcher who. The incarnation must grow with each start; it may
-// wrap around.
-func New(who int, incarnation uint32) *Book {
-	return &Book{who: uint16(who), number: incarnation, fresh: true}
+// New makes a book for dispatcher who of so many. The incarnation must differ from that of the
+// life before, by a start's time in any unit: its low 16 bits count.
+func New(who, dispatchers int, incarnation uint64) *Book {
+	return &Book{who: uint16(who), number: uint16(incarnation), fresh: true, beat: Heartbeat * time.Duration(max(dispatchers, 4)) / 4}
 }
 
+// Life is how long what was said counts where nothing follows: several words were lost then.
+func (b *Book) Life() time.Duration { return 4 * b.beat }
+
 // Changed notes that there is something new to say.
 func (b *Book) Changed() { b.fresh = true }
 
 // Due tells whether a message is due.
 func (b *Book) Due(now time.Duration) bool {
 	since := now - b.saidAt
-	return b.seq == 0 || since >= Heartbeat || b.fresh && since >= gap
+	return !b.said || b.again > 0 && since >= b.beat || b.fresh && since >= gap
 }
 
 // Say makes a message of words, which are all that there is to say; those beyond MaxWords
 // go in the messages after it. Words of nothing are left out.
 func (b *Book) Say(now time.Duration, words []Word) []byte {
 	flags := byte(0)
-	words = slices.DeleteFunc(words, func(w Word) bool { return w.Slots == 0 && w.Quiet == 0 })
+	words = slices.DeleteFunc(words, func(w Word) bool { return w.Slots == 0 })
 	b.seq++
-	b.saidAt, b.fresh = now, false
+	if b.again--; b.fresh || len(words) > 0 {
+		b.again = 1
+	}
+	b.said, b.saidAt, b.fresh = true, now, false
 	if len(words) <= MaxWords {
 		flags = whole
 	} else {
@@ -114,18 +119,19 @@
 		b.from, words = from+MaxWords, part
 	}
 	out := make([]byte, 0, headBytes+wordBytes*len(words))
-	out = append(out, form, flags)
+	out = append(out, form<<4|flags)
 	out = binary.LittleEndian.AppendUint16(out, b.who)
-	out = binary.LittleEndian.AppendUint32(out, b.number)
-	out = binary.LittleEndian.AppendUint32(out, b.seq)
+	out = binary.LittleEndian.AppendUint16(out, b.number)
+	out = binary.LittleEndian.AppendUint16(out, b.seq)
 	out = append(out, byte(len(words)))
 	for _, w := range words {
-		out = binary.LittleEndian.AppendUint32(out, w.Subject)
-		out = append(out, scaled(w.Slots, 4), scaled(w.Memory, 16), scaled(w.Quiet.Seconds(), 20))
+		out = append(out, byte(w.Subject), byte(w.Subject>>8), byte(w.Subject>>16), scaled(w.Slots, 4), scaled(w.Memory, 16))
 	}
-	return binary.LittleEndian.AppendUint32(out, crc32.ChecksumIEEE(out))
+	return binary.LittleEndian.AppendUint16(out, sum(out))
 }
 
+func sum(m []byte) uint16 { s := crc32.ChecksumIEEE(m); return uint16(s ^ s>>16) }
+
 // scaled rounds up, so that a little is never told as nothing.
 func scaled(v, unit float64) byte { return byte(min(math.Ceil(max(v, 0)*unit), 255)) }
 
@@ -133,18 +139,17 @@
 // form, or this dispatcher's own is passed over; bytes behind the words are a newer
 // sender's, and are not read.
 func (b *Book) Hear(now time.Duration, m []byte) bool {
-	if len(m) < headBytes || len(m) > MaxMessage || m[0] != form {
+	if len(m) < headBytes || len(m) > MaxMessage || m[0]>>4 != form {
 		b.foul++
 		return false
 	}
-	body, sum := m[:len(m)-4], binary.LittleEndian.Uint32(m[len(m)-4:])
-	n := int(m[12])
-	if crc32.ChecksumIEEE(body) != sum || len(body) < headBytes-4+n*wordBytes {
+	body, n := m[:len(m)-2], int(m[7])
+	if sum(body) != binary.LittleEndian.Uint16(m[len(m)-2:]) || len(body) < headBytes-2+n*wordBytes {
 		b.foul++
 		return false
 	}
-	flags, who := m[1], binary.LittleEndian.Uint16(m[2:])
-	number, seq := binary.LittleEndian.Uint32(m[4:]), binary.LittleEndian.Uint32(m[8:])
+	flags, who := m[0]&15, binary.LittleEndian.Uint16(m[1:])
+	number, seq := binary.LittleEndian.Uint16(m[3:]), binary.LittleEndian.Uint16(m[5:])
 	if who == b.who && number == b.number {
 		return false
 	}
@@ -152,16 +157,16 @@
 	if l == nil {
 		return false
 	}
-	if l.seq != 0 && int32(seq-l.seq) <= 0 {
+	if l.heard && int16(seq-l.seq) <= 0 {
 		return true // doubled, or overtaken by one that says as much
 	}
-	l.seq, l.at = seq, now
+	l.seq, l.heard, l.at = seq, true, now
 	if flags&whole != 0 {
 		clear(l.words)
 	}
 	for i := range n {
-		p := body[headBytes-4+i*wordBytes:]
-		w := Word{binary.LittleEndian.Uint32(p), float64(p[4]) / 4, float64(p[5]) / 16, time.Duration(p[6]) * time.Second / 20}
+		p := body[headBytes-2+i*wordBytes:]
+		w := Word{uint32(p[0]) | uint32(p[1])<<8 | uint32(p[2])<<16, float64(p[3]) / 4, float64(p[4]) / 16}
 		if _, ok := l.words[w.Subject]; ok || len(l.words) < maxKnown {
 			l.words[w.Subject] = known{w, now}
 		}
@@ -171,7 +176,7 @@
 
 // life finds the one that speaks, or makes it known; nil where it is an earlier one than
 // is known and has gone, or there are too many.
-func (b *Book) life(now time.Duration, who uint16, number uint32) *life {
+func (b *Book) life(now time.Duration, who uint16, number uint16) *life {
 	b.forget(now)
 	for _, l := range b.lives {
 		if l.who == who && l.number == number {
@@ -179,7 +184,7 @@
 		}
 	}
 	for _, l := range b.lives {
-		if l.who == who && int32(number-l.number) < 0 {
+		if l.who == who && int16(number-l.number) < 0 {
 			return nil // from before: what it had out is not known any more
 		}
 	}
@@ -192,10 +197,11 @@
 }
 
 func (b *Book) forget(now time.Duration) {
-	b.lives = slices.DeleteFunc(b.lives, func(l *life) bool { return now-l.at > Life })
+	b.lives = slices.DeleteFunc(b.lives, func(l *life) bool { return now-l.at > b.Life() })
 }
 
-// Others counts the dispatchers that are heard of now, this one's other process left out.
+// Others counts the dispatchers that are heard of now: those with work out, or just done.
+// This one's other process is left out.
 func (b *Book) Others(now time.Duration) int {
 	b.forget(now)
 	var seen []uint16
@@ -207,17 +213,12 @@
 	return len(seen)
 }
 
-// Of is what is told of a worker now. Words that were not said again in Life are none.
+// Of is what is told of a worker now. Words that were not said again in four lives are none.
 func (b *Book) Of(now time.Duration, subject uint32) (t Told) {
 	for _, l := range b.lives {
-		w, ok := l.words[subject]
-		if !ok || now-l.at > Life || now-w.at > 4*Life {
-			continue
-		}
-		t.Slots += w.Slots
-		t.Memory += w.Memory
-		if w.Quiet > 0 {
-			t.Quiet = max(t.Quiet, w.Quiet+now-w.at)
+		if w, ok := l.words[subject&(1<<24-1)]; ok && now-l.at <= b.Life() && now-w.at <= 4*b.Life() {
+			t.Slots += w.Slots
+			t.Memory += w.Memory
 		}
 	}
 	return t
@@ -227,9 +228,9 @@
 func (b *Book) Foul() int { return b.foul }
 
 // Order puts words into the order in which they are best said where not all have room:
-// what is quiet first, then most slots.
+// most slots first.
 func Order(words []Word) {
 	slices.SortFunc(words, func(a, b Word) int {
-		return cmp.Or(cmp.Compare(b.Quiet, a.Quiet), cmp.Compare(b.Slots, a.Slots), cmp.Compare(a.Subject, b.Subject))
+		return cmp.Or(cmp.Compare(b.Slots, a.Slots), cmp.Compare(a.Subject, b.Subject))
 	})
 }
--- a/internal/standin/day/talk_test.go
+++ b/internal/standin/day/talk_test.go
@@ -24,6 +24,29 @@
 		}}
 }
 
+// 36 dispatchers on 8 workers, each with a job a second: what they tell each other is most of
+// what can be known, and costs each request at most so much of its worth.
+func TestManyDispatchersThatTalk(t *testing.T) {
+	t.Parallel()
+	const n, price = 36, 0.01
+	worth, cost := [2]float64{}, 0.0
+	for seed := range seeds(4, 1) {
+		for i, talk := range []*Talk{nil, {Delay: 17 * time.Millisecond, Lost: 0.01}} {
+			cfg := oneRoom(seed+1, talk)
+			cfg.Dispatchers, cfg.Load = n, 0.65
+			res := play(t, cfg)
+			worth[i] += res.Worth() / float64(seeds(4, 1))
+			if jobs := res.Classes[0].Jobs + res.Classes[1].Jobs; talk != nil {
+				cost += price * float64(res.Told) * (n - 1) / 256 / float64(jobs) / float64(seeds(4, 1))
+			}
+		}
+	}
+	t.Logf("%.3f without, %.3f with, at a price of %.3f", worth[0], worth[1], cost)
+	if worth[1]-cost < worth[0]+0.1 || worth[1] < 0.93 || cost > 0.06 {
+		t.Errorf("%.3f without, %.3f with, at a price of %.3f", worth[0], worth[1], cost)
+	}
+}
+
 // Two dispatchers that tell each other what they have out serve as if there were one: with
 // datagrams late, lost, doubled and spoilt, too. Where they may not talk, or can't hear each
 // other, they serve what they did.
--- a/linnetlift.go
+++ b/linnetlift.go
@@ -110,6 +110,7 @@
 	FallTime     time.Duration // for this time makes it fall over
 
 	CrossPrice float64        // price of one attempt crossing zones, in mean worths
+	PeerPrice  float64        // price of a whole message (256 bytes) at each receiver, in requests
 	WastePrice float64        // price of work that served nothing, in worths
 	Room       *room.Settings // by which room is held for large jobs; nil: none is
 
--- a/state.go
+++ b/state.go
@@ -150,7 +150,7 @@
 		Settings: s, rnd: rand.New(rand.NewPCG(seed, 0x6c696e6e65746c69)),
 		workers: map[WorkerID]*worker{}, requests: map[RequestID]*request{},
 		stats: map[string]*classStat{}, shares: []float64{1}, tenants: make([]bucket, len(s.Tenants)),
-		meanRun: math.Log(0.2), run: 200 * time.Millisecond, startDelay: [2]float64{0.01, 0.04},
+		meanRun: math.Log(0.2), run: 200 * time.Millisecond, startDelay: [2]float64{0.01, 0.04}, backs: backsMost,
 	}
 	d.numberPools()
 	d.setRoom()
@@ -175,13 +175,19 @@
 
 // ---- what the dispatchers tell each other
 
-// talkers is how many dispatchers talk at the most: what they say grows by its square.
-const talkers = 8
+// What dispatchers say grows by the square of their number: so many talk at the most, and by
+// the price of a message no more than costs talkPrice, at talkBytes to each other one a job.
+const (
+	talkers   = 64
+	talkPrice = 0.08
+	talkBytes = 32.0
+)
 
 // exact tells that what all dispatchers have out is known, a network's delay ago: there is
 // no other, or they tell. One that says nothing is taken to be down.
 func (d *dispatcher) exact() bool {
-	return d.Dispatchers == 1 || d.Peers && d.Dispatchers <= min(talkers, len(d.rank))
+	return d.Dispatchers == 1 || d.Peers && d.Dispatchers <= talkers &&
+		float64(d.Dispatchers-1)*talkBytes/gossip.MaxMessage*d.PeerPrice <= talkPrice
 }
 
 // busy is how many slots of w are known to be taken, or waited for.
@@ -210,7 +216,7 @@
 		return // alone it tells, too: another process of the same dispatcher may hear it
 	}
 	if d.book == nil {
-		d.book = gossip.New(d.Me, uint32(d.now.Milliseconds()))
+		d.book = gossip.New(d.Me, d.Dispatchers, uint64(d.now.Milliseconds()/64))
 	}
 	if d.now-d.toldAt > gossip.Heartbeat {
 		d.hearsay()
