--- /dev/null
+++ b/cmd/keeper/main.go
@@ -0,0 +1,361 @@
+// Keeper is one of the processes that hold what a fleet of dispatchers has agreed on, and the
+// command by which staff ask them. This file owns the command line; it must never decide
+// anything about a policy, and exits with a code that a script can go by: 0 done, 1 not done,
+// 2 the words of the call are off, 3 no keeper answers.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"linnetlift/internal/keeper"
+	"linnetlift/internal/link"
+	"linnetlift/internal/policy"
+	"linnetlift/internal/quorum"
+)
+
+// The exit codes.
+const (
+	exitNotDone  = 1
+	exitUsage    = 2
+	exitNoAnswer = 3
+)
+
+type coded struct {
+	code int
+	err  error
+}
+
+func (c *coded) Error() string { return c.err.Error() }
+
+func notDone(format string, args ...any) error {
+	return &coded{exitNotDone, fmt.Errorf(format, args...)}
+}
+
+func main() {
+	log.SetFlags(log.Ltime | log.Lmicroseconds)
+	err := command().Execute()
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "keeper:", err)
+	var c *coded
+	if errors.As(err, &c) {
+		os.Exit(c.code)
+	}
+	os.Exit(exitUsage)
+}
+
+type calls struct {
+	fleet   string
+	keepers []string
+	within  time.Duration
+	json    bool
+}
+
+func command() *cobra.Command {
+	c := &calls{}
+	root := &cobra.Command{Use: "keeper", Short: "what a fleet of dispatchers has agreed on", SilenceUsage: true, SilenceErrors: true}
+	root.PersistentFlags().StringVar(&c.fleet, "fleet", "", "name of the fleet")
+	root.PersistentFlags().StringSliceVar(&c.keepers, "keepers", nil, "addresses of the keepers, host:port,...")
+	root.PersistentFlags().DurationVar(&c.within, "within", 10*time.Second, "how long to try")
+	root.PersistentFlags().BoolVar(&c.json, "json", false, "answer in JSON")
+	root.AddCommand(serveCommand(), &cobra.Command{Use: "status", Short: "who leads, what is in force, who holds a lease", Args: cobra.NoArgs, RunE: c.status}, c.policyCommand())
+	return root
+}
+
+func serveCommand() *cobra.Command {
+	var file string
+	var fresh bool
+	cmd := &cobra.Command{Use: "serve", Short: "be a keeper", Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error { return serve(file, fresh) }}
+	cmd.Flags().StringVar(&file, "config", "deploy/keeper.toml", "the keeper's file")
+	cmd.Flags().BoolVar(&fresh, "new", false, "this member never was one: make its folder")
+	return cmd
+}
+
+func serve(file string, fresh bool) error {
+	cfg, err := readConfig(file)
+	if err != nil {
+		return &coded{exitUsage, err}
+	}
+	l, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return notDone("%s: listen: %v", file, err)
+	}
+	q, err := quorum.Open(quorum.Config{Fleet: cfg.Fleet, Member: cfg.Member, Members: cfg.members(), Dir: cfg.Folder, New: fresh,
+		State: keeper.Config{Lease: cfg.Lease.Duration, Answer: cfg.Answer.Duration, Fence: cfg.fence, Keep: cfg.Keep},
+		Log:   func(s string) { log.Print(s) }, Tick: cfg.Tick.Duration, Snapshot: uint64(cfg.Snapshot)})
+	if err != nil {
+		return notDone("%v", err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(quorum.Path, q)
+	mux.Handle("/", link.Handler(cfg.Fleet, q, 20*cfg.Tick.Duration+time.Second))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10}
+	go server.Serve(l)
+	log.Printf("keeper %d of %s serves on %s", cfg.Member, cfg.Fleet, l.Addr())
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	select {
+	case <-ctx.Done():
+	case <-q.Failed():
+		server.Close()
+		return notDone("%v", q.Err())
+	}
+	server.Close()
+	if err := q.Close(); err != nil {
+		return notDone("%v", err)
+	}
+	log.Print("stopped")
+	return nil
+}
+
+// client makes the caller's side, and the time it has.
+func (c *calls) client() (*link.Client, context.Context, func(), error) {
+	if c.fleet == "" || len(c.keepers) == 0 {
+		return nil, nil, nil, &coded{exitUsage, errors.New("--fleet and --keepers are needed")}
+	}
+	ctx, stop := context.WithTimeout(context.Background(), c.within)
+	return link.NewClient(c.fleet, c.keepers), ctx, stop, nil
+}
+
+// state asks for the keepers' state, of as many as it takes.
+func (c *calls) state(ctx context.Context, cl *link.Client) (s *keeper.State, leader uint64, err error) {
+	err = link.Tries(ctx, func(ctx context.Context) error {
+		s, leader, err = cl.State(ctx)
+		return err
+	})
+	if err != nil {
+		return nil, 0, &coded{exitNoAnswer, err}
+	}
+	return s, leader, nil
+}
+
+func (c *calls) do(ctx context.Context, cl *link.Client, cmd keeper.Command) (r keeper.Result, err error) {
+	err = link.Tries(ctx, func(ctx context.Context) error {
+		r, err = cl.Do(ctx, cmd)
+		return err
+	})
+	if err != nil {
+		return r, &coded{exitNoAnswer, err}
+	}
+	if r.Err != "" {
+		return r, notDone("%s", r.Err)
+	}
+	return r, nil
+}
+
+func (c *calls) status(cmd *cobra.Command, _ []string) error {
+	cl, ctx, stop, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer stop()
+	s, leader, err := c.state(ctx, cl)
+	if err != nil {
+		return err
+	}
+	out := cmd.OutOrStdout()
+	if c.json {
+		return json.NewEncoder(out).Encode(map[string]any{"leader": leader, "revision": s.Revision, "in_force": s.InForce(), "change": s.Change, "holders": s.Holders, "now": s.Now})
+	}
+	fmt.Fprintf(out, "keeper %d leads; revision %d\n", leader, s.Revision)
+	describe(out, s)
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "dispatcher\tversion\tlease\tprogram")
+	for _, h := range s.Living() {
+		left := "not counted yet"
+		if h.Grant == 0 {
+			left = (h.Until - s.Now).String()
+		}
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\n", h.Name, h.Version, left, h.Program)
+	}
+	return w.Flush()
+}
+
+// describe words what is in force, and what is under way and held up by whom.
+func describe(out io.Writer, s *keeper.State) {
+	if p := s.InForce(); p.Version == 0 {
+		fmt.Fprintln(out, "no policy was ever made")
+	} else {
+		fmt.Fprintf(out, "version %d (%.12s) in force from revision %d, by %s: %s\n", p.Version, p.Digest, p.Revision, p.Who, p.Why)
+	}
+	ch := s.Change
+	if ch == nil {
+		return
+	}
+	line := fmt.Sprintf("change %s to version %d: %v", ch.ID, ch.Policy.Version, ch.Stage)
+	if ch.Reason != "" {
+		line += ": " + ch.Reason
+	}
+	if up := s.Holdup(); len(up) > 0 {
+		line += "; waits for " + strings.Join(up, ", ")
+	}
+	fmt.Fprintln(out, line)
+}
+
+func (c *calls) policyCommand() *cobra.Command {
+	p := &cobra.Command{Use: "policy", Short: "policies: what is in force, and changes of it"}
+	var who, why, id string
+	var dry, without bool
+	propose := &cobra.Command{Use: "propose FILE", Short: "have a policy put in force", Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
+		text, err := os.ReadFile(args[0])
+		if err != nil {
+			return &coded{exitUsage, err}
+		}
+		return c.propose(cmd.OutOrStdout(), args[0], text, keeper.Propose{ID: id, Who: who, Why: why, WithoutSilent: without}, dry)
+	}}
+	back := &cobra.Command{Use: "back VERSION", Short: "have an earlier version put in force again, as a change like any other", Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
+		cl, ctx, stop, err := c.client()
+		if err != nil {
+			return err
+		}
+		defer stop()
+		n, err := strconv.ParseUint(args[0], 10, 64)
+		if err != nil {
+			return &coded{exitUsage, fmt.Errorf("%q: expected a version's number", args[0])}
+		}
+		s, _, err := c.state(ctx, cl)
+		if err != nil {
+			return err
+		}
+		old, ok := s.Find(n)
+		if !ok {
+			return notDone("version %d is not remembered", n)
+		}
+		return c.propose(cmd.OutOrStdout(), "version "+args[0], old.Text, keeper.Propose{ID: id, Who: who, Why: "back to version " + args[0] + ": " + why, WithoutSilent: without}, dry)
+	}}
+	for _, f := range []*cobra.Command{propose, back} {
+		f.Flags().StringVar(&who, "who", os.Getenv("USER"), "who asks for it")
+		f.Flags().StringVar(&why, "why", "", "and why")
+		f.Flags().StringVar(&id, "id", "", "the change's name; asking twice by the same is asking once")
+		f.Flags().BoolVar(&dry, "dry-run", false, "check it, and say what it would change")
+		f.Flags().BoolVar(&without, "without-silent", false, "do without dispatchers that say nothing, once their leases have ended")
+	}
+	withdraw := &cobra.Command{Use: "withdraw ID", Short: "end a change that is not closing yet", Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
+		cl, ctx, stop, err := c.client()
+		if err != nil {
+			return err
+		}
+		defer stop()
+		_, err = c.do(ctx, cl, keeper.Command{Withdraw: &keeper.Withdraw{ID: args[0], Who: who, Why: why}})
+		if err == nil {
+			fmt.Fprintln(cmd.OutOrStdout(), "withdrawn")
+		}
+		return err
+	}}
+	withdraw.Flags().StringVar(&who, "who", os.Getenv("USER"), "who asks for it")
+	withdraw.Flags().StringVar(&why, "why", "", "and why")
+	show := func(use, short string, f func(out io.Writer, s *keeper.State) error) *cobra.Command {
+		return &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+			cl, ctx, stop, err := c.client()
+			if err != nil {
+				return err
+			}
+			defer stop()
+			s, _, err := c.state(ctx, cl)
+			if err != nil {
+				return err
+			}
+			return f(cmd.OutOrStdout(), s)
+		}}
+	}
+	p.AddCommand(propose, back, withdraw,
+		show("status", "the change under way, and what holds it up", func(out io.Writer, s *keeper.State) error {
+			if c.json {
+				return json.NewEncoder(out).Encode(map[string]any{"in_force": s.InForce(), "change": s.Change, "waits_for": s.Holdup()})
+			}
+			describe(out, s)
+			return nil
+		}),
+		show("show", "the text in force", func(out io.Writer, s *keeper.State) error {
+			_, err := out.Write(s.InForce().Text)
+			return err
+		}),
+		show("history", "the versions remembered", func(out io.Writer, s *keeper.State) error {
+			if c.json {
+				return json.NewEncoder(out).Encode(s.Policies)
+			}
+			for _, p := range s.Policies {
+				fmt.Fprintf(out, "%d  revision %d  %.12s  %s: %s\n", p.Version, p.Revision, p.Digest, p.Who, p.Why)
+			}
+			return nil
+		}))
+	return p
+}
+
+// propose checks a policy, asks for it, and follows it to its end.
+func (c *calls) propose(out io.Writer, from string, text []byte, p keeper.Propose, dry bool) error {
+	doc, err := policy.Parse(text)
+	if err != nil {
+		return &coded{exitUsage, fmt.Errorf("%s: %w", from, err)}
+	}
+	cl, ctx, stop, err := c.client()
+	if err != nil {
+		return err
+	}
+	defer stop()
+	s, _, err := c.state(ctx, cl)
+	if err != nil {
+		return err
+	}
+	now, err := policy.Parse(s.InForce().Text)
+	if err != nil {
+		return notDone("the policy in force can't be read by this program: %v", err)
+	}
+	for _, line := range now.Diff(doc) {
+		fmt.Fprintln(out, line)
+	}
+	if dry {
+		return nil
+	}
+	if p.ID == "" {
+		p.ID = fmt.Sprintf("%.8s-%d", keeper.Digest(text), s.InForce().Version+1)
+	}
+	p.Text, p.Base = text, s.InForce().Version
+	r, err := c.do(ctx, cl, keeper.Command{Propose: &p})
+	if err != nil {
+		return err
+	}
+	said := ""
+	for past := r.Revision; ; {
+		if s, _, err = c.state(ctx, cl); err != nil {
+			return err
+		}
+		if s.Change == nil || s.Change.ID != p.ID {
+			return notDone("another change has followed: see policy history")
+		}
+		line := fmt.Sprintf("%v; %d of %d dispatchers have said that they could run it", s.Change.Stage, len(s.Change.Said), len(s.Living()))
+		if up := s.Holdup(); len(up) > 0 {
+			line += "; waits for " + strings.Join(up, ", ")
+		}
+		if line != said {
+			fmt.Fprintln(out, line)
+			said = line
+		}
+		switch s.Change.Stage {
+		case keeper.InForce:
+			fmt.Fprintf(out, "version %d in force from revision %d\n", s.Change.Policy.Version, s.Change.Policy.Revision)
+			return nil
+		case keeper.Withdrawn:
+			return notDone("withdrawn: %s", s.Change.Reason)
+		}
+		past = s.Revision
+		cl.Watch(ctx, past, time.Second)
+	}
+}
--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,397 @@
+// Package link carries commands and answers between the keepers and whoever calls them: HTTP/1.1
+// and one codec, reads bounded, any keeper as good as another. Doubled and late messages are the
+// state's to tell apart (package keeper); here nothing is sent again after it may have arrived
+// but as a new call.
+//
+// It must never make a request of a client's wait: whoever admits work asks Holder.Admits, which
+// waits for nobody.
+package link
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"linnetlift/internal/accord"
+	"linnetlift/internal/keeper"
+	"linnetlift/internal/timers"
+)
+
+const (
+	doPath    = "/v1/do"
+	watchPath = "/v1/watch"
+	statePath = "/v1/state"
+
+	maxCall   = 1 << 20 // a command
+	maxAnswer = 16 << 20
+	maxWait   = 30 * time.Second // of a watch
+)
+
+// Keepers is what a server offers: package quorum's part of it.
+type Keepers interface {
+	Do(ctx context.Context, cmd keeper.Command) (keeper.Result, error)
+	Read(ctx context.Context, f func(s *keeper.State)) error
+	Watch(ctx context.Context, past uint64) uint64
+	Leader() uint64
+}
+
+// Handler serves callers. within bounds how long a command may take.
+func Handler(fleet string, k Keepers, within time.Duration) http.Handler {
+	mux := http.NewServeMux()
+	guard := func(f func(w http.ResponseWriter, r *http.Request) error) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if got := r.Header.Get("X-Fleet"); got != fleet {
+				http.Error(w, fmt.Sprintf("fleet %q; these keepers' is %q", got, fleet), http.StatusForbidden)
+				return
+			}
+			if err := f(w, r); err != nil {
+				http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			}
+		}
+	}
+	mux.Handle("POST "+doPath, guard(func(w http.ResponseWriter, r *http.Request) error {
+		text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCall))
+		if err != nil {
+			return err
+		}
+		var cmd keeper.Command
+		if err := keeper.Decode(text, &cmd); err != nil {
+			return err
+		}
+		if cmd.Tick != nil {
+			return errors.New("time is told by who leads alone")
+		}
+		ctx, stop := context.WithTimeout(r.Context(), within)
+		defer stop()
+		res, err := k.Do(ctx, cmd)
+		if err != nil {
+			return err
+		}
+		return answer(w, res)
+	}))
+	mux.Handle("GET "+watchPath, guard(func(w http.ResponseWriter, r *http.Request) error {
+		past, err := strconv.ParseUint(r.FormValue("past"), 10, 64)
+		wait, err2 := strconv.Atoi(r.FormValue("wait_ms"))
+		if err := errors.Join(err, err2); err != nil {
+			return err
+		}
+		ctx, stop := context.WithTimeout(r.Context(), min(timers.Ahead(time.Duration(wait)*time.Millisecond), maxWait))
+		defer stop()
+		fmt.Fprint(w, k.Watch(ctx, past))
+		return nil
+	}))
+	mux.Handle("GET "+statePath, guard(func(w http.ResponseWriter, r *http.Request) error {
+		ctx, stop := context.WithTimeout(r.Context(), within)
+		defer stop()
+		var text []byte
+		var wording error
+		if err := k.Read(ctx, func(s *keeper.State) { text, wording = s.Snapshot() }); err != nil {
+			return err
+		}
+		if wording != nil {
+			return wording
+		}
+		w.Header().Set("X-Leader", strconv.FormatUint(k.Leader(), 10))
+		_, err := w.Write(text)
+		return err
+	}))
+	return mux
+}
+
+func answer(w http.ResponseWriter, v any) error {
+	text, err := keeper.Encode(v)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(text)
+	return err
+}
+
+// Client calls keepers, another one where one does not answer.
+type Client struct {
+	fleet string
+	addrs []string
+	http  *http.Client
+
+	mu sync.Mutex
+	at int
+}
+
+// NewClient makes a client of the keepers at these addresses.
+func NewClient(fleet string, addrs []string) *Client {
+	return &Client{fleet: fleet, addrs: addrs, at: rand.IntN(max(len(addrs), 1)),
+		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}}
+}
+
+// Close closes what it holds open.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func (c *Client) addr() (int, string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at, c.addrs[c.at]
+}
+
+// next goes over to another keeper, unless somebody has meanwhile.
+func (c *Client) next(from int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.at == from {
+		c.at = (c.at + 1) % len(c.addrs)
+	}
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte) ([]byte, http.Header, error) {
+	n, addr := c.addr()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, nil, err
+	}
+	r.Header.Set("X-Fleet", c.fleet)
+	resp, err := c.http.Do(r)
+	if err != nil {
+		c.next(n)
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("keeper at %s: %s", addr, strings.TrimSpace(string(text)))
+	}
+	if err != nil {
+		c.next(n)
+	}
+	return text, resp.Header, err
+}
+
+// Do has a command carried out by one keeper. After an error it may have been, or may yet.
+func (c *Client) Do(ctx context.Context, cmd keeper.Command) (r keeper.Result, err error) {
+	text, err := keeper.Encode(cmd)
+	if err != nil {
+		return r, err
+	}
+	if text, _, err = c.call(ctx, http.MethodPost, doPath, text); err != nil {
+		return r, err
+	}
+	return r, keeper.Decode(text, &r)
+}
+
+// Watch waits until the state is past a revision, or for so long.
+func (c *Client) Watch(ctx context.Context, past uint64, wait time.Duration) (uint64, error) {
+	text, _, err := c.call(ctx, http.MethodGet, fmt.Sprintf("%s?past=%d&wait_ms=%d", watchPath, past, wait.Milliseconds()), nil)
+	if err != nil {
+		return 0, err
+	}
+	return strconv.ParseUint(string(text), 10, 64)
+}
+
+// State is the keepers' state as it is now, and who leads.
+func (c *Client) State(ctx context.Context) (*keeper.State, uint64, error) {
+	text, head, err := c.call(ctx, http.MethodGet, statePath, nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	s, err := keeper.Restore(text)
+	leader, _ := strconv.ParseUint(head.Get("X-Leader"), 10, 64)
+	return s, leader, err
+}
+
+// Tries calls f until it succeeds or ctx ends, at another keeper each time.
+func Tries(ctx context.Context, f func(ctx context.Context) error) error {
+	for {
+		one, stop := context.WithTimeout(ctx, 2*time.Second)
+		err := f(one)
+		stop()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(100 * time.Millisecond):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
+
+// Hooks are what a holder does with policies.
+type Hooks struct {
+	Check func(text []byte) error     // whether it could run one
+	Apply func(p keeper.Policy) error // runs it from here on; checked before
+	Log   func(line string)
+}
+
+// Holder is a dispatcher's side: it keeps the lease, and tells at any moment what holds.
+type Holder struct {
+	client *Client
+	hooks  Hooks
+	base   time.Time
+
+	mu   sync.Mutex
+	a    *accord.Accord
+	done bool
+}
+
+// callWithin bounds a call for a lease. One that takes longer is of little use.
+const callWithin = time.Second
+
+// NewHolder makes the side of the accord a, which knows nothing yet.
+func NewHolder(c *Client, a *accord.Accord, h Hooks) *Holder {
+	return &Holder{client: c, hooks: h, base: time.Now(), a: a}
+}
+
+// Admits is what holds now. It waits for nobody.
+func (h *Holder) Admits() accord.Held {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.a.Admits(time.Since(h.base))
+}
+
+// Describe is a line for staff.
+func (h *Holder) Describe() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Since(h.base)
+	held, p := h.a.Admits(now), h.a.Policy()
+	switch {
+	case h.a.Holds(now):
+		return fmt.Sprintf("version %d (%.12s) in force here, lease for %v more", held.Version, p.Digest, h.a.Left(now).Round(time.Millisecond))
+	case held.Admits:
+		return fmt.Sprintf("version %d (%.12s), the last that was heard of: no lease; %s", held.Version, p.Digest, h.a.Why)
+	}
+	return fmt.Sprintf("version %d, admitting nothing: no lease; %s", held.Version, h.a.Why)
+}
+
+// Run keeps the lease until ctx ends, and gives it back then.
+func (h *Holder) Run(ctx context.Context) {
+	poke := make(chan uint64, 1)
+	var past uint64
+	var seen sync.Mutex
+	go h.watch(ctx, poke, func() uint64 { seen.Lock(); defer seen.Unlock(); return past })
+	fails := 0
+	for ctx.Err() == nil {
+		r, again, err := h.once(ctx)
+		wait := time.Duration(0)
+		switch {
+		case err != nil:
+			// Spread, since all that lost their keepers come back to them together.
+			fails++
+			wait = time.Duration(float64(min(50*time.Millisecond<<min(fails, 4), 400*time.Millisecond)) * (0.5 + rand.Float64()))
+			if fails == 1 {
+				h.hooks.Log(fmt.Sprintf("policy: no keeper answers: %v", err))
+			}
+		case again:
+		default:
+			h.mu.Lock()
+			wait = time.Duration(float64(h.a.Every()) * (0.8 + 0.2*rand.Float64()))
+			h.mu.Unlock()
+		}
+		if err == nil {
+			if fails > 0 {
+				h.hooks.Log(fmt.Sprintf("policy: keepers answer again, after %d calls", fails))
+			}
+			fails = 0
+			seen.Lock()
+			past = max(past, r.Revision)
+			seen.Unlock()
+		}
+		if wait > 0 {
+			select {
+			case <-time.After(wait):
+			case <-poke:
+			case <-ctx.Done():
+			}
+		}
+	}
+	h.mu.Lock()
+	leave := h.a.Leave()
+	h.done = true
+	h.mu.Unlock()
+	last, stop := context.WithTimeout(context.Background(), callWithin)
+	defer stop()
+	h.client.Do(last, keeper.Command{Leave: &leave})
+	h.client.Close()
+}
+
+// once asks for a lease, and does what the answer asks.
+func (h *Holder) once(ctx context.Context) (r keeper.Result, again bool, err error) {
+	h.mu.Lock()
+	asked := time.Since(h.base) // before anything is sent
+	hold := h.a.Ask(asked)
+	h.mu.Unlock()
+	one, stop := context.WithTimeout(ctx, callWithin)
+	defer stop()
+	if r, err = h.client.Do(one, keeper.Command{Hold: &hold}); err != nil {
+		return r, false, err
+	}
+	h.mu.Lock()
+	todo := h.a.Heard(asked, r)
+	h.mu.Unlock()
+	again = todo.Again
+	if todo.Weigh != nil {
+		why := ""
+		if err := h.hooks.Check(todo.Weigh.Policy.Text); err != nil {
+			why = err.Error()
+		} else if keeper.Digest(todo.Weigh.Policy.Text) != todo.Weigh.Policy.Digest {
+			why = "its text is not that of its digest"
+		}
+		h.mu.Lock()
+		say := h.a.Say(todo.Weigh, why)
+		h.mu.Unlock()
+		if _, err := h.client.Do(one, keeper.Command{Say: &say}); err != nil {
+			h.mu.Lock()
+			h.a.Unsaid()
+			h.mu.Unlock()
+			return r, false, err
+		}
+		again = true
+	}
+	if todo.Take != nil {
+		if err := h.hooks.Apply(*todo.Take); err != nil {
+			return r, false, fmt.Errorf("version %d can't be run: %w", todo.Take.Version, err)
+		}
+		h.mu.Lock()
+		h.a.Took(*todo.Take)
+		h.mu.Unlock()
+		h.hooks.Log(fmt.Sprintf("policy: version %d (%.12s) taken up", todo.Take.Version, todo.Take.Digest))
+		again = true
+	}
+	return r, again, nil
+}
+
+// watch pokes whenever something has changed at the keepers.
+func (h *Holder) watch(ctx context.Context, poke chan<- uint64, past func() uint64) {
+	for ctx.Err() == nil {
+		was := past()
+		one, stop := context.WithTimeout(ctx, 12*time.Second)
+		now, err := h.client.Watch(one, was, 10*time.Second)
+		stop()
+		if err != nil || now <= was {
+			pause := 20 * time.Millisecond
+			if err != nil {
+				pause = time.Duration(200+rand.IntN(200)) * time.Millisecond
+			}
+			select {
+			case <-time.After(pause):
+			case <-ctx.Done():
+			}
+			continue
+		}
+		select {
+		case poke <- now:
+		default:
+		}
+		// Until the poke has led to an answer, the revision known is the old one.
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+}
--- /dev/null
+++ b/internal/quorum/store.go
@@ -0,0 +1,299 @@
+package quorum
+
+// This file owns a keeper's folder: the log, the hard state and the latest snapshot, in one
+// bbolt file. Each record carries a checksum. What is damaged, or another fleet's or keeper's,
+// is reported and refused; nothing is ever made anew in silence, since a keeper that forgets
+// what it has voted for may break what others rely on.
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.etcd.io/bbolt"
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	fileName = "keeper.db"
+	formatV1 = "yardflow keeper 1"
+	openWait = time.Second // for the lock of a process that has just ended
+)
+
+var (
+	bucketMeta = []byte("meta")
+	bucketLog  = []byte("log")
+
+	keyFormat   = []byte("format")
+	keyFleet    = []byte("fleet")
+	keyMember   = []byte("member")
+	keyHard     = []byte("hard")
+	keySnapshot = []byte("snapshot")
+)
+
+// The errors of a folder.
+var (
+	ErrEmpty   = errors.New("the folder holds no keeper: start it with --new if it never was one; a keeper that lost its folder is taken out and comes in again as another member")
+	ErrTaken   = errors.New("the folder holds a keeper already: start it without --new")
+	ErrForeign = errors.New("the folder is another's")
+	ErrDamaged = errors.New("the folder is damaged: take this keeper out and let another member come in, or restore a majority from a snapshot")
+)
+
+type store struct {
+	db  *bbolt.DB
+	mem *raft.MemoryStorage
+}
+
+// sealed puts a checksum before a record, by its key, so that one in another's place shows.
+func sealed(key, record []byte) []byte {
+	h := xxhash.New()
+	h.Write(key)
+	h.Write(record)
+	return append(binary.LittleEndian.AppendUint64(nil, h.Sum64()), record...)
+}
+
+func unsealed(key, text []byte) ([]byte, error) {
+	if len(text) < 8 || !bytes.Equal(sealed(key, text[8:])[:8], text[:8]) {
+		return nil, fmt.Errorf("%w: record %q", ErrDamaged, key)
+	}
+	return text[8:], nil
+}
+
+func logKey(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
+
+// open opens a member's folder, or makes it where fresh says that it is new.
+func open(dir, fleet string, member uint64, fresh bool) (*store, error) {
+	path := filepath.Join(dir, fileName)
+	_, err := os.Stat(path)
+	switch {
+	case err == nil && fresh:
+		return nil, fmt.Errorf("%s: %w", dir, ErrTaken)
+	case errors.Is(err, os.ErrNotExist) && !fresh:
+		return nil, fmt.Errorf("%s: %w", dir, ErrEmpty)
+	case err != nil && !errors.Is(err, os.ErrNotExist):
+		return nil, err
+	}
+	if fresh {
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return nil, err
+		}
+	}
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: openWait})
+	if errors.Is(err, bbolt.ErrTimeout) {
+		return nil, fmt.Errorf("%s: another process has it open", path)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w: %v", path, ErrDamaged, err)
+	}
+	s := &store{db: db, mem: raft.NewMemoryStorage()}
+	if fresh {
+		err = s.make(fleet, member)
+	} else {
+		err = s.load(fleet, member)
+	}
+	if err != nil {
+		db.Close()
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+func (s *store) make(fleet string, member uint64) error {
+	return s.db.Update(func(tx *bbolt.Tx) error {
+		if _, err := tx.CreateBucketIfNotExists(bucketLog); err != nil {
+			return err
+		}
+		meta, err := tx.CreateBucketIfNotExists(bucketMeta)
+		if err != nil {
+			return err
+		}
+		for _, kv := range [][2][]byte{{keyFormat, []byte(formatV1)}, {keyFleet, []byte(fleet)}, {keyMember, logKey(member)}} {
+			if err := meta.Put(kv[0], sealed(kv[0], kv[1])); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// load reads a folder whole, each record checked, into the memory that raft reads from.
+func (s *store) load(fleet string, member uint64) (err error) {
+	defer func() { // a torn page can be anything to its reader
+		if r := recover(); r != nil {
+			err = fmt.Errorf("%w: %v", ErrDamaged, r)
+		}
+	}()
+	return s.db.View(func(tx *bbolt.Tx) error {
+		meta, log := tx.Bucket(bucketMeta), tx.Bucket(bucketLog)
+		if meta == nil || log == nil {
+			return fmt.Errorf("%w: no such parts in it", ErrDamaged)
+		}
+		for _, want := range []struct {
+			key  []byte
+			is   []byte
+			word string
+		}{{keyFormat, []byte(formatV1), "form"}, {keyFleet, []byte(fleet), "fleet"}, {keyMember, logKey(member), "member"}} {
+			got, err := unsealed(want.key, meta.Get(want.key))
+			if err != nil {
+				return err
+			}
+			if !bytes.Equal(got, want.is) {
+				return fmt.Errorf("%w: its %s is %q, this keeper's %q", ErrForeign, want.word, got, want.is)
+			}
+		}
+		if text := meta.Get(keySnapshot); text != nil {
+			snap := &raftpb.Snapshot{}
+			if err := unpack(keySnapshot, text, snap); err != nil {
+				return err
+			}
+			if err := s.mem.ApplySnapshot(snap); err != nil {
+				return err
+			}
+		}
+		if text := meta.Get(keyHard); text != nil {
+			hard := &raftpb.HardState{}
+			if err := unpack(keyHard, text, hard); err != nil {
+				return err
+			}
+			s.mem.SetHardState(hard)
+		}
+		first, _ := s.mem.FirstIndex()
+		next := first
+		return log.ForEach(func(k, v []byte) error {
+			index := binary.BigEndian.Uint64(k)
+			if index < first {
+				return nil // within the snapshot: left by an end between two steps
+			}
+			e := &raftpb.Entry{}
+			if err := unpack(k, v, e); err != nil {
+				return err
+			}
+			if index != next || e.GetIndex() != index {
+				return fmt.Errorf("%w: entry %d where %d is due", ErrDamaged, index, next)
+			}
+			next++
+			return s.mem.Append([]*raftpb.Entry{e})
+		})
+	})
+}
+
+func unpack(key, text []byte, into proto.Message) error {
+	record, err := unsealed(key, text)
+	if err == nil {
+		err = proto.Unmarshal(record, into)
+	}
+	return err
+}
+
+func pack(key []byte, m proto.Message) ([]byte, error) {
+	record, err := proto.Marshal(m)
+	return sealed(key, record), err
+}
+
+// save makes what raft hands over durable, in one step, and then readable.
+func (s *store) save(hard *raftpb.HardState, entries []*raftpb.Entry, snap *raftpb.Snapshot) error {
+	err := s.db.Update(func(tx *bbolt.Tx) error {
+		meta, log := tx.Bucket(bucketMeta), tx.Bucket(bucketLog)
+		if !raft.IsEmptySnap(snap) {
+			text, err := pack(keySnapshot, snap)
+			if err != nil {
+				return err
+			}
+			if err := meta.Put(keySnapshot, text); err != nil {
+				return err
+			}
+			if err := cut(log, snap.GetMetadata().GetIndex()+1); err != nil {
+				return err
+			}
+		}
+		if !raft.IsEmptyHardState(hard) {
+			text, err := pack(keyHard, hard)
+			if err != nil {
+				return err
+			}
+			if err := meta.Put(keyHard, text); err != nil {
+				return err
+			}
+		}
+		if len(entries) == 0 {
+			return nil
+		}
+		// What follows the last one written is another leader's, and void.
+		c := log.Cursor()
+		for k, _ := c.Seek(logKey(entries[len(entries)-1].GetIndex() + 1)); k != nil; k, _ = c.Next() {
+			if err := c.Delete(); err != nil {
+				return err
+			}
+		}
+		for _, e := range entries {
+			k := logKey(e.GetIndex())
+			text, err := pack(k, e)
+			if err != nil {
+				return err
+			}
+			if err := log.Put(k, text); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if !raft.IsEmptySnap(snap) {
+		if err := s.mem.ApplySnapshot(snap); err != nil {
+			return err
+		}
+	}
+	if !raft.IsEmptyHardState(hard) {
+		s.mem.SetHardState(hard)
+	}
+	return s.mem.Append(entries)
+}
+
+// cut takes out the entries before one.
+func cut(log *bbolt.Bucket, before uint64) error {
+	c := log.Cursor()
+	for k, _ := c.First(); k != nil && binary.BigEndian.Uint64(k) < before; k, _ = c.First() {
+		if err := c.Delete(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// compact puts a snapshot in the place of the log up to an index, but for the last few
+// entries: a follower a little behind is not sent the whole state for them.
+func (s *store) compact(index uint64, conf *raftpb.ConfState, state []byte, keep uint64) error {
+	snap, err := s.mem.CreateSnapshot(index, conf, state)
+	if err != nil {
+		return err
+	}
+	from := index - min(index, keep)
+	err = s.db.Update(func(tx *bbolt.Tx) error {
+		text, err := pack(keySnapshot, snap)
+		if err != nil {
+			return err
+		}
+		if err := tx.Bucket(bucketMeta).Put(keySnapshot, text); err != nil {
+			return err
+		}
+		return cut(tx.Bucket(bucketLog), index+1) // read again, the log begins behind the snapshot
+	})
+	if err != nil {
+		return err
+	}
+	if first, _ := s.mem.FirstIndex(); from >= first {
+		return s.mem.Compact(from)
+	}
+	return nil
+}
+
+func (s *store) close() error { return s.db.Close() }
