Dispatchers hold leases for the policy in force; lab/rig starts real processes behind relays

Where deploy/yardflow.toml names keepers, a dispatcher asks them before its first yes to healthz, admits a request only while its lease holds (asked at that moment, by its own monotonic clock) and applies bans and the cap on attempts of the policy. As shipped none is named and nothing of it runs.

--- a/cmd/yardflow/main.go
+++ b/cmd/yardflow/main.go
@@ -24,14 +24,18 @@
 	"time"
 
 	"linnetlift"
+	"linnetlift/internal/accord"
 	"linnetlift/internal/broker"
 	"linnetlift/internal/config"
 	"linnetlift/internal/console"
 	"linnetlift/internal/handover"
 	"linnetlift/internal/haproxy"
 	"linnetlift/internal/invariant"
+	"linnetlift/internal/keeper"
+	"linnetlift/internal/link"
 	"linnetlift/internal/peers"
 	"linnetlift/internal/platform"
+	"linnetlift/internal/policy"
 	"linnetlift/internal/sources"
 	"linnetlift/internal/sse"
 )
@@ -136,7 +140,9 @@
 		next, err = now.Retuned(cfg)
 	}
 	if err == nil {
-		err = n.broker.Retune(next.Module)
+		n.policyMu.Lock()
+		defer n.policyMu.Unlock()
+		err = n.put(next)
 	}
 	if err != nil {
 		log.Printf("reload: the old settings stay: %v", err)
@@ -148,7 +154,6 @@
 	n.mu.Lock()
 	n.longest = max(n.longest, longest(next))
 	n.mu.Unlock()
-	n.live.Set(next)
 	if !slices.Equal(now.Zones, next.Zones) || !slices.Equal(now.Kinds, next.Kinds) ||
 		!reflect.DeepEqual(now.Membership, next.Membership) || !reflect.DeepEqual(now.SRV, next.SRV) {
 		if err := n.sources.Retune(); err != nil { // checked before; nothing has changed then
@@ -162,6 +167,39 @@
 	log.Printf("reload: discovery at %s; classes %v, %d attempts", next.Discovery, next.Classes, next.Module.MaxAttempts)
 }
 
+// put puts a configuration in force, with what the policy takes from it. The caller holds
+// policyMu.
+func (n *node) put(base *config.Config) error {
+	own := *base
+	if n.policy.Attempts > 0 {
+		own.Module.MaxAttempts = min(own.Module.MaxAttempts, n.policy.Attempts)
+	}
+	if err := n.broker.Retune(own.Module); err != nil {
+		return err
+	}
+	n.base = base
+	n.live.Set(&own)
+	return nil
+}
+
+// takePolicy runs by a policy from here on. Open requests keep their class and what they
+// have tried.
+func (n *node) takePolicy(p keeper.Policy) error {
+	doc, err := policy.Parse(p.Text)
+	if err != nil {
+		return err
+	}
+	n.policyMu.Lock()
+	defer n.policyMu.Unlock()
+	n.policy = doc
+	ids, err := n.bans.Read()
+	if err != nil {
+		return err
+	}
+	n.sources.Ban(slices.Concat(ids, doc.Ban))
+	return n.put(n.base)
+}
+
 // longest is the longest deadline of a configuration's classes.
 func longest(cfg *config.Config) (d time.Duration) {
 	for _, c := range cfg.Module.Classes {
@@ -208,6 +246,11 @@
 	limitMemory func(bytes int64)
 	bans        *handover.Bans
 	peers       *handover.Peers
+	holder      *link.Holder   // of the policy agreed on with keepers; nil: none is
+	release     func()         // gives its lease back
+	base        *config.Config // in force, before the policy; reloads' and the policy's, under policyMu
+	policyMu    sync.Mutex
+	policy      policy.Document
 	talk        *peers.Link // with the other dispatchers; nil: they don't talk
 	serving     atomic.Bool
 
@@ -242,7 +285,7 @@
 		cfg, own.Known = &own, before.Table
 		n.cfg = cfg
 	}
-	n.live, n.longest = config.NewLive(cfg), longest(cfg)
+	n.live, n.longest, n.base = config.NewLive(cfg), longest(cfg), cfg
 	limitMemory(n.memory(1 + n.peers.Others()))
 	var err error
 	if n.broker, err = broker.New(cfg.Module, cfg.Seed, contracts, logLine); err != nil {
@@ -295,6 +338,9 @@
 	n.guard = platform.NewGuard(clients)
 	n.reader = platform.NewReader(n.live, n.guard)
 	n.front = platform.NewFrontend(n.broker, n.lines, n.reader)
+	if len(cfg.Keepers.Addresses) > 0 {
+		n.hold(cfg)
+	}
 	l, err := frontListener(cfg)
 	if err != nil {
 		return nil, err
@@ -327,6 +373,26 @@
 	return n, nil
 }
 
+// hold begins to hold a lease for the policy agreed on. Until it has one, nothing is admitted.
+func (n *node) hold(cfg *config.Config) {
+	fence, _ := keeper.ParseFence(cfg.Keepers.Fence) // checked with the file
+	half := accord.New(cfg.Name, uint64(time.Now().UnixNano()), "policies of form 1", fence)
+	n.holder = link.NewHolder(link.NewClient(cfg.Keepers.Fleet, cfg.Keepers.Addresses), half, link.Hooks{
+		Check: func(text []byte) error { _, err := policy.Parse(text); return err },
+		Apply: n.takePolicy, Log: func(s string) { log.Print(s) }})
+	n.reader.Gate(func() (uint64, time.Time, bool) {
+		held, at := n.holder.Admits()
+		return held.Version, at, held.Admits
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	n.release = func() { stop(); <-over }
+	go func() {
+		defer close(over)
+		n.holder.Run(ctx)
+	}()
+}
+
 // inheritance is what the process that takes over starts on.
 type inheritance struct {
 	Table   json.RawMessage `json:"table"`             // as the configuration's known
@@ -413,6 +479,8 @@
 		return errStarting
 	case d.n.front.Draining():
 		return errors.New("stopping")
+	case !d.n.reader.Admits():
+		return errors.New("no policy is in force here: ask with policy")
 	}
 	return nil
 }
@@ -445,6 +513,16 @@
 	return strings.Join(out, "; "), nil
 }
 
+func (d door) Policy() (string, error) {
+	switch {
+	case !d.n.serving.Load():
+		return "", errStarting
+	case d.n.holder == nil:
+		return "", errors.New("no keepers are named: [keepers] has no addresses")
+	}
+	return d.n.holder.Describe(), nil
+}
+
 func (d door) Worker(name string) (string, error) {
 	if !d.n.serving.Load() {
 		return "", errStarting
@@ -473,7 +551,11 @@
 }
 
 // takeOut makes exactly these loan workers the ones that get nothing new.
-func (n *node) takeOut(ids []string) { n.sources.Ban(ids) }
+func (n *node) takeOut(ids []string) {
+	n.policyMu.Lock()
+	defer n.policyMu.Unlock()
+	n.sources.Ban(slices.Concat(ids, n.policy.Ban))
+}
 
 // takeOver serves at an address as soon as the process before has left it.
 func (n *node) takeOver(addr string, server *http.Server) {
@@ -559,6 +641,9 @@
 	n.sources.Close()
 	n.lines.CloseIdle()
 	n.broker.Close()
+	if n.release != nil {
+		n.release()
+	}
 	if n.talk != nil {
 		n.talk.Close()
 	}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -44,7 +44,9 @@
 	Deadline      time.Time            // when the one who asked gives up
 	Slots, Memory float64
 	Retry         bool
-	Team          string // whose contract it comes under; empty: none
+	Team          string    // whose contract it comes under; empty: none
+	Policy        uint64    // version under which it was admitted, which it keeps to its end; 0: none
+	Admitted      time.Time // when that was asked
 }
 
 // Code is how an attempt ended.
@@ -648,7 +650,7 @@
 	s := b.arrive(q)
 	defer s.leave()
 	if b.Traced() {
-		b.Tracef("arrive %d class=%d left=%.3f retry=%t", s.id, q.Class, time.Until(q.Deadline).Seconds(), q.Retry)
+		b.Tracef("arrive %d class=%d left=%.3f retry=%t policy=%d at=%d", s.id, q.Class, time.Until(q.Deadline).Seconds(), q.Retry, q.Policy, max(q.Admitted.UnixNano(), 0))
 	}
 	ctx, stop := context.WithDeadline(ctx, q.Deadline.Add(-Margin))
 	defer stop()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -44,6 +44,7 @@
 	SSE        SSE
 	Membership Membership
 	SRV        []SRV
+	Keepers    Keepers
 	Trace      bool     // write a line for all that comes in and is decided
 	Notices    []string // what an operator should know of how it was read
 
@@ -266,7 +267,8 @@
 		same bool
 	}{{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen}, {"console", c.Console == next.Console},
 		{"peer_listen", c.PeerListen == next.PeerListen}, {"peers_all", c.PeersAll == next.PeersAll}, {"peers", slices.Equal(c.Peers, next.Peers)},
-		{"limits", c.Limits == next.Limits}, {"[sse]", reflect.DeepEqual(c.SSE, next.SSE)}} {
+		{"limits", c.Limits == next.Limits}, {"[sse]", reflect.DeepEqual(c.SSE, next.SSE)},
+		{"[keepers]", reflect.DeepEqual(c.Keepers, next.Keepers)}} {
 		if !k.same {
 			keys = append(keys, k.name)
 		}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -66,8 +66,16 @@
 	Large     float64  `toml:"large"`
 }
 
+// Keepers are where a fleet's policies are agreed on; without addresses, nowhere.
+type Keepers struct {
+	Fleet     string   `toml:"fleet"`
+	Addresses []string `toml:"addresses"`
+	Fence     string   `toml:"fence"`
+}
+
 // operator is the file's form.
 type operator struct {
+	Keepers    Keepers     `toml:"keepers"`
 	SSE        *SSE        `toml:"sse"`
 	Membership *Membership `toml:"membership"`
 	Room       Room        `toml:"room"`
@@ -112,7 +120,10 @@
 	text, err := os.ReadFile(path)
 	if err == nil {
 		err = c.decode(text, &in, func() error {
-			c.SSE, c.SRV, c.Trace = *in.SSE, in.Source.SRV, in.Log.Trace
+			c.SSE, c.SRV, c.Trace, c.Keepers = *in.SSE, in.Source.SRV, in.Log.Trace, in.Keepers
+			if err := c.checkKeepers(); err != nil {
+				return err
+			}
 			if err := c.holdRoom(in.Room); err != nil {
 				return err
 			}
@@ -127,6 +138,28 @@
 	return c.loadOldSSE(filepath.Join(filepath.Dir(path), oldSSE), hasSection(text, "sse"))
 }
 
+func (c *Config) checkKeepers() error {
+	k := &c.Keepers
+	if len(k.Addresses) == 0 {
+		return nil
+	}
+	if k.Fleet == "" {
+		return wrong("keepers.fleet", "missing; expected the name in the keepers' files")
+	}
+	for i, a := range k.Addresses {
+		if err := address("address", a); err != nil {
+			return wrong(fmt.Sprintf("keepers.addresses[%d]", i), "%q; expected host:port", a)
+		}
+	}
+	if k.Fence == "" {
+		k.Fence = "refuse"
+	}
+	if k.Fence != "refuse" && k.Fence != "last" {
+		return wrong("keepers.fence", "%q; expected \"refuse\" or \"last\", as in the keepers' files", k.Fence)
+	}
+	return nil
+}
+
 func (c *Config) loadOldSSE(path string, replaced bool) error {
 	text, err := os.ReadFile(path)
 	switch {
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -35,6 +35,7 @@
 	Sources() (string, error)           // what each source of loan workers says, in one line
 	Worker(name string) (string, error) // who says what of one, in one line
 	Room() (string, error)              // what is held for large jobs, in one line
+	Policy() (string, error)            // which policy is in force here, and for how long yet
 }
 
 // Console answers callers on one listener.
@@ -156,17 +157,20 @@
 func (c *Console) call(line string) (string, error) {
 	word := strings.Fields(line)
 	if len(word) == 0 {
-		return "", errors.New("no call; readyz, exclude ID, include ID, sources, worker ID and room are known")
+		return "", errors.New("no call; readyz, exclude ID, include ID, sources, worker ID, room and policy are known")
 	}
 	var do func(string) error
 	switch word[0] {
-	case "sources", "room":
+	case "sources", "room", "policy":
 		if len(word) != 1 {
 			return "", errors.New(word[0] + " takes nothing more")
 		}
 		ask := c.door.Sources
-		if word[0] == "room" {
+		switch word[0] {
+		case "room":
 			ask = c.door.Room
+		case "policy":
+			ask = c.door.Policy
 		}
 		text, err := ask()
 		return oneLine.Replace(text), err
@@ -186,7 +190,7 @@
 	case "include":
 		do = c.door.Include
 	default:
-		return "", errors.New("unknown call; readyz, exclude ID, include ID, sources, worker ID and room are known")
+		return "", errors.New("unknown call; readyz, exclude ID, include ID, sources, worker ID, room and policy are known")
 	}
 	if len(word) != 2 {
 		return "", errors.New(word[0] + " takes one id")
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -247,11 +247,13 @@
 	return &Holder{client: c, hooks: h, base: time.Now(), a: a}
 }
 
-// Admits is what holds now. It waits for nobody.
-func (h *Holder) Admits() accord.Held {
+// Admits is what holds now, and the moment of this process's clock that it was asked for. It
+// waits for nobody.
+func (h *Holder) Admits() (accord.Held, time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.a.Admits(time.Since(h.base))
+	now := time.Now()
+	return h.a.Admits(now.Sub(h.base)), now
 }
 
 // Describe is a line for staff.
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -96,6 +96,7 @@
 type Reader struct {
 	live  *config.Live
 	guard *Guard
+	gate  Gate // nil: all are admitted
 	mu    sync.Mutex
 	open  map[string]bool // ids of sessions not yet answered
 	end   time.Time       // no session read from now on has a later deadline; zero: none
@@ -106,6 +107,27 @@
 	return &Reader{live: live, guard: g, open: map[string]bool{}}
 }
 
+// Gate says, at the moment at which a session is admitted, whether it may be, and under which
+// version of the policy. It must wait for nobody.
+type Gate func() (version uint64, at time.Time, admits bool)
+
+// Gate sets the gate. Before any session.
+func (rd *Reader) Gate(g Gate) { rd.gate = g }
+
+// Admits tells whether new work is admitted now.
+func (rd *Reader) Admits() bool {
+	if rd.gate == nil {
+		return true
+	}
+	_, _, ok := rd.gate()
+	return ok
+}
+
+// noPolicy is what is told where no policy may be served under. It has not run.
+func noPolicy(cfg *config.Config) *Deny {
+	return &Deny{http.StatusServiceUnavailable, "no policy is in force here", min(cfg.Module.MaxRetryAfter, 500*time.Millisecond)}
+}
+
 // single are the headers that say what a session is. Twice, one copy would be
 // believed here and the other by whoever reads after us.
 var single = []string{"X-Team", "X-Request-Id", "X-Priority-Class", "X-Tenant-Id", "X-Timeout", "Idempotency-Key"}
@@ -191,6 +213,13 @@
 	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 		c.took()
 	}
+	if rd.gate != nil {
+		// Asked last: what was read meanwhile may have taken longer than a lease holds.
+		var ok bool
+		if s.Request.Policy, s.Request.Admitted, ok = rd.gate(); !ok {
+			return nil, noPolicy(cfg)
+		}
+	}
 	s.Request.Deadline = time.Now().Add(left) // counted from the request's last byte
 	rd.mu.Lock()
 	defer rd.mu.Unlock()
@@ -285,6 +314,8 @@
 				session(w, r)
 			case f.Draining():
 				(&Deny{Status: http.StatusServiceUnavailable, Text: "stopping"}).Write(w)
+			case !f.reader.Admits():
+				(&Deny{Status: http.StatusServiceUnavailable, Text: "no policy is in force here"}).Write(w)
 			default:
 				limitWrite(w)
 				io.WriteString(w, "ok\n")
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -111,8 +111,8 @@
 	}
 	if cfg.New {
 		var first []raft.Peer
-		for id, addr := range cfg.Members {
-			first = append(first, raft.Peer{ID: id, Context: []byte(addr)})
+		for id := range cfg.Members { // without addresses: each may reach the others by its own
+			first = append(first, raft.Peer{ID: id})
 		}
 		// Each writes the same first entries, so in the same order.
 		sortPeers(first)
--- /dev/null
+++ b/lab/rig/rig.go
@@ -0,0 +1,610 @@
+// Package rig starts the real programs, keepers and dispatchers, with stand-ins for all else on
+// loopback, leads every link between them through a relay of its own, and injects faults into
+// relays and processes. What dispatchers write of each admission is the history that it judges.
+//
+// Ports are the kernel's. It must never touch a process that it has not started, and nothing
+// that it says may hang on how long something took but by a wide limit.
+package rig
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"linnetlift/internal/keeper"
+	"linnetlift/internal/link"
+	"linnetlift/internal/standin/roster"
+	"linnetlift/internal/standin/worker"
+)
+
+// Patience is the limit of whatever must happen in the end.
+const Patience = 20 * time.Second
+
+const fleet = "rig"
+
+// Config is one stage.
+type Config struct {
+	Bin         string // folder of the programs
+	Dir         string // for folders and files
+	Keepers     int
+	Dispatchers int
+	Fence       string
+	Lease       time.Duration
+	Answer      time.Duration
+	Settings    []byte // of the dispatchers, as the platform gives them
+}
+
+// Process is one program that can be killed, stopped and started again.
+type Process struct {
+	Name string
+	Addr string // it serves on
+
+	rig  *Rig
+	args []string
+	env  []string
+	dir  string
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	log  []string
+	more chan struct{}
+	over chan struct{}
+}
+
+// Admission is one request let in.
+type Admission struct {
+	Dispatcher string
+	Version    uint64
+	At         int64 // Unix nanoseconds
+}
+
+// Rig is one stage with its processes.
+type Rig struct {
+	Config
+	Keeper     []*Process
+	Dispatcher []*Process
+	Client     *link.Client // past all relays
+	Roster     *roster.Roster
+	Worker     *worker.Worker
+
+	relays  map[[2]string]*Relay
+	mu      sync.Mutex
+	history []Admission
+	ids     int
+}
+
+// New makes a stage and starts all of it.
+func New(c Config) (*Rig, error) {
+	r := &Rig{Config: c, relays: map[[2]string]*Relay{}, Roster: roster.Start()}
+	var err error
+	if r.Worker, err = worker.Start("s-1", 64, func(string) time.Duration { return 5 * time.Millisecond }); err != nil {
+		return nil, err
+	}
+	r.Roster.Set(roster.Entry{ID: "s-1", Addr: r.Worker.Addr, Zone: "praha-holesovice", Kind: "dual-fast", Lifecycle: "SERVING", Weight: 1})
+	name := func(i int) string { return fmt.Sprintf("k%d", i+1) }
+	for i := range c.Keepers {
+		for j := range c.Keepers {
+			if i != j {
+				if _, err := r.relay(name(i), name(j)); err != nil {
+					return nil, err
+				}
+			}
+		}
+	}
+	for i := range c.Keepers {
+		p := &Process{Name: name(i), rig: r, dir: c.Dir, args: []string{filepath.Join(c.Bin, "keeper"), "serve", "--config", filepath.Join(c.Dir, name(i)+".toml")}}
+		text := fmt.Sprintf("fleet = %q\nmember = %d\nlisten = \"127.0.0.1:0\"\nfolder = %q\nfence = %q\nlease = %q\nanswer = %q\ntick = \"20ms\"\nsnapshot = 300\n",
+			fleet, i+1, filepath.Join(c.Dir, name(i)), c.Fence, c.Lease, c.Answer)
+		for j := range c.Keepers {
+			addr := "127.0.0.1:1" // its own, which it does not call
+			if i != j {
+				addr = r.Link(name(i), name(j)).Addr()
+			}
+			text += fmt.Sprintf("[[keeper]]\nid = %d\naddr = %q\n", j+1, addr)
+		}
+		if err := os.WriteFile(p.args[3], []byte(text), 0o600); err != nil {
+			return nil, err
+		}
+		r.Keeper = append(r.Keeper, p)
+		if err := p.Start("--new"); err != nil {
+			return nil, err
+		}
+	}
+	var direct []string
+	for _, k := range r.Keeper {
+		direct = append(direct, k.Addr)
+	}
+	r.Client = link.NewClient(fleet, direct)
+	for i := range c.Dispatchers {
+		if _, err := r.AddDispatcher(fmt.Sprintf("d%d", i+1), nil); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+// AddDispatcher starts one more; change may alter its environment.
+func (r *Rig) AddDispatcher(name string, change func(env []string) []string) (*Process, error) {
+	dir := filepath.Join(r.Dir, name)
+	if err := os.MkdirAll(filepath.Join(dir, "deploy"), 0o700); err != nil {
+		return nil, err
+	}
+	var addrs []string
+	for _, k := range r.Keeper {
+		l, err := r.relay(name, k.Name)
+		if err != nil {
+			return nil, err
+		}
+		l.Target(k.Addr)
+		addrs = append(addrs, strconv.Quote(l.Addr()))
+	}
+	op := fmt.Sprintf("[keepers]\nfleet = %q\naddresses = [%s]\nfence = %q\n[log]\ntrace = true\n", fleet, strings.Join(addrs, ", "), r.Fence)
+	text, err := json.Marshal(map[string]any{"name": name, "listen": "127.0.0.1:0", "discovery": r.Roster.Addr, "settings": json.RawMessage(r.Settings)})
+	if err == nil {
+		err = os.WriteFile(filepath.Join(dir, "deploy", "yardflow.toml"), []byte(op), 0o600)
+	}
+	if err == nil {
+		err = os.WriteFile(filepath.Join(dir, "config.json"), text, 0o600)
+	}
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{Name: name, rig: r, dir: dir, args: []string{filepath.Join(r.Bin, "yardflow")},
+		env: []string{"NODE_CONFIG=config.json", "TMPDIR=" + dir}}
+	if change != nil {
+		p.env = change(p.env)
+	}
+	r.Dispatcher = append(r.Dispatcher, p)
+	return p, p.Start()
+}
+
+// Close ends all that was started.
+func (r *Rig) Close() {
+	for _, p := range append(append([]*Process(nil), r.Dispatcher...), r.Keeper...) {
+		p.Kill()
+	}
+	for _, l := range r.relays {
+		l.Close()
+	}
+	r.Client.Close()
+	r.Worker.Close()
+	r.Roster.Close()
+}
+
+// Start starts the process, or starts it again, and waits until it serves.
+func (p *Process) Start(more ...string) error {
+	p.mu.Lock()
+	cmd := exec.Command(p.args[0], append(p.args[1:len(p.args):len(p.args)], more...)...)
+	cmd.Dir, cmd.Env = p.dir, append(os.Environ(), p.env...)
+	out, err := cmd.StderrPipe()
+	if err == nil {
+		err = cmd.Start()
+	}
+	if err != nil {
+		p.mu.Unlock()
+		return err
+	}
+	from := len(p.log)
+	p.cmd, p.over = cmd, make(chan struct{})
+	over := p.over
+	if p.more == nil {
+		p.more = make(chan struct{})
+	}
+	p.mu.Unlock()
+	go func() {
+		in := bufio.NewScanner(out)
+		in.Buffer(nil, 1<<20)
+		for in.Scan() {
+			p.line(in.Text())
+		}
+		cmd.Wait()
+		close(over)
+		p.line("ended: " + cmd.ProcessState.String())
+	}()
+	line, err := p.Await(from, " serves on ")
+	if err != nil {
+		return err
+	}
+	p.Addr = line[strings.LastIndex(line, " ")+1:]
+	p.rig.mu.Lock()
+	defer p.rig.mu.Unlock()
+	for ends, l := range p.rig.relays {
+		if ends[1] == p.Name {
+			l.Target(p.Addr)
+		}
+	}
+	return nil
+}
+
+func (p *Process) line(text string) {
+	p.mu.Lock()
+	p.log = append(p.log, text)
+	close(p.more)
+	p.more = make(chan struct{})
+	p.mu.Unlock()
+	if _, rest, ok := strings.Cut(text, " arrive "); ok {
+		a := Admission{Dispatcher: p.Name}
+		for _, f := range strings.Fields(rest) {
+			if v, ok := strings.CutPrefix(f, "policy="); ok {
+				a.Version, _ = strconv.ParseUint(v, 10, 64)
+			} else if v, ok := strings.CutPrefix(f, "at="); ok {
+				a.At, _ = strconv.ParseInt(v, 10, 64)
+			}
+		}
+		p.rig.mu.Lock()
+		p.rig.history = append(p.rig.history, a)
+		p.rig.mu.Unlock()
+	}
+}
+
+// Mark is the place in the log that is reached now.
+func (p *Process) Mark() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.log)
+}
+
+// Await waits for a line that holds a text, from a place in the log on.
+func (p *Process) Await(from int, text string) (string, error) {
+	limit := time.After(Patience)
+	for {
+		p.mu.Lock()
+		for ; from < len(p.log); from++ {
+			if strings.Contains(p.log[from], text) {
+				defer p.mu.Unlock()
+				return p.log[from], nil
+			}
+			if strings.HasPrefix(p.log[from], "ended: ") && text != "ended: " {
+				defer p.mu.Unlock()
+				return "", fmt.Errorf("%s has ended before %q: %s", p.Name, text, strings.Join(p.log[max(0, from-5):], "\n"))
+			}
+		}
+		more := p.more
+		p.mu.Unlock()
+		select {
+		case <-more:
+		case <-limit:
+			return "", fmt.Errorf("%s does not say %q", p.Name, text)
+		}
+	}
+}
+
+func (p *Process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil && p.cmd.Process != nil {
+		p.cmd.Process.Signal(s)
+	}
+}
+
+// Kill ends it at once, and waits until it has.
+func (p *Process) Kill() {
+	p.mu.Lock()
+	over := p.over
+	p.mu.Unlock()
+	if over != nil {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-over
+	}
+}
+
+// Stop has it stand still, knowing nothing of it; Go lets it go on.
+func (p *Process) Stop() { p.signal(syscall.SIGSTOP) }
+
+// Go lets a process go on that was stopped.
+func (p *Process) Go() { p.signal(syscall.SIGCONT) }
+
+// Ask sends one job to a dispatcher, and returns the status; 0 where none came.
+func (r *Rig) Ask(p *Process) int {
+	r.mu.Lock()
+	r.ids++
+	id := fmt.Sprintf("r%d", r.ids)
+	r.mu.Unlock()
+	ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
+	defer stop()
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.Addr+"/issue-loan", strings.NewReader("x"))
+	if err != nil {
+		return 0
+	}
+	for k, v := range map[string]string{"X-Request-ID": id, "X-Priority-Class": "issue-loan", "X-Tenant-Id": "univ-vltava", "X-Timeout": "2"} {
+		q.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// Load asks every dispatcher again and again until the returned function is called.
+func (r *Rig) Load() (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, p := range r.Dispatcher {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				r.Ask(p)
+				select {
+				case <-time.After(2 * time.Millisecond):
+				case <-ctx.Done():
+				}
+			}
+		})
+	}
+	return func() { cancel(); wg.Wait() }
+}
+
+// Until waits for something that must be so in the end.
+func Until(what string, ok func() bool) error {
+	for limit := time.Now().Add(Patience); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(limit) {
+			return fmt.Errorf("never: %s", what)
+		}
+	}
+	return nil
+}
+
+// State is what the keepers have agreed on by now.
+func (r *Rig) State() (s *keeper.State, leader uint64, err error) {
+	ctx, stop := context.WithTimeout(context.Background(), Patience)
+	defer stop()
+	err = link.Tries(ctx, func(ctx context.Context) error {
+		s, leader, err = r.Client.State(ctx)
+		return err
+	})
+	return s, leader, err
+}
+
+// Propose has a change asked for.
+func (r *Rig) Propose(id, text string, base uint64, without bool) error {
+	ctx, stop := context.WithTimeout(context.Background(), Patience)
+	defer stop()
+	return link.Tries(ctx, func(ctx context.Context) error {
+		res, err := r.Client.Do(ctx, keeper.Command{Propose: &keeper.Propose{ID: id, Text: []byte(text), Base: base, Who: "rig", WithoutSilent: without}})
+		if err == nil && res.Err != "" {
+			return errors.New(res.Err)
+		}
+		return err
+	})
+}
+
+// Change waits until a change has come to a stage, or to an end.
+func (r *Rig) Change(id string, stage keeper.Stage) (*keeper.Change, error) {
+	var last *keeper.Change
+	err := Until(fmt.Sprintf("change %s %v", id, stage), func() bool {
+		s, _, err := r.State()
+		if err != nil || s.Change == nil || s.Change.ID != id {
+			return false
+		}
+		last = s.Change
+		return last.Stage >= stage
+	})
+	if err == nil && last.Stage != stage {
+		err = fmt.Errorf("change %s: %v, %s; expected %v", id, last.Stage, last.Reason, stage)
+	}
+	return last, err
+}
+
+// Overlap judges the history: the longest time for which requests were admitted under a
+// version after others were under a later one; 0: never.
+func (r *Rig) Overlap() (longest time.Duration, what string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, late := range r.history {
+		for _, early := range r.history {
+			if early.Version > late.Version && early.At < late.At && time.Duration(late.At-early.At) > longest {
+				longest = time.Duration(late.At - early.At)
+				what = fmt.Sprintf("%s admits under %d, %v after %s did under %d", late.Dispatcher, late.Version, longest, early.Dispatcher, early.Version)
+			}
+		}
+	}
+	return longest, what
+}
+
+// Admitted counts the requests that a dispatcher has let in under a version.
+func (r *Rig) Admitted(name string, version uint64) (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, a := range r.history {
+		if a.Dispatcher == name && a.Version == version {
+			n++
+		}
+	}
+	return n
+}
+
+// ---- links
+
+// Link is the relay from one process to another.
+func (r *Rig) Link(from, to string) *Relay {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.relays[[2]string{from, to}]
+}
+
+// Cut cuts a process off from all others, or joins it again, both ways.
+func (r *Rig) Cut(name string, cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for ends, l := range r.relays {
+		if ends[0] == name || ends[1] == name {
+			l.Cut(cut)
+		}
+	}
+}
+
+func (r *Rig) relay(from, to string) (*Relay, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	y := &Relay{l: l, conns: map[net.Conn]bool{}}
+	r.mu.Lock()
+	r.relays[[2]string{from, to}] = y
+	r.mu.Unlock()
+	go y.run()
+	return y, nil
+}
+
+// Relay is one link. Cut, it says nothing: what stands stays open and silent, as on a network
+// that has lost the way.
+type Relay struct {
+	l net.Listener
+
+	mu     sync.Mutex
+	target string
+	cut    bool
+	slow   int // bytes a second; 0: as fast as it goes
+	conns  map[net.Conn]bool
+	closed bool
+}
+
+// Addr is where the near end calls.
+func (y *Relay) Addr() string { return y.l.Addr().String() }
+
+// Target sets where the far end is.
+func (y *Relay) Target(addr string) {
+	y.mu.Lock()
+	y.target = addr
+	y.mu.Unlock()
+}
+
+// Cut cuts the link, or joins it again; what was open when it was cut is lost then.
+func (y *Relay) Cut(cut bool) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	if y.cut && !cut {
+		for c := range y.conns {
+			c.Close()
+		}
+	}
+	y.cut = cut
+}
+
+// Slow has so many bytes a second pass, each way; 0: as fast as it goes.
+func (y *Relay) Slow(bytes int) {
+	y.mu.Lock()
+	y.slow = bytes
+	y.mu.Unlock()
+}
+
+// Reset resets what is open.
+func (y *Relay) Reset() {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	for c := range y.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+// Close ends the link.
+func (y *Relay) Close() {
+	y.l.Close()
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.closed = true
+	for c := range y.conns {
+		c.Close()
+	}
+}
+
+func (y *Relay) run() {
+	for {
+		near, err := y.l.Accept()
+		if err != nil {
+			return
+		}
+		go y.carry(near)
+	}
+}
+
+func (y *Relay) keep(c net.Conn) bool {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	if y.closed {
+		c.Close()
+		return false
+	}
+	y.conns[c] = true
+	return true
+}
+
+func (y *Relay) drop(c net.Conn) {
+	c.Close()
+	y.mu.Lock()
+	delete(y.conns, c)
+	y.mu.Unlock()
+}
+
+func (y *Relay) carry(near net.Conn) {
+	if !y.keep(near) {
+		return
+	}
+	defer y.drop(near)
+	y.pass()
+	y.mu.Lock()
+	target := y.target
+	y.mu.Unlock()
+	far, err := net.DialTimeout("tcp4", target, time.Second)
+	if err != nil || !y.keep(far) {
+		return
+	}
+	defer y.drop(far)
+	over := make(chan struct{}, 2)
+	one := func(to, from net.Conn) {
+		buf := make([]byte, 4096)
+		for {
+			n, err := from.Read(buf)
+			y.pass()
+			y.mu.Lock()
+			slow := y.slow
+			y.mu.Unlock()
+			if slow > 0 {
+				time.Sleep(time.Duration(n) * time.Second / time.Duration(slow))
+			}
+			if n > 0 {
+				if _, err := to.Write(buf[:n]); err != nil {
+					break
+				}
+			}
+			if err != nil {
+				break
+			}
+		}
+		over <- struct{}{}
+	}
+	go one(far, near)
+	go one(near, far)
+	<-over
+}
+
+// pass waits while the link is cut.
+func (y *Relay) pass() {
+	for {
+		y.mu.Lock()
+		wait := y.cut && !y.closed
+		y.mu.Unlock()
+		if !wait {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
