--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 fuzz:
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/srv
 	go test -run '^$$' -fuzz FuzzHear -fuzztime $(FUZZTIME) ./internal/gossip
+	go test -run '^$$' -fuzz FuzzCommand -fuzztime $(FUZZTIME) ./internal/keeper
 
 # The whole at work on this machine, with stand-ins on loopback; ends by itself.
 demo: build
--- a/cmd/keeper/main.go
+++ b/cmd/keeper/main.go
@@ -93,6 +93,9 @@
 	if err != nil {
 		return &coded{exitUsage, err}
 	}
+	// A file that may not grow any more is an error to be told, as a full disk is; by default the
+	// signal that comes with it ends a program.
+	signal.Ignore(syscall.SIGXFSZ)
 	l, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return notDone("%s: listen: %v", file, err)
--- a/lab/rig/rig.go
+++ b/lab/rig/rig.go
@@ -56,6 +56,7 @@
 	args []string
 	env  []string
 	dir  string
+	most int64 // bytes of a file that it may write; 0: as many as there is room for
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	log  []string
@@ -186,7 +187,11 @@
 // Start starts the process, or starts it again, and waits until it serves.
 func (p *Process) Start(more ...string) error {
 	p.mu.Lock()
-	cmd := exec.Command(p.args[0], append(p.args[1:len(p.args):len(p.args)], more...)...)
+	words := append(p.args[:len(p.args):len(p.args)], more...)
+	if p.most > 0 { // in the shell's blocks of 512 bytes
+		words = append([]string{"sh", "-c", fmt.Sprintf("ulimit -f %d; exec \"$@\"", p.most/512), "sh"}, words...)
+	}
+	cmd := exec.Command(words[0], words[1:]...)
 	cmd.Dir, cmd.Env = p.dir, append(os.Environ(), p.env...)
 	out, err := cmd.StderrPipe()
 	if err == nil {
@@ -281,6 +286,19 @@
 	}
 }
 
+// Limit bounds the files that it may write from its next start on, as a full disk would.
+func (p *Process) Limit(bytes int64) { p.most = bytes }
+
+// Beside starts a second process of a dispatcher, as an upgrade does: the same name and folder.
+func (r *Rig) Beside(p *Process) (*Process, error) {
+	next := &Process{Name: p.Name, rig: r, dir: p.dir, args: p.args, env: p.env}
+	r.Dispatcher = append(r.Dispatcher, next)
+	return next, next.Start()
+}
+
+// Signal sends it a signal.
+func (p *Process) Signal(s syscall.Signal) { p.signal(s) }
+
 func (p *Process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/lab/rig/rig_test.go
+++ b/lab/rig/rig_test.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -370,3 +371,57 @@
 	}
 	alone(t, r)
 }
+
+// A second process of a dispatcher takes over while a change is under way, and the first one's
+// settings are read again: both end under what is in force, and neither beside it.
+func TestUpgradeAndReloadDuringAChange(t *testing.T) {
+	r := stage(t, 3, 2, "refuse")
+	stop := r.Load()
+	defer stop()
+	old := r.Dispatcher[0]
+	check(t, r.Propose("one", second, 0, false))
+	old.Signal(syscall.SIGHUP)
+	next, err := r.Beside(old)
+	check(t, err)
+	changed(t, r, "one", keeper.InForce)
+	under(t, r, next, 1)
+	mark := old.Mark()
+	old.Signal(syscall.SIGTERM)
+	_, err = old.Await(mark, "stopped;")
+	check(t, err)
+	check(t, r.Propose("two", third, 1, false))
+	changed(t, r, "two", keeper.InForce)
+	for _, d := range r.Dispatcher[1:] {
+		under(t, r, d, 2)
+	}
+	alone(t, r)
+}
+
+// A keeper whose folder is full stops and says so; the others go on, and with room again it is
+// back, knowing all.
+func TestFolderFull(t *testing.T) {
+	r := stage(t, 3, 1, "refuse")
+	full := r.Keeper[2]
+	full.Kill()
+	full.Limit(64 << 10)
+	mark := full.Mark()
+	if err := full.Start(); err == nil {
+		stop := r.Load()
+		_, err = full.Await(mark, "can't be written")
+		stop()
+		check(t, err)
+	}
+	check(t, r.Propose("one", second, 0, false))
+	changed(t, r, "one", keeper.InForce)
+	full.Limit(0)
+	full.Kill()
+	check(t, full.Start())
+	only := link.NewClient(fleet, []string{full.Addr})
+	defer only.Close()
+	check(t, Until("it knows version 1", func() bool {
+		ctx, end := context.WithTimeout(context.Background(), time.Second)
+		defer end()
+		s, _, err := only.State(ctx)
+		return err == nil && s.InForce().Version == 1
+	}))
+}
