--- a/lab/prove-policy/main.go
+++ b/lab/prove-policy/main.go
@@ -131,6 +131,9 @@
 	row("300 dispatchers, virtual: a change, p99", p99.Round(time.Millisecond).String(), "", true)
 	seconds := (2 * c.Length).Seconds()
 	row("300 dispatchers, virtual: calls and bytes a second at the keepers", fmt.Sprintf("%.0f, %.0f KB", float64(got.Calls)/seconds, float64(got.Bytes)/seconds/1000), "", true)
+	away := rig.Sim{Seed: 4, Keepers: 5, Dispatchers: 300, Length: 30 * time.Second, Slowest: 4 * time.Millisecond, Calm: true, Away: 20 * time.Second, Fence: keeper.Last}.Run()
+	row("300 dispatchers, keepers away for 20 s, last: served before, meanwhile", fmt.Sprintf("%.3f, %.3f", away.Before, away.Without), "not lower", away.Without >= away.Before)
+	row("300 dispatchers, keepers back: all hold leases after, most calls in 100 ms", fmt.Sprintf("%v, %d", away.Back.Round(time.Millisecond), away.Rush), "", away.Back > 0)
 	row("300 dispatchers, virtual: promises broken", strconv.Itoa(len(got.Broken)), "0", len(got.Broken) == 0)
 }
 
--- a/lab/rig/sim.go
+++ b/lab/rig/sim.go
@@ -37,6 +37,7 @@
 	Doubled     float64
 	Slowest     time.Duration // of a message
 	Calm        bool          // no crashes, stops or cuts
+	Away        time.Duration // all keepers are down for so long, from a quarter of Length on
 }
 
 // Outcome is what came of it.
@@ -49,6 +50,10 @@
 	Took    []time.Duration // by changes from proposal to the last living dispatcher's lease under it
 	Calls   int             // of dispatchers
 	Bytes   int             // they sent
+	Back    time.Duration   // from when the keepers are up again until every dispatcher holds a lease
+	Rush    int             // most calls in 100 ms after that
+	Before  float64         // share of looks at which one admits, before the keepers went, and
+	Without float64         // while they were away
 	Served  float64         // share of looks at which a dispatcher that is up admits
 }
 
@@ -113,6 +118,10 @@
 	last     map[uint64]time.Duration // admissions by version: the last, and the first
 	first    map[uint64]time.Duration
 	looks    [2]int
+	phase    int // 0: before the keepers are away, 1: while, 2: after
+	phases   [3][2]int
+	since    time.Duration // they are up again
+	calls    [2]int        // the slot of 100 ms that is counted, and its calls
 	serial   uint64
 }
 
@@ -145,6 +154,20 @@
 	if !c.Calm {
 		s.in(time.Second, s.fault)
 	}
+	if c.Away > 0 {
+		s.in(c.Length/4, func() {
+			s.phase = 1
+			for _, k := range s.keepers {
+				k.up = false
+			}
+			s.in(c.Away, func() {
+				s.phase, s.since = 2, s.now
+				for _, k := range s.keepers {
+					s.boot(k, nil)
+				}
+			})
+		})
+	}
 	s.in(c.Length, func() {
 		s.quiet = true
 		for _, k := range s.keepers {
@@ -176,6 +199,8 @@
 			s.broken("keepers %d and %d are left with versions %d and %d", k.id, best.id, k.state.InForce().Version, s.out.InForce)
 		}
 	}
+	share := func(n [2]int) float64 { return float64(n[0]) / float64(max(n[1], 1)) }
+	s.out.Before, s.out.Without = share(s.phases[0]), share(s.phases[1])
 	if s.looks[1] > 0 {
 		s.out.Served = float64(s.looks[0]) / float64(s.looks[1])
 	}
@@ -410,6 +435,13 @@
 // call has a keeper carry out a command; done is called once, with the answer or without.
 func (s *sim) call(h *simHolder, cmd keeper.Command, done func(keeper.Result, bool)) {
 	s.out.Calls++
+	if slot := int(s.now / (100 * time.Millisecond)); s.phase == 2 && s.out.Back == 0 {
+		if s.calls[0] != slot {
+			s.calls = [2]int{slot, 0}
+		}
+		s.calls[1]++
+		s.out.Rush = max(s.out.Rush, s.calls[1])
+	}
 	if text, err := keeper.Encode(cmd); err == nil {
 		s.out.Bytes += len(text)
 	}
@@ -447,9 +479,18 @@
 	}
 	held := h.a.Admits(s.clock(h))
 	s.looks[1]++
+	count := &s.phases[s.phase]
+	if s.now < simLease { // all are at their start
+		count = new([2]int)
+	}
+	count[1]++
+	if s.phase == 2 && s.out.Back == 0 && !slices.ContainsFunc(s.holders, func(o *simHolder) bool { return !o.a.Holds(s.clock(o)) }) {
+		s.out.Back = s.now - s.since
+	}
 	if !held.Admits {
 		return
 	}
+	count[0]++
 	s.looks[0]++
 	if held.Marked {
 		return // by the last it knows, and says so: no lease bounds that
--- a/lab/rig/sim_test.go
+++ b/lab/rig/sim_test.go
@@ -53,3 +53,21 @@
 		t.Error("the same seed gives another run, or another the same")
 	}
 }
+
+// All keepers are away for a while, and 60 dispatchers come back to them at once: under last not
+// one request fewer is served, under refuse none is once leases are over; back, all hold leases
+// soon, without a rush.
+func TestKeepersAway(t *testing.T) {
+	t.Parallel()
+	for _, fence := range []keeper.Fence{keeper.Refuse, keeper.Last} {
+		c := Sim{Seed: 5, Keepers: 3, Dispatchers: 60, Length: 40 * time.Second, Slowest: 4 * time.Millisecond, Calm: true, Away: 20 * time.Second, Fence: fence}
+		got := c.Run()
+		t.Logf("%v: %.3f before, %.3f without keepers; all back after %v, at most %d calls in 100 ms", fence, got.Before, got.Without, got.Back, got.Rush)
+		if len(got.Broken) > 0 || got.Back == 0 || got.Back > 5*time.Second || got.Rush > 3*c.Dispatchers {
+			t.Errorf("%v: %v; back after %v, %d calls in 100 ms", fence, got.Broken, got.Back, got.Rush)
+		}
+		if fence == keeper.Last && got.Without < got.Before || fence == keeper.Refuse && got.Without > 0.2 {
+			t.Errorf("%v: %.3f before, %.3f without keepers", fence, got.Before, got.Without)
+		}
+	}
+}
