A dispatcher takes up a change at once, and watches a keeper that answers

Found by the new test of the link: the one whose word puts a change in force got that revision with the answer, so its watch had no news for it and it admitted nothing until its next renewal, a third of a lease later. Line: accord.go Heard; it asks again at once where the version in force is not its own. And a watch at a keeper that is reached but cut off from the others lasted its 10 s; it ends when a call fails.

--- a/internal/accord/accord.go
+++ b/internal/accord/accord.go
@@ -128,6 +128,9 @@
 		t.Take = r.Policy
 		return t
 	}
+	if r.InForce != a.policy.Version {
+		t.Again = true // this very word has put it in force: no news of it will come by the watch
+	}
 	if r.Lease > 0 {
 		a.lease, a.ever, a.stop = r.Lease, true, false
 		a.until = asked + time.Duration(float64(r.Lease)*(1-2*Drift))
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -234,9 +234,9 @@
 	hooks  Hooks
 	base   time.Time
 
-	mu   sync.Mutex
-	a    *accord.Accord
-	done bool
+	mu      sync.Mutex
+	a       *accord.Accord
+	rewatch func() // ends the watch that is out
 }
 
 // callWithin bounds a call for a lease. One that takes longer is of little use.
@@ -289,6 +289,12 @@
 			if fails == 1 {
 				h.hooks.Log(fmt.Sprintf("policy: no keeper answers: %v", err))
 			}
+			// The one that is watched may be the one that knows nothing: the next is another's.
+			h.mu.Lock()
+			if h.rewatch != nil {
+				h.rewatch()
+			}
+			h.mu.Unlock()
 		case again:
 		default:
 			h.mu.Lock()
@@ -314,7 +320,6 @@
 	}
 	h.mu.Lock()
 	leave := h.a.Leave()
-	h.done = true
 	h.mu.Unlock()
 	last, stop := context.WithTimeout(context.Background(), callWithin)
 	defer stop()
@@ -373,6 +378,9 @@
 	for ctx.Err() == nil {
 		was := past()
 		one, stop := context.WithTimeout(ctx, 12*time.Second)
+		h.mu.Lock()
+		h.rewatch = stop
+		h.mu.Unlock()
 		now, err := h.client.Watch(one, was, 10*time.Second)
 		stop()
 		if err != nil || now <= was {
