--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -9,6 +9,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -16,6 +17,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -115,7 +117,7 @@
 			first = append(first, raft.Peer{ID: id})
 		}
 		// Each writes the same first entries, so in the same order.
-		sortPeers(first)
+		slices.SortFunc(first, func(a, b raft.Peer) int { return cmp.Compare(a.ID, b.ID) })
 		q.node = raft.StartNode(rc, first)
 	} else {
 		q.node = raft.RestartNode(rc)
@@ -124,14 +126,6 @@
 	return q, nil
 }
 
-func sortPeers(p []raft.Peer) {
-	for i := range p {
-		for j := i; j > 0 && p[j].ID < p[j-1].ID; j-- {
-			p[j], p[j-1] = p[j-1], p[j]
-		}
-	}
-}
-
 // run is the one loop that raft and the state are driven from.
 func (q *Quorum) run() {
 	defer close(q.ended)
--- a/lab/prove-sites/main.go
+++ b/lab/prove-sites/main.go
@@ -27,7 +27,6 @@
 	name string
 	cfg  func(seed uint64) day.Config
 	gap  float64 // least part of the way from random choice to the one who sees; 0: no aim
-	two  bool    // not under the better of two
 }
 
 func quiz(seed uint64, dispatchers int) day.Config {
@@ -93,37 +92,37 @@
 		}
 	}
 	out := []row{
-		{"one room, calm", room(func(*day.Config) {}), 0.8, true},
-		{"one room, no datagram heard", room(func(c *day.Config) { c.Talk.Deaf = c.Dispatchers }), 0, true},
-		{"one room, a fifth of the markers take work and answer none", room(func(c *day.Config) { struck(c, 5, "hang", 0, 8*time.Second, 18*time.Second) }), 0.8, true},
+		{"one room, calm", room(func(*day.Config) {}), 0.8},
+		{"one room, no datagram heard", room(func(c *day.Config) { c.Talk.Deaf = c.Dispatchers }), 0},
+		{"one room, a fifth of the markers take work and answer none", room(func(c *day.Config) { struck(c, 5, "hang", 0, 8*time.Second, 18*time.Second) }), 0.8},
 		{"one room, list 9.5 s late while markers are replaced", room(func(c *day.Config) {
 			c.ListLate = 9500 * ms
 			replaced(c, c.Workers/3, 4*time.Second, 5*time.Second)
-		}), 0.8, true},
-		{"one room, reports 3.6 s late at twice the load", room(func(c *day.Config) { c.ReportLate, c.Load = 3600*ms, 1.3 }), 0.8, true},
+		}), 0.8},
+		{"one room, reports 3.6 s late at twice the load", room(func(c *day.Config) { c.ReportLate, c.Load = 3600*ms, 1.3 }), 0.8},
 		{"one room, a burst of 2.4", room(func(c *day.Config) {
 			c.Bursts = []day.Burst{{From: 8 * time.Second, To: 15 * time.Second, Factor: 2.4}}
-		}), 0.8, true},
+		}), 0.8},
 		{"one room, one pub sends 5.7 times as much", room(func(c *day.Config) {
 			c.Surges = []day.Surge{{From: 8 * time.Second, To: 18 * time.Second, Tenant: 4, Factor: 5.7}}
-		}), 0.8, true},
+		}), 0.8},
 		{"one room, dispatchers restarted one after the other", room(func(c *day.Config) {
 			for i := range c.Dispatchers {
 				c.Faults = append(c.Faults, day.Fault{At: time.Duration(5+6*i) * time.Second, Worker: i, Do: "die", Factor: 1.2})
 			}
-		}), 0.8, true},
+		}), 0.8},
 		{"one room, an upgrade, and a marker out by hand and back", room(func(c *day.Config) {
 			c.Faults = append(c.Faults, day.Fault{At: 6 * time.Second, Worker: 0, Do: "exclude"}, day.Fault{At: 9 * time.Second, Worker: 0, Do: "upgrade"},
 				day.Fault{At: 8 * time.Second, Worker: 0, Do: "restart"}, day.Fault{At: 14 * time.Second, Worker: 0, Do: "include"})
-		}), 0.8, true},
-		{"two zones, calm", zones(func(*day.Config) {}), 0.65, true},
-		{"two zones, a fifth of the workers 6 times slower", zones(func(c *day.Config) { struck(c, 5, "slow", 6, 8*time.Second, 18*time.Second) }), 0.65, true},
-		{"two zones, a fifth of the workers fail fast", zones(func(c *day.Config) { struck(c, 5, "errors", 0.8, 8*time.Second, 18*time.Second) }), 0.65, true},
-		{"300 dispatchers, calm", fleet(func(*day.Config) {}), 0.5, true},
-		{"300 dispatchers, one in eight workers fails fast", fleet(func(c *day.Config) { struck(c, 8, "errors", 0.8, 4*time.Second, 10*time.Second) }), 0.5, true},
+		}), 0.8},
+		{"two zones, calm", zones(func(*day.Config) {}), 0.65},
+		{"two zones, a fifth of the workers 6 times slower", zones(func(c *day.Config) { struck(c, 5, "slow", 6, 8*time.Second, 18*time.Second) }), 0.65},
+		{"two zones, a fifth of the workers fail fast", zones(func(c *day.Config) { struck(c, 5, "errors", 0.8, 8*time.Second, 18*time.Second) }), 0.65},
+		{"300 dispatchers, calm", fleet(func(*day.Config) {}), 0.5},
+		{"300 dispatchers, one in eight workers fails fast", fleet(func(c *day.Config) { struck(c, 8, "errors", 0.8, 4*time.Second, 10*time.Second) }), 0.5},
 	}
 	for n := range 10 {
-		out = append(out, row{fmt.Sprintf("drawn deployment %d", n+1), func(seed uint64) day.Config { return drawn(uint64(n+1), seed) }, 0, true})
+		out = append(out, row{fmt.Sprintf("drawn deployment %d", n+1), func(seed uint64) day.Config { return drawn(uint64(n+1), seed) }, 0})
 	}
 	return out
 }
