What dispatchers said last does not fill workers once they talk no more

It ends now wherever nobody says anything any more. TestWhatWasSaidEndsWithTheTalk: one of its two cases fails before.

--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"linnetlift/internal/gossip"
 )
 
 const ms = time.Millisecond
@@ -490,6 +492,27 @@
 	}
 }
 
+// New settings under which dispatchers talk no more, or are too many to: what they said last does
+// not fill their workers for good.
+func TestWhatWasSaidEndsWithTheTalk(t *testing.T) {
+	for name, change := range map[string]func(*Settings){"not allowed": func(s *Settings) { s.Peers = false },
+		"too many": func(s *Settings) { s.Dispatchers = 1000 }} {
+		s := testSettings()
+		s.Peers, s.Dispatchers = true, 2
+		d, out := newDispatcher(s, 1), &recorder{}
+		d.List(0, ListCached, []Worker{{ID: 1, Weight: 1}}, out)
+		other := gossip.New(1, 2, 9)
+		d.PeerMessage(ms, 1, other.Say(ms, []gossip.Word{{Subject: d.workers[1].subject, Slots: 1}}), out)
+		if d.workers[1].others != 1 {
+			t.Fatalf("%s: %v slots were told of", name, d.workers[1].others)
+		}
+		change(&s)
+		if d.Retune(2*ms, s, out); d.workers[1].others != 0 {
+			t.Errorf("%s: %v slots count as taken", name, d.workers[1].others)
+		}
+	}
+}
+
 // The first report that tells of far more free slots than were known counts at once where
 // all is known: a day's first seconds went with half of the slots unused.
 func TestSlotsAreSeenAtOnce(t *testing.T) {
--- a/state.go
+++ b/state.go
@@ -210,10 +210,11 @@
 	}
 }
 
-// tell says what is out, where that is due.
+// tell says what is out, where that is due. One dispatcher alone does, too: another process of
+// its own may hear it.
 func (d *dispatcher) tell(out Actions) {
 	if !d.Peers || !d.exact() {
-		return // alone it tells, too: another process of the same dispatcher may hear it
+		return
 	}
 	if d.book == nil {
 		d.book = gossip.New(d.Me, d.Dispatchers, uint64(d.now.Milliseconds()/64))
@@ -265,7 +266,7 @@
 		}
 	}
 	d.Settings, d.tenants = s, buckets
-	if d.book != nil && !s.Peers {
+	if d.book != nil && !(d.Peers && d.exact()) { // nobody says any more what is out
 		d.book = nil
 		for _, w := range d.workers {
 			w.others, w.othersMem = 0, 0
