--- /dev/null
+++ b/internal/platform/framing.go
@@ -0,0 +1,93 @@
+package platform
+
+// This file follows the framing of requests on a client's connection.
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// framing follows the requests on a connection just far enough to know where
+// each begins and ends, and to see what net/http takes away before a handler
+// runs: it drops a Content-Length beside a Transfer-Encoding, joins folded
+// lines, and forgives a doubled length. A front before us that reads such a
+// request otherwise than we do would let one request hide in another's body.
+type framing struct {
+	fault  string // once found, it holds for the connection
+	within bool   // inside a request
+
+	line    []byte // the start of the present line of the head
+	begun   bool   // the request line is over
+	coded   bool
+	lengths int   // how many were given
+	length  int64 // the last of them
+	left    int64 // bytes of the body to come
+	blind   bool  // the rest is in chunks: nothing after it is served
+}
+
+const lineStart = 96 // no header that counts here needs more
+
+// read takes in bytes and tells how many requests came to their end in them.
+func (f *framing) read(p []byte) (ended int) {
+	for len(p) > 0 && !f.blind {
+		f.within = true
+		if f.left > 0 {
+			n := min(f.left, int64(len(p)))
+			p, f.left = p[n:], f.left-n
+			if f.left == 0 {
+				f.within = false
+				ended++
+			}
+			continue
+		}
+		part, rest, whole := bytes.Cut(p, []byte("\n"))
+		f.line = append(f.line, part[:min(len(part), lineStart-len(f.line))]...)
+		p = rest
+		if !whole {
+			break
+		}
+		line := bytes.TrimSuffix(f.line, []byte("\r"))
+		f.line = f.line[:0]
+		switch {
+		case !f.begun:
+			f.begun = true
+		case len(line) > 0:
+			f.header(line)
+		default: // the head is over
+			if f.coded && f.lengths > 0 {
+				f.fault = "Content-Length beside Transfer-Encoding"
+			}
+			f.blind = f.coded
+			if !f.blind {
+				f.left = f.length
+			}
+			if !f.blind && f.left == 0 {
+				f.within = false
+				ended++
+			}
+			f.begun, f.coded, f.lengths, f.length = false, false, 0, 0
+		}
+	}
+	return ended
+}
+
+func (f *framing) header(line []byte) {
+	if line[0] == ' ' || line[0] == '\t' {
+		f.fault = "a folded header"
+		return
+	}
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch {
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		f.coded = true
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		if f.lengths++; f.lengths > 1 {
+			f.fault = "Content-Length twice"
+		}
+		n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 63)
+		if err != nil {
+			f.fault = "Content-Length: not a length"
+		}
+		f.length = int64(n)
+	}
+}
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -1,22 +1,15 @@
 package platform
 
-// This file owns clients' connections below the HTTP server: how many there may
-// be, how long one may take to say its first request, which one makes room for
-// another, and what net/http hides of a request's framing. It must never change
-// a byte, never answer a session, and never close a connection whose request is
-// out or waits unread.
+// This file holds the budget of clients' connections below the HTTP server: how many
+// there may be, and which one is closed to make room for another.
 
 import (
-	"bytes"
 	"cmp"
-	"context"
 	"io"
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -194,157 +187,3 @@
 		c.since = time.Now()
 	}
 }
-
-// conn is one client's connection.
-type conn struct {
-	*net.TCPConn // embedded by type: the server wants its CloseWrite
-	g            *Guard
-
-	// Under g.mu.
-	since  time.Time // accepted, or last answered
-	served bool      // a session was taken here: a client at work
-	whole  int       // requests read whole and not answered
-	frame  framing
-}
-
-func (c *conn) out() bool  { return c.whole > 0 }
-func (c *conn) idle() bool { return c.whole == 0 && !c.frame.within }
-
-// unread tells whether bytes wait in the kernel: a request may be among them.
-func (c *conn) unread() (yes bool) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false
-	}
-	raw.Control(func(fd uintptr) { // not Read: the server's reader holds that lock
-		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		yes = err == nil && n > 0
-	})
-	return yes
-}
-
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	if n > 0 {
-		c.g.mu.Lock()
-		c.whole += c.frame.read(p[:n])
-		c.g.mu.Unlock()
-	}
-	return n, err
-}
-
-func (c *conn) Close() error {
-	c.g.mu.Lock()
-	delete(c.g.conns, c)
-	c.g.mu.Unlock()
-	return c.TCPConn.Close()
-}
-
-// took notes that a session was read whole; of one in chunks only its reader knows.
-func (c *conn) took() {
-	c.g.mu.Lock()
-	defer c.g.mu.Unlock()
-	c.served = true
-	c.whole = max(c.whole, 1)
-}
-
-// fault tells what is wrong with the framing so far, and how long a body may take.
-func (c *conn) fault() (string, time.Time) {
-	c.g.mu.Lock()
-	defer c.g.mu.Unlock()
-	if c.served {
-		return c.frame.fault, time.Now().Add(readWithin)
-	}
-	return c.frame.fault, c.since.Add(firstWithin)
-}
-
-type connKey struct{}
-
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
-// framing follows the requests on a connection just far enough to know where
-// each begins and ends, and to see what net/http takes away before a handler
-// runs: it drops a Content-Length beside a Transfer-Encoding, joins folded
-// lines, and forgives a doubled length. A front before us that reads such a
-// request otherwise than we do would let one request hide in another's body.
-type framing struct {
-	fault  string // once found, it holds for the connection
-	within bool   // inside a request
-
-	line    []byte // the start of the present line of the head
-	begun   bool   // the request line is over
-	coded   bool
-	lengths int   // how many were given
-	length  int64 // the last of them
-	left    int64 // bytes of the body to come
-	blind   bool  // the rest is in chunks: nothing after it is served
-}
-
-const lineStart = 96 // no header that counts here needs more
-
-// read takes in bytes and tells how many requests came to their end in them.
-func (f *framing) read(p []byte) (ended int) {
-	for len(p) > 0 && !f.blind {
-		f.within = true
-		if f.left > 0 {
-			n := min(f.left, int64(len(p)))
-			p, f.left = p[n:], f.left-n
-			if f.left == 0 {
-				f.within = false
-				ended++
-			}
-			continue
-		}
-		part, rest, whole := bytes.Cut(p, []byte("\n"))
-		f.line = append(f.line, part[:min(len(part), lineStart-len(f.line))]...)
-		p = rest
-		if !whole {
-			break
-		}
-		line := bytes.TrimSuffix(f.line, []byte("\r"))
-		f.line = f.line[:0]
-		switch {
-		case !f.begun:
-			f.begun = true
-		case len(line) > 0:
-			f.header(line)
-		default: // the head is over
-			if f.coded && f.lengths > 0 {
-				f.fault = "Content-Length beside Transfer-Encoding"
-			}
-			f.blind = f.coded
-			if !f.blind {
-				f.left = f.length
-			}
-			if !f.blind && f.left == 0 {
-				f.within = false
-				ended++
-			}
-			f.begun, f.coded, f.lengths, f.length = false, false, 0, 0
-		}
-	}
-	return ended
-}
-
-func (f *framing) header(line []byte) {
-	if line[0] == ' ' || line[0] == '\t' {
-		f.fault = "a folded header"
-		return
-	}
-	name, value, _ := bytes.Cut(line, []byte(":"))
-	switch {
-	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-		f.coded = true
-	case bytes.EqualFold(name, []byte("Content-Length")):
-		if f.lengths++; f.lengths > 1 {
-			f.fault = "Content-Length twice"
-		}
-		n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 63)
-		if err != nil {
-			f.fault = "Content-Length: not a length"
-		}
-		f.length = int64(n)
-	}
-}
