A close never resets or serves what crosses it; clients that leave are seen behind bytes

Found by reading the paths that end something; each was confirmed by a test on real connections that forces the order, and that fails on the code as it was: - Guard.evict, CloseIdle and net/http's SetKeepAlivesEnabled, idle time-out and last answer look and then close. Bytes that came between were reset, with the answer on its way; a request read but not yet counted was sent to a worker and its answer had nowhere to go. - Behind further bytes (pipelining) net/http reads no further until it has answered, so a client that left was not noticed: its request waited on and was sent. - A listener that is closed reset what the kernel had accepted and nobody had taken. - The rejection past the budget was reset after it. - X-Timeout was worded before connecting, so a worker was told more than was left. - A repeat decided on inside its window was written after it when connecting took long. Ruled out: 'it may have run' told too late for a body of many packets; the transport waits for its write loop before it returns.

Every close of a client's connection now sends the end, reads away what still comes for at most 1 s, and serves none of it; a request counted before that is answered. Reading ahead begins only when bytes come beside a request. Descriptors held back grow from 21 to 27. script.Client and script.Worker are the scripted peers for such tests.

--- a/cmd/yardflow/node.go
+++ b/cmd/yardflow/node.go
@@ -34,8 +34,9 @@
 
 // reserve is for what is neither a client's nor a loan worker's: the standard
 // streams, the poller, the listeners, discovery's connections before and after
-// a reload, the datagrams' socket, a file being read, and what comes past the budget.
-const reserve = 21
+// a reload, the datagrams' socket, a file being read, and what comes past the budget, also
+// of connections that are closed and still read from.
+const reserve = 27
 
 // node is one running dispatcher.
 type node struct {
@@ -243,9 +244,10 @@
 		l.Close()
 		return l.Addr()
 	}
-	n.servers, n.listeners = append(n.servers, server), append(n.listeners, l)
+	guarded := n.guard.Listen(l)
+	n.servers, n.listeners = append(n.servers, server), append(n.listeners, guarded)
 	go func() {
-		if err := server.Serve(n.guard.Listen(l)); !errors.Is(err, http.ErrServerClosed) && !n.front.Draining() {
+		if err := server.Serve(guarded); !errors.Is(err, http.ErrServerClosed) && !n.front.Draining() {
 			n.failed <- err
 		}
 	}()
--- a/cmd/yardflow/stop.go
+++ b/cmd/yardflow/stop.go
@@ -59,12 +59,12 @@
 	for time.Since(began) < stand && n.guard.Open() > 0 {
 		time.Sleep(5 * time.Millisecond)
 	}
-	for _, server := range n.servers {
-		server.SetKeepAlivesEnabled(false) // closes idle connections, now and after each answer
-	}
-	// Not Shutdown at once: it drops a request that is read after its call.
+	// Every answer is its connection's last from here on, and the idle are closed by the guard.
+	// The server's own ways (SetKeepAlivesEnabled, Shutdown) look and then close: a request that
+	// is read between the two would be sent on and never answered.
+	n.front.Leave()
 	end := began.Add(longest + time.Second)
-	for n.guard.Open() > 0 && time.Now().Before(end) {
+	for n.guard.Open()+n.guard.Lingering() > 0 && time.Now().Before(end) {
 		n.guard.CloseIdle()
 		time.Sleep(5 * time.Millisecond)
 	}
--- a/internal/broker/job.go
+++ b/internal/broker/job.go
@@ -112,11 +112,11 @@
 	}
 }
 
-// Allowed tells whether the worker may still be sent new work. A front asks
-// again once its connection is up: connecting takes time, and what the list
-// has told meanwhile counts. One that is reached elsewhere now may not: at the old
-// address another may answer.
-func (a *Attempt) Allowed() bool { return a.s.b.allowed(a.id, a.Addr) }
+// Allowed tells whether the attempt may still be sent. A front asks again once its
+// connection is up: connecting takes time, what the list has told meanwhile counts, and the
+// window in which a repeat is dropped may be over. A worker that is reached elsewhere now
+// may not be sent to: at the old address another may answer.
+func (a *Attempt) Allowed() bool { return a.s.inWindow() && a.s.b.allowed(a.id, a.Addr) }
 
 // In tells whether the worker is in a pool now, by its name; the empty one has all.
 func (a *Attempt) In(pool string) bool {
--- a/internal/broker/serve.go
+++ b/internal/broker/serve.go
@@ -37,6 +37,7 @@
 	attempts int
 	kind     *atomic.Int64 // those of its kind that are at no worker
 	mayRun   bool
+	mayRunAt time.Time   // when the earliest attempt that may have run began; zero: none
 	ended    atomic.Bool // the final answer is worded; nothing more is decided
 
 	mu   sync.Mutex
@@ -177,6 +178,9 @@
 
 func (b *Broker) arrive(q Request, t *quota.Ticket) *session {
 	s := &session{b: b, ticket: t, settings: q.Settings, class: &q.Settings.Classes[q.Class], next: make(chan decision, 2)}
+	if q.Ran != nil {
+		s.mayRunAt = time.Now().Add(-q.RanFor)
+	}
 	b.mu.Lock()
 	b.lastID++
 	s.id = b.lastID
@@ -265,11 +269,21 @@
 	s.mu.Lock()
 	s.stop, s.out = stop, a.N
 	s.mu.Unlock()
+	began := time.Now()
 	o := do(ctx, a)
+	if o.Ran() && s.mayRunAt.IsZero() {
+		s.mayRunAt = began
+	}
 	s.mayRun = s.mayRun || o.Ran()
 	return o
 }
 
+// inWindow tells whether a repeat that is sent now still comes to its worker inside the time in
+// which repeats are dropped there; of what never ran there is none.
+func (s *session) inWindow() bool {
+	return s.class.Semantics != linnetlift.Dedup || s.mayRunAt.IsZero() || time.Now().Add(Margin).Before(s.mayRunAt.Add(s.class.Window))
+}
+
 // Ran tells whether an attempt may have run.
 func (o *Outcome) Ran() bool { return o.Code != Full && o.Code != ConnectFailed && o.Code != NeverSent }
 
--- a/internal/platform/dispatch.go
+++ b/internal/platform/dispatch.go
@@ -277,6 +277,7 @@
 	var conn *line
 	var refused, wrote, answered atomic.Bool
 	reused := false
+	var req *http.Request
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			invariant.Hold(conn == nil, "the transport sent a dispatch twice")
@@ -287,11 +288,13 @@
 				a.Tracef("conn to=%s reused=%t", a.Worker, reused)
 			}
 			// A slow connect can cross the time by which nothing new may go to a
-			// loan worker that drains: ask again now that the bytes would flow.
-			if !a.Allowed() || s.may != nil && !s.may() {
+			// loan worker that drains, by which a repeat is dropped there, or at which
+			// the client leaves: ask again now that the bytes would flow.
+			if ctx.Err() != nil || !a.Allowed() || s.may != nil && !s.may() {
 				refused.Store(true)
 				info.Conn.Close()
 			}
+			tellTime(req.Header, ctx) // connecting took some of it
 		},
 		GotFirstResponseByte: func() { answered.Store(true) },
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
@@ -314,7 +317,9 @@
 	// the exchange has a context of its own, tied to ctx until Finish.
 	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	unhook := context.AfterFunc(ctx, cancel)
-	resp, err := l.carrier(s).RoundTrip(s.request(httptrace.WithClientTrace(own, trace), ctx, a, accept))
+	req = s.request(httptrace.WithClientTrace(own, trace), a, accept)
+	tellTime(req.Header, ctx)
+	resp, err := l.carrier(s).RoundTrip(req)
 	if err != nil {
 		cancel()
 		if conn != nil {
@@ -427,8 +432,15 @@
 	return out
 }
 
+// tellTime states in a request how long the dispatcher will wait for its answer, from now on.
+func tellTime(h http.Header, ctx context.Context) {
+	if at, ok := ctx.Deadline(); ok {
+		h.Set("X-Timeout", strconv.FormatFloat(max(time.Until(at).Seconds(), 0.001), 'f', 3, 64))
+	}
+}
+
 // request words the session for the wire, once for each dispatch.
-func (s *Session) request(own, ctx context.Context, a *broker.Attempt, accept string) *http.Request {
+func (s *Session) request(own context.Context, a *broker.Attempt, accept string) *http.Request {
 	h := make(http.Header, 10)
 	for _, name := range passed {
 		if v, ok := s.header[name]; ok {
@@ -440,9 +452,6 @@
 	if accept != "" {
 		h.Set("Accept", accept)
 	}
-	if at, ok := ctx.Deadline(); ok {
-		h.Set("X-Timeout", strconv.FormatFloat(max(time.Until(at).Seconds(), 0.001), 'f', 3, 64))
-	}
 	req := &http.Request{Method: s.method, URL: &url.URL{Scheme: "http", Host: a.Addr, Opaque: s.uri},
 		Host: s.host, Header: h, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Body: &body{s.body}, ContentLength: int64(len(s.body))}
--- /dev/null
+++ b/internal/platform/endings_test.go
@@ -0,0 +1,399 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"linnetlift"
+	"linnetlift/internal/broker"
+	"linnetlift/internal/config"
+	"linnetlift/internal/standin/script"
+)
+
+// endings is a dispatcher's front on real connections, with one scripted worker behind it.
+type endings struct {
+	*testing.T
+	guard  *Guard
+	front  *Frontend
+	server *http.Server
+	listen net.Listener
+	worker *script.Worker
+	lines  *Lines
+	broker *broker.Broker
+	reads  atomic.Int64           // from clients' sockets, counted before their bytes are
+	atRead atomic.Pointer[func()] // runs then
+}
+
+func newEndings(t *testing.T, change func(*config.Config)) *endings {
+	cfg := testConfig()
+	if change != nil {
+		change(cfg)
+	}
+	e := &endings{T: t, guard: NewGuard(8), worker: script.NewWorker(t), broker: testBroker(t, cfg)}
+	live := config.NewLive(cfg)
+	e.broker.List(linnetlift.ListFull, []broker.Worker{{ID: "s", Addr: e.worker.Addr}})
+	e.lines = NewLines(live, 8)
+	e.front = NewFrontend(e.broker, e.lines, NewReader(live, e.guard))
+	e.server = e.front.Server()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.listen = e.guard.Listen(l)
+	e.guard.onRead = func() {
+		e.reads.Add(1)
+		if f := e.atRead.Load(); f != nil {
+			(*f)()
+		}
+	}
+	t.Cleanup(func() { e.server.Close() })
+	return e
+}
+
+func (e *endings) start() *endings {
+	go e.server.Serve(e.listen)
+	return e
+}
+
+// served has a client get one answer, so that its connection rests.
+func (e *endings) served() *script.Client {
+	c := script.Dial(e, e.listen.Addr())
+	c.Send(script.Job("unsafe", "first"))
+	e.worker.Next().Done("ok")
+	if status, _ := c.Answer(); status != 200 {
+		e.Fatal("status", status)
+	}
+	e.await("the connection rests", func() bool {
+		return e.each(func(c *conn) bool { return c.idle() })
+	})
+	return c
+}
+
+// each tells whether a condition holds for every connection.
+func (e *endings) each(holds func(*conn) bool) bool {
+	e.guard.mu.Lock()
+	defer e.guard.mu.Unlock()
+	for c := range e.guard.conns {
+		if !holds(c) {
+			return false
+		}
+	}
+	return true
+}
+
+func (e *endings) await(what string, holds func() bool) {
+	e.Helper()
+	for limit := time.Now().Add(script.Patience); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			e.Fatal("it never comes about that ", what)
+		}
+	}
+}
+
+// none checks that no call has reached the worker; whoever calls it has waited for an event
+// behind which none can come.
+func (e *endings) none() {
+	e.Helper()
+	select {
+	case call := <-e.worker.Calls:
+		e.Errorf("the worker got %s: it can never be answered", call.ID)
+	default:
+	}
+}
+
+// crossing has the client write a request in the moment in which its connection is closed,
+// and the close go on only once the bytes are there.
+func (e *endings) crossing(c *script.Client, request string) {
+	var once sync.Once
+	e.guard.onClose = func(held *conn) {
+		if held.RemoteAddr().String() != c.Conn.LocalAddr().String() {
+			return
+		}
+		once.Do(func() {
+			before := e.reads.Load()
+			c.Send(request)
+			for !held.unread() && e.reads.Load() == before {
+				time.Sleep(100 * time.Microsecond)
+			}
+		})
+	}
+}
+
+// Whoever closes a connection: a request that comes in that moment is neither reset, with
+// whatever answer is still on its way, nor served where no answer can follow.
+func TestARequestThatCrossesTheCloseIsNeitherResetNorServed(t *testing.T) {
+	for name, end := range map[string]func(*endings, *script.Client){
+		"a planned restart": func(e *endings, _ *script.Client) { e.guard.CloseIdle() },
+		"room for another": func(e *endings, _ *script.Client) {
+			e.guard.Resize(1)
+			script.Dial(e, e.listen.Addr())
+		},
+		"the last answer": func(e *endings, c *script.Client) {
+			e.front.Leave()
+			c.Send(script.Job("unsafe", "second"))
+			e.worker.Next().Done("the last answer")
+			if _, body := c.Answer(); body != "the last answer" {
+				e.Errorf("the client got %q", body)
+			}
+		},
+		"the server's end": func(e *endings, _ *script.Client) { e.server.Close() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEndings(t, nil).start()
+			c := e.served()
+			e.crossing(c, script.Job("unsafe", "crossing"))
+			end(e, c)
+			if inOrder, rest := c.End(); !inOrder || rest != "" {
+				t.Errorf("the connection ends in order: %t, after %q", inOrder, rest)
+			}
+			c.Close()
+			e.await("the socket is given back", func() bool { return e.guard.Lingering() == 0 })
+			e.none()
+		})
+	}
+}
+
+// The server's own time-out for idle connections closes as all others do.
+func TestAnIdleTimeoutDoesNotResetWhatCrossesIt(t *testing.T) {
+	e := newEndings(t, nil)
+	e.server.IdleTimeout = 20 * time.Millisecond
+	e.start()
+	c := script.Dial(e, e.listen.Addr())
+	e.crossing(c, script.Job("unsafe", "crossing"))
+	c.Send(script.Job("unsafe", "first"))
+	e.worker.Next().Done("ok")
+	c.Answer()
+	if inOrder, _ := c.End(); !inOrder {
+		t.Error("the connection was reset")
+	}
+	e.none()
+}
+
+// A request is read from the socket, and before it is counted its connection, idle to all
+// appearance, is closed. It was sent on to a worker, and its answer had nowhere to go.
+func TestARequestReadWhileItsConnectionIsClosedIsNotServed(t *testing.T) {
+	e := newEndings(t, nil).start()
+	c := e.served()
+	var once sync.Once
+	closeIdle := func() { once.Do(e.guard.CloseIdle) }
+	e.atRead.Store(&closeIdle)
+	c.Send(script.Job("unsafe", "crossing"))
+	if inOrder, rest := c.End(); !inOrder || rest != "" {
+		t.Errorf("the connection ends in order: %t, after %q", inOrder, rest)
+	}
+	other := script.Dial(e, e.listen.Addr())
+	other.Send(script.Job("unsafe", "other"))
+	if call := e.worker.Next(); call.ID != "other" {
+		t.Errorf("the worker got %s: it can never be answered", call.ID)
+	}
+}
+
+// Past the budget and its overflow the rejection goes out unasked. Its request has come already:
+// the reset for it may overtake the rejection.
+func TestARejectionPastTheBudgetIsNotReset(t *testing.T) {
+	e := newEndings(t, nil)
+	for range e.guard.max + overflow {
+		e.guard.conns[&conn{g: e.guard, whole: 1}] = struct{}{} // their requests are out
+	}
+	var past []*script.Client
+	for range 2 {
+		c := script.Dial(e, e.listen.Addr())
+		c.Send(script.Job("unsafe", "r"))
+		past = append(past, c)
+	}
+	e.start()
+	for _, c := range past {
+		if status, _ := c.Answer(); status != http.StatusServiceUnavailable {
+			t.Error("status", status)
+		}
+	}
+	// The second of them was accepted once the first was closed.
+	if inOrder, _ := past[0].End(); !inOrder || past[0].WasReset() {
+		t.Error("the connection was reset")
+	}
+}
+
+// Connections that the kernel has accepted when the listener is closed count as taken.
+func TestAListenerIsClosedOverNobody(t *testing.T) {
+	e := newEndings(t, nil)
+	c := script.Dial(e, e.listen.Addr())
+	c.Send(script.Job("unsafe", "waiting"))
+	closed := make(chan error)
+	go func() { closed <- e.listen.Close() }()
+	for !e.listen.(*listener).closing.Load() {
+		time.Sleep(100 * time.Microsecond)
+	}
+	e.start()
+	e.worker.Next().Done("ok")
+	if status, _ := c.Answer(); status != 200 {
+		t.Error("status", status)
+	}
+	if err := <-closed; err != nil {
+		t.Error(err)
+	}
+	if _, err := net.Dial("tcp", e.listen.Addr().String()); err == nil {
+		t.Error("it still listens")
+	}
+}
+
+// A listener that nobody accepts from is closed all the same.
+func TestAListenerIsClosedThoughNobodyAccepts(t *testing.T) {
+	e := newEndings(t, nil)
+	if err := e.listen.Close(); err != nil || !errors.Is(e.listen.Close(), net.ErrClosed) {
+		t.Error(err)
+	}
+}
+
+// gone collects how requests ended at the broker.
+func (e *endings) verdicts() func(broker.Verdict) int {
+	var mu sync.Mutex
+	count := map[string]int{}
+	e.broker.Trace(func(line string) {
+		mu.Lock()
+		defer mu.Unlock()
+		var id, verdict int
+		if n, _ := fmt.Sscanf(line, "answer %d verdict=%d", &id, &verdict); n == 2 {
+			count[strconv.Itoa(verdict)]++
+		}
+	})
+	return func(v broker.Verdict) int {
+		mu.Lock()
+		defer mu.Unlock()
+		return count[strconv.Itoa(int(v))]
+	}
+}
+
+// A client sends more behind its request and leaves. The server reads no further than the first
+// byte of that until it has answered: the request waited on, and was sent when a worker came.
+func TestAClientThatLeavesBehindFurtherBytesIsNoticed(t *testing.T) {
+	for name, further := range map[string]string{"a request": script.Job("unsafe", "second"), "half a request": "POST /unsafe HT", "more than is kept": strings.Repeat("x", 3*aheadMost)} {
+		t.Run(name, func(t *testing.T) {
+			e := newEndings(t, nil)
+			verdicts := e.verdicts()
+			e.broker.List(linnetlift.ListFull, []broker.Worker{{ID: "s", Addr: e.worker.Addr, State: linnetlift.Draining}})
+			e.start()
+			c := script.Dial(e, e.listen.Addr())
+			c.Send(script.Job("unsafe", "first"))
+			e.await("the request waits", func() bool { return e.broker.Stats().Waiting == 1 })
+			c.Send(further)
+			c.Close()
+			e.await("all requests have ended", func() bool { return e.broker.Stats().Open == 0 })
+			if verdicts(broker.Gone) < 1 || verdicts(broker.Refused) > 0 {
+				t.Errorf("%d requests ended as their client's who left, %d as refused", verdicts(broker.Gone), verdicts(broker.Refused))
+			}
+			e.broker.List(linnetlift.ListFull, []broker.Worker{{ID: "s", Addr: e.worker.Addr}})
+			e.await("the connection is given back", func() bool { return e.guard.Open() == 0 })
+			e.none()
+		})
+	}
+}
+
+// Requests that come behind one that is out, in pieces of any size, are served in turn.
+func TestPipelinedRequestsAreServedInTurn(t *testing.T) {
+	e := newEndings(t, nil).start()
+	c := script.Dial(e, e.listen.Addr())
+	c.Send(script.Job("unsafe", "r0"))
+	call := e.worker.Next()
+	var further strings.Builder
+	const more = 20
+	for i := 1; i <= more; i++ {
+		further.WriteString(script.Job("unsafe", "r"+strconv.Itoa(i)))
+	}
+	for text := further.String(); text != ""; {
+		piece := min(37, len(text))
+		c.Send(text[:piece])
+		text = text[piece:]
+	}
+	for i := 0; ; i++ {
+		if want := "r" + strconv.Itoa(i); call.ID != want {
+			t.Fatalf("the worker got %s, want %s", call.ID, want)
+		}
+		call.Done(call.ID)
+		if _, body := c.Answer(); body != call.ID {
+			t.Fatalf("the client got %q, want %q", body, call.ID)
+		}
+		if i == more {
+			break
+		}
+		call = e.worker.Next()
+	}
+}
+
+// A client that sends more beside a request than is kept is served what is kept, and then told
+// the end in order.
+func TestAFloodBehindARequestEndsInOrder(t *testing.T) {
+	e := newEndings(t, nil).start()
+	c := script.Dial(e, e.listen.Addr())
+	c.Send(script.Job("unsafe", "r"))
+	call := e.worker.Next()
+	request := script.Job("unsafe", "next")
+	c.Send(strings.Repeat(request, 2*aheadMost/len(request)))
+	e.await("the flood is read", func() bool { return e.each(func(c *conn) bool { return !c.unread() }) })
+	call.Done("ok")
+	go func() {
+		for call := range e.worker.Calls {
+			call.Done("ok")
+		}
+	}()
+	if inOrder, rest := c.End(); !inOrder || strings.Count(rest, "200 OK") < aheadMost/len(request) {
+		t.Errorf("the connection ends in order: %t, after %d answers", inOrder, strings.Count(rest, "200 OK"))
+	}
+}
+
+// slowDial makes every connection to a worker come up only at a moment.
+func (e *endings) slowDial(until func() time.Time) {
+	dial := e.lines.transport.DialContext
+	e.lines.transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		time.Sleep(time.Until(until()))
+		return dial(ctx, network, addr)
+	}
+}
+
+// The time told to a worker is what is left once the connection has come up, not before.
+func TestTheTimeToldIsWhatIsLeftOnceConnected(t *testing.T) {
+	e := newEndings(t, nil)
+	const connecting = 200 * time.Millisecond
+	e.slowDial(func() time.Time { return time.Now().Add(connecting) })
+	e.start()
+	c := script.Dial(e, e.listen.Addr())
+	begun := time.Now()
+	c.Send(script.Job("unsafe", "r"))
+	call := e.worker.Next()
+	told, err := strconv.ParseFloat(call.Header.Get("X-Timeout"), 64)
+	if took := time.Since(begun); err != nil || told > 5-connecting.Seconds() || told < 5-took.Seconds()-0.1 {
+		t.Errorf("the worker is told %v s (%v) after %v", told, err, took)
+	}
+	call.Done("ok")
+	c.Answer()
+}
+
+// A repeat of a keyed job is decided on inside its window, and its connection comes up after it:
+// there the worker would no longer drop it, and it would run twice.
+func TestARepeatIsNotSentPastItsWindow(t *testing.T) {
+	const window = 400 * time.Millisecond
+	e := newEndings(t, func(cfg *config.Config) {
+		cfg.Classes, cfg.Module.Classes[0].Name = []string{"keyed"}, "keyed"
+		cfg.Module.Classes[0].Semantics, cfg.Module.Classes[0].Scope, cfg.Module.Classes[0].Window = linnetlift.Dedup, linnetlift.ScopeCell, window
+	})
+	var over atomic.Int64 // when the window is, in Unix nanoseconds; 0: nothing has run
+	e.slowDial(func() time.Time { return time.Unix(0, over.Load()) })
+	e.start()
+	c := script.Dial(e, e.listen.Addr())
+	c.Send(script.Job("keyed", "r"))
+	first := e.worker.Next()
+	over.Store(time.Now().Add(window).UnixNano())
+	first.Conn.Close() // it may have run
+	if status, _ := c.Answer(); status != http.StatusBadGateway {
+		t.Error("status", status)
+	}
+	e.none()
+}
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -369,7 +369,9 @@
 		return
 	}
 	defer f.reader.Release(s)
-	answer := f.broker.Serve(r.Context(), s.Request, f.lines.Do(s))
+	ctx, stop := ClientContext(r)
+	defer stop()
+	answer := f.broker.Serve(ctx, s.Request, f.lines.Do(s))
 	if deny := Denial(answer); deny != nil {
 		deny.Write(w)
 		return
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -20,15 +19,30 @@
 	firstWithin = 2400 * time.Millisecond
 	readWithin  = 10 * time.Second
 	// overflow is how many connections past the budget still get their request
-	// read and denied; beyond it the deny goes out unasked.
+	// read and rejected; beyond it the rejection goes out unasked.
 	overflow = 6
+	// lingerTime is how long a connection that was closed here stays readable, for
+	// what its client sent before it saw the end: see conn.Close. lingerMost is how many
+	// such connections may be held past the budget; beyond it the oldest is let go.
+	lingerTime = time.Second
+	lingerMost = 2 * overflow
+	// backlogWait is how long a listener that is being closed looks for connections that
+	// the kernel has accepted and nobody has taken yet.
+	backlogWait = 5 * time.Millisecond
 )
 
 // Guard keeps the budget of sockets that all fronts share.
 type Guard struct {
-	mu    sync.Mutex
-	max   int // as many as clients may hold
-	conns map[*conn]struct{}
+	mu        sync.Mutex
+	max       int // as many as clients may hold
+	conns     map[*conn]struct{}
+	lingering []*conn // closed here and still held, the oldest first
+
+	// For tests, which force an order by them; nil otherwise. onClose runs just before the
+	// end of a connection is sent, with mu held; onRead between a read from a socket and its
+	// accounting.
+	onClose func(*conn)
+	onRead  func()
 }
 
 // NewGuard makes a guard for at most max clients' connections.
@@ -51,7 +65,14 @@
 	return len(g.conns) > g.max
 }
 
-// Open counts the connections.
+// Lingering counts the connections that were closed here and are still read from.
+func (g *Guard) Lingering() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.lingering)
+}
+
+// Open counts the connections that requests may still come on.
 func (g *Guard) Open() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -59,7 +80,8 @@
 }
 
 // CloseIdle closes every connection that waits for a request, at a planned
-// restart. One whose request already stands in the kernel stays: it was taken.
+// restart. One whose request already stands in the kernel stays, which spares its
+// client another try; one whose request comes in this very moment ends as Close says.
 func (g *Guard) CloseIdle() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -70,42 +92,6 @@
 	}
 }
 
-// Listen wraps a listener of this machine's.
-func (g *Guard) Listen(l net.Listener) net.Listener { return &listener{l.(*net.TCPListener), g} }
-
-type listener struct {
-	*net.TCPListener
-	g *Guard
-}
-
-// Accept takes the next connection and makes room for it. Accepting never
-// stops: what the kernel has accepted counts as taken.
-func (l *listener) Accept() (net.Conn, error) {
-	for {
-		tcp, err := l.AcceptTCP()
-		if err != nil {
-			return nil, err
-		}
-		c := &conn{TCPConn: tcp, g: l.g, since: time.Now()}
-		// In a flood the newest bytes are not read yet, and what has unread bytes is
-		// not closed: their readers get a moment, so that it is not the idle
-		// connections of clients at work that make room.
-		for range 5 {
-			if !l.g.crowded() {
-				break
-			}
-			time.Sleep(time.Millisecond)
-		}
-		if l.g.admit(c) {
-			return c, nil
-		}
-		tcp.SetWriteDeadline(time.Now().Add(time.Millisecond))
-		io.WriteString(tcp, "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
-		tcp.CloseWrite()
-		tcp.Close()
-	}
-}
-
 // crowded tells whether the next to be let in would push out a client at work
 // only because strangers' bytes wait to be read.
 func (g *Guard) crowded() bool {
@@ -172,10 +158,46 @@
 	return false
 }
 
-// drop closes c and frees its place; the server finds it closed. mu is held.
+// drop ends c and frees its place; the server finds it closed. What has come on c by now
+// was counted, or else is never served: the client is told the end first and reads to it.
+// mu is held.
 func (g *Guard) drop(c *conn) {
 	delete(g.conns, c)
+	c.ending = true
+	if c.eof {
+		c.TCPConn.Close()
+		return
+	}
+	if g.onClose != nil {
+		g.onClose(c)
+	}
+	c.TCPConn.CloseWrite()
+	g.lingering = append(g.lingering, c)
+	for len(g.lingering) > 0 && len(g.conns)+len(g.lingering) > g.max+lingerMost {
+		g.lingering[0].TCPConn.Close()
+		g.lingering = g.lingering[1:]
+	}
+	go g.linger(c)
+}
+
+// linger reads away what still comes on a connection that was ended here, until its client
+// closes it too or lingerTime is over. A close over unread bytes would reset the connection,
+// and an answer that is on its way would be lost with it.
+func (g *Guard) linger(c *conn) {
+	defer time.AfterFunc(lingerTime, func() { c.TCPConn.Close() }).Stop()
+	var scrap [512]byte
+	for {
+		c.TCPConn.SetReadDeadline(time.Time{}) // the server may have left one that is over
+		if _, err := c.TCPConn.Read(scrap[:]); err != nil && !isTimeout(err) {
+			break
+		}
+	}
 	c.TCPConn.Close()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if i := slices.Index(g.lingering, c); i >= 0 {
+		g.lingering = slices.Delete(g.lingering, i, i+1)
+	}
 }
 
 // state is the server's hook: an answered session leaves its connection idle.
--- /dev/null
+++ b/internal/platform/listener.go
@@ -0,0 +1,83 @@
+package platform
+
+// This file accepts clients' connections, within the guard's budget.
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// tooManyText is the rejection of a connection that is past the budget and its overflow.
+const tooManyText = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+const rejectWithin = 100 * time.Millisecond
+
+// Listen wraps a listener of this machine's, which must be a TCP listener.
+func (g *Guard) Listen(l net.Listener) net.Listener {
+	return &listener{TCPListener: l.(*net.TCPListener), g: g, closed: make(chan struct{})}
+}
+
+type listener struct {
+	*net.TCPListener
+	g       *Guard
+	closing atomic.Bool
+	once    sync.Once
+	closed  chan struct{} // closed once the socket is
+}
+
+// Accept takes the next connection and makes room for it. Accepting never
+// stops: what the kernel has accepted counts as taken.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		tcp, err := l.AcceptTCP()
+		if err != nil {
+			if l.closing.Load() {
+				return nil, l.shut()
+			}
+			return nil, err
+		}
+		c := &conn{TCPConn: tcp, g: l.g, since: time.Now()}
+		// In a flood the newest bytes are not read yet, and what has unread bytes is
+		// not closed: their readers get a moment, so that it is not the idle
+		// connections of clients at work that make room.
+		for range 5 {
+			if !l.g.crowded() {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if l.g.admit(c) {
+			return c, nil
+		}
+		tcp.SetWriteDeadline(time.Now().Add(rejectWithin)) // the socket is new: this never waits
+		io.WriteString(tcp, tooManyText)
+		c.Close()
+	}
+}
+
+// Close stops listening once the connections that the kernel has accepted are taken: closed
+// over them, the socket would reset each, and requests may have been written to them. The
+// goroutine in Accept does it, within backlogWait of the last one.
+func (l *listener) Close() error {
+	if !l.closing.CompareAndSwap(false, true) {
+		return net.ErrClosed
+	}
+	l.SetDeadline(time.Now().Add(backlogWait))
+	select {
+	case <-l.closed:
+	case <-time.After(10 * backlogWait): // nobody accepts
+		l.shut()
+	}
+	return nil
+}
+
+func (l *listener) shut() error {
+	l.once.Do(func() {
+		l.TCPListener.Close()
+		close(l.closed)
+	})
+	return net.ErrClosed
+}
--- a/internal/sse/front.go
+++ b/internal/sse/front.go
@@ -82,7 +82,7 @@
 	s.Request.Team = k.Team
 	// A reader too slow for its stream is one that has gone: that ends ctx too,
 	// and with it the dispatch.
-	ctx, gone := context.WithCancel(r.Context())
+	ctx, gone := platform.ClientContext(r)
 	defer gone()
 	st := newStream(w, f.live.Get().SSE, gone)
 	answer := f.broker.Serve(ctx, s.Request, f.do(s, st))
