A failed call at discovery is made again in time, and nothing is sent by an old list

Ruled out: slow answers, a watch that fell silent, connects that came up late. At fault: cadence.AfterFailure (up to 26 s), platform's due, which knew silent calls and moves and no failed ones, and a start that trusted the kept list.

What a failed call did not bring is due 6 s after it was made (a failed watch: 6 s after it was made, or 2 s after its wait). The next calls are made by then, for as long as few dispatchers fail, four times for many; past it nothing new is sent until the word is there. Each failure shows that discovery could not be reached and puts the moment off, unless it has passed. At a start nothing is sent, and the health check says 503, until the first call has ended, in whatever way; it comes within 3 s. A process that was handed its list serves at once.

Packages platform, cadence, broker and cmd/yardflow pass under -race.

--- a/cmd/yardflow/node.go
+++ b/cmd/yardflow/node.go
@@ -97,7 +97,7 @@
 	}
 	if len(before.Table) > 0 {
 		own := *cfg
-		cfg, own.Known = &own, before.Table
+		cfg, own.Known, own.KnownIsFresh = &own, before.Table, true
 		n.cfg = cfg
 	}
 	n.live, n.longest, n.base = config.NewLive(cfg), longest(cfg), cfg
@@ -153,6 +153,7 @@
 	n.guard = platform.NewGuard(clients)
 	n.reader = platform.NewReader(n.live, n.guard)
 	n.front = platform.NewFrontend(n.broker, n.lines, n.reader)
+	n.front.AwaitStart(n.table.Started)
 	if len(cfg.Keepers.Addresses) > 0 {
 		n.hold(cfg, dir)
 	}
--- a/internal/cadence/cadence.go
+++ b/internal/cadence/cadence.go
@@ -29,9 +29,10 @@
 	// part is what one dispatcher's first call may take of the service. An old list is
 	// all that a dispatcher knows until then, so it is not much.
 	part = 75 * time.Millisecond
-	// longest is the most that is left before a first call: past AskWithin (10 s)
-	// without one, all that is listed counts as told.
+	// longest is the most that the dispatchers' calls are spread over.
 	longest = 7 * time.Second
+	// firstLongest is that for first calls: nothing new is sent until their end.
+	firstLongest = 3 * time.Second
 	// backedOff bounds doubling after one and two failures. From the third on the service is
 	// not late but overbooked: at 300 dispatchers and 5 calls a second pauses of 15 s kept it so
 	// for good (288 without a list after a minute), so they double up to givenUp.
@@ -45,9 +46,9 @@
 }
 
 // First is the pause before the first call after a start, draw being uniform in [0, 1):
-// many may have started together. 0 to 7 s; none for few.
+// many may have started together. 0 to 3 s; none for few.
 func First(dispatchers int, draw float64) time.Duration {
-	return time.Duration(draw * float64(base(dispatchers)))
+	return time.Duration(draw * float64(min(base(dispatchers), firstLongest)))
 }
 
 // turn is what a call is reckoned to take where nothing is known of the service, and the
@@ -64,14 +65,33 @@
 	return time.Duration(draw * float64(min(base(dispatchers), max(left-max(turn, 2*seen), 0))))
 }
 
-// AfterFailure is the pause after so many failed calls in a row (1 or more), draw being
-// uniform in [0, 1). 0 to 21 s, from the third on to 168 s; none for few, since the module has waited its own time then.
-// left is the time until the word is due, 0 where none is: while another call can be
-// answered by then, it is made by then.
-func AfterFailure(dispatchers, failed int, left time.Duration, draw float64) time.Duration {
-	if left > turn {
-		return Due(dispatchers, left, 0, draw)
+// MostHurried is how many calls after a failure are made by the time their word is due, where
+// dispatchers are many. From then on the service is not late but overbooked, and is spared as
+// AfterFailure says.
+const MostHurried = 4
+
+// Hurries tells whether the n-th call after a failure (1 or more) is made by the time its word is due.
+func Hurries(dispatchers, n int) bool { return dispatchers <= Few || n <= MostHurried }
+
+// Again is the pause after a call that failed, the n-th in a row (1 or more), where its word is
+// due in left: the next call is made by then, and has failed again by then if it takes as long as
+// the last one did. took is that, draw is uniform in [0, 1). Few dispatchers pause for 50 ms to 2 s,
+// many draw over all that there is.
+func Again(dispatchers, n int, left, took time.Duration, draw float64) time.Duration {
+	most := max(left-took*5/4, left/8)
+	if dispatchers <= Few {
+		return min(time.Duration((0.5+draw)*float64(firstAgain<<min(n, 4))), most)
 	}
+	return time.Duration(draw * float64(min(base(dispatchers), most)))
+}
+
+// firstAgain is half of the mean pause after the first failure where dispatchers are few.
+const firstAgain = 50 * time.Millisecond
+
+// AfterFailure is the pause after so many failed calls in a row (1 or more), draw being
+// uniform in [0, 1), where none is due by a stated time. 0 to 21 s, from the third on to 168 s;
+// none for few, since the module has waited its own time then.
+func AfterFailure(dispatchers, failed int, draw float64) time.Duration {
 	most := min(backedOff<<min(max(failed-2, 0), 8), givenUp)
 	return time.Duration((0.6 + 0.8*draw) * float64(min(base(dispatchers)<<min(failed, 8), most)))
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -34,6 +34,7 @@
 	Seed                    uint64
 	Limits                  Limits
 	Known                   json.RawMessage // the server table as last had, in discovery's form
+	KnownIsFresh            bool            // a process that runs has handed it over, and not the configuration
 
 	Module                         linnetlift.Settings
 	Classes, Tenants, Zones, Kinds []string
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -256,10 +256,14 @@
 	lines    *Lines
 	reader   *Reader
 	guard    *Guard
+	started  func() bool // tells whether requests can be served; nil: from the first moment
 	draining atomic.Bool
 	leaving  atomic.Bool
 }
 
+// AwaitStart has the health check say no until started tells otherwise. Before any request.
+func (f *Frontend) AwaitStart(started func() bool) { f.started = started }
+
 // NewFrontend makes the platform's front.
 func NewFrontend(b *broker.Broker, l *Lines, rd *Reader) *Frontend {
 	return &Frontend{broker: b, lines: l, reader: rd, guard: rd.guard}
@@ -315,6 +319,8 @@
 				session(w, r)
 			case f.Draining():
 				(&Deny{Status: http.StatusServiceUnavailable, Text: "stopping"}).Write(w)
+			case f.started != nil && !f.started():
+				(&Deny{Status: http.StatusServiceUnavailable, Text: "no list of loan workers yet"}).Write(w)
 			case !f.reader.Admits():
 				(&Deny{Status: http.StatusServiceUnavailable, Text: "no policy is in force here"}).Write(w)
 			default:
--- a/internal/platform/shared.go
+++ b/internal/platform/shared.go
@@ -30,13 +30,21 @@
 	All        func() []membership.Worker
 }
 
-// Share has the table call in turns, and hand on what it is told. Before Run.
-func (t *Table) Share(turns Turns, share func(Told)) { t.turns, t.share = turns, share }
+// Share has the table call in turns, and hand on what it is told. Before Run. The list of before
+// the start serves until a turn comes: whether the list service is there at all is not known here.
+func (t *Table) Share(turns Turns, share func(Told)) {
+	t.turns, t.share = turns, share
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.called()
+}
 
 // turn waits for the turn of the next call; false: ctx has ended.
 func (t *Table) turn(ctx context.Context) bool {
 	for t.turns != nil {
-		ok, wait, changed := t.turns.May(!t.carry, t.moved || t.awaits())
+		awaits, failed := t.awaits()
+		alone := t.moved || awaits && !failed // another's word would do for a call that failed
+		ok, wait, changed := t.turns.May(!t.carry, alone)
 		if ok {
 			break
 		}
@@ -118,7 +126,7 @@
 	t.tell(form, list)
 	if whole { // whatever a silent call missed here, the one that reads for all was told
 		t.mu.Lock()
-		if t.due.end() {
+		if t.stale.end() {
 			t.broker.Doubt(false)
 		}
 		t.mu.Unlock()
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -2,7 +2,7 @@
 
 // This file owns the server table: the list of loan workers as discovery tells
 // it, one source of membership beside others, and the address that it comes from; the watch
-// that keeps it fresh is watch.go's, and until when it may be gone by is due.go's.
+// that keeps it fresh is watch.go's, and until when it may be gone by is staleness.go's.
 // It must never send anything to a loan worker or judge one.
 
 import (
@@ -40,13 +40,16 @@
 	carry      bool          // the next call carries a watch on; Run's alone
 	moved      bool          // the list service is another one, and has said nothing yet; Run's to write, under taking
 	failed     int           // calls in a row; Run's alone
+	waited     time.Duration // the wait that the last call named; Run's alone
+	hurried    int           // of them, those after which the next was made by the time its word was due; Run's alone
+	failTime   time.Duration // how long the last call that failed took; Run's alone
 	silent     int           // calls without a sign in a row; Run's alone
 	strain     int           // what the service is spared, after calls that failed; Run's alone
 	seen       time.Duration // what a call for the list takes, lately; 0: not seen; Run's alone
 
 	mu     sync.Mutex
 	now    *source
-	due    due           // the word that is awaited
+	stale  staleness     // when the list held counts as out of date
 	latest tableReply    // the whole list as last told, for the process that takes over
 	heard  chan struct{} // closed at the first word of discovery
 }
@@ -88,7 +91,8 @@
 	t.now.client.CloseIdleConnections()
 	t.now = newSource(addr)
 	if !t.vouched() {
-		t.due.await(time.Now().Add(moveDue), 0, t.blind)
+		t.called() // whatever the place that it has left had to tell
+		t.stale.await(time.Now().Add(moveDue), 0, listMoved, t.expire)
 	}
 }
 
@@ -132,11 +136,7 @@
 	}
 	t.note(known, true)
 	t.tell(linnetlift.ListCached, members(known.Instances))
-	if t.pushed() && cfg.Discovery != "" && !t.vouched() {
-		// The agent's list counts as told from this process's first moment.
-		t.due.await(time.Now(), 0, t.blind)
-		b.Doubt(true)
-	}
+	t.start()
 	return t, nil
 }
 
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -26,6 +26,12 @@
 	watchSlack = time.Second
 	// listWait bounds a call that does not wait, so that a lost one leaves time for another.
 	listWait = 1500 * time.Millisecond
+	// soundWait bounds a call that is to show whether the list service is there at all. One that
+	// is down fails calls that have waited for its own time, up to 3 s: a call given up before that
+	// would look like one that was lost without a sign.
+	soundWait = 4 * time.Second
+	// usualFail is how long a call that fails is taken to last while none was seen to.
+	usualFail = 2 * time.Second
 	// soonAgain is the pause before a call to a pushed list that failed is made again: less
 	// than what may pass between a drain told and the last send (500 ms at the strictest).
 	soonAgain = 100 * time.Millisecond
@@ -93,7 +99,7 @@
 			ask = false // replaced meanwhile: whatever came is the old source's word
 		case err != nil:
 			var pause time.Duration
-			ask, pause = t.lost(err)
+			ask, pause = t.lost(err, began)
 			next = time.Now().Add(pause)
 		default:
 			if whole {
@@ -126,7 +132,7 @@
 	if len(reply.Instances) == 0 {
 		t.strain = max(t.strain-1, 0) // a wait that ended with nothing: the service keeps up
 	}
-	t.failed, t.silent = 0, 0
+	t.failed, t.hurried, t.silent = 0, 0, 0
 	t.note(*reply, form == linnetlift.ListFull)
 	t.tell(form, members(reply.Instances))
 	t.by, t.since, t.carry = "told", time.Now(), true
@@ -137,9 +143,9 @@
 	t.moved = false
 }
 
-// lost takes in a call that brought nothing. It tells whether the module is to say when to ask
-// again, and the pause before that at the least.
-func (t *Table) lost(err error) (ask bool, pause time.Duration) {
+// lost takes in a call that brought nothing, made at a moment. It tells whether the module is to
+// say when to ask again, and the pause before that at the least.
+func (t *Table) lost(err error, began time.Time) (ask bool, pause time.Duration) {
 	if t.failed+t.silent == 0 { // once, not once a call: an outage makes many
 		t.log(fmt.Sprintf("server table: %s; going on with %d loan workers known", fault.Text(err), t.size()))
 	}
@@ -152,7 +158,7 @@
 		// new call hears nothing either, there is nothing to be missed.
 		t.missed(silent.Due)
 	}
-	t.failing(err)
+	t.failing(err, began, t.waited)
 	switch {
 	case t.pushed():
 		t.failed++
@@ -165,10 +171,18 @@
 		return false, cadence.Anew(t.dispatchers(), t.left(), t.draw())
 	}
 	t.failed++
+	if t.waited <= listWait { // a watch was open until it failed
+		t.failTime = time.Since(began)
+	}
 	t.strain = min(t.strain+1, cadence.MostStrain)
 	t.tell(linnetlift.ListFailed, nil)
+	left := t.left()
+	if _, failed := t.awaits(); left > 0 && (failed || left > t.failTime) && cadence.Hurries(t.dispatchers(), t.hurried+1) {
+		t.hurried++
+		return false, cadence.Again(t.dispatchers(), t.hurried, left, max(t.failTime, usualFail), t.draw())
+	}
 	// Beside the module's own pause, which ends with its asking again.
-	return true, cadence.AfterFailure(t.dispatchers(), t.failed, t.left(), t.draw())
+	return true, cadence.AfterFailure(t.dispatchers(), max(t.failed-t.hurried, 1), t.draw())
 }
 
 // patience is the wait that the next call names, and how long it is given in all.
@@ -180,8 +194,13 @@
 		return 0, max(listWait, t.left())
 	case !known:
 		return 0, listWait
-	case t.awaits() || t.turns != nil && !t.carry:
-		return time.Millisecond, listWait // what there is to tell is wanted now
+	}
+	awaits, failed := t.awaits()
+	switch {
+	case !t.Started(), awaits && failed: // what there is to tell is wanted now
+		return time.Millisecond, soundWait
+	case awaits || t.turns != nil && !t.carry:
+		return time.Millisecond, listWait
 	}
 	wait = cadence.Wait(t.dispatchers(), t.strain, t.draw())
 	return wait, wait + watchSlack
@@ -191,6 +210,7 @@
 func (t *Table) call(on *source) (*tableReply, error) {
 	at, known := t.place()
 	wait, limit := t.patience(known)
+	t.waited = wait
 	url := "http://" + on.addr + "/v1/servers"
 	if known {
 		url += fmt.Sprintf("?since=%d&timeout_ms=%d", at, wait.Milliseconds())
