A list that is out of date binds beside other sources too; broker.ListStale for Doubt

Where lists in DNS were configured beside the list service, its word was never due: a drain that a silent or failed call had missed was never taken into account, and jobs went on to workers whose drain counted as told. Now the clock runs with any sources. What is out of date is what the list service has named, ever; workers that only another source names serve on, so a dead list service stops nobody but its own. The test fails with the old exemption put back ('2 workers may be sent to'). broker.Doubt is renamed to what it says.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -60,14 +60,15 @@
 	anchor     time.Time // with its monotonic reading: the clock never runs back
 	anchorUnix time.Duration
 
-	mu     sync.Mutex
-	queue  []event
-	places map[linnetlift.WorkerID]*place
-	banned map[string]bool // by the worker's name, whether the list has it or not
-	doubt  bool            // the list is in doubt as a whole
-	pools  *pool.Set       // of workers, for steps of workflows; nil: there are none
-	lastID linnetlift.RequestID
-	closed bool
+	mu        sync.Mutex
+	queue     []event
+	places    map[linnetlift.WorkerID]*place
+	banned    map[string]bool   // by the worker's name, whether the list has it or not
+	listStale bool              // the list service's list counts as out of date
+	named     func(string) bool // whether it has named a worker; nil: all
+	pools     *pool.Set         // of workers, for steps of workflows; nil: there are none
+	lastID    linnetlift.RequestID
+	closed    bool
 
 	open  map[linnetlift.RequestID]*session // run's alone
 	count atomic.Int64                      // of open
@@ -283,7 +284,7 @@
 	defer b.mu.Unlock()
 	s := Stats{Open: int(b.count.Load()), Steps: int(b.steps.Load()), Waiting: int(b.idle[0].Load()), StepsWaiting: int(b.idle[1].Load()), Queued: len(b.queue), Workers: len(b.places)}
 	for _, p := range b.places {
-		if p.ready && !p.banned && !b.doubt {
+		if b.usable(p) {
 			s.Ready++
 		}
 	}
--- a/internal/broker/list.go
+++ b/internal/broker/list.go
@@ -1,6 +1,6 @@
 package broker
 
-// This file owns the workers as last told, with what is known here beside the list: bans, doubt,
+// This file owns the workers as last told, with what is known here beside the list: bans, staleness,
 // verdicts, pools. It must never know where a list comes from.
 
 import (
@@ -54,7 +54,7 @@
 		w.Verdict = p.verdict
 	}
 	w.Pools = b.pools.Of(p.name, w.Zone, w.Kind, w.Cell)
-	if (p.banned || b.doubt) && w.State == linnetlift.Ready {
+	if (p.banned || b.stale(p)) && w.State == linnetlift.Ready {
 		w.State = linnetlift.Draining
 	}
 	return w
@@ -184,7 +184,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, p := range b.places {
-		if p.ready && !p.banned && !b.doubt {
+		if b.usable(p) {
 			any = true
 			pools |= b.pools.Of(p.name, p.told.Zone, p.told.Kind, p.told.Cell)
 		}
@@ -200,16 +200,16 @@
 	return p != nil && p.name == name
 }
 
-// Doubt says whether the list is in doubt as a whole: it counts as out of date, and what
-// has changed is not known. Like a ban it is a fact, and binds from this call on: while it
-// lasts every worker drains, whatever was told of it. It returns whether that is new.
-func (b *Broker) Doubt(doubt bool) bool {
+// ListStale says whether the list service's list counts as out of date, so that what has changed
+// is not known. Like a ban it is a fact, and binds from this call on: while it lasts every worker
+// that the service has named drains, whatever was told of it. It returns whether that is new.
+func (b *Broker) ListStale(stale bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.doubt == doubt {
+	if b.listStale == stale {
 		return false
 	}
-	b.doubt = doubt
+	b.listStale = stale
 	list := make([]linnetlift.Worker, 0, len(b.places))
 	for _, p := range b.places {
 		list = append(list, b.entry(p))
@@ -218,6 +218,18 @@
 	return true
 }
 
+// NamedBy sets who tells whether the list service has ever named a worker; of others it has no
+// drain to tell. named must not call the broker. Before the first list; unset: it has named all.
+func (b *Broker) NamedBy(named func(worker string) bool) { b.named = named }
+
+// stale tells whether what is known of a worker counts as out of date; the caller holds mu.
+func (b *Broker) stale(p *place) bool {
+	return b.listStale && (b.named == nil || b.named(p.name))
+}
+
+// usable tells whether a worker may be sent to; the caller holds mu.
+func (b *Broker) usable(p *place) bool { return p.ready && !p.banned && !b.stale(p) }
+
 // AwaitAsk blocks until the module wants to hear from the list service.
 func (b *Broker) AwaitAsk(ctx context.Context) error {
 	select {
@@ -271,5 +283,5 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.places[id]
-	return p != nil && p.ready && !p.banned && !b.doubt && p.addr == addr
+	return p != nil && b.usable(p) && p.addr == addr
 }
--- a/internal/platform/shared.go
+++ b/internal/platform/shared.go
@@ -127,7 +127,7 @@
 	if whole { // whatever a silent call missed here, the one that reads for all was told
 		t.mu.Lock()
 		if t.stale.end() {
-			t.broker.Doubt(false)
+			t.broker.ListStale(false)
 		}
 		t.mu.Unlock()
 	}
--- a/internal/platform/staleness.go
+++ b/internal/platform/staleness.go
@@ -96,9 +96,6 @@
 func (t *Table) missed(at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.vouched() {
-		return
-	}
 	t.called()
 	t.stale.await(at, t.grace(), callSilent, t.expire)
 }
@@ -109,7 +106,7 @@
 // serves on. Where lists are pushed the agent's counts as told from the first moment.
 func (t *Table) start() {
 	cfg := t.live.Get()
-	if cfg.Discovery == "" || cfg.KnownIsFresh || t.vouched() {
+	if cfg.Discovery == "" || cfg.KnownIsFresh {
 		return
 	}
 	cause := justStarted
@@ -117,14 +114,14 @@
 		cause = listMoved
 	}
 	t.stale.await(time.Now(), 0, cause, t.expire)
-	t.broker.Doubt(true)
+	t.broker.ListStale(true)
 }
 
 // called ends the wait for the first call's end. The caller holds mu.
 func (t *Table) called() {
 	if !t.stale.at.IsZero() && t.stale.cause == justStarted {
 		t.stale.end()
-		t.broker.Doubt(false)
+		t.broker.ListStale(false)
 	}
 }
 
@@ -136,14 +133,11 @@
 	return t.stale.at.IsZero() || t.stale.cause != justStarted
 }
 
-// vouched tells that other sources tell of workers too: their rule says who vouches for one.
-func (t *Table) vouched() bool { return len(t.live.Get().SRV) > 0 }
-
 // expire ends the use of a list that counts as out of date.
 func (t *Table) expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.stale.over() && t.broker.Doubt(true) {
+	if t.stale.over() && t.broker.ListStale(true) {
 		t.log(fmt.Sprintf("server table: no word from discovery at %s though it counts as told; nothing new is sent until it comes", t.now.addr))
 	}
 }
@@ -156,9 +150,9 @@
 	t.called()
 	t.stale.nobody = errors.Is(err, syscall.ECONNREFUSED) || t.pushed() && isSilent
 	if t.stale.nobody && t.stale.cause != callSilent {
-		t.broker.Doubt(false) // at a start nothing is sent until somebody is heard, or nobody there
+		t.broker.ListStale(false) // at a start nothing is sent until somebody is heard, or nobody there
 	}
-	if !isSilent && !t.pushed() && !t.vouched() {
+	if !isSilent && !t.pushed() {
 		t.unanswered(began, wait)
 	}
 	t.mu.Unlock()
@@ -178,7 +172,7 @@
 		t.stale.await(at, t.grace(), callFailed, t.expire)
 	case t.stale.cause == callFailed && began.Before(t.stale.at), t.stale.cause != callSilent && t.stale.nobody:
 		t.stale.extend(at)
-		t.broker.Doubt(false)
+		t.broker.ListStale(false)
 	}
 }
 
@@ -188,7 +182,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.now == on && t.stale.end() {
-		t.broker.Doubt(false)
+		t.broker.ListStale(false)
 	}
 }
 
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -51,6 +51,7 @@
 	now    *source
 	stale  staleness     // when the list held counts as out of date
 	latest tableReply    // the whole list as last told, for the process that takes over
+	named  sync.Map      // ids of workers that discovery has named, ever
 	heard  chan struct{} // closed at the first word of discovery
 }
 
@@ -90,10 +91,8 @@
 	t.now.end()
 	t.now.client.CloseIdleConnections()
 	t.now = newSource(addr)
-	if !t.vouched() {
-		t.called() // whatever the place that it has left had to tell
-		t.stale.await(time.Now().Add(moveDue), 0, listMoved, t.expire)
-	}
+	t.called() // whatever the place that it has left had to tell
+	t.stale.await(time.Now().Add(moveDue), 0, listMoved, t.expire)
 }
 
 func (t *Table) source() *source {
@@ -134,6 +133,7 @@
 	if known.Generation != nil {
 		t.generation, t.known = *known.Generation, true
 	}
+	b.NamedBy(func(worker string) bool { _, ok := t.named.Load(worker); return ok })
 	t.note(known, true)
 	t.tell(linnetlift.ListCached, members(known.Instances))
 	t.start()
@@ -148,6 +148,7 @@
 		t.latest.Instances = nil
 	}
 	for _, e := range reply.Instances {
+		t.named.Store(e.InstanceID, true)
 		t.latest.Instances = slices.DeleteFunc(t.latest.Instances, func(old tableEntry) bool { return old.InstanceID == e.InstanceID })
 		if e.Lifecycle != "DELETED" {
 			t.latest.Instances = append(t.latest.Instances, e)
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"linnetlift"
 	"linnetlift/internal/broker"
 	"linnetlift/internal/config"
 	"linnetlift/internal/membership"
@@ -353,3 +354,23 @@
 	yes, _ := t.awaits()
 	return yes
 }
+
+// Beside another source of workers the list service's word is due all the same: what it has named
+// may drain. Workers that only the other source names serve on.
+func TestAListThatIsOutOfDateBindsBesideOtherSources(t *testing.T) {
+	cfg := testConfig()
+	cfg.Discovery, cfg.Known, cfg.Membership = "d:1", json.RawMessage(oneWorker), config.DefaultMembership()
+	table, b := testTable(t, cfg, func(string) {})
+	cfg.SRV = []config.SRV{{Name: "loans"}}
+	table.failing(syscall.ECONNRESET, time.Now(), 0) // the first call has ended, and the list of before serves
+	b.List(linnetlift.ListAmend, []broker.Worker{{ID: "by name alone", Addr: "h:2"}})
+	if ready := b.Stats().Ready; ready != 2 {
+		t.Fatalf("%d workers may be sent to, want 2", ready)
+	}
+	table.missed(time.Now().Add(-time.Second))
+	for limit := time.Now().Add(4 * time.Second); b.Stats().Ready != 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("%d workers may be sent to, want the one that the list service has not named", b.Stats().Ready)
+		}
+	}
+}
