platform: requests, rejections and worker connections by the field's names

Moves and renames alone: nothing behaves otherwise; vet and the tests of platform, sse, cmd/yardflow pass.

--- a/cmd/yardflow/node.go
+++ b/cmd/yardflow/node.go
@@ -48,7 +48,7 @@
 	sources     *sources.Sources
 	guard       *platform.Guard
 	reader      *platform.Reader
-	lines       *platform.Lines
+	lines       *platform.WorkerConns
 	front       *platform.Frontend
 	mu          sync.Mutex
 	servers     []*http.Server
@@ -133,7 +133,7 @@
 	}
 	hooks := sources.Hooks{Log: logLine, Moved: func(addr string) { n.lines.Part(addr) }}
 	clients, workers := n.sockets(1 + n.peers.Others())
-	n.lines = platform.NewLines(n.live, workers)
+	n.lines = platform.NewWorkerConns(n.live, workers)
 	if n.sources, err = sources.New(n.live, n.broker, hooks); err != nil {
 		return nil, err
 	}
--- a/internal/platform/dispatch.go
+++ b/internal/platform/dispatch.go
@@ -1,9 +1,8 @@
 package platform
 
-// This file owns the connections to loan workers and one dispatch's way over
-// them: the request written once, the answer's lines read, the end told as an
-// outcome. It must never send a request twice, never tell that a dispatch has
-// ended while its connection still stands, and never choose a loan worker.
+// This file carries one attempt over a connection to a loan worker: the request written once, the
+// answer's lines read, the end told as an outcome. An attempt is told as ended only once its
+// connection no longer stands, for the next one could be out beside it.
 
 import (
 	"bufio"
@@ -11,16 +10,13 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"linnetlift"
 	"linnetlift/internal/broker"
 	"linnetlift/internal/config"
 	"linnetlift/internal/invariant"
@@ -29,9 +25,6 @@
 const (
 	maxLine   = 256 << 10 // a result of 64 KiB, escaped at its worst
 	drainTime = time.Second
-	// doubtTime is how long kept connections are not trusted with a session that
-	// may be sent once, after one was found gone.
-	doubtTime = 30 * time.Second
 )
 
 var (
@@ -39,206 +32,6 @@
 	errDrained = errors.New("the loan worker takes nothing new")
 )
 
-// Lines carries dispatches to loan workers.
-type Lines struct {
-	live      *config.Live
-	transport *http.Transport
-	once      *http.Transport // a connection for each dispatch, closed after it
-	doubt     atomic.Int64    // Unix nanoseconds up to which kept connections are in doubt
-
-	mu        sync.Mutex
-	finishing int // answers that have ended and are read to their end
-	max       int // sockets to loan workers
-	held      int // of them, open or being opened
-	open      map[*line]struct{}
-}
-
-// NewLines makes the connections' owner; sockets bounds how many it may hold.
-func NewLines(live *config.Live, sockets int) *Lines {
-	l := &Lines{live: live, max: sockets, open: map[*line]struct{}{}}
-	l.transport, l.once = l.transports()
-	return l
-}
-
-func (l *Lines) transports() (kept, once *http.Transport) {
-	kept = &http.Transport{
-		DialContext:        l.dial,
-		DisableCompression: true,
-		// The library keeps two idle connections a host; every one beyond them
-		// would be opened anew, and opening costs the loan worker work.
-		MaxIdleConns:        l.max / 2,
-		MaxIdleConnsPerHost: l.max / 4,
-		// A loan worker closes an idle connection at IdleCloseMs at the latest;
-		// what is written to it from then on is lost. Close well before.
-		IdleConnTimeout:        l.live.Get().IdleClose * 3 / 4,
-		MaxResponseHeaderBytes: 64 << 10,
-	}
-	once = kept.Clone()
-	once.DisableKeepAlives = true
-	return kept, once
-}
-
-// Retune takes up the settings in force. Connections kept under the old ones may
-// be closed by their loan workers sooner than was known: they are not used again.
-func (l *Lines) Retune() {
-	l.mu.Lock()
-	old := l.transport
-	if old.IdleConnTimeout != l.live.Get().IdleClose*3/4 {
-		l.transport, l.once = l.transports()
-	}
-	changed := old != l.transport
-	l.mu.Unlock()
-	if changed {
-		old.CloseIdleConnections() // those that carry a dispatch are closed after it
-	}
-}
-
-// carrier chooses how a session goes. A kept connection may have been closed or
-// reset since its last use without our knowing, and what is written to it then
-// may have run: a session with one life is not risked on it once that was seen.
-func (l *Lines) carrier(s *Session) *http.Transport {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if s.cfg.Module.Classes[s.Request.Class].Semantics == linnetlift.Fragile && time.Now().UnixNano() < l.doubt.Load() {
-		return l.once
-	}
-	return l.transport
-}
-
-// CloseIdle closes the connections that carry nothing.
-func (l *Lines) CloseIdle() {
-	l.mu.Lock()
-	t := l.transport
-	l.mu.Unlock()
-	t.CloseIdleConnections()
-}
-
-// Settle waits until answers that have ended are read to their end. Others may end
-// meanwhile, which a WaitGroup does not allow.
-func (l *Lines) Settle() {
-	for {
-		l.mu.Lock()
-		n := l.finishing
-		l.mu.Unlock()
-		if n == 0 {
-			return
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
-func (l *Lines) finish(by int) {
-	l.mu.Lock()
-	l.finishing += by
-	l.mu.Unlock()
-}
-
-// Resize bounds how many sockets may be held from now on.
-func (l *Lines) Resize(sockets int) {
-	l.mu.Lock()
-	less := sockets < l.max
-	l.max = sockets
-	l.mu.Unlock()
-	if less {
-		l.CloseIdle()
-	}
-}
-
-// take takes one socket of those that may be held.
-func (l *Lines) take() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.held >= l.max {
-		return false
-	}
-	l.held++
-	return true
-}
-
-// line is one connection. Closing it is complete when Close returns, which is
-// what lets a dispatch be told as ended.
-type line struct {
-	net.Conn
-	addr    string
-	busy    bool // carries a dispatch; under Lines.mu
-	stale   bool // to be closed once it carries none; under Lines.mu
-	written atomic.Int64
-	once    sync.Once
-	release func()
-}
-
-// Part closes the kept connections to a loan worker that was taken out: it is
-// restarted meanwhile, and what is written to one from before may be lost. One
-// that carries a dispatch is closed after it.
-func (l *Lines) Part(addr string) {
-	l.mu.Lock()
-	var idle []*line
-	for c := range l.open {
-		if c.addr == addr {
-			if c.stale = true; !c.busy {
-				idle = append(idle, c)
-			}
-		}
-	}
-	l.mu.Unlock()
-	for _, c := range idle {
-		c.Close()
-	}
-}
-
-// carries notes whether a dispatch is on c.
-func (l *Lines) carries(c *line, busy bool) {
-	if c == nil {
-		return
-	}
-	l.mu.Lock()
-	c.busy = busy
-	over := c.stale && !busy
-	l.mu.Unlock()
-	if over {
-		c.Close()
-	}
-}
-
-func (c *line) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.written.Add(int64(n))
-	return n, err
-}
-
-func (c *line) Close() error {
-	err := c.Conn.Close()
-	c.once.Do(c.release)
-	return err
-}
-
-func (l *Lines) dial(ctx context.Context, network, addr string) (net.Conn, error) {
-	if !l.take() {
-		l.CloseIdle()
-		if !l.take() {
-			return nil, errSockets
-		}
-	}
-	conn, err := (&net.Dialer{Timeout: l.live.Get().ConnectTimeout, KeepAlive: -1}).DialContext(ctx, network, addr)
-	if err != nil {
-		l.mu.Lock()
-		l.held--
-		l.mu.Unlock()
-		return nil, err
-	}
-	c := &line{Conn: conn, addr: addr}
-	c.release = func() {
-		l.mu.Lock()
-		delete(l.open, c)
-		l.held--
-		l.mu.Unlock()
-	}
-	l.mu.Lock()
-	l.open[c] = struct{}{}
-	l.mu.Unlock()
-	return c, nil
-}
-
 // body hides a request's bytes from the transport. It resends a request on its
 // own when it can read the body again or there is none, above all one that
 // carries Idempotency-Key; every resend would be an attempt nobody decided on.
@@ -264,24 +57,24 @@
 	Header http.Header
 	ctx    context.Context
 	resp   *http.Response
-	conn   *line
-	lines  *Lines
+	conn   *workerConn
+	lines  *WorkerConns
 	cfg    *config.Config
 	unhook func() bool // takes the exchange out of ctx
 	cancel func()
 }
 
-// Open writes the session to the attempt's loan worker and reads the head of
+// Open writes the request to the attempt's loan worker and reads the head of
 // the answer. Without a 200 the exchange is nil and the outcome tells the end.
-func (l *Lines) Open(ctx context.Context, a *broker.Attempt, s *Session, accept string) (*Exchange, broker.Outcome) {
-	var conn *line
+func (l *WorkerConns) Open(ctx context.Context, a *broker.Attempt, s *JobRequest, accept string) (*Exchange, broker.Outcome) {
+	var conn *workerConn
 	var refused, wrote, answered atomic.Bool
 	reused := false
 	var req *http.Request
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			invariant.Hold(conn == nil, "the transport sent a dispatch twice")
-			conn, _ = info.Conn.(*line)
+			conn, _ = info.Conn.(*workerConn)
 			l.carries(conn, true)
 			reused = info.Reused
 			if a.Traced() {
@@ -312,7 +105,7 @@
 			before = conn.written.Load()
 		}
 	}
-	// ctx ends as soon as the session is answered, which is before the answer's
+	// ctx ends as soon as the request is answered, which is before the answer's
 	// stream has ended: the transport would close a sound connection for it. So
 	// the exchange has a context of its own, tied to ctx until Finish.
 	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -439,8 +232,8 @@
 	}
 }
 
-// request words the session for the wire, once for each dispatch.
-func (s *Session) request(own context.Context, a *broker.Attempt, accept string) *http.Request {
+// request words the request for the wire, once for each dispatch.
+func (s *JobRequest) request(own context.Context, a *broker.Attempt, accept string) *http.Request {
 	h := make(http.Header, 10)
 	for _, name := range passed {
 		if v, ok := s.header[name]; ok {
@@ -478,19 +271,19 @@
 }
 
 // Do is the attempt function of the platform's front.
-func (l *Lines) Do(s *Session) broker.Do {
+func (l *WorkerConns) Do(s *JobRequest) broker.Do {
 	return func(ctx context.Context, a *broker.Attempt) broker.Outcome {
 		x, o := l.Open(ctx, a, s, "")
 		if x == nil {
 			return o
 		}
-		return x.Lines(a, s, x.Load([]byte(x.Header.Get("X-Server-Load"))), nil)
+		return x.ReadLines(a, s, x.Load([]byte(x.Header.Get("X-Server-Load"))), nil)
 	}
 }
 
-// Lines reads a loan worker's lines to the last one and tells the outcome. Each
+// ReadLines reads a loan worker's lines to the last one and tells the outcome. Each
 // line that is not the last goes to progress too, where there is one.
-func (x *Exchange) Lines(a *broker.Attempt, s *Session, load []float64, progress func(state string, line []byte)) broker.Outcome {
+func (x *Exchange) ReadLines(a *broker.Attempt, s *JobRequest, load []float64, progress func(state string, line []byte)) broker.Outcome {
 	for {
 		text, err := readLine(x.Reader)
 		if err != nil {
@@ -501,7 +294,7 @@
 		}
 		var in jobLine
 		if json.Unmarshal(text, &in) != nil || in.ID != s.ID {
-			x.Abort() // not this session's answer: what it did is not known
+			x.Abort() // not this request's answer: what it did is not known
 			return broker.Outcome{Code: broker.Broken}
 		}
 		if more := x.Load(in.Load); more != nil {
--- a/internal/platform/endings_test.go
+++ b/internal/platform/endings_test.go
@@ -27,7 +27,7 @@
 	server *http.Server
 	listen net.Listener
 	worker *script.Worker
-	lines  *Lines
+	lines  *WorkerConns
 	broker *broker.Broker
 	reads  atomic.Int64           // from clients' sockets, counted before their bytes are
 	atRead atomic.Pointer[func()] // runs then
@@ -41,7 +41,7 @@
 	e := &endings{T: t, guard: NewGuard(8), worker: script.NewWorker(t), broker: testBroker(t, cfg)}
 	live := config.NewLive(cfg)
 	e.broker.List(linnetlift.ListFull, []broker.Worker{{ID: "s", Addr: e.worker.Addr}})
-	e.lines = NewLines(live, 8)
+	e.lines = NewWorkerConns(live, 8)
 	e.front = NewFrontend(e.broker, e.lines, NewReader(live, e.guard))
 	e.server = e.front.Server()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -2,9 +2,7 @@
 // clients in front, loan workers behind, discovery beside. It is thin; what is
 // decided is decided in the module, and what is promised is kept by the broker.
 //
-// This file owns the frontend: sessions read, checked and answered, and the
-// sockets that clients hold. It must never hold an answer back, never panic on
-// what a client sends, and never let anything reach a loan worker unchecked.
+// This file reads, checks and answers clients' requests.
 package platform
 
 import (
@@ -28,8 +26,8 @@
 	writeWithin = 10 * time.Second
 )
 
-// Session is one request of a client, decoded once.
-type Session struct {
+// JobRequest is one request of a client, decoded once.
+type JobRequest struct {
 	ID      string
 	Request broker.Request
 
@@ -40,15 +38,15 @@
 	may               func() bool // asked just before the first byte; nil: it always may
 }
 
-// Deny is a refusal or an error worded for HTTP.
-type Deny struct {
+// Rejection is a refusal or an error worded for HTTP.
+type Rejection struct {
 	Status   int
 	Text     string
 	ComeBack time.Duration
 }
 
-// Write sends the deny.
-func (d *Deny) Write(w http.ResponseWriter) {
+// Write sends the rejection.
+func (d *Rejection) Write(w http.ResponseWriter) {
 	limitWrite(w)
 	h := w.Header()
 	if d.ComeBack > 0 {
@@ -61,7 +59,7 @@
 }
 
 // Seconds is the advice as clients get it: to the millisecond, never too soon.
-func (d *Deny) Seconds() float64 { return math.Ceil(d.ComeBack.Seconds()*1000) / 1000 }
+func (d *Rejection) Seconds() float64 { return math.Ceil(d.ComeBack.Seconds()*1000) / 1000 }
 
 // limitWrite bounds the write of an answer: a client that does not read must not
 // keep its socket for good. Each answer sets it anew.
@@ -69,38 +67,38 @@
 	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeWithin))
 }
 
-// TooMany is the deny on a connection past the budget of sockets.
-var TooMany = &Deny{http.StatusServiceUnavailable, "too many connections", time.Second}
+// TooMany is the rejection on a connection past the budget of sockets.
+var TooMany = &Rejection{http.StatusServiceUnavailable, "too many connections", time.Second}
 
-var tooLarge = &Deny{Status: http.StatusRequestEntityTooLarge, Text: "the body is over 64 KiB"}
+var tooLarge = &Rejection{Status: http.StatusRequestEntityTooLarge, Text: "the body is over 64 KiB"}
 
-// Denial words a final answer that is not a result; nil for one that needs none.
-func Denial(a broker.Answer) *Deny {
+// RejectionOf words a final answer that is not a result; nil for one that needs none.
+func RejectionOf(a broker.Answer) *Rejection {
 	switch {
 	case a.Verdict == broker.Refused && a.Over:
-		return &Deny{http.StatusTooManyRequests, "over the contract's budget", a.ComeBack}
+		return &Rejection{http.StatusTooManyRequests, "over the contract's budget", a.ComeBack}
 	case a.Verdict == broker.Refused:
-		return &Deny{http.StatusServiceUnavailable, "refused, try again", a.ComeBack}
+		return &Rejection{http.StatusServiceUnavailable, "refused, try again", a.ComeBack}
 	case a.Verdict == broker.Failure && a.Unusable:
-		return &Deny{http.StatusBadRequest, "loan workers can't use this request", 0}
+		return &Rejection{http.StatusBadRequest, "loan workers can't use this request", 0}
 	case a.Verdict == broker.Failure && a.Late:
 		// Not 504 with a promise: 504 is a failure here, since only 429 and 503
 		// tell the client that trying again is harmless.
-		return &Deny{http.StatusGatewayTimeout, "no answer in time; it may have run", 0}
+		return &Rejection{http.StatusGatewayTimeout, "no answer in time; it may have run", 0}
 	case a.Verdict == broker.Failure:
-		return &Deny{http.StatusBadGateway, "failed; it may have run", 0}
+		return &Rejection{http.StatusBadGateway, "failed; it may have run", 0}
 	}
 	return nil
 }
 
-// Reader reads sessions off the wire.
+// Reader reads requests off the wire.
 type Reader struct {
 	live  *config.Live
 	guard *Guard
 	gate  Gate // nil: all are admitted
 	mu    sync.Mutex
-	open  map[string]bool // ids of sessions not yet answered
-	end   time.Time       // no session read from now on has a later deadline; zero: none
+	open  map[string]bool // ids of requests not yet answered
+	end   time.Time       // no request read from now on has a later deadline; zero: none
 }
 
 // NewReader makes a Reader; both fronts share one.
@@ -108,11 +106,11 @@
 	return &Reader{live: live, guard: g, open: map[string]bool{}}
 }
 
-// Gate says, at the moment at which a session is admitted, whether it may be, and under which
+// Gate says, at the moment at which a request is admitted, whether it may be, and under which
 // version of the policy. It must wait for nobody.
 type Gate func() (version uint64, at time.Time, admits bool)
 
-// Gate sets the gate. Before any session.
+// Gate sets the gate. Before any request.
 func (rd *Reader) Gate(g Gate) { rd.gate = g }
 
 // Admits tells whether new work is admitted now.
@@ -125,11 +123,11 @@
 }
 
 // noPolicy is what is told where no policy may be served under. It has not run.
-func noPolicy(cfg *config.Config) *Deny {
-	return &Deny{http.StatusServiceUnavailable, "no policy is in force here", min(cfg.Module.MaxRetryAfter, 500*time.Millisecond)}
+func noPolicy(cfg *config.Config) *Rejection {
+	return &Rejection{http.StatusServiceUnavailable, "no policy is in force here", min(cfg.Module.MaxRetryAfter, 500*time.Millisecond)}
 }
 
-// single are the headers that say what a session is. Twice, one copy would be
+// single are the headers that say what a request is. Twice, one copy would be
 // believed here and the other by whoever reads after us.
 var single = []string{"X-Team", "X-Request-Id", "X-Priority-Class", "X-Tenant-Id", "X-Timeout", "Idempotency-Key"}
 
@@ -143,9 +141,11 @@
 	return time.Duration(v * float64(time.Second)), err == nil && v > 0 && v <= 86400
 }
 
-// Read checks and reads one session. Release is to be called once it is answered.
-func (rd *Reader) Read(w http.ResponseWriter, r *http.Request) (*Session, *Deny) {
-	bad := func(text string) (*Session, *Deny) { return nil, &Deny{Status: http.StatusBadRequest, Text: text} }
+// Read checks and reads one request. Release is to be called once it is answered.
+func (rd *Reader) Read(w http.ResponseWriter, r *http.Request) (*JobRequest, *Rejection) {
+	bad := func(text string) (*JobRequest, *Rejection) {
+		return nil, &Rejection{Status: http.StatusBadRequest, Text: text}
+	}
 	control := http.NewResponseController(w)
 	if rd.guard.Full() {
 		// What the kernel has accepted counts as taken: it gets its answer, and
@@ -155,10 +155,10 @@
 	}
 	if r.Method != http.MethodPost {
 		w.Header().Set("Allow", "POST")
-		return nil, &Deny{Status: http.StatusMethodNotAllowed, Text: "jobs arrive by POST"}
+		return nil, &Rejection{Status: http.StatusMethodNotAllowed, Text: "jobs arrive by POST"}
 	}
 	cfg := rd.live.Get()
-	s := &Session{ID: r.Header.Get("X-Request-Id"), cfg: cfg, method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header}
+	s := &JobRequest{ID: r.Header.Get("X-Request-Id"), cfg: cfg, method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header}
 	if s.ID == "" || len(s.ID) > 200 {
 		return bad("X-Request-ID: missing or too long")
 	}
@@ -200,7 +200,7 @@
 	var err error
 	s.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
-		// The time to read stays in force: net/http reads on before the deny.
+		// The time to read stays in force: net/http reads on before the rejection.
 		w.Header().Set("Connection", "close")
 	} else {
 		// A time's up on reading after this point would look like a client that left.
@@ -227,7 +227,7 @@
 	// The same id again while the first is still out would be a second copy at
 	// the loan workers.
 	if rd.open[s.ID] {
-		return nil, &Deny{Status: http.StatusConflict, Text: "X-Request-ID: in use"}
+		return nil, &Rejection{Status: http.StatusConflict, Text: "X-Request-ID: in use"}
 	}
 	rd.open[s.ID] = true
 	if !rd.end.IsZero() && s.Request.Deadline.After(rd.end) {
@@ -236,15 +236,15 @@
 	return s, nil
 }
 
-// Limit bounds the deadline of every session read from now on.
+// Limit bounds the deadline of every request read from now on.
 func (rd *Reader) Limit(end time.Time) {
 	rd.mu.Lock()
 	rd.end = end
 	rd.mu.Unlock()
 }
 
-// Release frees the session's id.
-func (rd *Reader) Release(s *Session) {
+// Release frees the request's id.
+func (rd *Reader) Release(s *JobRequest) {
 	rd.mu.Lock()
 	delete(rd.open, s.ID)
 	rd.mu.Unlock()
@@ -253,7 +253,7 @@
 // Frontend answers clients.
 type Frontend struct {
 	broker   *broker.Broker
-	lines    *Lines
+	lines    *WorkerConns
 	reader   *Reader
 	guard    *Guard
 	started  func() bool // tells whether requests can be served; nil: from the first moment
@@ -265,7 +265,7 @@
 func (f *Frontend) AwaitStart(started func() bool) { f.started = started }
 
 // NewFrontend makes the platform's front.
-func NewFrontend(b *broker.Broker, l *Lines, rd *Reader) *Frontend {
+func NewFrontend(b *broker.Broker, l *WorkerConns, rd *Reader) *Frontend {
 	return &Frontend{broker: b, lines: l, reader: rd, guard: rd.guard}
 }
 
@@ -274,10 +274,10 @@
 	return f.Serve(f.session)
 }
 
-// sound checks what makes a message safe to read on, whatever it is for, and sets
+// checkFraming checks what makes a message safe to read on, whatever it is for, and sets
 // the time to read it.
-func sound(w http.ResponseWriter, r *http.Request) *Deny {
-	// net/http reads on in a denied body before it sends the deny, and has no bound
+func checkFraming(w http.ResponseWriter, r *http.Request) *Rejection {
+	// net/http reads on in a rejected body before it sends the rejection, and has no bound
 	// of its own for that. So the time runs on every path.
 	control, until, fault := http.NewResponseController(w), time.Now().Add(readWithin), ""
 	control.SetWriteDeadline(time.Time{}) // the last answer's on this connection
@@ -287,7 +287,7 @@
 	control.SetReadDeadline(until)
 	for _, name := range single {
 		if len(r.Header[name]) > 1 && fault == "" {
-			return &Deny{Status: http.StatusBadRequest, Text: name + ": comes twice"}
+			return &Rejection{Status: http.StatusBadRequest, Text: name + ": comes twice"}
 		}
 	}
 	// What stands behind such a message can't be told from its body, and behind one
@@ -297,32 +297,32 @@
 	}
 	switch {
 	case fault != "":
-		return &Deny{Status: http.StatusBadRequest, Text: fault}
+		return &Rejection{Status: http.StatusBadRequest, Text: fault}
 	case r.ContentLength > maxBody:
 		return tooLarge
 	}
 	return nil
 }
 
-// Serve makes a server for one front: its sessions, the health check, and the
+// Serve makes a server for one front: its requests, the health check, and the
 // guard that all fronts share. It is to serve on the guard's listener.
 func (f *Frontend) Serve(session http.HandlerFunc) *http.Server {
 	return &http.Server{
 		Handler: http.HandlerFunc(func(plain http.ResponseWriter, r *http.Request) {
-			w := lastly{plain, f}
-			if deny := sound(w, r); deny != nil {
-				deny.Write(w)
+			w := closingResponse{plain, f}
+			if rejection := checkFraming(w, r); rejection != nil {
+				rejection.Write(w)
 				return
 			}
 			switch {
 			case r.URL.Path != "/healthz":
 				session(w, r)
 			case f.Draining():
-				(&Deny{Status: http.StatusServiceUnavailable, Text: "stopping"}).Write(w)
+				(&Rejection{Status: http.StatusServiceUnavailable, Text: "stopping"}).Write(w)
 			case f.started != nil && !f.started():
-				(&Deny{Status: http.StatusServiceUnavailable, Text: "no list of loan workers yet"}).Write(w)
+				(&Rejection{Status: http.StatusServiceUnavailable, Text: "no list of loan workers yet"}).Write(w)
 			case !f.reader.Admits():
-				(&Deny{Status: http.StatusServiceUnavailable, Text: "no policy is in force here"}).Write(w)
+				(&Rejection{Status: http.StatusServiceUnavailable, Text: "no policy is in force here"}).Write(w)
 			default:
 				limitWrite(w)
 				io.WriteString(w, "ok\n")
@@ -341,21 +341,21 @@
 // races with the request that is on its way.
 func (f *Frontend) Leave() { f.leaving.Store(true) }
 
-// lastly is a response that says at its head whether more may follow on its
-// connection. A session may be out when that changes.
-type lastly struct {
+// closingResponse is a response that says at its head whether more may follow on its
+// connection. A request may be out when that changes.
+type closingResponse struct {
 	http.ResponseWriter
 	f *Frontend
 }
 
-func (w lastly) WriteHeader(status int) {
+func (w closingResponse) WriteHeader(status int) {
 	if w.f.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	w.ResponseWriter.WriteHeader(status)
 }
 
-func (w lastly) Write(p []byte) (int, error) {
+func (w closingResponse) Write(p []byte) (int, error) {
 	if w.f.leaving.Load() {
 		w.Header().Set("Connection", "close") // without effect once the head is out
 	}
@@ -363,23 +363,23 @@
 }
 
 // Unwrap is for http.ResponseController.
-func (w lastly) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+func (w closingResponse) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
 // Draining tells whether Drain was called.
 func (f *Frontend) Draining() bool { return f.draining.Load() }
 
 func (f *Frontend) session(w http.ResponseWriter, r *http.Request) {
-	s, deny := f.reader.Read(w, r)
-	if deny != nil {
-		deny.Write(w)
+	s, rejection := f.reader.Read(w, r)
+	if rejection != nil {
+		rejection.Write(w)
 		return
 	}
 	defer f.reader.Release(s)
 	ctx, stop := ClientContext(r)
 	defer stop()
 	answer := f.broker.Serve(ctx, s.Request, f.lines.Do(s))
-	if deny := Denial(answer); deny != nil {
-		deny.Write(w)
+	if rejection := RejectionOf(answer); rejection != nil {
+		rejection.Write(w)
 		return
 	}
 	if answer.Verdict == broker.Served {
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -200,7 +200,7 @@
 	}
 }
 
-// state is the server's hook: an answered session leaves its connection idle.
+// state is the server's hook: an answered request leaves its connection idle.
 func (g *Guard) state(nc net.Conn, state http.ConnState) {
 	if c, ok := nc.(*conn); ok && state == http.StateIdle {
 		g.mu.Lock()
--- a/internal/platform/job.go
+++ b/internal/platform/job.go
@@ -1,7 +1,7 @@
 package platform
 
 // This file owns jobs of our own making, such as steps of workflows: they go over the same
-// connections as clients' sessions, and no client waits for them. It must never send one.
+// connections as clients' requests, and no client waits for them. It must never send one.
 
 import (
 	"net/http"
@@ -19,8 +19,8 @@
 	May           func() bool // asked just before the first byte; nil: it always may
 }
 
-// NewJob makes a session of a job under a configuration that has its class.
-func NewJob(cfg *config.Config, j Job, q broker.Request) *Session {
+// NewJob makes a request of a job under a configuration that has its class.
+func NewJob(cfg *config.Config, j Job, q broker.Request) *JobRequest {
 	h := http.Header{"X-Priority-Class": {j.Class}, "Content-Type": {"application/json"}}
 	if j.Tenant != "" {
 		h.Set("X-Tenant-Id", j.Tenant)
@@ -28,5 +28,5 @@
 	if j.Key != "" {
 		h.Set("Idempotency-Key", j.Key)
 	}
-	return &Session{ID: j.ID, Request: q, cfg: cfg, method: http.MethodPost, uri: "/" + url.PathEscape(j.Class), host: cfg.Name, header: h, body: j.Body, may: j.May}
+	return &JobRequest{ID: j.ID, Request: q, cfg: cfg, method: http.MethodPost, uri: "/" + url.PathEscape(j.Class), host: cfg.Name, header: h, body: j.Body, may: j.May}
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -53,14 +53,14 @@
 	defer server.Close()
 	w := broker.Worker{ID: "s", Addr: server.Listener.Addr().String()}
 	b.List(linnetlift.ListFull, []broker.Worker{w})
-	lines := NewLines(config.NewLive(cfg), 8)
+	lines := NewWorkerConns(config.NewLive(cfg), 8)
 	dial := lines.transport.DialContext
 	lines.transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		w.State = linnetlift.Draining
 		b.List(linnetlift.ListDelta, []broker.Worker{w})
 		return dial(ctx, network, addr)
 	}
-	s := &Session{cfg: cfg, ID: "r", method: "POST", uri: "/unsafe", header: http.Header{}, body: []byte("x"),
+	s := &JobRequest{cfg: cfg, ID: "r", method: "POST", uri: "/unsafe", header: http.Header{}, body: []byte("x"),
 		Request: broker.Request{Slots: 1, Deadline: time.Now().Add(500 * time.Millisecond)}}
 	if got := b.Serve(t.Context(), s.Request, lines.Do(s)); got.Verdict != broker.Refused {
 		t.Errorf("got %+v, want a refusal: nothing has run", got)
@@ -91,7 +91,7 @@
 			}
 		}()
 		b.List(linnetlift.ListFull, []broker.Worker{{ID: "s", Addr: l.Addr().String()}})
-		lines := NewLines(config.NewLive(cfg), 8)
+		lines := NewWorkerConns(config.NewLive(cfg), 8)
 		var conn net.Conn
 		dial := lines.transport.DialContext
 		lines.transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -99,11 +99,11 @@
 			conn = c
 			return c, err
 		}
-		s := &Session{cfg: cfg, ID: "r", method: "POST", uri: "/unsafe", header: http.Header{},
+		s := &JobRequest{cfg: cfg, ID: "r", method: "POST", uri: "/unsafe", header: http.Header{},
 			Request: broker.Request{Slots: 1, Deadline: time.Now().Add(1500 * time.Millisecond)}}
 		b.Serve(t.Context(), s.Request, func(ctx context.Context, a *broker.Attempt) broker.Outcome {
 			o := lines.Do(s)(ctx, a)
-			if _, err := conn.(*line).Conn.Write([]byte("x")); o.Code != broker.TimedOut && o.Code != broker.Broken || !errors.Is(err, net.ErrClosed) {
+			if _, err := conn.(*workerConn).Conn.Write([]byte("x")); o.Code != broker.TimedOut && o.Code != broker.Broken || !errors.Is(err, net.ErrClosed) {
 				t.Errorf("%s: told %+v while a write gives %v", name, o, err)
 			}
 			return o
@@ -114,7 +114,7 @@
 // The transport's own settings that the rules or the loan workers' cost rest on.
 func TestTransportSettings(t *testing.T) {
 	cfg := testConfig()
-	tr := NewLines(config.NewLive(cfg), 300).transport
+	tr := NewWorkerConns(config.NewLive(cfg), 300).transport
 	switch {
 	case tr.IdleConnTimeout <= 0 || tr.IdleConnTimeout >= cfg.IdleClose:
 		t.Errorf("idle connections stay %v; loan workers close theirs after %v", tr.IdleConnTimeout, cfg.IdleClose)
@@ -138,7 +138,7 @@
 	}
 	addr := fmt.Sprintf("127.0.0.1:%d", sa.(*syscall.SockaddrInet4).Port)
 	cfg.ConnectTimeout = 100 * time.Millisecond
-	lines := NewLines(config.NewLive(cfg), 16)
+	lines := NewWorkerConns(config.NewLive(cfg), 16)
 	for range 8 {
 		conn, err := lines.transport.DialContext(t.Context(), "tcp", addr)
 		if err == nil {
@@ -158,9 +158,9 @@
 	cfg := testConfig()
 	b := testBroker(t, cfg)
 	b.List(linnetlift.ListFull, []broker.Worker{{ID: "s", Addr: "127.0.0.1:1"}})
-	lines := NewLines(config.NewLive(cfg), 1)
+	lines := NewWorkerConns(config.NewLive(cfg), 1)
 	lines.take()
-	s := &Session{cfg: cfg, ID: "r", method: "POST", uri: "/unsafe", header: http.Header{},
+	s := &JobRequest{cfg: cfg, ID: "r", method: "POST", uri: "/unsafe", header: http.Header{},
 		Request: broker.Request{Slots: 1, Deadline: time.Now().Add(300 * time.Millisecond)}}
 	got := b.Serve(t.Context(), s.Request, func(ctx context.Context, a *broker.Attempt) broker.Outcome {
 		o := lines.Do(s)(ctx, a)
@@ -283,9 +283,9 @@
 	}
 }
 
-// A kept connection that was reset unseen costs the session that finds it, and no
+// A kept connection that was reset unseen costs the request that finds it, and no
 // other that has one life: those get connections of their own for a while. A
-// session that may be repeated goes on using kept ones.
+// request that may be repeated goes on using kept ones.
 func TestKeptConnectionInDoubt(t *testing.T) {
 	cfg := testConfig()
 	cfg.Module.Classes = append(cfg.Module.Classes, linnetlift.Class{Name: "keyed", Aim: 20 * time.Second, Deadline: 5 * time.Second,
@@ -296,7 +296,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	served := make(chan int, 16) // the number of the connection that each session came over
+	served := make(chan int, 16) // the number of the connection that each request came over
 	go func() {
 		for n := 0; ; n++ {
 			conn, err := l.Accept()
@@ -312,7 +312,7 @@
 					}
 					io.Copy(io.Discard, req.Body)
 					served <- n
-					if n == 0 && i == 1 { // the first connection is reset at its second session
+					if n == 0 && i == 1 { // the first connection is reset at its second request
 						conn.(*net.TCPConn).SetLinger(0)
 						conn.Close()
 						return
@@ -324,12 +324,12 @@
 		}
 	}()
 	b.List(linnetlift.ListFull, []broker.Worker{{ID: "s", Addr: l.Addr().String()}})
-	lines := NewLines(config.NewLive(cfg), 16)
+	lines := NewWorkerConns(config.NewLive(cfg), 16)
 	for i, c := range []struct {
 		class, conn int
 		code        broker.Code
 	}{{0, 0, broker.OK}, {0, 0, broker.Dropped}, {0, 1, broker.OK}, {1, 2, broker.OK}, {1, 2, broker.OK}, {0, 3, broker.OK}} {
-		s := &Session{cfg: cfg, ID: fmt.Sprint("r", i), method: "POST", uri: "/x", header: http.Header{}, body: []byte("x"),
+		s := &JobRequest{cfg: cfg, ID: fmt.Sprint("r", i), method: "POST", uri: "/x", header: http.Header{}, body: []byte("x"),
 			Request: broker.Request{Class: c.class, Slots: 1, Deadline: time.Now().Add(5 * time.Second)}}
 		b.Serve(t.Context(), s.Request, func(ctx context.Context, a *broker.Attempt) broker.Outcome {
 			o := lines.Do(s)(ctx, a)
--- a/internal/serve/flows/flows.go
+++ b/internal/serve/flows/flows.go
@@ -38,7 +38,7 @@
 	Now   func() time.Duration                                               // the clock that stays are told by
 	Log   func(line string)
 	Live  *config.Live
-	Lines *platform.Lines
+	Lines *platform.WorkerConns
 }
 
 // Runner is one dispatcher's.
--- a/internal/sse/front.go
+++ b/internal/sse/front.go
@@ -36,46 +36,46 @@
 type Front struct {
 	live   *config.Live
 	broker *broker.Broker
-	lines  *platform.Lines
+	lines  *platform.WorkerConns
 	reader *platform.Reader
 }
 
 // New makes the front.
-func New(live *config.Live, b *broker.Broker, l *platform.Lines, rd *platform.Reader) *Front {
+func New(live *config.Live, b *broker.Broker, l *platform.WorkerConns, rd *platform.Reader) *Front {
 	return &Front{live, b, l, rd}
 }
 
-// contract finds the team's contract and what it says of this session.
-func (f *Front) contract(r *http.Request) (*config.Contract, *platform.Deny) {
+// contract finds the team's contract and what it says of this request.
+func (f *Front) contract(r *http.Request) (*config.Contract, *platform.Rejection) {
 	team := r.Header.Get("X-Team")
 	i := slices.IndexFunc(f.live.Get().SSE.Contracts, func(k config.Contract) bool { return k.Team == team })
 	if i < 0 {
-		return nil, &platform.Deny{Status: http.StatusForbidden, Text: "X-Team: no contract"}
+		return nil, &platform.Rejection{Status: http.StatusForbidden, Text: "X-Team: no contract"}
 	}
 	k := &f.live.Get().SSE.Contracts[i]
 	if class := r.Header.Get("X-Priority-Class"); slices.Contains(f.live.Get().Classes, class) && !slices.Contains(k.Classes, class) {
-		return nil, &platform.Deny{Status: http.StatusForbidden, Text: "X-Priority-Class: not in the contract"}
+		return nil, &platform.Rejection{Status: http.StatusForbidden, Text: "X-Priority-Class: not in the contract"}
 	}
 	switch r.Header.Get("X-Tenant-Id") {
 	case "":
 		r.Header.Set("X-Tenant-Id", k.Tenant)
 	case k.Tenant:
 	default:
-		return nil, &platform.Deny{Status: http.StatusForbidden, Text: "X-Tenant-Id: not in the contract"}
+		return nil, &platform.Rejection{Status: http.StatusForbidden, Text: "X-Tenant-Id: not in the contract"}
 	}
 	return k, nil
 }
 
 // Session answers one request; it is the front's handler.
 func (f *Front) Session(w http.ResponseWriter, r *http.Request) {
-	k, deny := f.contract(r)
-	if deny != nil {
-		deny.Write(w)
+	k, rejection := f.contract(r)
+	if rejection != nil {
+		rejection.Write(w)
 		return
 	}
-	s, deny := f.reader.Read(w, r)
-	if deny != nil {
-		deny.Write(w)
+	s, rejection := f.reader.Read(w, r)
+	if rejection != nil {
+		rejection.Write(w)
 		return
 	}
 	defer f.reader.Release(s)
@@ -90,13 +90,13 @@
 		st.abandon()
 		return
 	}
-	deny = platform.Denial(answer)
-	if deny == nil {
+	rejection = platform.RejectionOf(answer)
+	if rejection == nil {
 		st.finish(Event{Type: typeResult, Data: string(answer.Result)})
 		return
 	}
 	if !st.started() {
-		deny.Write(w) // nothing is out yet: the plain status says it best
+		rejection.Write(w) // nothing is out yet: the plain status says it best
 		return
 	}
 	text, _ := json.Marshal(struct {
@@ -104,12 +104,12 @@
 		Error      string  `json:"error"`
 		RetryAfter float64 `json:"retry_after,omitempty"`
 		Harmless   bool    `json:"retry_harmless"`
-	}{deny.Status, deny.Text, deny.Seconds(), answer.Verdict == broker.Refused})
+	}{rejection.Status, rejection.Text, rejection.Seconds(), answer.Verdict == broker.Refused})
 	st.finish(Event{Type: typeError, Data: string(text)})
 }
 
 // do is the attempt function: one dispatch, its events carried on as progress.
-func (f *Front) do(s *platform.Session, st *stream) broker.Do {
+func (f *Front) do(s *platform.JobRequest, st *stream) broker.Do {
 	return func(ctx context.Context, a *broker.Attempt) broker.Outcome {
 		x, o := f.lines.Open(ctx, a, s, "text/event-stream, application/json;q=0.5")
 		if x == nil {
@@ -118,7 +118,7 @@
 		load := x.Load([]byte(x.Header.Get("X-Server-Load")))
 		if kind, _, _ := mime.ParseMediaType(x.Header.Get("Content-Type")); kind != "text/event-stream" {
 			// A loan worker that knows no events: its lines tell as much.
-			return x.Lines(a, s, load, func(state string, line []byte) {
+			return x.ReadLines(a, s, load, func(state string, line []byte) {
 				st.progress(a.N, Event{Type: state, Data: string(line)})
 			})
 		}
