--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -550,7 +550,8 @@
 
 // The slow-start budget holds for all dispatchers together, one or many.
 func TestSlowStartBudget(t *testing.T) {
-	for _, n := range []int{1, 20, 250} {
+	const life = 5 * time.Second // of the worker, the first time
+	for _, n := range []int{1, 2, 4, 5, 20, 30, 250, 300} {
 		var sent []time.Duration
 		for me := range n {
 			s := testSettings()
@@ -559,7 +560,10 @@
 			start := time.Hour
 			d.List(start, ListCached, []Worker{{ID: 1, Weight: 1, Launched: start}}, out)
 			id, running := RequestID(0), map[time.Duration]action{}
-			for now := start; now < start+8*time.Second; now += 25 * ms {
+			for now := start; now < start+life+8*time.Second; now += 25 * ms {
+				if now == start+life { // it comes cold a second time
+					d.List(now, ListDelta, []Worker{{ID: 1, Weight: 1, Launched: now}}, out)
+				}
 				id++
 				if a, ok := running[now]; ok {
 					d.Outcome(now, Outcome{ID: a.id, Worker: a.w, Code: OK, Ended: true}, out)
@@ -577,14 +581,18 @@
 			}
 		}
 		s := testSettings()
-		for from := time.Duration(0); from < 7*time.Second; from += 100 * ms {
+		for from := time.Duration(0); from < life+7*time.Second; from += 100 * ms {
 			work := 0.0
 			for _, at := range sent {
 				if at >= from && at < from+s.FallTime {
 					work += 0.1
 				}
 			}
-			share := s.ColdShare + (1-s.ColdShare)*from.Seconds()/s.ColdTime.Seconds()
+			age := from
+			if from+s.FallTime > life { // what was sent to its last life counts for nothing there
+				age = max(from-life, 0)
+			}
+			share := s.ColdShare + (1-s.ColdShare)*age.Seconds()/s.ColdTime.Seconds()
 			if limit := s.FallMultiple * share * s.FallTime.Seconds(); work > limit {
 				t.Fatalf("%d dispatchers sent %.2f slot-seconds from %v, the worker bears %.2f", n, work, from, limit)
 			}
