A long outage of discovery leaves no process serving nobody

Ruled out: hurrying for good, which an overbooked service does not bear (3 min, not 20 s, for half of 56 dispatchers at 5.5 calls a second). Once the first call after the long pause has failed too, discovery is taken to be down, and the list held serves until it answers. Measured in virtual time: of 1 and 300 dispatchers none sends to nobody past 45 s of an outage of 100 s, nor for more than 25 s in all; the test fails without the mend.

--- a/internal/platform/staleness.go
+++ b/internal/platform/staleness.go
@@ -176,6 +176,17 @@
 	}
 }
 
+// outage takes discovery to be down: all calls since its last word have failed, with long pauses
+// between the last of them. Nothing is told by anybody then, and the list held serves on. What
+// changes after its return is told by the next call, which may be later than it counts as told.
+func (t *Table) outage() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stale.cause == callFailed && t.stale.end() {
+		t.broker.ListStale(false)
+	}
+}
+
 // told ends what expire began, and the wait for it. The list of on, a word whole and
 // handed on, is the one that was waited for unless discovery has moved again since.
 func (t *Table) told(on *source) {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -181,6 +181,9 @@
 		t.hurried++
 		return false, cadence.Again(t.dispatchers(), t.hurried, left, max(t.failTime, usualFail), t.draw())
 	}
+	if t.failed > t.hurried+1 {
+		t.outage()
+	}
 	// Beside the module's own pause, which ends with its asking again.
 	return true, cadence.AfterFailure(t.dispatchers(), max(t.failed-t.hurried, 1), t.draw())
 }
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -166,6 +167,29 @@
 	}
 }
 
+// Discovery is down for long. Dispatchers that are many pause after some calls, and send nothing
+// for a while; then it is taken to be down, and the list of before serves until it is back.
+func TestALongOutageStopsNobodyForLong(t *testing.T) {
+	for _, n := range []int{1, 300} {
+		d := &quiet{until: 2 * time.Minute, busy: 2 * time.Second, text: oneWorker}
+		var mu sync.Mutex
+		blind := make([]int, n)
+		follow(t, n, false, d, 100*time.Second, func(i int, at time.Duration, _ *Table, b *broker.Broker) {
+			mu.Lock()
+			defer mu.Unlock()
+			if b.Stats().Ready == 0 {
+				blind[i]++
+				if at > 45*time.Second {
+					t.Errorf("dispatcher %d of %d sends to nobody at %v", i, n, at)
+				}
+			}
+		})
+		if most := time.Duration(slices.Max(blind)) * 50 * time.Millisecond; most > 25*time.Second {
+			t.Errorf("one of %d dispatchers sends to nobody for %v", n, most)
+		}
+	}
+}
+
 // A process starts on the list of an earlier one. What changed while it was not there may count
 // as told already, so nothing is sent until the first call has ended, and the health check says
 // so: 26 dispatchers of a zone day sent to workers 10 s gone. Where nobody is there to tell
