--- /dev/null
+++ b/cmd/yardflow/signals_test.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"linnetlift/internal/standin/roster"
+	"linnetlift/internal/standin/script"
+)
+
+// asProgram is set for the test's own binary when it is to run as the program.
+const asProgram = "YARDFLOW_TEST_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		os.Args = os.Args[:1]
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// program starts the program as a process of its own, with one worker that discovery tells of. It
+// gives the process and its standard error.
+func program(t *testing.T, worker string) (*exec.Cmd, *bufio.Scanner) {
+	list := roster.Start()
+	t.Cleanup(list.Close)
+	list.Set(roster.Entry{ID: "s-1", Addr: worker, Zone: "praha-holesovice", Kind: "dual-fast", Lifecycle: "SERVING", Weight: 1})
+	text, err := os.ReadFile("testdata/settings.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err = json.Marshal(map[string]any{"name": "n0", "seed": "01", "settings": json.RawMessage(text), "listen": "127.0.0.1:0",
+		"discovery": list.Addr, "known": map[string]any{"generation": 0, "instances": []any{}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(self)
+	cmd.Env = append(os.Environ(), asProgram+"=1", "NODE_CONFIG="+file, "TMPDIR="+t.TempDir())
+	stderr, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	return cmd, bufio.NewScanner(stderr)
+}
+
+// ended waits for the process's end, and fails where it exits in error or not at all.
+func ended(t *testing.T, cmd *exec.Cmd) {
+	t.Helper()
+	done := make(chan error, 1)
+	go func() { done <- cmd.Wait() }()
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(2 * patience):
+		t.Fatal("the process does not end")
+	}
+}
+
+// A second and a third SIGTERM, and a SIGHUP between them, change nothing about a stop: what was
+// taken is answered.
+func TestASecondSIGTERMCutsNothingShort(t *testing.T) {
+	worker := script.NewWorker(t)
+	cmd, log := program(t, worker.Addr)
+	line := func(part string) string {
+		for log.Scan() {
+			if strings.Contains(log.Text(), part) {
+				return log.Text()
+			}
+		}
+		t.Fatal("the program never says ", part)
+		return ""
+	}
+	at := regexp.MustCompile(`serves on (\S+)`).FindStringSubmatch(line("serves on"))
+	line("first told")
+	addr, err := net.ResolveTCPAddr("tcp", at[1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := script.Dial(t, addr)
+	request := strings.Replace(fmt.Sprintf(job, "r1"), "X-Timeout: 5\n", "X-Timeout: 5\nContent-Length: 1\n", 1)
+	c.Send(strings.ReplaceAll(request, "\n", "\r\n"))
+	call := worker.Next()
+	cmd.Process.Signal(syscall.SIGTERM)
+	line("stopping")
+	cmd.Process.Signal(syscall.SIGTERM)
+	cmd.Process.Signal(syscall.SIGHUP)
+	line("reload")
+	cmd.Process.Signal(syscall.SIGTERM)
+	call.Done("ok")
+	if status, body := c.Answer(); status != 200 || body != "ok" {
+		t.Errorf("status %d, body %q", status, body)
+	}
+	c.Close()
+	for log.Scan() {
+	}
+	ended(t, cmd)
+}
+
+// SIGTERM in the moment in which the program begins to serve ends it in order.
+func TestSIGTERMAtTheStartEndsInOrder(t *testing.T) {
+	cmd, log := program(t, script.NewWorker(t).Addr)
+	for log.Scan() && !strings.Contains(log.Text(), "serves on") {
+	}
+	cmd.Process.Signal(syscall.SIGTERM)
+	for log.Scan() {
+	}
+	ended(t, cmd)
+}
--- a/internal/platform/endings_test.go
+++ b/internal/platform/endings_test.go
@@ -253,7 +253,7 @@
 	}
 }
 
-// gone collects how requests ended at the broker.
+// verdicts counts how requests that were answered ended at the broker.
 func (e *endings) verdicts() func(broker.Verdict) int {
 	var mu sync.Mutex
 	count := map[string]int{}
@@ -397,3 +397,78 @@
 	}
 	e.none()
 }
+
+// A client leaves while the connection for its request is being made: nothing is written to it.
+func TestAClientThatLeavesWhileConnectingIsNotSentFor(t *testing.T) {
+	e := newEndings(t, nil)
+	dialing, left := make(chan struct{}), make(chan struct{})
+	dial := e.lines.transport.DialContext
+	e.lines.transport.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		close(dialing)
+		<-left
+		return dial(context.WithoutCancel(ctx), network, addr) // it comes up all the same
+	}
+	e.start()
+	c := script.Dial(e, e.listen.Addr())
+	c.Send(script.Job("unsafe", "r"))
+	<-dialing
+	c.Close()
+	e.await("the request has ended", func() bool { return e.broker.Stats().Open == 0 })
+	close(left)
+	e.await("its connection has come up", func() bool {
+		e.lines.mu.Lock()
+		defer e.lines.mu.Unlock()
+		return len(e.lines.open) == 1
+	})
+	e.none()
+}
+
+// What a worker sends behind its last line, and how its connection ends then, changes nothing; what
+// ends before a last line may have run, and is not sent again.
+func TestHowAWorkersAnswerEnds(t *testing.T) {
+	line := func(state string) string { return `{"id":"r","state":"` + state + `","result":"ok"}` + "\n" }
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 4096\r\n\r\n"
+	for name, c := range map[string]struct {
+		answer string
+		status int
+		body   string
+	}{
+		"a second last line":            {head + line("done") + line("failed"), 200, "ok"},
+		"a reset behind the last line":  {head + line("done"), 200, "ok"},
+		"half a last line":              {head + line("done")[:20], http.StatusBadGateway, ""},
+		"a last line without its end":   {head + strings.TrimSuffix(line("done"), "\n"), http.StatusBadGateway, ""},
+		"a result that is missing":      {head + `{"id":"r","state":"done"}` + "\n", http.StatusBadGateway, ""},
+		"half a head":                   {"HTTP/1.1 200 OK\r\nConte", http.StatusBadGateway, ""},
+		"an error without the mark":     {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", http.StatusBadGateway, ""},
+		"an answer that is no protocol": {"hello\r\n\r\n", http.StatusBadGateway, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEndings(t, nil).start()
+			client := script.Dial(e, e.listen.Addr())
+			client.Send(script.Job("unsafe", "r"))
+			call := e.worker.Next()
+			fmt.Fprint(call.Conn, c.answer)
+			call.Conn.(*net.TCPConn).SetLinger(0)
+			call.Conn.Close()
+			if status, body := client.Answer(); status != c.status || c.body != "" && body != c.body {
+				t.Errorf("status %d, body %q", status, body)
+			}
+			e.none()
+		})
+	}
+}
+
+// A worker takes a body of many packets whole and resets the connection: it may have run.
+func TestAResetBehindALargeBodyMayHaveRun(t *testing.T) {
+	e := newEndings(t, nil).start()
+	client := script.Dial(e, e.listen.Addr())
+	request := strings.Replace(script.Job("unsafe", "r"), "Content-Length: 1\r\n\r\nx", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", maxBody, strings.Repeat("x", maxBody)), 1)
+	client.Send(request)
+	call := e.worker.Next()
+	call.Conn.(*net.TCPConn).SetLinger(0)
+	call.Conn.Close()
+	if status, _ := client.Answer(); status != http.StatusBadGateway {
+		t.Error("status", status)
+	}
+	e.none()
+}
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -196,12 +196,12 @@
 // anything the list of before serves.
 func TestNothingIsSentByTheListOfBeforeTheStart(t *testing.T) {
 	for name, d := range map[string]*quiet{
-		"told": {}, "refused": {until: time.Hour, refuse: true}, "failed": {until: time.Hour, busy: time.Second},
+		"told": {}, "refused": {until: time.Hour, refuse: true}, "failed": {until: time.Hour, busy: time.Second}, "silent": {until: time.Hour},
 	} {
 		d.cost, d.text = 10*time.Millisecond, oneWorker
 		var mu sync.Mutex
 		starts := map[int]time.Duration{}
-		follow(t, 300, false, d, 7*time.Second, func(i int, at time.Duration, table *Table, b *broker.Broker) {
+		follow(t, 300, false, d, 8*time.Second, func(i int, at time.Duration, table *Table, b *broker.Broker) {
 			mu.Lock()
 			defer mu.Unlock()
 			started, ready := table.Started(), b.Stats().Ready
