A listener that is closed takes what waits, however late its goroutine runs

Found by playing the tests of endings many times under -race on a loaded machine: once in 6.5 min TestAListenerIsClosedOverNobody had no call. When the goroutine in Accept ran only after the 5 ms that a close gives it, net returned the time-out without a look at the backlog, and the socket was closed over a connection in it; after 50 ms the close no longer waited for that goroutine at all. Accept now gives itself 5 ms anew once a close has begun, so it looks at least once, and a close waits up to 1 s where nobody accepts.

--- a/internal/platform/listener.go
+++ b/internal/platform/listener.go
@@ -13,7 +13,12 @@
 // tooManyText is the rejection of a connection that is past the budget and its overflow.
 const tooManyText = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
-const rejectWithin = 100 * time.Millisecond
+const (
+	rejectWithin = 100 * time.Millisecond
+	// nobodyAccepts is how long a close waits for the goroutine in Accept, which a busy machine
+	// may keep from running.
+	nobodyAccepts = time.Second
+)
 
 // Listen wraps a listener of this machine's, which must be a TCP listener.
 func (g *Guard) Listen(l net.Listener) net.Listener {
@@ -32,11 +37,18 @@
 // stops: what the kernel has accepted counts as taken.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
+		closing := l.closing.Load()
+		if closing { // what waits now is taken, however late this goroutine comes to it
+			l.SetDeadline(time.Now().Add(backlogWait))
+		}
 		tcp, err := l.AcceptTCP()
-		if err != nil {
-			if l.closing.Load() {
-				return nil, l.shut()
-			}
+		switch {
+		case err == nil:
+		case closing:
+			return nil, l.shut()
+		case l.closing.Load():
+			continue // it was waiting when the close began
+		default:
 			return nil, err
 		}
 		c := &conn{TCPConn: tcp, g: l.g, since: time.Now()}
@@ -68,7 +80,7 @@
 	l.SetDeadline(time.Now().Add(backlogWait))
 	select {
 	case <-l.closed:
-	case <-time.After(10 * backlogWait): // nobody accepts
+	case <-time.After(nobodyAccepts):
 		l.shut()
 	}
 	return nil
