In an upgrade the old process leaves the shared socket at once

make test failed in TestUpgrade on a busy machine: since a close takes what waits in the kernel, the old process took a connection for up to 5 ms after it had been succeeded, and answered it as its last. On a socket that another process listens on too there is nothing to take: what waits is that one's. Listener.Release closes at once there; all other listeners close as before. Ruled out: a reload or the second front's listener, which is the old process's own.

--- a/cmd/yardflow/node.go
+++ b/cmd/yardflow/node.go
@@ -52,7 +52,7 @@
 	front       *platform.Frontend
 	mu          sync.Mutex
 	servers     []*http.Server
-	listeners   []net.Listener
+	listeners   []*platform.Listener
 	console     *console.Console
 	limitMemory func(bytes int64)
 	bans        *handover.Bans
--- a/cmd/yardflow/stop.go
+++ b/cmd/yardflow/stop.go
@@ -47,8 +47,12 @@
 		time.Sleep(lameDuck)
 		n.reader.Limit(began.Add(kill - killMargin))
 	}
-	for _, l := range n.listeners {
-		if err := l.Close(); !errors.Is(err, net.ErrClosed) {
+	for i, l := range n.listeners {
+		end := l.Close
+		if over && i == 0 { // the clients' socket, which the other process listens on too
+			end = l.Release
+		}
+		if err := end(); !errors.Is(err, net.ErrClosed) {
 			errs = append(errs, err)
 		}
 	}
--- a/internal/platform/endings_test.go
+++ b/internal/platform/endings_test.go
@@ -25,7 +25,7 @@
 	guard  *Guard
 	front  *Frontend
 	server *http.Server
-	listen net.Listener
+	listen *Listener
 	worker *script.Worker
 	lines  *WorkerConns
 	broker *broker.Broker
@@ -229,7 +229,7 @@
 	c.Send(script.Job("unsafe", "waiting"))
 	closed := make(chan error)
 	go func() { closed <- e.listen.Close() }()
-	for !e.listen.(*listener).closing.Load() {
+	for !e.listen.closing.Load() {
 		time.Sleep(100 * time.Microsecond)
 	}
 	e.start()
@@ -245,6 +245,38 @@
 	}
 }
 
+// Where another process listens on the same socket, what waits is that one's.
+func TestAListenerThatIsReleasedLeavesWhatWaits(t *testing.T) {
+	e := newEndings(t, nil)
+	file, err := e.listen.File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	other, err := net.FileListener(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	c := script.Dial(e, e.listen.Addr())
+	e.start()
+	e.await("it is accepted", func() bool { return e.guard.Open() == 1 })
+	c.Close()
+	if err := e.listen.Release(); err != nil {
+		t.Error(err)
+	}
+	next := script.Dial(e, other.Addr())
+	next.Send("x")
+	conn, err := other.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if n, err := conn.Read(make([]byte, 1)); n != 1 {
+		t.Error("the other process gets nothing:", err)
+	}
+}
+
 // A listener that nobody accepts from is closed all the same.
 func TestAListenerIsClosedThoughNobodyAccepts(t *testing.T) {
 	e := newEndings(t, nil)
--- a/internal/platform/listener.go
+++ b/internal/platform/listener.go
@@ -21,11 +21,12 @@
 )
 
 // Listen wraps a listener of this machine's, which must be a TCP listener.
-func (g *Guard) Listen(l net.Listener) net.Listener {
-	return &listener{TCPListener: l.(*net.TCPListener), g: g, closed: make(chan struct{})}
+func (g *Guard) Listen(l net.Listener) *Listener {
+	return &Listener{TCPListener: l.(*net.TCPListener), g: g, closed: make(chan struct{})}
 }
 
-type listener struct {
+// Listener accepts clients' connections within a guard's budget.
+type Listener struct {
 	*net.TCPListener
 	g       *Guard
 	closing atomic.Bool
@@ -35,7 +36,7 @@
 
 // Accept takes the next connection and makes room for it. Accepting never
 // stops: what the kernel has accepted counts as taken.
-func (l *listener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		closing := l.closing.Load()
 		if closing { // what waits now is taken, however late this goroutine comes to it
@@ -73,7 +74,7 @@
 // Close stops listening once the connections that the kernel has accepted are taken: closed
 // over them, the socket would reset each, and requests may have been written to them. The
 // goroutine in Accept does it, within backlogWait of the last one.
-func (l *listener) Close() error {
+func (l *Listener) Close() error {
 	if !l.closing.CompareAndSwap(false, true) {
 		return net.ErrClosed
 	}
@@ -86,7 +87,17 @@
 	return nil
 }
 
-func (l *listener) shut() error {
+// Release stops listening at once, on a socket that another process listens on too: what the kernel
+// has accepted waits for that one.
+func (l *Listener) Release() error {
+	if !l.closing.CompareAndSwap(false, true) {
+		return net.ErrClosed
+	}
+	l.shut()
+	return nil
+}
+
+func (l *Listener) shut() error {
 	l.once.Do(func() {
 		l.TCPListener.Close()
 		close(l.closed)
