--- /dev/null
+++ b/coordination/chain/chain.go
@@ -0,0 +1,546 @@
+// Package chain replicates an ordered log along a chain of replicas. The head
+// gives entries their order and passes them on at once; every member writes them
+// in parallel, and an entry is committed when the tail knows that all members
+// have it synced. Reads pass the whole chain too, so that a replica that was
+// replaced can't answer one from an old state.
+//
+// A Replica has no I/O, clock or randomness: the host hands it views, messages
+// and finished writes, and carries out what Take returns.
+package chain
+
+import "slices"
+
+// MemberID names a replica's disk; a replica that has lost its disk has another one.
+type MemberID = uint64
+
+// Entry is one entry of the log.
+type Entry struct {
+	Index  uint64   `cbor:"1,keyasint"`
+	Epoch  uint64   `cbor:"2,keyasint"`
+	Origin MemberID `cbor:"3,keyasint"` // the replica at which it came in
+	Tag    uint64   `cbor:"4,keyasint"` // the origin's name for it
+	Data   []byte   `cbor:"5,keyasint"`
+}
+
+// Read is a read on its way through the chain.
+type Read struct {
+	Origin MemberID `cbor:"1,keyasint"`
+	Tag    uint64   `cbor:"2,keyasint"`
+	At     uint64   `cbor:"3,keyasint"` // it may be answered once this entry is applied
+}
+
+// Proposal is what a replica wants the head to order.
+type Proposal struct {
+	Origin MemberID `cbor:"1,keyasint"`
+	Tag    uint64   `cbor:"2,keyasint"`
+	Read   bool     `cbor:"3,keyasint,omitempty"`
+	Data   []byte   `cbor:"4,keyasint,omitempty"`
+}
+
+// Append goes from a member to its successor.
+type Append struct {
+	Epoch     uint64  `cbor:"1,keyasint"`
+	PrevIndex uint64  `cbor:"2,keyasint"`
+	PrevEpoch uint64  `cbor:"3,keyasint"`
+	Entries   []Entry `cbor:"4,keyasint,omitempty"`
+	Synced    uint64  `cbor:"5,keyasint"` // all members before the receiver have it durable up to here
+	Start     uint64  `cbor:"6,keyasint"` // the head's last entry when the view began
+	Reads     []Read  `cbor:"7,keyasint,omitempty"`
+}
+
+// Ack goes from a member to its predecessor.
+type Ack struct {
+	Epoch     uint64 `cbor:"1,keyasint"`
+	Received  uint64 `cbor:"2,keyasint"`
+	Rejected  bool   `cbor:"3,keyasint,omitempty"` // the logs differ at Previous; go on behind Received
+	Previous  uint64 `cbor:"6,keyasint,omitempty"` // of the Append that is rejected
+	Committed uint64 `cbor:"4,keyasint"`
+	Reads     []Read `cbor:"5,keyasint,omitempty"`
+}
+
+// Snapshot brings a member up to an index that its predecessor's log has no more.
+type Snapshot struct {
+	Epoch      uint64 `cbor:"1,keyasint"`
+	Index      uint64 `cbor:"2,keyasint"`
+	IndexEpoch uint64 `cbor:"3,keyasint"`
+	Data       []byte `cbor:"4,keyasint"`
+}
+
+// Message is one of the messages above.
+type Message struct {
+	Append   *Append   `cbor:"1,keyasint,omitempty"`
+	Ack      *Ack      `cbor:"2,keyasint,omitempty"`
+	Snapshot *Snapshot `cbor:"3,keyasint,omitempty"`
+}
+
+// View is the membership in force, as far as the chain needs it.
+type View struct {
+	Epoch   uint64
+	Members []MemberID
+}
+
+// Send is a message for another member.
+type Send struct {
+	To      MemberID
+	Message Message
+}
+
+// Write asks the host to make entries durable, in order, and to call Written then.
+type Write struct {
+	Entries    []Entry
+	Generation uint64
+}
+
+// Output is what the host has to carry out, in the order of the fields.
+type Output struct {
+	Restore   *Snapshot // replace state and log by this, and call Restored once it is durable
+	Writes    []Write
+	Sends     []Send
+	Committed []Entry
+	Reads     []Read // of this replica's own, to be answered after Committed
+	Complete  bool   // the view's log is here: persist that, and call CompletePersisted
+}
+
+// maxBatch bounds the bytes of entries in one Append, and maxFlight those without an acknowledgement.
+const (
+	maxBatch  = 256 << 10
+	maxFlight = 1 << 20
+)
+
+// Replica is one member of the chain.
+type Replica struct {
+	me       MemberID
+	minimum  int // members without which nothing is committed
+	view     View
+	position int // in the view; -1: no member
+
+	base      uint64 // index that the snapshot covers
+	baseEpoch uint64
+	baseData  []byte
+	log       []Entry
+
+	generation uint64
+	synced     uint64 // own durable part of the log
+	received   uint64 // part that is known to be the predecessor's too
+	before     uint64 // part that all members before have durable
+	start      uint64
+	started    bool
+	complete   bool // the log of the view is here, and that is persisted
+	completing bool
+	committed  uint64
+
+	next      uint64 // first entry not yet sent to the successor
+	acked     uint64
+	ackedAt   int // ticks since the successor's last progress
+	rewound   bool
+	rewoundTo uint64
+	toldSync  uint64
+	pending   []Read // reads to pass on
+	held      []Read // reads at the tail that wait for their entry
+	out       Output
+	wantsSend bool
+	ackDue    bool
+	ackReads  []Read
+}
+
+// New returns a replica with the log that its disk held. It takes part in nothing before SetView.
+func New(me MemberID, minimum int, base Snapshot, log []Entry) *Replica {
+	r := &Replica{me: me, minimum: minimum, position: -1, base: base.Index, baseEpoch: base.IndexEpoch,
+		baseData: base.Data, log: log, committed: base.Index}
+	r.synced = r.Last()
+	return r
+}
+
+// Last returns the index of the last entry.
+func (r *Replica) Last() uint64 { return r.base + uint64(len(r.log)) }
+
+// Committed returns the index up to which entries are committed as far as this replica knows.
+func (r *Replica) Committed() uint64 { return r.committed }
+
+// Epoch returns the epoch of the view in force here.
+func (r *Replica) Epoch() uint64 { return r.view.Epoch }
+
+// IsHead reports whether this replica orders entries.
+func (r *Replica) IsHead() bool { return r.position == 0 }
+
+// IsMember reports whether this replica is part of the chain.
+func (r *Replica) IsMember() bool { return r.position >= 0 }
+
+// IsComplete reports whether all entries of the view's beginning are here.
+func (r *Replica) IsComplete() bool { return r.complete }
+
+// Serves reports whether the replica's state follows what is committed.
+func (r *Replica) Serves() bool {
+	return r.position >= 0 && r.complete && len(r.view.Members) >= r.minimum && r.committed >= r.start
+}
+
+// Head returns the head of the view, or 0.
+func (r *Replica) Head() MemberID {
+	if len(r.view.Members) == 0 {
+		return 0
+	}
+	return r.view.Members[0]
+}
+
+func (r *Replica) isTail() bool { return r.position >= 0 && r.position == len(r.view.Members)-1 }
+
+func (r *Replica) successor() MemberID {
+	if r.position < 0 || r.isTail() {
+		return 0
+	}
+	return r.view.Members[r.position+1]
+}
+
+func (r *Replica) predecessor() MemberID {
+	if r.position <= 0 {
+		return 0
+	}
+	return r.view.Members[r.position-1]
+}
+
+// epochOf returns the epoch of an entry that is here, or 0.
+func (r *Replica) epochOf(index uint64) uint64 {
+	switch {
+	case index == r.base:
+		return r.baseEpoch
+	case index < r.base || index > r.Last():
+		return 0
+	}
+	return r.log[index-r.base-1].Epoch
+}
+
+// SetView puts a newer view in force.
+func (r *Replica) SetView(view View) {
+	if view.Epoch <= r.view.Epoch {
+		return
+	}
+	r.view = View{view.Epoch, slices.Clone(view.Members)}
+	r.position = slices.Index(view.Members, r.me)
+	r.received, r.before, r.acked, r.toldSync, r.ackedAt = 0, 0, 0, 0, 0
+	r.started, r.complete, r.completing, r.start = false, false, false, 0
+	r.rewound = false
+	r.pending, r.held, r.ackReads = nil, nil, nil
+	r.next = r.Last() + 1
+	if r.IsHead() {
+		r.received, r.start, r.started = r.Last(), r.Last(), true
+		r.wantsSend = true
+	}
+	r.advance()
+}
+
+// Propose orders new entries and reads at the head. It reports whether this replica is the head.
+func (r *Replica) Propose(proposals []Proposal) bool {
+	if !r.IsHead() {
+		return false
+	}
+	var entries []Entry
+	for _, proposal := range proposals {
+		if proposal.Read {
+			r.pending = append(r.pending, Read{proposal.Origin, proposal.Tag, r.Last()})
+			continue
+		}
+		entry := Entry{r.Last() + 1, r.view.Epoch, proposal.Origin, proposal.Tag, proposal.Data}
+		r.log = append(r.log, entry)
+		entries = append(entries, entry)
+	}
+	if len(entries) > 0 {
+		r.received = r.Last()
+		r.out.Writes = append(r.out.Writes, Write{entries, r.generation})
+	}
+	r.wantsSend = true
+	r.advance()
+	return true
+}
+
+// Written tells that entries of a Write are durable up to the index.
+func (r *Replica) Written(index, generation uint64) {
+	if generation != r.generation || index <= r.synced {
+		return
+	}
+	r.synced = min(index, r.Last())
+	r.advance()
+}
+
+// Receive takes in a message of another member.
+func (r *Replica) Receive(from MemberID, message *Message) {
+	switch {
+	case message.Append != nil:
+		if from == r.predecessor() && message.Append.Epoch == r.view.Epoch {
+			r.append(message.Append)
+		}
+	case message.Ack != nil:
+		if from == r.successor() && message.Ack.Epoch == r.view.Epoch {
+			r.ack(message.Ack)
+		}
+	case message.Snapshot != nil:
+		if from == r.predecessor() && message.Snapshot.Epoch == r.view.Epoch {
+			r.restore(message.Snapshot)
+		}
+	}
+}
+
+func (r *Replica) append(m *Append) {
+	r.ackDue = true
+	known := m.PrevIndex >= r.base && m.PrevIndex <= r.Last() && r.epochOf(m.PrevIndex) == m.PrevEpoch
+	if m.PrevIndex < r.base && m.PrevIndex+uint64(len(m.Entries)) >= r.base {
+		// What the snapshot covers is committed, so it can't differ.
+		m.Entries = m.Entries[r.base-m.PrevIndex:]
+		m.PrevIndex, known = r.base, true
+	}
+	if !known {
+		r.out.Sends = append(r.out.Sends, Send{r.predecessor(), Message{Ack: &Ack{
+			Epoch: r.view.Epoch, Received: r.committed, Rejected: true, Previous: m.PrevIndex, Committed: r.committed}}})
+		return
+	}
+	var fresh []Entry
+	for _, entry := range m.Entries {
+		if entry.Index <= r.Last() && r.epochOf(entry.Index) == entry.Epoch {
+			continue
+		}
+		if entry.Index <= r.Last() {
+			r.truncate(entry.Index)
+		}
+		r.log = append(r.log, entry)
+		fresh = append(fresh, entry)
+	}
+	if len(fresh) > 0 {
+		r.out.Writes = append(r.out.Writes, Write{fresh, r.generation})
+	}
+	r.received = max(r.received, m.PrevIndex+uint64(len(m.Entries)))
+	r.before = max(r.before, m.Synced)
+	r.start, r.started = m.Start, true
+	r.pending = append(r.pending, m.Reads...)
+	if len(m.Entries) > 0 || len(m.Reads) > 0 {
+		r.wantsSend = true
+	}
+	r.advance()
+}
+
+// truncate drops the entries from an index on: another history took their place.
+func (r *Replica) truncate(from uint64) {
+	r.log = r.log[:from-r.base-1]
+	r.synced = min(r.synced, from-1)
+	r.next = min(r.next, from)
+	r.generation++
+}
+
+func (r *Replica) ack(m *Ack) {
+	if m.Rejected {
+		r.rewind(m)
+	} else if m.Received > r.acked {
+		r.acked, r.ackedAt = m.Received, 0
+		r.rewound = r.rewound && m.Received < r.rewoundTo
+		r.next = max(r.next, r.acked+1)
+		r.wantsSend = true
+	}
+	if m.Committed > r.committed {
+		r.commit(min(m.Committed, r.received))
+	}
+	r.finishReads(m.Reads)
+	r.advance()
+}
+
+// rewind goes back to where both logs are the same. Rejections of what was sent
+// before an earlier rewind are passed over.
+func (r *Replica) rewind(m *Ack) {
+	if r.rewound && m.Previous > r.rewoundTo {
+		return
+	}
+	r.rewound, r.rewoundTo = true, m.Received
+	r.next, r.acked, r.ackedAt = m.Received+1, 0, 0
+	r.wantsSend = true
+}
+
+func (r *Replica) restore(m *Snapshot) {
+	if m.Index <= r.committed {
+		return
+	}
+	r.generation++
+	r.base, r.baseEpoch, r.baseData, r.log = m.Index, m.IndexEpoch, m.Data, nil
+	r.synced, r.committed, r.received = 0, m.Index, m.Index
+	r.next = m.Index + 1
+	r.out.Restore = m
+	r.ackDue = true
+}
+
+// Restored tells that a snapshot from the predecessor is durable and in force.
+func (r *Replica) Restored(index uint64) {
+	if index == r.base {
+		r.synced = max(r.synced, index)
+		r.advance()
+	}
+}
+
+// CompletePersisted tells that completeness in the epoch is durable.
+func (r *Replica) CompletePersisted(epoch uint64) {
+	if epoch == r.view.Epoch && r.completing {
+		r.complete = true
+		r.wantsSend = true
+		r.advance()
+	}
+}
+
+// durable returns the index up to which this member and all before it have the log durable.
+func (r *Replica) durable() uint64 {
+	if !r.complete {
+		return 0
+	}
+	own := min(r.synced, r.received)
+	if r.IsHead() {
+		return own
+	}
+	return min(own, r.before)
+}
+
+// advance draws what follows from the present figures.
+func (r *Replica) advance() {
+	if r.position < 0 {
+		return
+	}
+	if r.started && !r.completing && min(r.synced, r.received) >= r.start {
+		r.completing, r.out.Complete = true, true
+	}
+	if r.isTail() && len(r.view.Members) >= r.minimum {
+		if durable := r.durable(); durable > r.committed {
+			r.commit(durable)
+		}
+	}
+	if r.isTail() {
+		r.held = append(r.held, r.pending...)
+		r.pending = nil
+		r.releaseReads()
+	}
+	if r.durable() > r.toldSync {
+		r.wantsSend = true
+	}
+}
+
+// releaseReads lets go the reads whose entry is committed, at the tail.
+func (r *Replica) releaseReads() {
+	if !r.Serves() {
+		return
+	}
+	done := 0
+	for done < len(r.held) && r.held[done].At <= r.committed {
+		done++
+	}
+	reads := r.held[:done]
+	r.held = r.held[done:]
+	r.finishReads(reads)
+}
+
+func (r *Replica) finishReads(reads []Read) {
+	for _, read := range reads {
+		if read.Origin == r.me {
+			r.out.Reads = append(r.out.Reads, read)
+		} else if r.predecessor() != 0 {
+			r.ackReads = append(r.ackReads, read)
+			r.ackDue = true
+		}
+	}
+}
+
+func (r *Replica) commit(index uint64) {
+	if index <= r.committed {
+		return
+	}
+	r.out.Committed = append(r.out.Committed, r.log[r.committed-r.base:index-r.base]...)
+	r.committed = index
+	r.ackDue = true
+}
+
+// Tick is called at a steady pace; retry says after how many of them without
+// progress the successor gets everything anew.
+func (r *Replica) Tick(retry int) {
+	if r.successor() == 0 {
+		return
+	}
+	r.ackedAt++
+	if r.ackedAt >= retry && r.acked < r.Last() {
+		r.next, r.ackedAt, r.rewound = max(r.acked, r.committed)+1, 0, false
+	}
+	r.wantsSend = true
+}
+
+// Reconnected tells that messages to a member may have been lost.
+func (r *Replica) Reconnected(member MemberID) {
+	if member == r.successor() {
+		r.next = max(r.acked, r.committed) + 1
+		r.wantsSend = true
+	}
+	if member == r.predecessor() {
+		r.ackDue = true
+	}
+}
+
+// Compact tells that a snapshot of the state after an entry is durable here. It
+// keeps the entries that the successor may still need behind an older one.
+func (r *Replica) Compact(index uint64, data []byte) {
+	if index <= r.base || index > r.committed {
+		return
+	}
+	r.baseEpoch = r.epochOf(index)
+	r.log = slices.Clone(r.log[index-r.base:])
+	r.base, r.baseData = index, data
+}
+
+// EpochAt returns the epoch of a committed entry, for its snapshot.
+func (r *Replica) EpochAt(index uint64) uint64 { return r.epochOf(index) }
+
+// Take returns what is to be carried out since the last call.
+func (r *Replica) Take() Output {
+	r.sendAhead()
+	if r.ackDue && r.predecessor() != 0 {
+		r.out.Sends = append(r.out.Sends, Send{r.predecessor(), Message{Ack: &Ack{
+			Epoch: r.view.Epoch, Received: r.received, Committed: r.committed, Reads: r.ackReads}}})
+		r.ackReads = nil
+	}
+	r.ackDue = false
+	out := r.out
+	r.out = Output{}
+	return out
+}
+
+// sendAhead passes on to the successor what it lacks.
+func (r *Replica) sendAhead() {
+	if !r.wantsSend || r.successor() == 0 || !r.started {
+		return
+	}
+	r.wantsSend = false
+	if r.next <= r.base {
+		r.out.Sends = append(r.out.Sends, Send{r.successor(), Message{Snapshot: &Snapshot{
+			r.view.Epoch, r.base, r.baseEpoch, r.baseData}}})
+		r.next = r.base + 1
+	}
+	for {
+		message := r.nextAppend()
+		r.out.Sends = append(r.out.Sends, Send{r.successor(), Message{Append: message}})
+		if len(message.Entries) == 0 || r.next > r.received || r.inFlight() > maxFlight {
+			return
+		}
+	}
+}
+
+func (r *Replica) nextAppend() *Append {
+	message := &Append{Epoch: r.view.Epoch, PrevIndex: r.next - 1, PrevEpoch: r.epochOf(r.next - 1),
+		Synced: r.durable(), Start: r.start, Reads: r.pending}
+	r.pending, r.toldSync = nil, message.Synced
+	size := 0
+	for r.next <= r.received && size < maxBatch && r.inFlight() <= maxFlight {
+		entry := r.log[r.next-r.base-1]
+		message.Entries = append(message.Entries, entry)
+		size += len(entry.Data)
+		r.next++
+	}
+	return message
+}
+
+// inFlight estimates the bytes sent without an acknowledgement.
+func (r *Replica) inFlight() int {
+	first := max(r.acked, r.base)
+	size := 0
+	for index := first + 1; index < r.next && size <= maxFlight; index++ {
+		size += len(r.log[index-r.base-1].Data)
+	}
+	return size
+}
--- /dev/null
+++ b/coordination/frame/frame.go
@@ -0,0 +1,182 @@
+// Package frame carries messages over long-lived connections that begin as
+// HTTP/1.1 requests and are upgraded: each message is its length and its bytes.
+// Messages that wait are written together, and a side that does not read is given up.
+package frame
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	protocol    = "yardflow-frames"
+	maxFrame    = 64 << 20
+	maxQueued   = 96 << 20 // bytes that may wait for a side that does not read
+	writeWithin = 2 * time.Second
+	header      = 4
+)
+
+// Conn is one connection. Send may be called by any goroutine, Receive by one.
+type Conn struct {
+	raw    net.Conn
+	reader *bufio.Reader
+
+	mu      sync.Mutex
+	wake    chan struct{}
+	queue   []byte
+	spare   []byte
+	closed  bool
+	onClose chan struct{}
+}
+
+func newConn(raw net.Conn, reader *bufio.Reader) *Conn {
+	c := &Conn{raw: raw, reader: reader, wake: make(chan struct{}, 1), onClose: make(chan struct{})}
+	go c.write()
+	return c
+}
+
+// Dial opens a connection to the path at the address.
+func Dial(address, path string, within time.Duration) (*Conn, error) {
+	raw, err := net.DialTimeout("tcp", address, within)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+path, nil)
+	if err != nil {
+		raw.Close()
+		return nil, errors.Trace(err)
+	}
+	request.Header.Set("Connection", "Upgrade")
+	request.Header.Set("Upgrade", protocol)
+	reader := bufio.NewReader(raw)
+	raw.SetDeadline(time.Now().Add(within))
+	if err := request.Write(raw); err != nil {
+		raw.Close()
+		return nil, errors.Trace(err)
+	}
+	response, err := http.ReadResponse(reader, request)
+	if err != nil {
+		raw.Close()
+		return nil, errors.Trace(err)
+	}
+	if response.StatusCode != http.StatusSwitchingProtocols {
+		raw.Close()
+		return nil, errors.Errorf("%s answers %s", address, response.Status)
+	}
+	raw.SetDeadline(time.Time{})
+	return newConn(raw, reader), nil
+}
+
+// Upgrade takes a connection over from an HTTP server.
+func Upgrade(w http.ResponseWriter, r *http.Request) (*Conn, error) {
+	if r.Header.Get("Upgrade") != protocol {
+		http.Error(w, "upgrade to "+protocol+" expected", http.StatusUpgradeRequired)
+		return nil, errors.New("no upgrade was asked for")
+	}
+	hijacker, able := w.(http.Hijacker)
+	if !able {
+		http.Error(w, "no upgrade here", http.StatusInternalServerError)
+		return nil, errors.New("the server can't upgrade")
+	}
+	raw, buffered, err := hijacker.Hijack()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	raw.SetDeadline(time.Now().Add(writeWithin))
+	_, err = io.WriteString(raw, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n")
+	if err != nil {
+		raw.Close()
+		return nil, errors.Trace(err)
+	}
+	raw.SetDeadline(time.Time{})
+	return newConn(raw, buffered.Reader), nil
+}
+
+// Send queues a message and reports whether the connection still stands.
+func (c *Conn) Send(message []byte) bool {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return false
+	}
+	c.queue = binary.BigEndian.AppendUint32(c.queue, uint32(len(message)))
+	c.queue = append(c.queue, message...)
+	full := len(c.queue) > maxQueued
+	c.mu.Unlock()
+	if full {
+		c.Close()
+		return false
+	}
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+func (c *Conn) write() {
+	for {
+		select {
+		case <-c.wake:
+		case <-c.onClose:
+			return
+		}
+		c.mu.Lock()
+		batch := c.queue
+		c.queue, c.spare = c.spare[:0], nil
+		c.mu.Unlock()
+		if len(batch) > 0 {
+			c.raw.SetWriteDeadline(time.Now().Add(writeWithin))
+			if _, err := c.raw.Write(batch); err != nil {
+				c.Close()
+				return
+			}
+		}
+		if cap(batch) < 1<<20 {
+			c.mu.Lock()
+			c.spare = batch
+			c.mu.Unlock()
+		}
+	}
+}
+
+// Receive returns the next message. It fails once nothing has come for the given time.
+func (c *Conn) Receive(within time.Duration) ([]byte, error) {
+	c.raw.SetReadDeadline(time.Now().Add(within))
+	size := [header]byte{}
+	if _, err := io.ReadFull(c.reader, size[:]); err != nil {
+		return nil, errors.Trace(err)
+	}
+	length := binary.BigEndian.Uint32(size[:])
+	if length > maxFrame {
+		return nil, errors.Errorf("a message of %d bytes", length)
+	}
+	message := make([]byte, length)
+	if _, err := io.ReadFull(c.reader, message); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return message, nil
+}
+
+// Close ends the connection; what is queued is lost.
+func (c *Conn) Close() {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return
+	}
+	c.closed = true
+	c.mu.Unlock()
+	close(c.onClose)
+	c.raw.Close()
+}
+
+// Closed is closed once the connection is.
+func (c *Conn) Closed() <-chan struct{} { return c.onClose }
--- /dev/null
+++ b/coordination/segment/os.go
@@ -0,0 +1,50 @@
+package segment
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/juju/errors"
+)
+
+// Dir is a folder of the operating system.
+type Dir string
+
+// Open opens a file in the folder, or makes it.
+func (d Dir) Open(name string) (File, error) {
+	file, err := os.OpenFile(filepath.Join(string(d), name), os.O_RDWR|os.O_CREATE, 0o644)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return osFile{file}, nil
+}
+
+// Sync makes names durable.
+func (d Dir) Sync() error {
+	folder, err := os.Open(string(d))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer folder.Close()
+	return errors.Trace(folder.Sync())
+}
+
+type osFile struct{ *os.File }
+
+// ReadAt reads as os.File does, but a short file is no error: the rest stays as it is.
+func (f osFile) ReadAt(p []byte, offset int64) (int, error) {
+	n, err := f.File.ReadAt(p, offset)
+	if err == io.EOF {
+		err = nil
+	}
+	return n, errors.Trace(err)
+}
+
+func (f osFile) Size() (int64, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return 0, errors.Trace(err)
+	}
+	return info.Size(), nil
+}
--- /dev/null
+++ b/coordination/view/detector.go
@@ -0,0 +1,252 @@
+package view
+
+import (
+	"slices"
+	"time"
+)
+
+// Ping is what members tell each other at a steady pace.
+type Ping struct {
+	From      Member     `cbor:"1,keyasint"`
+	Epoch     uint64     `cbor:"2,keyasint"`
+	First     bool       `cbor:"3,keyasint,omitempty"` // formatted at the system's first start, and no elector yet
+	Stalled   bool       `cbor:"4,keyasint,omitempty"` // its disk makes no progress
+	Restarted bool       `cbor:"5,keyasint,omitempty"` // it has not taken part in the view of Epoch in this life
+	Hears     []MemberID `cbor:"6,keyasint,omitempty"`
+}
+
+// Spans of the failure detector.
+const (
+	// SilentAfter is how long a member may be silent before the chain goes on without it: six
+	// heartbeats, and with what agreement takes well under the 2 s after which answers must flow again.
+	SilentAfter = 700 * time.Millisecond
+	// steadyFor is how long a member must have been heard before it is taken in again.
+	steadyFor = 300 * time.Millisecond
+	// ReplaceAfter is how long an elector must be silent before a newcomer takes its place: longer
+	// than a restart takes.
+	ReplaceAfter = 2500 * time.Millisecond
+	// rankDelay keeps proposers apart: each waits this much longer than the one before it.
+	rankDelay = 250 * time.Millisecond
+)
+
+type peer struct {
+	ping   Ping
+	at     time.Duration // last heard
+	since  time.Duration // heard without a break since
+	silent time.Duration // for electors never heard: since when it has been waited for
+}
+
+// Detector knows which members are alive, and which view they would make.
+type Detector struct {
+	me     Member
+	peers  map[MemberID]*peer
+	wanted time.Duration // since when another view has been wanted; -1: none is
+	began  time.Duration
+}
+
+// NewDetector returns a detector that has heard of nobody.
+func NewDetector(me Member, now time.Duration) *Detector {
+	return &Detector{me: me, peers: map[MemberID]*peer{}, wanted: -1, began: now}
+}
+
+// Heard takes in a ping.
+func (d *Detector) Heard(now time.Duration, ping Ping) {
+	p := d.peers[ping.From.ID]
+	if p == nil {
+		p = &peer{since: now}
+		d.peers[ping.From.ID] = p
+	} else if now-p.at > SilentAfter {
+		p.since = now
+	}
+	p.ping, p.at = ping, now
+}
+
+// Hears lists who was heard lately.
+func (d *Detector) Hears(now time.Duration) []MemberID {
+	list := []MemberID{}
+	for _, id := range sortedIDs(d.peers) {
+		if now-d.peers[id].at <= SilentAfter {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// Alive reports whether both sides hear each other and the member's disk works.
+func (d *Detector) Alive(now time.Duration, id MemberID) bool {
+	if id == d.me.ID {
+		return true
+	}
+	p := d.peers[id]
+	return p != nil && now-p.at <= SilentAfter && !p.ping.Stalled && slices.Contains(p.ping.Hears, d.me.ID)
+}
+
+func (d *Detector) steady(now time.Duration, id MemberID) bool {
+	return id == d.me.ID || d.Alive(now, id) && now-d.peers[id].since >= steadyFor
+}
+
+func (d *Detector) silentFor(now time.Duration, id MemberID) time.Duration {
+	if id == d.me.ID {
+		return 0
+	}
+	if p := d.peers[id]; p != nil {
+		return now - p.at
+	}
+	return now - d.began
+}
+
+// Founders returns the electors of the very first view once all seeds are heard, or nil.
+func (d *Detector) Founders(now time.Duration, seeds []string) []Member {
+	founders := []Member{}
+	for _, seed := range seeds {
+		for _, member := range d.heardMembers(now) {
+			if member.Address == seed {
+				founders = append(founders, member)
+			}
+		}
+	}
+	if len(founders) != len(seeds) || len(seeds) == 0 {
+		return nil
+	}
+	return founders
+}
+
+func (d *Detector) heardMembers(now time.Duration) []Member {
+	list := []Member{d.me}
+	for _, id := range sortedIDs(d.peers) {
+		if p := d.peers[id]; now-p.at <= SilentAfter && p.ping.First && p.ping.Epoch == 0 {
+			list = append(list, p.ping.From)
+		}
+	}
+	return list
+}
+
+// Wish returns the view that should follow, and whose answers are expected. It is nil while the
+// present one is as it should be, or while another member is to propose first.
+func (d *Detector) Wish(now time.Duration, view *View, restarted, stalled bool) (*View, []MemberID) {
+	if !view.IsElector(d.me.ID) || stalled {
+		d.wanted = -1
+		return nil, nil
+	}
+	expected := d.aliveElectors(now, view)
+	if 2*len(expected) <= len(view.Electors) {
+		d.wanted = -1
+		return nil, nil
+	}
+	wish := d.wish(now, view)
+	if !restarted && !d.anyRestarted(now, view) && sameMembers(wish.Chain, view.Chain) &&
+		sameMembers(wish.Electors, view.Electors) {
+		d.wanted = -1
+		return nil, nil
+	}
+	if d.wanted < 0 {
+		d.wanted = now
+	}
+	if now-d.wanted < rankDelay*time.Duration(d.rank(now, view)) {
+		return nil, nil
+	}
+	return wish, expected
+}
+
+func (d *Detector) aliveElectors(now time.Duration, view *View) []MemberID {
+	alive := []MemberID{}
+	for _, elector := range view.Electors {
+		if d.Alive(now, elector.ID) {
+			alive = append(alive, elector.ID)
+		}
+	}
+	return alive
+}
+
+// Majority reports whether this member and more than half of the electors hear each other.
+func (d *Detector) Majority(now time.Duration, view *View) bool {
+	return 2*len(d.aliveElectors(now, view)) > len(view.Electors)
+}
+
+// rank counts the live members that propose before this one: the chain in order, then other electors.
+func (d *Detector) rank(now time.Duration, view *View) int {
+	rank := 0
+	for _, list := range [][]Member{view.Chain, view.Electors} {
+		for _, member := range list {
+			if member.ID == d.me.ID {
+				return rank
+			}
+			if d.Alive(now, member.ID) {
+				rank++
+			}
+		}
+	}
+	return rank
+}
+
+func (d *Detector) anyRestarted(now time.Duration, view *View) bool {
+	for _, member := range view.Chain {
+		if p := d.peers[member.ID]; p != nil && d.Alive(now, member.ID) && p.ping.Restarted &&
+			p.ping.Epoch == view.Epoch {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Detector) wish(now time.Duration, view *View) *View {
+	wish := &View{Electors: slices.Clone(view.Electors)}
+	if view.Epoch == 0 {
+		wish.Chain = slices.Clone(view.Electors)
+		return wish
+	}
+	for _, member := range view.Chain {
+		if d.Alive(now, member.ID) {
+			wish.Chain = append(wish.Chain, member)
+		}
+	}
+	if len(wish.Chain) == 0 {
+		wish.Chain = slices.Clone(view.Chain) // none of them may be heard yet; those who answer stay
+	}
+	d.replace(now, view, wish)
+	for _, elector := range wish.Electors {
+		if d.steady(now, elector.ID) && wish.InChain(elector.ID) < 0 {
+			wish.Chain = append(wish.Chain, elector)
+		}
+	}
+	return wish
+}
+
+// replace takes newcomers in as electors. One at the address of an elector is that machine with an
+// empty disk, and takes its place at once. One from the first start extends the electors. Any other
+// takes the place of an elector that has been silent for long, one in its own zone first.
+func (d *Detector) replace(now time.Duration, view *View, wish *View) {
+	for _, id := range sortedIDs(d.peers) {
+		newcomer := d.peers[id]
+		if view.IsElector(id) || !d.steady(now, id) {
+			continue
+		}
+		if place := d.placeFor(now, wish, &newcomer.ping); place >= 0 {
+			former := wish.Electors[place].ID
+			wish.Electors[place] = newcomer.ping.From
+			wish.Chain = slices.DeleteFunc(wish.Chain, func(m Member) bool { return m.ID == former })
+		} else if newcomer.ping.First {
+			wish.Electors = append(wish.Electors, newcomer.ping.From)
+		}
+	}
+}
+
+func (d *Detector) placeFor(now time.Duration, wish *View, newcomer *Ping) int {
+	best := -1
+	for i, elector := range wish.Electors {
+		if elector.Address == newcomer.From.Address {
+			return i
+		}
+		if newcomer.First || d.silentFor(now, elector.ID) < ReplaceAfter {
+			continue
+		}
+		if best < 0 || elector.Zone == newcomer.From.Zone && wish.Electors[best].Zone != newcomer.From.Zone {
+			best = i
+		}
+	}
+	return best
+}
+
+func sameMembers(a, b []Member) bool {
+	return slices.EqualFunc(a, b, func(x, y Member) bool { return x.ID == y.ID })
+}
--- /dev/null
+++ b/internal/control/cluster/commands.go
@@ -0,0 +1,185 @@
+package cluster
+
+import "linnetlift/scheduling/job"
+
+// SessionID names a dispatcher's session: one life of its process, as long as it keeps in touch.
+type SessionID = uint64
+
+// Command is one change or read of the replicated state; exactly one field is set.
+type Command struct {
+	OpenSession  *OpenSession  `cbor:"1,keyasint,omitempty"`
+	CloseSession *CloseSession `cbor:"2,keyasint,omitempty"`
+	Instances    *Instances    `cbor:"3,keyasint,omitempty"`
+	Submit       *Submit       `cbor:"4,keyasint,omitempty"`
+	Cancel       *Cancel       `cbor:"5,keyasint,omitempty"`
+	Place        *Place        `cbor:"6,keyasint,omitempty"`
+	Ended        *Ended        `cbor:"7,keyasint,omitempty"`
+	Configure    *Configure    `cbor:"8,keyasint,omitempty"`
+	Age          *Age          `cbor:"9,keyasint,omitempty"`
+	Stop         *Stop         `cbor:"10,keyasint,omitempty"`
+	Checkpoint   *Checkpoint   `cbor:"11,keyasint,omitempty"`
+	ReadJob      *ReadJob      `cbor:"20,keyasint,omitempty"`
+	ReadQueue    *ReadQueue    `cbor:"21,keyasint,omitempty"`
+	ReadConfig   *ReadConfig   `cbor:"22,keyasint,omitempty"`
+}
+
+// IsRead reports whether the command changes nothing.
+func (c *Command) IsRead() bool {
+	return c.ReadJob != nil || c.ReadQueue != nil || c.ReadConfig != nil
+}
+
+// OpenSession begins a session. A session of the same node that is still open is over by that.
+type OpenSession struct {
+	Node string `cbor:"1,keyasint"`
+	Zone string `cbor:"2,keyasint"`
+	Life uint64 `cbor:"3,keyasint"` // drawn by the process at its start: the same life finds its own session
+}
+
+// CloseSession ends a session; its jobs and workers get other owners.
+type CloseSession struct {
+	Session SessionID `cbor:"1,keyasint"`
+}
+
+// Instance is a worker as the platform's list names it.
+type Instance struct {
+	ID       string        `cbor:"1,keyasint"`
+	Service  string        `cbor:"2,keyasint"`
+	Address  string        `cbor:"3,keyasint"`
+	Zone     string        `cbor:"4,keyasint"`
+	Labels   []string      `cbor:"5,keyasint,omitempty"`
+	Capacity job.Resources `cbor:"6,keyasint"`
+	Draining bool          `cbor:"7,keyasint,omitempty"`
+	Leaves   int64         `cbor:"8,keyasint,omitempty"` // least time that remains to one that drains, ms
+}
+
+// Instances carries changes of the platform's list, read by the session that is the reader.
+type Instances struct {
+	Reader  SessionID  `cbor:"1,keyasint"`
+	Changed []Instance `cbor:"2,keyasint,omitempty"`
+	Gone    []string   `cbor:"3,keyasint,omitempty"`
+}
+
+// Submit hands in a job.
+type Submit struct {
+	Job job.Job `cbor:"1,keyasint"`
+}
+
+// Cancel cancels a job.
+type Cancel struct {
+	Job string `cbor:"1,keyasint"`
+}
+
+// Target is where one task is to run.
+type Target struct {
+	Task   job.Key `cbor:"1,keyasint"`
+	Worker string  `cbor:"2,keyasint"`
+}
+
+// Place reserves room for tasks of one job, for all of them or for none.
+type Place struct {
+	Session SessionID `cbor:"1,keyasint"`
+	Job     string    `cbor:"2,keyasint"`
+	Targets []Target  `cbor:"3,keyasint"`
+}
+
+// How a run has ended.
+type How uint8
+
+// The ways in which a run ends. Those after Alone are not told by workers but found out by owners.
+const (
+	Done How = iota
+	RunFailed
+	Stopped
+	Lapsed
+	Broken
+	Alone
+	NotStarted // it has not run, and never will
+	Lost       // its worker is gone
+)
+
+var howNames = [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone", "not-started", "lost"}
+
+// String returns the name of how on the wire.
+func (h How) String() string { return howNames[h] }
+
+// ParseHow reads how a run has ended from the worker's word for it; unknown words count as Stopped.
+func ParseHow(word string) How {
+	for i := Done; i <= Alone; i++ {
+		if howNames[i] == word {
+			return i
+		}
+	}
+	return Stopped
+}
+
+// Ended tells that a run is over. Told again, or of a run that is no longer placed, it changes nothing.
+type Ended struct {
+	Worker string  `cbor:"1,keyasint"`
+	Job    string  `cbor:"2,keyasint"`
+	Task   job.Key `cbor:"3,keyasint"`
+	Run    uint64  `cbor:"4,keyasint"`
+	How    How     `cbor:"5,keyasint"`
+	Saved  string  `cbor:"6,keyasint,omitempty"`
+	Token  uint64  `cbor:"7,keyasint,omitempty"` // of the owner that found it out, where no worker has told it
+}
+
+// Checkpoint tells the newest saved text of a run that goes on.
+type Checkpoint struct {
+	Worker string  `cbor:"1,keyasint"`
+	Job    string  `cbor:"2,keyasint"`
+	Task   job.Key `cbor:"3,keyasint"`
+	Run    uint64  `cbor:"4,keyasint"`
+	Saved  string  `cbor:"5,keyasint"`
+}
+
+// Stop asks for the end of a run, by the job's owner; the task is placed again afterwards.
+type Stop struct {
+	Session SessionID `cbor:"1,keyasint"`
+	Job     string    `cbor:"2,keyasint"`
+	Task    job.Key   `cbor:"3,keyasint"`
+	Run     uint64    `cbor:"4,keyasint"`
+}
+
+// Configure puts a configuration in force.
+type Configure struct {
+	Version int64  `cbor:"1,keyasint"`
+	Match   int64  `cbor:"2,keyasint"`
+	Body    []byte `cbor:"3,keyasint"`
+}
+
+// Age tells that a span of time has passed; jobs that were over long ago are forgotten.
+type Age struct{}
+
+// ReadJob asks for a job's state.
+type ReadJob struct {
+	Job string `cbor:"1,keyasint"`
+}
+
+// ReadQueue asks how many jobs of a queue are not over.
+type ReadQueue struct {
+	Route string `cbor:"1,keyasint"`
+}
+
+// ReadConfig asks for the newest configuration.
+type ReadConfig struct{}
+
+// Code is the outcome of a command.
+type Code uint8
+
+// Outcomes of commands.
+const (
+	OK       Code = iota
+	Conflict      // another version, another placement, another owner
+	NoRoom
+	NotFound
+	Invalid
+)
+
+// Result answers a command.
+type Result struct {
+	Code    Code      `cbor:"1,keyasint,omitempty"`
+	Session SessionID `cbor:"2,keyasint,omitempty"`
+	State   job.State `cbor:"3,keyasint,omitempty"`
+	Count   int       `cbor:"4,keyasint,omitempty"`
+	Body    []byte    `cbor:"5,keyasint,omitempty"`
+}
--- /dev/null
+++ b/internal/control/cluster/jobs.go
@@ -0,0 +1,296 @@
+package cluster
+
+import "linnetlift/scheduling/job"
+
+// submit accepts a job. One that is known already stays as it is.
+func (c *Cluster) submit(command *Submit) Result {
+	if c.Jobs[command.Job.ID] != nil {
+		return Result{}
+	}
+	if !command.Job.Request.Valid() {
+		return Result{Code: Invalid}
+	}
+	accepted := command.Job
+	c.NextJob++
+	accepted.Number = c.NextJob
+	accepted.Tasks, accepted.Done = map[job.Key]*job.Task{}, map[job.StepKey]int{}
+	if c.Sessions[accepted.Owner] == nil {
+		accepted.Owner = c.choose(accepted.ID, "")
+	}
+	c.Jobs[accepted.ID] = &accepted
+	c.Pending[accepted.Route]++
+	c.tell(accepted.Owner, Update{Job: &accepted})
+	return Result{}
+}
+
+func (c *Cluster) cancel(command *Cancel) Result {
+	owned := c.Jobs[command.Job]
+	if owned == nil {
+		return Result{Code: NotFound}
+	}
+	if !owned.State.Over() {
+		c.finish(owned, job.Cancelled)
+	}
+	return Result{State: owned.State}
+}
+
+func (c *Cluster) readJob(command *ReadJob) Result {
+	owned := c.Jobs[command.Job]
+	if owned == nil {
+		return Result{Code: NotFound}
+	}
+	return Result{State: owned.State}
+}
+
+// finish ends a job: what still runs of it is stopped.
+func (c *Cluster) finish(owned *job.Job, state job.State) {
+	owned.State, owned.EndedAge = state, c.AgeCount
+	if c.Pending[owned.Route]--; c.Pending[owned.Route] <= 0 {
+		delete(c.Pending, owned.Route)
+	}
+	for _, key := range owned.SortedKeys() {
+		c.stopTask(owned, key)
+	}
+	c.tell(owned.Owner, Update{JobState: &JobState{owned.ID, state}})
+}
+
+// stopTask asks the worker's owner for the end of a run.
+func (c *Cluster) stopTask(owned *job.Job, key job.Key) {
+	task := owned.Tasks[key]
+	if task == nil || task.Worker == "" || task.Stopping {
+		return
+	}
+	task.Stopping = true
+	if worker := c.Workers[task.Worker]; worker != nil {
+		c.tell(worker.Owner, Update{Placement: c.placement(worker, key.Name(owned.ID))})
+	}
+	c.tellTask(owned, key, Done)
+}
+
+func (c *Cluster) tellTask(owned *job.Job, key job.Key, how How) {
+	c.tell(owned.Owner, Update{Task: &TaskUpdate{owned.ID, key, *owned.Task(key), how}})
+}
+
+// place reserves room for all targets or for none, and checks every rule that a start must keep.
+func (c *Cluster) place(command *Place) Result {
+	owned := c.Jobs[command.Job]
+	if owned == nil || owned.State.Over() || owned.Owner != command.Session || len(command.Targets) == 0 {
+		return Result{Code: Conflict}
+	}
+	if code := c.placeable(owned, command.Targets); code != OK {
+		return Result{Code: code}
+	}
+	run := uint64(0)
+	for _, target := range command.Targets {
+		run = max(run, owned.Task(target.Task).Run+1)
+	}
+	for _, target := range command.Targets {
+		c.placeOne(owned, target, run)
+	}
+	if owned.State == job.Queued {
+		owned.State = job.Running
+		c.tell(owned.Owner, Update{JobState: &JobState{owned.ID, job.Running}})
+	}
+	return Result{}
+}
+
+func (c *Cluster) placeOne(owned *job.Job, target Target, run uint64) {
+	task := owned.Task(target.Task)
+	task.Run, task.Worker, task.Stopping = run, target.Worker, false
+	worker := c.Workers[target.Worker]
+	name := target.Task.Name(owned.ID)
+	worker.Placed[name] = Run{run, task.Saved}
+	c.use(worker, owned.Request.Steps[target.Task.Step].Asks())
+	placement := c.placement(worker, name)
+	placement.Fresh = true
+	c.tell(worker.Owner, Update{Placement: placement})
+	c.tellTask(owned, target.Task, Done)
+}
+
+func (c *Cluster) placeable(owned *job.Job, targets []Target) Code {
+	first := targets[0].Task
+	if !owned.Has(first) || !owned.DependenciesDone(job.StepKey{Time: first.Time, Step: first.Step}) {
+		return Conflict
+	}
+	step := &owned.Request.Steps[first.Step]
+	if step.Gang && len(targets) != step.Count {
+		return Conflict
+	}
+	wanted := map[string]int{}
+	seen := map[job.Key]bool{}
+	for _, target := range targets {
+		key := target.Task
+		if !owned.Has(key) || key.Time != first.Time || key.Step != first.Step || seen[key] {
+			return Conflict
+		}
+		seen[key] = true
+		if task := owned.Task(key); task.Done || task.Worker != "" {
+			return Conflict
+		}
+		worker := c.Workers[target.Worker]
+		if worker == nil || worker.Draining || worker.Service != owned.Service || !worker.HasLabel(step.Requires) {
+			return Conflict
+		}
+		wanted[target.Worker]++
+		count := wanted[target.Worker]
+		if !worker.Room().Holds(step.Asks().Times(int64(count))) {
+			return NoRoom
+		}
+		if most := step.AntiAffinity; most > 0 &&
+			owned.CountAt(job.StepKey{Time: key.Time, Step: key.Step}, target.Worker)+count > most {
+			return Conflict
+		}
+	}
+	return OK
+}
+
+// ended takes in that a run is over. What an owner has found out counts only while it is the owner:
+// the next one may have started the run meanwhile.
+func (c *Cluster) ended(command *Ended) Result {
+	worker, owned := c.Workers[command.Worker], c.Jobs[command.Job]
+	if worker != nil && command.How >= NotStarted && command.Token != worker.Token {
+		return Result{Code: Conflict}
+	}
+	name := command.Task.Name(command.Job)
+	if worker == nil || owned == nil || worker.Placed[name].Number != command.Run || command.Run == 0 {
+		return Result{}
+	}
+	delete(worker.Placed, name)
+	c.use(worker, job.Resources{}.Minus(owned.Request.Steps[command.Task.Step].Asks()))
+	c.tell(worker.Owner, Update{PlacementGone: &PlacementGone{worker.ID, name, command.Run}})
+	task := owned.Task(command.Task)
+	task.Worker, task.Stopping = "", false
+	if command.Saved != "" {
+		c.save(owned, command.Task, command.Saved)
+	}
+	switch command.How {
+	case Done:
+		c.taskDone(owned, command.Task)
+	case RunFailed:
+		task.LastLost = worker.ID
+		c.taskFailed(owned, command.Task, command.Run)
+	case Lost, Lapsed, NotStarted, Alone:
+		task.LastLost = worker.ID
+	}
+	if owned.Request.Steps[command.Task.Step].Gang && command.How != Done {
+		c.stopGang(owned, command.Task)
+	}
+	c.tellTask(owned, command.Task, command.How)
+	return Result{}
+}
+
+// taskDone enters a task's good end. One member's good end stands for all of a gang.
+func (c *Cluster) taskDone(owned *job.Job, key job.Key) {
+	step := &owned.Request.Steps[key.Step]
+	if step.LongRunning {
+		return
+	}
+	owned.MarkDone(key)
+	if step.Gang {
+		for index := range step.Count {
+			member := job.Key{Time: key.Time, Step: key.Step, Index: index}
+			owned.MarkDone(member)
+			c.tellTask(owned, member, Done)
+		}
+	}
+	if !owned.State.Over() && owned.AllDone() {
+		c.finish(owned, job.Completed)
+	}
+}
+
+// taskFailed counts a failed run, once for a whole gang, and fails the job once they are too many.
+func (c *Cluster) taskFailed(owned *job.Job, key job.Key, run uint64) {
+	step := &owned.Request.Steps[key.Step]
+	if step.LongRunning {
+		return
+	}
+	attempts := 0
+	if step.Gang {
+		attempts = c.gangFailed(owned, job.StepKey{Time: key.Time, Step: key.Step}, run)
+	} else {
+		task := owned.Task(key)
+		task.Attempts++
+		attempts = task.Attempts
+	}
+	if attempts >= owned.MaxAttempts && !owned.State.Over() {
+		c.finish(owned, job.Failed)
+	}
+}
+
+func (c *Cluster) gangFailed(owned *job.Job, key job.StepKey, run uint64) int {
+	if owned.GangFails == nil {
+		owned.GangFails, owned.GangRun = map[job.StepKey]int{}, map[job.StepKey]uint64{}
+	}
+	if owned.GangRun[key] < run {
+		owned.GangRun[key] = run
+		owned.GangFails[key]++
+	}
+	return owned.GangFails[key]
+}
+
+// stopGang stops the other members once one has ended without being done.
+func (c *Cluster) stopGang(owned *job.Job, key job.Key) {
+	for index := range owned.Request.Steps[key.Step].Count {
+		c.stopTask(owned, job.Key{Time: key.Time, Step: key.Step, Index: index})
+	}
+}
+
+func (c *Cluster) checkpoint(command *Checkpoint) Result {
+	worker, owned := c.Workers[command.Worker], c.Jobs[command.Job]
+	if worker == nil || owned == nil || worker.Placed[command.Task.Name(command.Job)].Number != command.Run {
+		return Result{}
+	}
+	c.save(owned, command.Task, command.Saved)
+	return Result{}
+}
+
+// save keeps a checkpoint; any member's is good for its gang, and all members start from the same.
+func (c *Cluster) save(owned *job.Job, key job.Key, saved string) {
+	step := &owned.Request.Steps[key.Step]
+	if !step.Gang {
+		owned.Task(key).Saved = saved
+		return
+	}
+	for index := range step.Count {
+		owned.Task(job.Key{Time: key.Time, Step: key.Step, Index: index}).Saved = saved
+	}
+}
+
+func (c *Cluster) stop(command *Stop) Result {
+	owned := c.Jobs[command.Job]
+	if owned == nil || owned.Owner != command.Session || !owned.Has(command.Task) {
+		return Result{Code: Conflict}
+	}
+	if task := owned.Task(command.Task); task.Worker == "" || task.Run != command.Run {
+		return Result{Code: Conflict}
+	}
+	if owned.Request.Steps[command.Task.Step].Gang {
+		c.stopGang(owned, command.Task)
+	} else {
+		c.stopTask(owned, command.Task)
+	}
+	return Result{}
+}
+
+// age forgets jobs that have been over for long and have nothing placed any more.
+func (c *Cluster) age() Result {
+	c.AgeCount++
+	for _, id := range sortedKeys(c.Jobs) {
+		owned := c.Jobs[id]
+		if !owned.State.Over() || owned.EndedAge+c.keepAges > c.AgeCount || anyPlaced(owned) {
+			continue
+		}
+		delete(c.Jobs, id)
+		c.tell(owned.Owner, Update{JobGone: id})
+	}
+	return Result{}
+}
+
+func anyPlaced(owned *job.Job) bool {
+	for _, task := range owned.Tasks {
+		if task.Worker != "" {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/control/cluster/sessions.go
@@ -0,0 +1,106 @@
+package cluster
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+func (c *Cluster) openSession(command *OpenSession) Result {
+	for _, id := range c.sessionIDs() {
+		session := c.Sessions[id]
+		if session.Node != command.Node {
+			continue
+		}
+		if session.Life == command.Life {
+			return Result{Session: id}
+		}
+		defer c.closeSession(id) // after the new one is open, so that what it owned can pass to it
+	}
+	c.NextSession++
+	id := c.NextSession
+	c.Sessions[id] = &Session{id, command.Node, command.Zone, command.Life}
+	c.tellAll(Update{Sessions: c.sessionIDs()})
+	c.assignAll()
+	return Result{Session: id}
+}
+
+func (c *Cluster) closeSession(id SessionID) Result {
+	if c.Sessions[id] == nil {
+		return Result{}
+	}
+	delete(c.Sessions, id)
+	c.tellAll(Update{Sessions: c.sessionIDs()})
+	c.assignAll()
+	return Result{}
+}
+
+func (c *Cluster) sessionIDs() []SessionID {
+	ids := make([]SessionID, 0, len(c.Sessions))
+	for id := range c.Sessions {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Reader returns the session that reads the platform's list: the first one open.
+func (c *Cluster) Reader() SessionID {
+	first := SessionID(0)
+	for id := range c.Sessions {
+		if first == 0 || id < first {
+			first = id
+		}
+	}
+	return first
+}
+
+// assignAll gives every worker the owner that the present sessions make for, and every job
+// whose owner is gone a new one.
+func (c *Cluster) assignAll() {
+	for _, id := range sortedKeys(c.Workers) {
+		c.assignWorker(c.Workers[id])
+	}
+	for _, id := range sortedKeys(c.Jobs) {
+		owned := c.Jobs[id]
+		if owned.State.Over() || c.Sessions[owned.Owner] != nil {
+			continue
+		}
+		if owned.Owner = c.choose(id, ""); owned.Owner != 0 {
+			c.tell(owned.Owner, Update{Job: owned})
+		}
+	}
+}
+
+// assignWorker makes the session chosen by rendezvous hashing the worker's owner. Sessions in the
+// worker's zone go before others. Each change of owner brings a higher fence token.
+func (c *Cluster) assignWorker(worker *Worker) {
+	owner := c.choose(worker.ID, worker.Zone)
+	if owner == worker.Owner {
+		return
+	}
+	c.NextToken++
+	worker.Owner, worker.Token = owner, c.NextToken
+	c.tellAll(Update{Worker: worker.public()})
+	for _, placement := range c.placementsAt(worker) {
+		c.tell(owner, Update{Placement: placement})
+	}
+}
+
+func (c *Cluster) choose(name, zone string) SessionID {
+	best, bestWeight, bestNear := SessionID(0), uint64(0), false
+	for _, id := range c.sessionIDs() {
+		near := zone != "" && c.Sessions[id].Zone == zone
+		weight := rendezvous(name, id)
+		if best == 0 || near && !bestNear || near == bestNear && weight > bestWeight {
+			best, bestWeight, bestNear = id, weight, near
+		}
+	}
+	return best
+}
+
+func rendezvous(name string, id SessionID) uint64 {
+	buffer := binary.LittleEndian.AppendUint64([]byte(name), id)
+	return xxhash.Sum64(buffer)
+}
--- /dev/null
+++ b/internal/control/server/dispatchers.go
@@ -0,0 +1,197 @@
+package server
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"linnetlift/coordination/frame"
+	"linnetlift/internal/control/cluster"
+	"linnetlift/internal/control/link"
+)
+
+// Spans of connections with dispatchers.
+const (
+	dispatcherSilence = 900 * time.Millisecond // heartbeats come every 250 ms
+	heartbeatTicks    = 2                      // of tickEvery, between heartbeats to dispatchers
+)
+
+// dispatcher is a connected dispatcher. It belongs to the engine.
+type dispatcher struct {
+	conn     *frame.Conn
+	hello    link.Hello
+	session  cluster.SessionID
+	snapshot bool // its session is open, and the snapshot is due
+	down     link.Down
+	quiet    int
+}
+
+func (s *Server) acceptDispatcher(w http.ResponseWriter, r *http.Request) {
+	conn, err := frame.Upgrade(w, r)
+	if err != nil {
+		return
+	}
+	go s.listenDispatcher(conn)
+}
+
+func (s *Server) listenDispatcher(conn *frame.Conn) {
+	d := &dispatcher{conn: conn}
+	defer func() {
+		conn.Close()
+		s.do(func() { s.removeDispatcher(d) })
+	}()
+	for {
+		data, err := conn.Receive(dispatcherSilence)
+		if err != nil {
+			return
+		}
+		up := &link.Up{}
+		if !link.Decode(data, up) {
+			return
+		}
+		s.do(func() { s.receiveUp(d, up) })
+	}
+}
+
+func (s *Server) receiveUp(d *dispatcher, up *link.Up) {
+	if up.Hello != nil {
+		s.attach(d, up.Hello)
+	}
+	if up.Goodbye && d.session != 0 {
+		s.submit(&cluster.Command{CloseSession: &cluster.CloseSession{Session: d.session}}, nil, func(cluster.Result) {})
+	}
+	if !s.dispatchers[d] {
+		return
+	}
+	for i := range up.Commands {
+		s.receiveCommand(d, &up.Commands[i])
+	}
+}
+
+func (s *Server) attach(d *dispatcher, hello *link.Hello) {
+	if !s.inTouch() {
+		d.conn.Send(link.Encode(link.Down{Refused: true, Controls: s.controls()}))
+		return
+	}
+	d.hello = *hello
+	s.dispatchers[d] = true
+	open := &cluster.OpenSession{Node: hello.Node, Zone: hello.Zone, Life: hello.Life}
+	s.submit(&cluster.Command{OpenSession: open}, nil, func(result cluster.Result) {
+		if s.dispatchers[d] {
+			d.session, d.snapshot = result.Session, true
+			s.bySession[d.session] = d
+		}
+	})
+}
+
+func (s *Server) receiveCommand(d *dispatcher, tagged *link.Tagged) {
+	command := &cluster.Command{}
+	if !link.Decode(tagged.Command, command) {
+		d.down.Outcomes = append(d.down.Outcomes, link.Outcome{Tag: tagged.Tag, Result: cluster.Result{Code: cluster.Invalid}})
+		return
+	}
+	tag := tagged.Tag
+	s.submit(command, tagged.Command, func(result cluster.Result) {
+		d.down.Outcomes = append(d.down.Outcomes, link.Outcome{Tag: tag, Result: result})
+	})
+}
+
+func (s *Server) removeDispatcher(d *dispatcher) {
+	if !s.dispatchers[d] {
+		return
+	}
+	delete(s.dispatchers, d)
+	if s.bySession[d.session] == d {
+		delete(s.bySession, d.session)
+	}
+}
+
+// dropDispatchers ends all connections to dispatchers: they look for a control machine in touch.
+func (s *Server) dropDispatchers() {
+	for d := range s.dispatchers {
+		d.conn.Close()
+		s.removeDispatcher(d)
+	}
+}
+
+func (s *Server) controls() []string {
+	addresses := []string{}
+	for _, member := range s.register.View().Electors {
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
+}
+
+func (s *Server) sessionsInTouch() []cluster.SessionID {
+	ids := []cluster.SessionID{}
+	for id := range s.bySession {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// deliver sends updates to those whom they concern, then outcomes.
+func (s *Server) deliver() {
+	s.addUpdates()
+	for d := range s.dispatchers {
+		if d.snapshot {
+			s.addSnapshot(d)
+		}
+		if len(d.down.Updates) == 0 && len(d.down.Outcomes) == 0 && d.down.Session == 0 {
+			continue
+		}
+		s.sendDown(d)
+	}
+}
+
+func (s *Server) sendDown(d *dispatcher) {
+	d.conn.Send(link.Encode(d.down))
+	d.down, d.quiet = link.Down{}, 0
+}
+
+func (s *Server) addUpdates() {
+	last := map[string]int{} // the newest figure of a worker's use stands for those before it
+	for i, addressed := range s.updates {
+		if used := addressed.Update.Used; used != nil {
+			last[used.Worker] = i
+		}
+	}
+	for i, addressed := range s.updates {
+		if used := addressed.Update.Used; used != nil && last[used.Worker] != i {
+			continue
+		}
+		if addressed.To != 0 {
+			if d := s.bySession[addressed.To]; d != nil && !d.snapshot {
+				d.down.Updates = append(d.down.Updates, link.Encode(addressed.Update))
+			}
+			continue
+		}
+		data := cbor.RawMessage(link.Encode(addressed.Update))
+		for d := range s.dispatchers {
+			if d.session != 0 && !d.snapshot {
+				d.down.Updates = append(d.down.Updates, data)
+			}
+		}
+	}
+	s.updates = nil
+}
+
+func (s *Server) addSnapshot(d *dispatcher) {
+	d.snapshot = false
+	d.down.Session = d.session
+	d.down.Controls = s.controls()
+	d.down.Updates = nil
+	for _, update := range s.cluster.Snapshot(d.session) {
+		d.down.Updates = append(d.down.Updates, link.Encode(update))
+	}
+}
+
+func (s *Server) dispatcherTick() {
+	for d := range s.dispatchers {
+		if d.quiet++; d.quiet >= heartbeatTicks {
+			d.down.Controls = s.controls()
+			s.sendDown(d)
+		}
+	}
+}
--- /dev/null
+++ b/internal/control/server/operator.go
@@ -0,0 +1,175 @@
+package server
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"linnetlift/internal/control/cluster"
+	"linnetlift/internal/control/configuration"
+)
+
+// Bounds of the operator's calls.
+const (
+	maxConfigBytes = 32 << 20
+	answerWithin   = 3 * time.Second
+)
+
+// ask sends a command through the chain and waits for its outcome.
+func (s *Server) ask(command *cluster.Command) (cluster.Result, bool) {
+	answer := make(chan cluster.Result, 1)
+	s.do(func() {
+		if s.inTouch() {
+			s.submit(command, nil, func(result cluster.Result) { answer <- result })
+		} else {
+			close(answer)
+		}
+	})
+	timer := time.NewTimer(answerWithin)
+	defer timer.Stop()
+	select {
+	case result, known := <-answer:
+		return result, known
+	case <-timer.C:
+		return cluster.Result{}, false
+	}
+}
+
+func (s *Server) putConfig(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxConfigBytes+1))
+	if err != nil {
+		http.Error(w, "the body can't be read", http.StatusBadRequest)
+		return
+	}
+	if len(body) > maxConfigBytes {
+		http.Error(w, "the configuration is too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	match, err := strconv.ParseInt(strings.Trim(r.Header.Get("If-Match"), `" `), 10, 64)
+	if err != nil {
+		http.Error(w, "If-Match must hold the version on which this one builds", http.StatusBadRequest)
+		return
+	}
+	configured, fault := configuration.Read(body)
+	if fault != nil {
+		http.Error(w, fault.Error(), http.StatusBadRequest)
+		return
+	}
+	result, known := s.ask(&cluster.Command{Configure: &cluster.Configure{
+		Version: configured.Version, Match: match, Body: body}})
+	switch {
+	case !known:
+		http.Error(w, "no outcome yet; send the same again", http.StatusServiceUnavailable)
+	case result.Code == cluster.Conflict:
+		http.Error(w, "another version is current", http.StatusPreconditionFailed)
+	case result.Code != cluster.OK:
+		http.Error(w, "Version: must be above the current one", http.StatusBadRequest)
+	default:
+		s.logger.Info().Int64("version", configured.Version).Msg("configuration acknowledged")
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+func (s *Server) getConfig(w http.ResponseWriter, r *http.Request) {
+	result, known := s.ask(&cluster.Command{ReadConfig: &cluster.ReadConfig{}})
+	switch {
+	case !known:
+		http.Error(w, "not in touch with the other control machines", http.StatusServiceUnavailable)
+	case result.Code == cluster.NotFound:
+		http.Error(w, "no configuration yet", http.StatusNotFound)
+	default:
+		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("ETag", `"`+strconv.FormatInt(s.version(result.Body), 10)+`"`)
+		w.Write(result.Body)
+	}
+}
+
+func (s *Server) version(body []byte) int64 {
+	head := struct{ Version int64 }{}
+	if json.Unmarshal(body, &head) != nil {
+		return 0
+	}
+	return head.Version
+}
+
+// Status is what operators see of a control process.
+type Status struct {
+	Node       string
+	Epoch      uint64
+	Chain      []string
+	Electors   []string
+	Serves     bool
+	Last       uint64 // newest entry here
+	Committed  uint64
+	Pending    int // commands without an outcome
+	Version    int64
+	Sessions   int
+	Workers    int
+	Jobs       int
+	Open       int // jobs that are not over
+	StalledMs  int64
+	Dispatched int // dispatchers connected here
+}
+
+func (s *Server) currentStatus() Status {
+	answer := make(chan Status, 1)
+	s.do(func() {
+		v := s.register.View()
+		status := Status{Node: s.settings.Node, Epoch: v.Epoch, Serves: s.inTouch(), Last: s.replica.Last(),
+			Committed: s.replica.Committed(), Pending: len(s.pending), Version: s.cluster.ConfigVersion,
+			Sessions: len(s.cluster.Sessions), Workers: len(s.cluster.Workers), Jobs: len(s.cluster.Jobs),
+			StalledMs: s.disk.stalledFor().Milliseconds(), Dispatched: len(s.dispatchers)}
+		for _, member := range v.Chain {
+			status.Chain = append(status.Chain, member.Node)
+		}
+		for _, member := range v.Electors {
+			status.Electors = append(status.Electors, member.Node)
+		}
+		for _, count := range s.cluster.Pending {
+			status.Open += count
+		}
+		answer <- status
+	})
+	select {
+	case status := <-answer:
+		return status
+	case <-s.ended:
+		return Status{}
+	}
+}
+
+func (s *Server) status(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(s.currentStatus())
+}
+
+func (s *Server) metrics(w http.ResponseWriter, r *http.Request) {
+	status := s.currentStatus()
+	serves := int64(0)
+	if status.Serves {
+		serves = 1
+	}
+	figures := []struct {
+		name  string
+		value int64
+	}{
+		{"yardflow_view_epoch", int64(status.Epoch)},
+		{"yardflow_serves", serves},
+		{"yardflow_chain_last", int64(status.Last)},
+		{"yardflow_chain_committed", int64(status.Committed)},
+		{"yardflow_commands_pending", int64(status.Pending)},
+		{"yardflow_config_version", status.Version},
+		{"yardflow_sessions", int64(status.Sessions)},
+		{"yardflow_workers", int64(status.Workers)},
+		{"yardflow_jobs", int64(status.Jobs)},
+		{"yardflow_jobs_open", int64(status.Open)},
+		{"yardflow_disk_stalled_ms", status.StalledMs},
+		{"yardflow_dispatchers_connected", int64(status.Dispatched)},
+	}
+	for _, figure := range figures {
+		io.WriteString(w, figure.name+" "+strconv.FormatInt(figure.value, 10)+"\n")
+	}
+}
--- /dev/null
+++ b/internal/control/server/peers.go
@@ -0,0 +1,161 @@
+package server
+
+import (
+	"net/http"
+	"time"
+
+	"linnetlift/coordination/frame"
+	"linnetlift/coordination/view"
+	"linnetlift/internal/control/link"
+)
+
+// Spans of connections among control machines.
+const (
+	dialWithin  = 700 * time.Millisecond
+	redialAfter = 150 * time.Millisecond
+	peerSilence = 1200 * time.Millisecond // heartbeats come every 100 ms
+)
+
+// peer is another control machine at an address. Each side dials the other, and sends
+// on the connection that it has dialled.
+type peer struct {
+	address string
+	conn    *frame.Conn
+	dialing bool
+	triedAt time.Duration
+	heardAt time.Duration // when it last said something, on its own connection
+}
+
+// peers keeps a connection to every control machine that is known. It belongs to the engine.
+type peers struct {
+	server    *Server
+	byAddress map[string]*peer
+	addresses map[view.MemberID]string
+}
+
+func newPeers(s *Server) *peers {
+	return &peers{server: s, byAddress: map[string]*peer{}, addresses: map[view.MemberID]string{}}
+}
+
+// meet enters addresses that are to be dialled from now on.
+func (p *peers) meet(addresses []string) {
+	for _, address := range addresses {
+		if address != p.server.settings.Listen.Control && p.byAddress[address] == nil {
+			p.byAddress[address] = &peer{address: address, triedAt: -redialAfter}
+		}
+	}
+	for _, member := range p.server.register.View().Electors {
+		p.addresses[member.ID] = member.Address
+	}
+	for _, member := range p.server.register.View().Chain {
+		p.addresses[member.ID] = member.Address
+	}
+}
+
+func (p *peers) tick() {
+	now := p.server.now()
+	for _, other := range p.byAddress {
+		if other.conn != nil && now-max(other.heardAt, other.triedAt) > peerSilence {
+			// What waits in a connection that a cut has held up would come too late to be of use.
+			other.conn.Close()
+			other.conn = nil
+		}
+		if other.conn != nil || other.dialing || now-other.triedAt < redialAfter {
+			continue
+		}
+		other.dialing, other.triedAt = true, now
+		go p.dial(other)
+	}
+}
+
+func (p *peers) dial(other *peer) {
+	conn, err := frame.Dial(other.address, link.CorePath, dialWithin)
+	p.server.do(func() {
+		other.dialing = false
+		if err != nil {
+			return
+		}
+		other.conn = conn
+		for id, address := range p.addresses {
+			if address == other.address {
+				p.server.replica.Reconnected(id)
+			}
+		}
+	})
+	if err != nil {
+		return
+	}
+	// Nothing comes back on this connection; a read tells when it is over.
+	for {
+		if _, err := conn.Receive(time.Hour); err != nil {
+			break
+		}
+	}
+	conn.Close()
+	p.server.do(func() {
+		if other.conn == conn {
+			other.conn = nil
+		}
+	})
+}
+
+// accept serves another control machine's connection.
+func (p *peers) accept(w http.ResponseWriter, r *http.Request) {
+	conn, err := frame.Upgrade(w, r)
+	if err != nil {
+		return
+	}
+	go p.listen(conn)
+}
+
+func (p *peers) listen(conn *frame.Conn) {
+	defer conn.Close()
+	var from view.Member
+	for {
+		data, err := conn.Receive(peerSilence)
+		if err != nil {
+			return
+		}
+		message := &link.Peer{}
+		if !link.Decode(data, message) {
+			return
+		}
+		if message.Ping != nil {
+			from = message.Ping.From
+		}
+		if from.ID == 0 {
+			continue // whoever has not said its name yet
+		}
+		sender := from
+		p.server.do(func() {
+			if message.Ping != nil {
+				p.addresses[sender.ID] = sender.Address
+				p.meet([]string{sender.Address})
+				if other := p.byAddress[sender.Address]; other != nil {
+					other.heardAt = p.server.now()
+				}
+			}
+			p.server.receivePeer(sender, message)
+		})
+	}
+}
+
+// send sends a message to a member, as far as there is a connection to it.
+func (p *peers) send(to view.MemberID, message *link.Peer) {
+	other := p.byAddress[p.addresses[to]]
+	if other == nil || other.conn == nil {
+		return
+	}
+	if !other.conn.Send(link.Encode(message)) {
+		other.conn = nil
+	}
+}
+
+func (p *peers) broadcast(message *link.Peer) {
+	data := link.Encode(message)
+	for _, other := range p.byAddress {
+		if other.conn != nil && !other.conn.Send(data) {
+			other.conn = nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/dataplane/dispatcher.go
@@ -0,0 +1,313 @@
+// Package dataplane runs a dispatcher of the system: it takes jobs in from
+// clients, decides by ACHQ where their tasks go, and owns a share of the workers.
+package dataplane
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"linnetlift/internal/control/cluster"
+	"linnetlift/internal/control/configuration"
+	"linnetlift/internal/control/link"
+	"linnetlift/internal/settings"
+	"linnetlift/scheduling/job"
+	"linnetlift/scheduling/placement"
+)
+
+// tickEvery is the pace at which timers are looked at.
+const tickEvery = 100 * time.Millisecond
+
+// Dispatcher is one dispatcher. All its state belongs to one goroutine, to which others hand functions.
+type Dispatcher struct {
+	settings *settings.Settings
+	logger   zerolog.Logger
+	began    time.Time
+	inbox    chan func()
+
+	uplink   *uplink
+	sessions []cluster.SessionID
+	config   atomic.Pointer[configuration.Configuration]
+	workers  map[string]*cluster.Worker
+	placers  map[string]*placement.Placer // by service
+	jobs     map[string]*ownedJob
+	dirty    map[string]bool // jobs to look through for ready tasks
+	owned    map[string]*ownedWorker
+	reader   *reader
+	finals   map[string]job.State // states of jobs that were over when they were read
+	stopping atomic.Bool
+	attached atomic.Bool
+	lostAt   atomic.Int64
+}
+
+// New returns a dispatcher that is not running yet.
+func New(s *settings.Settings, logger zerolog.Logger) *Dispatcher {
+	d := &Dispatcher{
+		settings: s,
+		logger:   logger,
+		began:    time.Now(),
+		inbox:    make(chan func(), 4096),
+		workers:  map[string]*cluster.Worker{},
+		placers:  map[string]*placement.Placer{},
+		jobs:     map[string]*ownedJob{},
+		dirty:    map[string]bool{},
+		owned:    map[string]*ownedWorker{},
+		finals:   map[string]job.State{},
+	}
+	d.uplink = newUplink(d, rand.Uint64()>>1|1)
+	d.uplink.controls = s.Seeds
+	d.reader = newReader(d)
+	return d
+}
+
+func (d *Dispatcher) now() time.Duration { return time.Since(d.began) }
+
+// do hands a function to the engine.
+func (d *Dispatcher) do(f func()) { d.inbox <- f }
+
+// Run carries the engine until stop is closed.
+func (d *Dispatcher) Run(stop <-chan struct{}) {
+	go d.uplink.run()
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case f := <-d.inbox:
+			f()
+			d.drain()
+		case <-ticker.C:
+			d.tick()
+		case <-stop:
+			return
+		}
+		d.flush()
+	}
+}
+
+func (d *Dispatcher) drain() {
+	for range cap(d.inbox) {
+		select {
+		case f := <-d.inbox:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+func (d *Dispatcher) tick() {
+	now := d.now()
+	d.reader.tick(now)
+	for _, worker := range d.owned {
+		worker.agent.Tick(now)
+	}
+	d.dueJobs()
+}
+
+// flush lets whatever the event made possible follow.
+func (d *Dispatcher) flush() {
+	now := d.now()
+	d.enqueueReady(now)
+	d.decide(now)
+	for _, worker := range d.owned {
+		worker.flush(now)
+	}
+	d.uplink.flush(now)
+	d.attached.Store(d.uplink.attached)
+	d.lostAt.Store(int64(d.uplink.lostAt))
+}
+
+// nextControl returns the control machine to dial next: those in the own zone can't be told from
+// others by address, so the order is a fixed one that differs between dispatchers.
+func (d *Dispatcher) nextControl(attempt int) string {
+	answer := make(chan string, 1)
+	d.do(func() {
+		list := append([]string{}, d.uplink.controls...)
+		if attempt%5 == 4 || len(list) == 0 {
+			list = d.freshSeeds()
+		}
+		if len(list) == 0 {
+			answer <- ""
+			return
+		}
+		answer <- list[(int(d.uplink.hello.Life%1024)+attempt)%len(list)]
+	})
+	return <-answer
+}
+
+// freshSeeds reads the seeds from the settings file, which may have changed without a signal.
+func (d *Dispatcher) freshSeeds() []string {
+	if fresh := reload(); fresh != nil {
+		d.settings.Seeds = fresh.Seeds
+	}
+	return d.settings.Seeds
+}
+
+// receiveUpdates takes in what the control machine tells.
+func (d *Dispatcher) receiveUpdates(down *link.Down) {
+	now := d.now()
+	var stale *staleness
+	if down.Session != 0 {
+		stale = d.markStale()
+	}
+	for _, raw := range down.Updates {
+		update := &cluster.Update{}
+		if link.Decode(raw, update) {
+			d.receiveUpdate(now, update, stale)
+		}
+	}
+	if stale != nil {
+		d.dropStale(now, stale)
+	}
+}
+
+func (d *Dispatcher) receiveUpdate(now time.Duration, update *cluster.Update, stale *staleness) {
+	switch {
+	case update.Sessions != nil:
+		d.setSessions(update.Sessions)
+	case update.Config != nil:
+		d.setConfig(update.Config)
+	case update.Worker != nil:
+		stale.keepWorker(update.Worker.ID)
+		d.setWorker(now, update.Worker)
+	case update.WorkerGone != "":
+		d.removeWorker(now, update.WorkerGone)
+	case update.Used != nil:
+		if worker := d.workers[update.Used.Worker]; worker != nil {
+			worker.Used = update.Used.Amount
+			d.placer(worker.Service).SetUsed(worker.ID, worker.Used)
+		}
+	case update.Job != nil:
+		stale.keepJob(update.Job.ID)
+		d.setJob(now, update.Job)
+	case update.JobGone != "":
+		d.removeJob(update.JobGone)
+	case update.Task != nil:
+		d.setTask(now, update.Task)
+	case update.JobState != nil:
+		d.setJobState(update.JobState)
+	case update.Placement != nil:
+		stale.keepPlacement(update.Placement)
+		if worker := d.owned[update.Placement.Worker]; worker != nil {
+			worker.agent.Place(now, *update.Placement)
+		}
+	case update.PlacementGone != nil:
+		if worker := d.owned[update.PlacementGone.Worker]; worker != nil {
+			worker.agent.Remove(now, update.PlacementGone.Task, update.PlacementGone.Run)
+		}
+	}
+}
+
+func (d *Dispatcher) setSessions(sessions []cluster.SessionID) {
+	d.sessions = sessions
+	for _, id := range sessions {
+		if id == d.uplink.session {
+			return
+		}
+	}
+	d.logger.Warn().Uint64("session", d.uplink.session).Msg("session is over for the others; opening it anew")
+	d.uplink.reconnect()
+}
+
+func (d *Dispatcher) setConfig(update *cluster.ConfigUpdate) {
+	if current := d.config.Load(); current != nil && current.Version >= update.Version {
+		return // a process never goes back
+	}
+	read, fault := configuration.Read(update.Body)
+	if fault != nil {
+		d.logger.Error().Str("fault", fault.Error()).Msg("a configuration in force can't be read")
+		return
+	}
+	d.config.Store(read)
+	d.logger.Info().Int64("version", read.Version).Msg("configuration in force")
+}
+
+func (d *Dispatcher) placer(service string) *placement.Placer {
+	placer := d.placers[service]
+	if placer == nil {
+		placer = placement.New(d.settings.Bounds.FarX, d.uplink.hello.Life+uint64(len(d.placers)))
+		d.placers[service] = placer
+	}
+	return placer
+}
+
+func (d *Dispatcher) setWorker(now time.Duration, worker *cluster.Worker) {
+	d.workers[worker.ID] = worker
+	d.placer(worker.Service).SetWorker(worker.ID, worker.Service, worker.Labels, worker.Capacity, worker.Used, worker.Draining)
+	mine := d.owned[worker.ID]
+	if mine != nil && (worker.Owner != d.uplink.session || worker.Token != mine.agent.Token()) {
+		mine.close()
+		delete(d.owned, worker.ID)
+		mine = nil
+	}
+	if mine == nil && worker.Owner == d.uplink.session && d.uplink.session != 0 {
+		d.owned[worker.ID] = newOwnedWorker(d, worker)
+	}
+}
+
+func (d *Dispatcher) removeWorker(now time.Duration, id string) {
+	worker := d.workers[id]
+	if worker == nil {
+		return
+	}
+	d.placer(worker.Service).RemoveWorker(id)
+	delete(d.workers, id)
+	if mine := d.owned[id]; mine != nil {
+		mine.close()
+		delete(d.owned, id)
+	}
+}
+
+// staleness lists what a new snapshot has not named yet.
+type staleness struct {
+	workers    map[string]bool
+	jobs       map[string]bool
+	placements map[string]map[string]uint64 // by worker: task and run
+}
+
+func (d *Dispatcher) markStale() *staleness {
+	s := &staleness{workers: map[string]bool{}, jobs: map[string]bool{}, placements: map[string]map[string]uint64{}}
+	for id := range d.workers {
+		s.workers[id] = true
+	}
+	for id := range d.jobs {
+		s.jobs[id] = true
+	}
+	return s
+}
+
+func (s *staleness) keepWorker(id string) {
+	if s != nil {
+		delete(s.workers, id)
+	}
+}
+
+func (s *staleness) keepJob(id string) {
+	if s != nil {
+		delete(s.jobs, id)
+	}
+}
+
+func (s *staleness) keepPlacement(placed *cluster.Placement) {
+	if s == nil {
+		return
+	}
+	if s.placements[placed.Worker] == nil {
+		s.placements[placed.Worker] = map[string]uint64{}
+	}
+	s.placements[placed.Worker][placed.Task] = placed.Run
+}
+
+func (d *Dispatcher) dropStale(now time.Duration, s *staleness) {
+	for id := range s.workers {
+		d.removeWorker(now, id)
+	}
+	for id := range s.jobs {
+		d.removeJob(id)
+	}
+	for id, worker := range d.owned {
+		worker.agent.Keep(s.placements[id])
+	}
+}
--- /dev/null
+++ b/internal/dataplane/jobs.go
@@ -0,0 +1,248 @@
+package dataplane
+
+import (
+	"time"
+
+	"linnetlift/internal/control/cluster"
+	"linnetlift/scheduling/job"
+	"linnetlift/scheduling/placement"
+)
+
+// ownedJob is a job that this dispatcher schedules.
+type ownedJob struct {
+	*job.Job
+	since   time.Duration
+	queued  map[job.Key]bool // in a placer's queue, or on the way to the control machines
+	running map[job.Key]started
+	nextDue int64 // when the next time falls due, ms since 1970; 0: none does
+}
+
+type started struct {
+	worker string
+	at     time.Duration
+}
+
+func (d *Dispatcher) setJob(now time.Duration, told *job.Job) {
+	known := d.jobs[told.ID]
+	if known == nil {
+		known = &ownedJob{since: now, queued: map[job.Key]bool{}, running: map[job.Key]started{}}
+		d.jobs[told.ID] = known
+	}
+	before := known.Job
+	known.Job = told
+	if before != nil {
+		d.placer(told.Service).RemoveJob(told.ID)
+		known.queued = map[job.Key]bool{}
+	}
+	for key, task := range told.Tasks {
+		d.follow(now, known, key, task, cluster.Stopped)
+	}
+	d.dirty[told.ID] = true
+}
+
+func (d *Dispatcher) removeJob(id string) {
+	known := d.jobs[id]
+	if known == nil {
+		return
+	}
+	placer := d.placer(known.Service)
+	placer.RemoveJob(id)
+	for key, run := range known.running {
+		placer.Ended(run.worker, known.Request.Steps[key.Step].Asks())
+	}
+	delete(d.jobs, id)
+}
+
+func (d *Dispatcher) setJobState(update *cluster.JobState) {
+	known := d.jobs[update.Job]
+	if known == nil {
+		return
+	}
+	known.State = update.State
+	if known.State.Over() {
+		d.placer(known.Service).RemoveJob(known.ID)
+	}
+}
+
+func (d *Dispatcher) setTask(now time.Duration, update *cluster.TaskUpdate) {
+	known := d.jobs[update.Job]
+	if known == nil || !known.Has(update.Key) {
+		return
+	}
+	task := update.Task
+	wasDone := known.Task(update.Key).Done
+	*known.Task(update.Key) = task
+	if task.Done && !wasDone {
+		known.Task(update.Key).Done = false
+		known.MarkDone(update.Key)
+	}
+	d.follow(now, known, update.Key, &task, update.How)
+	d.dirty[update.Job] = true
+}
+
+// follow keeps the placer's picture of own running tasks, and lets it learn from their ends.
+func (d *Dispatcher) follow(now time.Duration, known *ownedJob, key job.Key, task *job.Task, how cluster.How) {
+	placer := d.placer(known.Service)
+	step := &known.Request.Steps[key.Step]
+	run, runs := known.running[key]
+	if runs && run.worker != task.Worker {
+		placer.Ended(run.worker, step.Asks())
+		delete(known.running, key)
+		d.learn(now, known, key, run, how)
+		runs = false
+	}
+	if task.Worker != "" && !runs {
+		known.running[key] = started{task.Worker, now}
+		placer.Started(task.Worker, step.Asks())
+	}
+}
+
+func (d *Dispatcher) learn(now time.Duration, known *ownedJob, key job.Key, run started, how cluster.How) {
+	placer := d.placer(known.Service)
+	step := &known.Request.Steps[key.Step]
+	switch how {
+	case cluster.Done:
+		worker := d.workers[run.worker]
+		near := worker != nil && (step.Affinity == "" || len(worker.Labels) > 1 && worker.Labels[1] == step.Affinity)
+		if near && !step.Gang && !step.LongRunning {
+			placer.Learn(run.worker, now-run.at, time.Duration(step.EstimateMs)*time.Millisecond)
+		}
+	case cluster.RunFailed:
+		if !step.LongRunning {
+			placer.Blame(now, run.worker, 0.2)
+		}
+	case cluster.NotStarted:
+		placer.Blame(now, run.worker, 0.3)
+	case cluster.Lost, cluster.Lapsed, cluster.Alone:
+		placer.Blame(now, run.worker, 0.2)
+	}
+}
+
+// objective returns when the job's time counts as late, on the engine's clock.
+func (j *ownedJob) objective() time.Duration {
+	estimate := 0.0
+	for i := range j.Request.Steps {
+		estimate += float64(j.Request.Steps[i].EstimateMs)
+	}
+	return j.since + time.Duration(j.Stretch*estimate+float64(j.TargetMs))*time.Millisecond
+}
+
+// enqueueReady puts tasks into the queue whose turn has come.
+func (d *Dispatcher) enqueueReady(now time.Duration) {
+	for id := range d.dirty {
+		delete(d.dirty, id)
+		if known := d.jobs[id]; known != nil && !known.State.Over() {
+			d.enqueueJob(now, known)
+		}
+	}
+}
+
+func (d *Dispatcher) enqueueJob(now time.Duration, known *ownedJob) {
+	wall := time.Now().UnixMilli()
+	known.nextDue = 0
+	for run := range known.Request.Runs() {
+		if due := known.Request.DueMs(run); due > wall {
+			known.nextDue = due
+			return
+		}
+		for step := range known.Request.Steps {
+			key := job.StepKey{Time: run, Step: step}
+			if known.Done[key] < known.Request.Steps[step].Count && known.DependenciesDone(key) {
+				d.enqueueStep(now, known, key)
+			}
+		}
+	}
+}
+
+func (d *Dispatcher) enqueueStep(now time.Duration, known *ownedJob, key job.StepKey) {
+	step := &known.Request.Steps[key.Step]
+	ready := []int{}
+	for index := range step.Count {
+		full := job.Key{Time: key.Time, Step: key.Step, Index: index}
+		task := known.Tasks[full]
+		if known.queued[full] || task != nil && (task.Done || task.Worker != "") {
+			continue
+		}
+		ready = append(ready, index)
+	}
+	if step.Gang {
+		if len(ready) == step.Count {
+			d.enqueue(now, known, key, ready)
+		}
+		return
+	}
+	for i := range ready {
+		d.enqueue(now, known, key, ready[i:i+1])
+	}
+}
+
+func (d *Dispatcher) enqueue(now time.Duration, known *ownedJob, key job.StepKey, indices []int) {
+	unit := &placement.Unit{Job: known.Job, Key: key, Indices: indices, Since: now, Deadline: known.objective()}
+	for _, index := range indices {
+		full := job.Key{Time: key.Time, Step: key.Step, Index: index}
+		known.queued[full] = true
+		if task := known.Tasks[full]; task != nil && task.LastLost != "" {
+			unit.Avoid(task.LastLost)
+		}
+	}
+	d.placer(known.Service).Add(unit)
+}
+
+// dueJobs looks at jobs whose next time has fallen due.
+func (d *Dispatcher) dueJobs() {
+	wall := time.Now().UnixMilli()
+	for id, known := range d.jobs {
+		if known.nextDue > 0 && known.nextDue <= wall {
+			d.dirty[id] = true
+		}
+	}
+}
+
+// decide lets every placer decide, and brings the decisions to the control machines.
+func (d *Dispatcher) decide(now time.Duration) {
+	if !d.uplink.attached {
+		return
+	}
+	for _, placer := range d.placers {
+		for _, decision := range placer.Decide(now) {
+			d.place(placer, decision)
+		}
+	}
+}
+
+func (d *Dispatcher) place(placer *placement.Placer, decision placement.Decision) {
+	unit := decision.Unit
+	known := d.jobs[unit.Job.ID]
+	command := &cluster.Place{Session: d.uplink.session, Job: unit.Job.ID}
+	for i, index := range unit.Indices {
+		key := job.Key{Time: unit.Key.Time, Step: unit.Key.Step, Index: index}
+		command.Targets = append(command.Targets, cluster.Target{Task: key, Worker: decision.Workers[i]})
+		if known != nil {
+			known.Task(key).Worker = decision.Workers[i] // so that tasks decided upon next are kept apart from it
+		}
+	}
+	asks := unit.Step().Asks()
+	d.uplink.submit(&cluster.Command{Place: command}, func(result cluster.Result) {
+		for _, target := range command.Targets {
+			placer.Release(target.Worker, asks)
+		}
+		d.placed(command, result)
+	})
+}
+
+// placed takes in the outcome of a placement; what became of the tasks was told by updates before.
+func (d *Dispatcher) placed(command *cluster.Place, result cluster.Result) {
+	known := d.jobs[command.Job]
+	if known == nil {
+		return
+	}
+	for _, target := range command.Targets {
+		delete(known.queued, target.Task)
+		if _, runs := known.running[target.Task]; !runs {
+			if task := known.Task(target.Task); task.Worker == target.Worker {
+				task.Worker = ""
+			}
+		}
+	}
+	d.dirty[command.Job] = true
+}
--- /dev/null
+++ b/internal/dataplane/reader.go
@@ -0,0 +1,162 @@
+package dataplane
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"reflect"
+	"sync/atomic"
+	"time"
+
+	"linnetlift/internal/control/cluster"
+	"linnetlift/scheduling/job"
+)
+
+// Bounds of reading the platform's list.
+const (
+	readEvery  = time.Second
+	readWithin = 900 * time.Millisecond
+	maxPage    = 16 << 20
+	maxPages   = 1000
+	goneAfter  = 2 // complete lists without a worker before it counts as gone
+)
+
+// reader reads the platform's list of workers while this dispatcher is the one to do so: the one with
+// the first session.
+type reader struct {
+	dispatcher *Dispatcher
+	client     *http.Client
+	busy       bool
+	readAt     time.Duration
+	missing    map[string]int // lists in a row that lack a worker
+	stopped    atomic.Bool
+}
+
+func newReader(d *Dispatcher) *reader {
+	return &reader{dispatcher: d, missing: map[string]int{}, readAt: -readEvery,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}}
+}
+
+// instanceEntry is a worker in the platform's list.
+type instanceEntry struct {
+	Id          string
+	Service     string
+	Address     string
+	Zone        string
+	State       string
+	Capacity    job.Resources
+	Labels      []string
+	RemainingMs int64
+}
+
+type instancePage struct {
+	Instances []instanceEntry
+	NextToken *string
+}
+
+func (r *reader) isReader() bool {
+	d := r.dispatcher
+	return d.uplink.attached && len(d.sessions) > 0 && d.sessions[0] == d.uplink.session && !d.stopping.Load()
+}
+
+func (r *reader) tick(now time.Duration) {
+	if r.busy || now-r.readAt < readEvery || !r.isReader() {
+		return
+	}
+	r.busy, r.readAt = true, now
+	go func() {
+		list, complete := r.read()
+		r.dispatcher.do(func() {
+			r.busy = false
+			if complete && r.isReader() {
+				r.report(list)
+			}
+		})
+	}()
+}
+
+// read reads all pages; it reports whether all of them came.
+func (r *reader) read() ([]instanceEntry, bool) {
+	var list []instanceEntry
+	token := ""
+	for range maxPages {
+		page, ok := r.page(token)
+		if !ok {
+			return nil, false
+		}
+		list = append(list, page.Instances...)
+		if page.NextToken == nil || *page.NextToken == "" {
+			return list, true
+		}
+		token = *page.NextToken
+	}
+	return nil, false
+}
+
+func (r *reader) page(token string) (*instancePage, bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), readWithin)
+	defer cancel()
+	address := "http://" + r.dispatcher.settings.Cloud.Address + "/instances"
+	if token != "" {
+		address += "?PageToken=" + url.QueryEscape(token)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return nil, false
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		r.client.CloseIdleConnections()
+		return nil, false
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxPage))
+	page := &instancePage{}
+	if err != nil || response.StatusCode != http.StatusOK || json.Unmarshal(text, page) != nil {
+		return nil, false
+	}
+	return page, true
+}
+
+// report brings what has changed to the control machines.
+func (r *reader) report(list []instanceEntry) {
+	d := r.dispatcher
+	command := &cluster.Instances{Reader: d.uplink.session}
+	listed := map[string]bool{}
+	for i := range list {
+		entry := &list[i]
+		listed[entry.Id] = true
+		delete(r.missing, entry.Id)
+		instance := cluster.Instance{ID: entry.Id, Service: entry.Service, Address: entry.Address, Zone: entry.Zone,
+			Labels: entry.Labels, Capacity: entry.Capacity, Draining: entry.State == "draining"}
+		known := d.workers[entry.Id]
+		if known == nil || !same(&known.Instance, &instance) {
+			command.Changed = append(command.Changed, instance)
+		}
+	}
+	for id := range d.workers {
+		if listed[id] {
+			continue
+		}
+		if r.missing[id]++; r.missing[id] >= goneAfter {
+			command.Gone = append(command.Gone, id)
+		}
+	}
+	for id := range r.missing {
+		if d.workers[id] == nil {
+			delete(r.missing, id)
+		}
+	}
+	if len(command.Changed)+len(command.Gone) > 0 {
+		d.uplink.submit(&cluster.Command{Instances: command}, func(cluster.Result) {})
+	}
+}
+
+// same reports whether the state already says what the list says. One that drains stays so.
+func same(known, read *cluster.Instance) bool {
+	return known.Service == read.Service && known.Address == read.Address && known.Zone == read.Zone &&
+		known.Capacity == read.Capacity && (known.Draining || !read.Draining) &&
+		(len(known.Labels) == 0 && len(read.Labels) == 0 || reflect.DeepEqual(known.Labels, read.Labels))
+}
--- /dev/null
+++ b/internal/dataplane/workers.go
@@ -0,0 +1,249 @@
+package dataplane
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"linnetlift/internal/control/cluster"
+	"linnetlift/scheduling/worker"
+)
+
+// Bounds of calls to workers.
+const (
+	connectWithin = 500 * time.Millisecond
+	orderWithin   = 500 * time.Millisecond
+	holdMargin    = 500 * time.Millisecond // beyond the time for which the worker may wait
+	maxLists      = 4 << 20
+	idleConns     = 4
+)
+
+// ownedWorker is a worker that this dispatcher owns, with its connections.
+type ownedWorker struct {
+	dispatcher *Dispatcher
+	id         string
+	service    string
+	url        string
+	agent      *worker.Agent
+	client     *http.Client
+	transport  *http.Transport
+	closed     bool
+	reportedAt time.Duration
+}
+
+func newOwnedWorker(d *Dispatcher, told *cluster.Worker) *ownedWorker {
+	dialer := &net.Dialer{Timeout: connectWithin, KeepAlive: -1}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: idleConns,
+		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
+	}
+	return &ownedWorker{dispatcher: d, id: told.ID, service: told.Service, url: "http://" + told.Address,
+		agent:  worker.New(told.ID, told.Token, d.settings.Bounds.HoldMaxMs),
+		client: &http.Client{Transport: transport}, transport: transport}
+}
+
+func (w *ownedWorker) close() {
+	w.closed = true
+	w.transport.CloseIdleConnections()
+}
+
+// flush makes the calls that the agent wants.
+func (w *ownedWorker) flush(now time.Duration) {
+	calls := w.agent.Take()
+	for _, hold := range calls.Holds {
+		go w.hold(hold)
+	}
+	for _, start := range calls.Starts {
+		go w.start(start)
+	}
+	for _, stop := range calls.Stops {
+		go w.stop(stop)
+	}
+	for _, report := range calls.Reports {
+		w.report(report)
+	}
+	for i := range calls.Checkpoints {
+		w.dispatcher.uplink.submit(&cluster.Command{Checkpoint: &calls.Checkpoints[i]}, func(cluster.Result) {})
+	}
+	for _, weight := range calls.Blames {
+		w.dispatcher.placer(w.service).Blame(now, w.id, weight)
+	}
+}
+
+func (w *ownedWorker) report(report worker.Report) {
+	ended := report.Ended
+	w.dispatcher.uplink.submit(&cluster.Command{Ended: &ended}, func(cluster.Result) {
+		if report.Number > 0 && !w.closed {
+			w.agent.Noted(w.dispatcher.now(), report.Number)
+		}
+	})
+}
+
+// The bodies on the wire.
+type holdBody struct {
+	UntilMs    int64 `json:",omitempty"`
+	FenceToken uint64
+	LastSeen   uint64
+	WaitMs     int64 `json:",omitempty"`
+}
+
+type startBody struct {
+	Task         string
+	Command      uint64
+	Spec         string
+	UntilMs      int64
+	FenceToken   uint64
+	Checkpointed string `json:",omitempty"`
+}
+
+type stopBody struct {
+	Task       string
+	Command    uint64
+	FenceToken uint64
+}
+
+type answerBody struct {
+	ClockMs int64
+	Reason  string
+	Running [][]json.RawMessage
+	Ended   [][]json.RawMessage
+}
+
+func (w *ownedWorker) hold(hold worker.Hold) {
+	within := time.Duration(hold.WaitMs)*time.Millisecond + holdMargin
+	answer, body := w.call("/-/hold", holdBody{hold.UntilMs, hold.Fence, hold.LastSeen, hold.WaitMs}, within)
+	lists := worker.Lists{ClockMs: body.ClockMs}
+	if answer == worker.Done {
+		lists.Running = readRunning(body.Running)
+		lists.Ended = readEnded(body.Ended)
+	}
+	w.dispatcher.do(func() {
+		if !w.closed {
+			w.agent.HoldAnswered(w.dispatcher.now(), hold, answer, lists)
+		}
+	})
+}
+
+func (w *ownedWorker) start(start worker.Start) {
+	answer, body := w.call("/-/run-start", startBody{start.Task, start.Command, start.Spec, start.UntilMs,
+		start.Fence, start.Saved}, orderWithin)
+	w.dispatcher.do(func() {
+		if !w.closed {
+			w.agent.StartAnswered(w.dispatcher.now(), start.Task, start.Command, answer, body.ClockMs)
+		}
+	})
+}
+
+func (w *ownedWorker) stop(stop worker.Stop) {
+	answer, body := w.call("/-/run-stop", stopBody{stop.Task, stop.Command, stop.Fence}, orderWithin)
+	w.dispatcher.do(func() {
+		if !w.closed {
+			w.agent.StopAnswered(w.dispatcher.now(), stop.Task, stop.Command, answer, body.ClockMs)
+		}
+	})
+}
+
+// call makes one call to the worker. An answer that can't be told counts as Unanswered.
+func (w *ownedWorker) call(path string, message any, within time.Duration) (worker.Answer, answerBody) {
+	body := answerBody{}
+	data, err := json.Marshal(message)
+	if err != nil {
+		panic(err) // the types above can always be written
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, w.url+path, bytes.NewReader(data))
+	if err != nil {
+		return worker.Invalid, body
+	}
+	request.GetBody = nil // never sent twice by the transport itself
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Yardflow-Expect-Instance", w.id)
+	response, err := w.client.Do(request)
+	if err != nil {
+		w.transport.CloseIdleConnections() // what killed this connection may have killed others
+		if neverSent(err) {
+			return worker.Unhealthy, body
+		}
+		return worker.Unanswered, body
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxLists))
+	if err != nil {
+		return worker.Unanswered, body
+	}
+	if len(text) > 0 && json.Unmarshal(text, &body) != nil && response.StatusCode == http.StatusOK {
+		return worker.Unanswered, answerBody{}
+	}
+	return classify(response.StatusCode, body.Reason), body
+}
+
+func neverSent(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+func classify(status int, reason string) worker.Answer {
+	switch status {
+	case http.StatusOK:
+		return worker.Done
+	case http.StatusConflict:
+		switch reason {
+		case "fence":
+			return worker.Fenced
+		case "old":
+			return worker.Old
+		case "late":
+			return worker.Late
+		case "room":
+			return worker.NoRoom
+		}
+		return worker.Invalid
+	case http.StatusMisdirectedRequest:
+		return worker.OtherLife
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return worker.Unhealthy
+	case http.StatusBadRequest:
+		return worker.Invalid
+	}
+	return worker.Unanswered
+}
+
+func readRunning(rows [][]json.RawMessage) []worker.Running {
+	list := make([]worker.Running, 0, len(rows))
+	for _, row := range rows {
+		entry := worker.Running{}
+		if len(row) >= 4 && decodeAll(row, &entry.Task, &entry.Command, &entry.Saved, &entry.Percent) {
+			list = append(list, entry)
+		}
+	}
+	return list
+}
+
+func readEnded(rows [][]json.RawMessage) []worker.End {
+	list := make([]worker.End, 0, len(rows))
+	for _, row := range rows {
+		entry, how := worker.End{}, ""
+		if len(row) >= 5 && decodeAll(row, &entry.Number, &entry.Task, &entry.Command, &how, &entry.Saved) {
+			entry.How = cluster.ParseHow(how)
+			list = append(list, entry)
+		}
+	}
+	return list
+}
+
+func decodeAll(row []json.RawMessage, targets ...any) bool {
+	for i, target := range targets {
+		if json.Unmarshal(row[i], target) != nil {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,136 @@
+// Package settings reads and checks the settings file of a process.
+package settings
+
+import (
+	"os"
+
+	"github.com/juju/errors"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Variable names the environment variable that holds the path of the file.
+const Variable = "YARDFLOW_BOOT"
+
+// Listen has the addresses at which a process serves.
+type Listen struct {
+	Front   string
+	Ready   string
+	Control string
+}
+
+// Limits of the machine.
+type Limits struct {
+	CpuShare float64
+	Cores    int
+	MemoryMb int64
+	MaxFds   int
+	DiskMb   int64
+}
+
+// Tolerate says how many machines may be lost at once with everything kept.
+type Tolerate struct {
+	Machines int
+	Zones    int
+	Regions  int
+}
+
+// Bounds are the figures of the rules in force; Ms are milliseconds, S seconds.
+type Bounds struct {
+	ContactMs      int64
+	AckMs          int64
+	DrainMs        int64
+	GraceS         float64
+	ConfigApplyMs  int64
+	HoldMaxMs      int64
+	StopMs         int64   `toml:"stop_ms"`
+	GangMs         int64   `toml:"gang_ms"`
+	StatusS        float64 `toml:"status_s"`
+	EarlyMs        int64   `toml:"early_ms"`
+	FarX           float64 `toml:"far_x"`
+	SaveS          float64 `toml:"save_s"`
+	RestoreMs      float64 `toml:"restore_ms"`
+	ReuseAfterS    float64
+	RollbackSlackM int64 `toml:"RollbackSlackMs"`
+}
+
+// Cloud is the platform's list of instances.
+type Cloud struct {
+	Address  string
+	RatePerS float64
+	LagMs    int64
+}
+
+// Settings is what a process is told at its start.
+type Settings struct {
+	Node            string
+	Role            string
+	Class           string
+	Serves          []string
+	Ip              string
+	Zone            string
+	Region          string
+	Seeds           []string
+	Bootstrap       bool
+	CountsForQuorum bool
+	DataDir         string
+	HeartbeatMs     int64
+	Orders          string
+	Zones           map[string]string
+	Listen          Listen
+	Limits          Limits
+	Tolerate        Tolerate
+	Bounds          Bounds
+	Cloud           Cloud
+}
+
+// Fault names a key that is wrong, and what to do about it.
+type Fault struct {
+	Key    string
+	Advice string
+}
+
+// Error names key and advice.
+func (f *Fault) Error() string { return f.Key + ": " + f.Advice }
+
+// Load reads and checks the file. Fields it does not know are skipped.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Annotatef(err, "the settings file; name it in %s", Variable)
+	}
+	s := &Settings{}
+	if err := toml.Unmarshal(text, s); err != nil {
+		var decoding *toml.DecodeError
+		if errors.As(err, &decoding) {
+			line, _ := decoding.Position()
+			return nil, errors.Errorf("%s line %d: %s", path, line, decoding.Error())
+		}
+		return nil, errors.Annotate(err, path)
+	}
+	if fault := s.check(); fault != nil {
+		return nil, fault
+	}
+	return s, nil
+}
+
+func (s *Settings) check() error {
+	switch {
+	case s.Node == "":
+		return &Fault{"Node", "is missing; give this machine's name"}
+	case s.Zone == "":
+		return &Fault{"Zone", "is missing; give this machine's zone"}
+	case len(s.Seeds) == 0:
+		return &Fault{"Seeds", "is empty; give the control addresses of up to three machines"}
+	case s.Listen.Control == "" && s.Listen.Front == "":
+		return &Fault{"Listen", "names no address; give Control on a core machine, Front and Ready on a front machine"}
+	case s.Listen.Control != "" && s.DataDir == "":
+		return &Fault{"DataDir", "is missing; a control process needs a folder on its disk"}
+	case s.Listen.Front != "" && s.Cloud.Address == "":
+		return &Fault{"Cloud.Address", "is missing; give the address of the platform's list"}
+	case s.Bounds.HoldMaxMs <= 0 && s.Listen.Front != "":
+		return &Fault{"Bounds.HoldMaxMs", "must be above 0; it is how long a worker holds what runs without renewal"}
+	case s.Tolerate.Machines < 0:
+		return &Fault{"Tolerate.Machines", "must not be below 0"}
+	}
+	return nil
+}
--- /dev/null
+++ b/scheduling/worker/worker.go
@@ -0,0 +1,497 @@
+// Package worker is the part of a dispatcher that owns a worker: it starts what
+// is placed there, renews the hold, collects ends and settles orders that got no
+// answer. At most one run of a task is at work because an order without an answer
+// is settled by a list that the worker gave under a higher fence token.
+//
+// An Agent has no I/O, clock or randomness: it is handed events with the time and
+// returns the calls to make and the reports to bring to the control machines.
+package worker
+
+import (
+	"slices"
+	"time"
+
+	"linnetlift/internal/control/cluster"
+	"linnetlift/scheduling/job"
+)
+
+// Bounds of an agent.
+const (
+	tokenShift  = 20 // an owner's token has room for this many bits of own settlements
+	waitMs      = 1000
+	retryPause  = 250 * time.Millisecond
+	notedWithin = 500 * time.Millisecond // ends wait so long for the control machines before the next hold
+	stopAgain   = 600 * time.Millisecond
+	stuckAfter  = 3500 * time.Millisecond // a run whose progress stands still so long is moved
+	stuckFactor = 1.2                     // and for this many times its estimate
+)
+
+// Hold is a call that renews the hold and asks for both lists.
+type Hold struct {
+	Sequence uint64
+	Fence    uint64
+	UntilMs  int64 // 0: no renewal
+	LastSeen uint64
+	WaitMs   int64
+}
+
+// Start is an order to start a run.
+type Start struct {
+	Task    string
+	Command uint64
+	Spec    string
+	UntilMs int64
+	Fence   uint64
+	Saved   string
+}
+
+// Stop is an order to stop a run.
+type Stop struct {
+	Task    string
+	Command uint64
+	Fence   uint64
+}
+
+// Running is a run in a worker's list.
+type Running struct {
+	Task    string
+	Command uint64
+	Saved   string
+	Percent int
+}
+
+// End is an ended run in a worker's list.
+type End struct {
+	Number  uint64
+	Task    string
+	Command uint64
+	How     cluster.How
+	Saved   string
+}
+
+// Lists is a worker's answer to a Hold.
+type Lists struct {
+	ClockMs int64
+	Running []Running
+	Ended   []End
+}
+
+// Answer is how a call has come out.
+type Answer uint8
+
+// Answers of workers.
+const (
+	Done       Answer = iota
+	Unanswered        // it may have been carried out, or may be later
+	Fenced            // a higher token was there
+	Old               // the run is not above one that ended or was stopped there
+	Late              // the hold would have been over
+	NoRoom
+	Unhealthy // nothing was done
+	Invalid
+	OtherLife // another incarnation is at this address
+)
+
+// Report is what the control machines are to know. Number is that of the worker's end, or 0.
+type Report struct {
+	Number uint64
+	Ended  cluster.Ended
+}
+
+// Calls is what an agent wants done.
+type Calls struct {
+	Holds       []Hold
+	Starts      []Start
+	Stops       []Stop
+	Reports     []Report
+	Checkpoints []cluster.Checkpoint
+	Blames      []float64 // weights by which the worker is to be trusted less
+}
+
+type phase uint8
+
+const (
+	wanted  phase = iota // to be started
+	ordered              // the order is under way
+	owed                 // the order got no answer
+	running
+	over // reported as ended
+)
+
+type run struct {
+	cluster.Placement
+	phase     phase
+	fence     uint64 // of the last order
+	knownFrom uint64 // holds from this sequence on know of the run
+	stopAt    time.Duration
+	stopSent  bool
+	saved     string
+	percent   int
+	movedAt   time.Duration
+	tryAt     time.Duration
+	fences    int
+}
+
+// Agent owns one worker.
+type Agent struct {
+	id        string
+	token     uint64
+	bumps     uint64
+	holdMaxMs int64
+	runs      map[string]*run
+
+	clockMs  int64 // of the worker, at clockAt here
+	clockAt  time.Duration
+	hasClock bool
+
+	sequence   uint64
+	long       uint64 // sequence of the waiting hold under way, or 0
+	short      uint64 // sequence of the settling hold under way, or 0
+	holdAt     time.Duration
+	lastSeen   uint64
+	reported   map[uint64]bool // ends reported, true once the control machines have them
+	highest    uint64
+	fencedOff  bool
+	otherLife  bool
+	out        Calls
+	unanswered int
+}
+
+// New returns the agent of a worker under an owner's token.
+func New(id string, token uint64, holdMaxMs int64) *Agent {
+	return &Agent{id: id, token: token, holdMaxMs: holdMaxMs, runs: map[string]*run{}, reported: map[uint64]bool{}}
+}
+
+// Token returns the owner's token.
+func (a *Agent) Token() uint64 { return a.token }
+
+// OtherLife reports whether another incarnation has answered at the worker's address.
+func (a *Agent) OtherLife() bool { return a.otherLife }
+
+func (a *Agent) fence() uint64 { return a.token<<tokenShift | min(a.bumps, 1<<tokenShift-1) }
+
+func (a *Agent) untilMs(now time.Duration) int64 {
+	return a.clockMs + (now - a.clockAt).Milliseconds() + a.holdMaxMs
+}
+
+// Place enters what is to run, or that it is to stop. One that is not fresh may have been ordered by a
+// former owner, which the first list under this owner's token settles.
+func (a *Agent) Place(now time.Duration, placement cluster.Placement) {
+	known := a.runs[placement.Task]
+	if known != nil && known.Run == placement.Run {
+		known.Stopping = known.Stopping || placement.Stopping
+		a.act(now)
+		return
+	}
+	entered := &run{Placement: placement, phase: owed, movedAt: now, saved: placement.Saved}
+	if placement.Fresh {
+		entered.phase = wanted
+	}
+	a.runs[placement.Task] = entered
+	a.act(now)
+}
+
+// Remove enters that a run is over for the system.
+func (a *Agent) Remove(now time.Duration, task string, number uint64) {
+	if known := a.runs[task]; known != nil && known.Run == number {
+		delete(a.runs, task)
+	}
+	a.act(now)
+}
+
+// Keep drops all runs that are not named: a new snapshot does not have them.
+func (a *Agent) Keep(named map[string]uint64) {
+	for task, known := range a.runs {
+		if named[task] != known.Run {
+			delete(a.runs, task)
+		}
+	}
+}
+
+// Tick is called now and then.
+func (a *Agent) Tick(now time.Duration) { a.act(now) }
+
+// Take returns the calls to make since the last one.
+func (a *Agent) Take() Calls {
+	out := a.out
+	a.out = Calls{}
+	return out
+}
+
+// act orders whatever can be ordered now.
+func (a *Agent) act(now time.Duration) {
+	if a.fencedOff || a.otherLife {
+		return
+	}
+	settling := !a.hasClock
+	for _, task := range a.tasks() {
+		r := a.runs[task]
+		switch {
+		case r.phase == owed:
+			settling = true
+		case r.phase == wanted && r.Stopping:
+			a.release(r, cluster.NotStarted)
+		case r.phase == wanted && a.hasClock && now >= r.tryAt:
+			a.start(now, r)
+		case r.phase == running && r.Stopping && (!r.stopSent || now-r.stopAt >= stopAgain):
+			a.stop(now, r)
+		}
+	}
+	if now < a.holdAt {
+		return
+	}
+	if settling && a.short == 0 {
+		a.short = a.hold(now, 0)
+	}
+	if !settling && a.long == 0 && len(a.runs) > 0 {
+		a.long = a.hold(now, waitMs)
+	}
+}
+
+func (a *Agent) tasks() []string {
+	tasks := make([]string, 0, len(a.runs))
+	for task := range a.runs {
+		tasks = append(tasks, task)
+	}
+	slices.Sort(tasks)
+	return tasks
+}
+
+func (a *Agent) hold(now time.Duration, wait int64) uint64 {
+	a.sequence++
+	a.lastSeen = a.noted()
+	hold := Hold{Sequence: a.sequence, Fence: a.fence(), LastSeen: a.lastSeen, WaitMs: wait}
+	if a.hasClock {
+		hold.UntilMs = a.untilMs(now)
+	}
+	if a.highest > a.lastSeen {
+		hold.WaitMs = 0 // ends that are not noted yet would be told again at once
+	}
+	a.out.Holds = append(a.out.Holds, hold)
+	return a.sequence
+}
+
+// noted returns the number up to which the control machines have all ends.
+func (a *Agent) noted() uint64 {
+	seen := a.lastSeen
+	for a.reported[seen+1] {
+		seen++
+		delete(a.reported, seen)
+	}
+	if seen > a.lastSeen {
+		a.lastSeen = seen
+	}
+	return a.lastSeen
+}
+
+func (a *Agent) start(now time.Duration, r *run) {
+	r.phase, r.fence = ordered, a.fence()
+	a.out.Starts = append(a.out.Starts, Start{Task: r.Task, Command: r.Run, Spec: r.Spec,
+		UntilMs: a.untilMs(now), Fence: r.fence, Saved: r.Saved})
+}
+
+func (a *Agent) stop(now time.Duration, r *run) {
+	r.stopSent, r.stopAt = true, now
+	a.out.Stops = append(a.out.Stops, Stop{r.Task, r.Run, a.fence()})
+}
+
+// release reports that a run is not at work and never will be.
+func (a *Agent) release(r *run, how cluster.How) {
+	r.phase = over
+	a.report(0, r.Task, r.Run, how, "")
+}
+
+func (a *Agent) report(number uint64, task string, command uint64, how cluster.How, saved string) {
+	id, key, ok := job.ParseName(task)
+	if !ok {
+		if number > 0 {
+			a.reported[number] = true
+		}
+		return
+	}
+	a.out.Reports = append(a.out.Reports, Report{number, cluster.Ended{Worker: a.id, Job: id, Task: key,
+		Run: command, How: how, Saved: saved, Token: a.token}})
+}
+
+// Noted enters that the control machines have an end.
+func (a *Agent) Noted(now time.Duration, number uint64) {
+	if number > a.lastSeen {
+		a.reported[number] = true
+	}
+	if a.noted() >= a.highest {
+		a.holdAt = 0
+	}
+	a.act(now)
+}
+
+// StartAnswered enters how an order to start came out.
+func (a *Agent) StartAnswered(now time.Duration, task string, command uint64, answer Answer, clockMs int64) {
+	a.heardClock(now, clockMs)
+	r := a.runs[task]
+	if r == nil || r.Run != command || r.phase != ordered {
+		a.act(now)
+		return
+	}
+	switch answer {
+	case Done:
+		a.unanswered = 0
+		r.phase, r.knownFrom, r.movedAt = running, a.sequence+1, now
+	case Unanswered:
+		r.phase = owed
+		a.unanswered++
+		a.bumps++
+		if a.unanswered == 1 {
+			a.out.Blames = append(a.out.Blames, 0.2)
+		}
+	case Fenced:
+		a.fenced(now, r)
+	case Old, Late:
+		r.phase = owed // the lists tell whether it ended here
+		a.bumps++
+	case NoRoom:
+		a.release(r, cluster.NotStarted)
+	case Unhealthy, Invalid:
+		a.out.Blames = append(a.out.Blames, 0.3)
+		a.release(r, cluster.NotStarted)
+	case OtherLife:
+		a.otherLife = true
+	}
+	a.act(now)
+}
+
+// fenced handles an order that a higher token overtook: either an own settlement, or another owner.
+func (a *Agent) fenced(now time.Duration, r *run) {
+	r.phase = owed
+	if r.fences++; r.fence == a.fence() {
+		if r.fences > 3 {
+			a.fencedOff = true
+		}
+		a.bumps++
+	}
+}
+
+// StopAnswered enters how an order to stop came out.
+func (a *Agent) StopAnswered(now time.Duration, task string, command uint64, answer Answer, clockMs int64) {
+	a.heardClock(now, clockMs)
+	if answer == OtherLife {
+		a.otherLife = true
+	}
+	a.act(now)
+}
+
+func (a *Agent) heardClock(now time.Duration, clockMs int64) {
+	if clockMs > 0 {
+		a.clockMs, a.clockAt, a.hasClock = clockMs, now, true
+	}
+}
+
+// HoldAnswered enters how a hold came out.
+func (a *Agent) HoldAnswered(now time.Duration, hold Hold, answer Answer, lists Lists) {
+	if a.long == hold.Sequence {
+		a.long = 0
+	}
+	if a.short == hold.Sequence {
+		a.short = 0
+	}
+	switch answer {
+	case Done:
+		a.heardClock(now, lists.ClockMs)
+		a.unanswered = 0
+		a.settle(now, hold, &lists)
+		if a.highest > a.noted() {
+			a.holdAt = now + notedWithin
+		}
+	case OtherLife:
+		a.otherLife = true
+	case Fenced:
+		a.heardClock(now, lists.ClockMs)
+		if hold.Fence == a.fence() {
+			a.bumps++
+		}
+		a.holdAt = now + retryPause
+	default:
+		a.unanswered++
+		a.bumps++ // what it might still do must not pass for news
+		a.holdAt = now + retryPause
+		a.out.Blames = append(a.out.Blames, 0.1)
+	}
+	a.act(now)
+}
+
+// settle takes in a worker's lists.
+func (a *Agent) settle(now time.Duration, hold Hold, lists *Lists) {
+	seen := map[string]bool{}
+	for _, end := range lists.Ended {
+		a.ended(end)
+		if r := a.runs[end.Task]; r != nil && r.Run == end.Command {
+			seen[end.Task] = true
+		}
+	}
+	for _, listed := range lists.Running {
+		r := a.runs[listed.Task]
+		if r == nil || r.Run != listed.Command {
+			if r == nil || r.Run > listed.Command {
+				a.out.Stops = append(a.out.Stops, Stop{listed.Task, listed.Command, a.fence()})
+			}
+			continue
+		}
+		seen[listed.Task] = true
+		a.atWork(now, r, listed)
+	}
+	for _, task := range a.tasks() {
+		r := a.runs[task]
+		if seen[task] {
+			continue
+		}
+		switch {
+		case r.phase == owed && hold.Fence > r.fence:
+			r.phase = wanted
+		case r.phase == running && hold.Sequence >= r.knownFrom:
+			a.release(r, cluster.Lost)
+		}
+	}
+}
+
+// ended takes in one end that the worker tells, once.
+func (a *Agent) ended(end End) {
+	if end.Number <= a.lastSeen {
+		return
+	}
+	a.highest = max(a.highest, end.Number)
+	if _, told := a.reported[end.Number]; told {
+		return
+	}
+	if len(a.reported) == 0 && a.lastSeen == 0 {
+		a.lastSeen = end.Number - 1 // what came before was noted by a former owner
+	}
+	a.reported[end.Number] = false
+	if r := a.runs[end.Task]; r != nil && r.Run == end.Command {
+		r.phase = over
+	}
+	a.report(end.Number, end.Task, end.Command, end.How, end.Saved)
+}
+
+// atWork takes in that a run is at work, and how far it is.
+func (a *Agent) atWork(now time.Duration, r *run, listed Running) {
+	if r.phase == over {
+		return
+	}
+	if r.phase != running {
+		r.phase, r.knownFrom, r.movedAt = running, a.sequence, now
+	}
+	if listed.Percent != r.percent {
+		r.percent, r.movedAt = listed.Percent, now
+	}
+	if r.Saves && listed.Saved != "" && listed.Saved != r.saved {
+		r.saved = listed.Saved
+		if id, key, ok := job.ParseName(r.Task); ok {
+			a.out.Checkpoints = append(a.out.Checkpoints, cluster.Checkpoint{Worker: a.id, Job: id, Task: key,
+				Run: r.Run, Saved: listed.Saved})
+		}
+	}
+	stuck := max(stuckAfter, time.Duration(stuckFactor*float64(r.EstimateMs))*time.Millisecond/4)
+	if !r.Stopping && !r.Lasting && now-r.movedAt > stuck {
+		r.Stopping = true
+		a.out.Blames = append(a.out.Blames, 0.6)
+	}
+}
