--- a/internal/dataplane/dispatcher.go
+++ b/internal/dataplane/dispatcher.go
@@ -20,6 +20,10 @@
 // tickEvery is the pace at which timers are looked at.
 const tickEvery = 100 * time.Millisecond
 
+// renewWithout is how long holds are renewed without the control machines. The next owner of a worker that
+// it can't reach counts on this bound.
+const renewWithout = 20 * time.Second
+
 // Dispatcher is one dispatcher. All its state belongs to one goroutine, to which others hand functions.
 type Dispatcher struct {
 	settings *settings.Settings
@@ -100,8 +104,9 @@
 func (d *Dispatcher) tick() {
 	now := d.now()
 	d.reader.tick(now)
+	mayRenew := d.uplink.attached || now-d.uplink.lostAt < renewWithout
 	for _, worker := range d.owned {
-		worker.agent.Tick(now)
+		worker.agent.Tick(now, mayRenew)
 	}
 	d.dueJobs()
 }
--- a/internal/dataplane/jobs.go
+++ b/internal/dataplane/jobs.go
@@ -112,7 +112,7 @@
 			placer.Blame(now, run.worker, 0.2)
 		}
 	case cluster.NotStarted:
-		placer.Blame(now, run.worker, 0.3)
+		placer.Blame(now, run.worker, 0.5)
 	case cluster.Lost, cluster.Lapsed, cluster.Alone:
 		placer.Blame(now, run.worker, 0.2)
 	}
--- a/internal/dataplane/workers.go
+++ b/internal/dataplane/workers.go
@@ -16,9 +16,9 @@
 
 // Bounds of calls to workers.
 const (
-	connectWithin = 500 * time.Millisecond
+	connectWithin = 300 * time.Millisecond
 	orderWithin   = 500 * time.Millisecond
-	holdMargin    = 500 * time.Millisecond // beyond the time for which the worker may wait
+	holdMargin    = 350 * time.Millisecond // beyond the time for which the worker may wait
 	maxLists      = 4 << 20
 	idleConns     = 4
 )
@@ -45,7 +45,7 @@
 		DisableCompression:  true,
 	}
 	return &ownedWorker{dispatcher: d, id: told.ID, service: told.Service, url: "http://" + told.Address,
-		agent:  worker.New(told.ID, told.Token, d.settings.Bounds.HoldMaxMs),
+		agent:  worker.New(d.now(), told.ID, told.Token, d.settings.Bounds.HoldMaxMs),
 		client: &http.Client{Transport: transport}, transport: transport}
 }
 
@@ -170,7 +170,7 @@
 	if err != nil {
 		w.transport.CloseIdleConnections() // what killed this connection may have killed others
 		if neverSent(err) {
-			return worker.Unhealthy, body
+			return worker.Unreached, body
 		}
 		return worker.Unanswered, body
 	}
--- a/scheduling/worker/worker.go
+++ b/scheduling/worker/worker.go
@@ -17,8 +17,15 @@
 
 // Bounds of an agent.
 const (
-	tokenShift  = 20 // an owner's token has room for this many bits of own settlements
-	waitMs      = 1000
+	tokenShift  = 20   // an owner's token has room for this many bits of own settlements
+	waitMs      = 600  // a look waits so long for an end
+	holdMs      = 3200 // a hold lasts so long: longer than a takeover takes, short enough to give up lost workers
+	clockSlow   = 0.98 // a worker's clock runs at this rate at least
+	renewEvery  = 300 * time.Millisecond
+	freshFor    = 15 * time.Millisecond    // an answer shows for so long that orders will arrive
+	lateBound   = 12500 * time.Millisecond // an order without an answer may still be carried out for so long
+	lapseMargin = 150 * time.Millisecond
+	foreignHold = 40 * time.Second // for what a former owner may have ordered, where the worker never answered
 	retryPause  = 250 * time.Millisecond
 	notedWithin = 500 * time.Millisecond // ends wait so long for the control machines before the next hold
 	stopAgain   = 600 * time.Millisecond
@@ -90,6 +97,7 @@
 	Unhealthy // nothing was done
 	Invalid
 	OtherLife // another incarnation is at this address
+	Unreached // nothing was sent
 )
 
 // Report is what the control machines are to know. Number is that of the worker's end, or 0.
@@ -128,8 +136,8 @@
 	saved     string
 	percent   int
 	movedAt   time.Duration
-	tryAt     time.Duration
 	fences    int
+	outdated  bool // the worker will not start this run any more
 }
 
 // Agent owns one worker.
@@ -137,29 +145,41 @@
 	id        string
 	token     uint64
 	bumps     uint64
-	holdMaxMs int64
+	holdMaxMs int64 // that this owner gives
+	mostMs    int64 // that any owner can have given
 	runs      map[string]*run
 
 	clockMs  int64 // of the worker, at clockAt here
 	clockAt  time.Duration
 	hasClock bool
 
-	sequence   uint64
-	long       uint64 // sequence of the waiting hold under way, or 0
-	short      uint64 // sequence of the settling hold under way, or 0
-	holdAt     time.Duration
-	lastSeen   uint64
-	reported   map[uint64]bool // ends reported, true once the control machines have them
-	highest    uint64
-	fencedOff  bool
-	otherLife  bool
-	out        Calls
-	unanswered int
+	contacted  bool // a list was answered under this token
+	reachable  bool // the last call was answered
+	answeredAt time.Duration
+	createdAt  time.Duration
+	renewedAt  time.Duration
+	untilMax   int64         // the longest hold that any order gave, on the worker's clock
+	lateUntil  time.Duration // until then, an order without an answer may lengthen the hold
+	lateFence  uint64        // of the newest such order
+	mayRenew   bool
+
+	sequence  uint64
+	long      uint64        // sequence of the waiting hold under way, or 0
+	short     uint64        // sequence of the settling hold under way, or 0
+	holdAt    time.Duration // no look before then
+	lastSeen  uint64
+	reported  map[uint64]bool // ends reported, true once the control machines have them
+	highest   uint64
+	fencedOff bool
+	otherLife bool
+	out       Calls
 }
 
 // New returns the agent of a worker under an owner's token.
-func New(id string, token uint64, holdMaxMs int64) *Agent {
-	return &Agent{id: id, token: token, holdMaxMs: holdMaxMs, runs: map[string]*run{}, reported: map[uint64]bool{}}
+func New(now time.Duration, id string, token uint64, holdMaxMs int64) *Agent {
+	return &Agent{id: id, token: token, holdMaxMs: min(holdMaxMs, holdMs), mostMs: holdMaxMs, runs: map[string]*run{},
+		reported: map[uint64]bool{}, createdAt: now, answeredAt: now - time.Second, renewedAt: now - time.Second,
+		reachable: true, mayRenew: true}
 }
 
 // Token returns the owner's token.
@@ -170,8 +190,34 @@
 
 func (a *Agent) fence() uint64 { return a.token<<tokenShift | min(a.bumps, 1<<tokenShift-1) }
 
+// untilMs returns until when an order is to hold, and keeps that it may have given so much.
 func (a *Agent) untilMs(now time.Duration) int64 {
-	return a.clockMs + (now - a.clockAt).Milliseconds() + a.holdMaxMs
+	until := a.clockMs + (now - a.clockAt).Milliseconds() + a.holdMaxMs
+	a.untilMax = max(a.untilMax, until)
+	return until
+}
+
+// fresh reports whether the worker has answered so lately that an order will reach it.
+func (a *Agent) fresh(now time.Duration) bool { return a.hasClock && now-a.answeredAt <= freshFor }
+
+// mayLengthen keeps that an order without an answer may be carried out later, and its time count from then.
+func (a *Agent) mayLengthen(now time.Duration, fence uint64) {
+	hold := time.Duration(float64(a.holdMaxMs)/clockSlow) * time.Millisecond
+	a.lateUntil = max(a.lateUntil, now+lateBound+hold)
+	a.lateFence = max(a.lateFence, fence)
+}
+
+// lapsed reports whether everything that ran at a silent worker is over for certain.
+func (a *Agent) lapsed(now time.Duration) bool {
+	if a.reachable {
+		return false
+	}
+	if !a.contacted {
+		return now-a.createdAt > foreignHold
+	}
+	left := max(a.untilMax-a.clockMs, 0)
+	over := a.clockAt + time.Duration(float64(left)/clockSlow)*time.Millisecond + lapseMargin
+	return now > over && now > a.lateUntil
 }
 
 // Place enters what is to run, or that it is to stop. One that is not fresh may have been ordered by a
@@ -183,6 +229,9 @@
 		a.act(now)
 		return
 	}
+	if known != nil && known.Run > placement.Run {
+		return
+	}
 	entered := &run{Placement: placement, phase: owed, movedAt: now, saved: placement.Saved}
 	if placement.Fresh {
 		entered.phase = wanted
@@ -208,8 +257,12 @@
 	}
 }
 
-// Tick is called now and then.
-func (a *Agent) Tick(now time.Duration) { a.act(now) }
+// Tick is called now and then. Without mayRenew, holds are no longer renewed: the owner has been out
+// of touch with the control machines for so long that another one may count on that.
+func (a *Agent) Tick(now time.Duration, mayRenew bool) {
+	a.mayRenew = mayRenew
+	a.act(now)
+}
 
 // Take returns the calls to make since the last one.
 func (a *Agent) Take() Calls {
@@ -223,28 +276,48 @@
 	if a.fencedOff || a.otherLife {
 		return
 	}
-	settling := !a.hasClock
+	if a.lapsed(now) {
+		a.giveUp()
+	}
+	settling, starting := !a.contacted, false
 	for _, task := range a.tasks() {
 		r := a.runs[task]
 		switch {
 		case r.phase == owed:
 			settling = true
-		case r.phase == wanted && r.Stopping:
+		case r.phase == wanted && (r.Stopping || !a.reachable):
 			a.release(r, cluster.NotStarted)
-		case r.phase == wanted && a.hasClock && now >= r.tryAt:
+		case r.phase == wanted && a.contacted && a.fresh(now):
 			a.start(now, r)
+		case r.phase == wanted:
+			starting = true
 		case r.phase == running && r.Stopping && (!r.stopSent || now-r.stopAt >= stopAgain):
 			a.stop(now, r)
 		}
 	}
-	if now < a.holdAt {
-		return
+	if now >= a.holdAt {
+		a.look(now, settling, starting)
 	}
-	if settling && a.short == 0 {
-		a.short = a.hold(now, 0)
+}
+
+// look makes the calls that renew the hold and show what runs. Holds are renewed and starts are sent
+// only right behind an answer, so that few orders are lost in a cut, and stay unsettled by that.
+func (a *Agent) look(now time.Duration, settling, starting bool) {
+	renew := len(a.runs) > 0 && a.mayRenew && a.contacted && a.fresh(now) && now-a.renewedAt >= renewEvery
+	if a.short == 0 && (settling || starting || renew || !a.reachable && len(a.runs) > 0) {
+		a.short = a.hold(now, 0, renew)
 	}
-	if !settling && a.long == 0 && len(a.runs) > 0 {
-		a.long = a.hold(now, waitMs)
+	if a.long == 0 && a.reachable && !settling && len(a.runs) > 0 {
+		a.long = a.hold(now, waitMs, false)
+	}
+}
+
+// giveUp reports all that was here as over.
+func (a *Agent) giveUp() {
+	for _, task := range a.tasks() {
+		if r := a.runs[task]; r.phase == running || r.phase == owed || r.phase == ordered {
+			a.release(r, cluster.Lost)
+		}
 	}
 }
 
@@ -257,12 +330,12 @@
 	return tasks
 }
 
-func (a *Agent) hold(now time.Duration, wait int64) uint64 {
+func (a *Agent) hold(now time.Duration, wait int64, renew bool) uint64 {
 	a.sequence++
 	a.lastSeen = a.noted()
 	hold := Hold{Sequence: a.sequence, Fence: a.fence(), LastSeen: a.lastSeen, WaitMs: wait}
-	if a.hasClock {
-		hold.UntilMs = a.untilMs(now)
+	if renew {
+		hold.UntilMs, a.renewedAt = a.untilMs(now), now
 	}
 	if a.highest > a.lastSeen {
 		hold.WaitMs = 0 // ends that are not noted yet would be told again at once
@@ -326,32 +399,34 @@
 
 // StartAnswered enters how an order to start came out.
 func (a *Agent) StartAnswered(now time.Duration, task string, command uint64, answer Answer, clockMs int64) {
-	a.heardClock(now, clockMs)
+	a.heard(now, answer, clockMs)
 	r := a.runs[task]
 	if r == nil || r.Run != command || r.phase != ordered {
+		if answer == Unanswered {
+			a.mayLengthen(now, a.fence())
+			a.bumps++
+		}
 		a.act(now)
 		return
 	}
 	switch answer {
 	case Done:
-		a.unanswered = 0
 		r.phase, r.knownFrom, r.movedAt = running, a.sequence+1, now
 	case Unanswered:
 		r.phase = owed
-		a.unanswered++
+		a.mayLengthen(now, r.fence)
 		a.bumps++
-		if a.unanswered == 1 {
-			a.out.Blames = append(a.out.Blames, 0.2)
-		}
+		a.out.Blames = append(a.out.Blames, 0.2)
 	case Fenced:
 		a.fenced(now, r)
 	case Old, Late:
+		r.outdated = r.outdated || answer == Old
 		r.phase = owed // the lists tell whether it ended here
 		a.bumps++
 	case NoRoom:
 		a.release(r, cluster.NotStarted)
-	case Unhealthy, Invalid:
-		a.out.Blames = append(a.out.Blames, 0.3)
+	case Unhealthy, Invalid, Unreached:
+		a.out.Blames = append(a.out.Blames, 0.4)
 		a.release(r, cluster.NotStarted)
 	case OtherLife:
 		a.otherLife = true
@@ -372,14 +447,19 @@
 
 // StopAnswered enters how an order to stop came out.
 func (a *Agent) StopAnswered(now time.Duration, task string, command uint64, answer Answer, clockMs int64) {
-	a.heardClock(now, clockMs)
+	a.heard(now, answer, clockMs)
 	if answer == OtherLife {
 		a.otherLife = true
 	}
 	a.act(now)
 }
 
-func (a *Agent) heardClock(now time.Duration, clockMs int64) {
+// heard takes in what every answer shows: that the worker is there, and its clock.
+func (a *Agent) heard(now time.Duration, answer Answer, clockMs int64) {
+	if answer == Unanswered || answer == Unreached {
+		return
+	}
+	a.answeredAt, a.reachable = now, true
 	if clockMs > 0 {
 		a.clockMs, a.clockAt, a.hasClock = clockMs, now, true
 	}
@@ -393,10 +473,9 @@
 	if a.short == hold.Sequence {
 		a.short = 0
 	}
+	a.heard(now, answer, lists.ClockMs)
 	switch answer {
 	case Done:
-		a.heardClock(now, lists.ClockMs)
-		a.unanswered = 0
 		a.settle(now, hold, &lists)
 		if a.highest > a.noted() {
 			a.holdAt = now + notedWithin
@@ -404,22 +483,37 @@
 	case OtherLife:
 		a.otherLife = true
 	case Fenced:
-		a.heardClock(now, lists.ClockMs)
 		if hold.Fence == a.fence() {
 			a.bumps++
 		}
 		a.holdAt = now + retryPause
 	default:
-		a.unanswered++
-		a.bumps++ // what it might still do must not pass for news
-		a.holdAt = now + retryPause
-		a.out.Blames = append(a.out.Blames, 0.1)
+		a.holdFailed(now, hold, answer)
 	}
 	a.act(now)
 }
 
+func (a *Agent) holdFailed(now time.Duration, hold Hold, answer Answer) {
+	if answer == Unanswered && hold.UntilMs > 0 {
+		a.mayLengthen(now, hold.Fence)
+		a.bumps++
+	}
+	if now-a.answeredAt > freshFor && hold.WaitMs == 0 {
+		a.reachable = false
+		a.holdAt = now + retryPause
+		a.out.Blames = append(a.out.Blames, 0.6)
+	}
+}
+
 // settle takes in a worker's lists.
 func (a *Agent) settle(now time.Duration, hold Hold, lists *Lists) {
+	if !a.contacted {
+		a.contacted = true
+		a.untilMax = max(a.untilMax, lists.ClockMs+a.mostMs) // a former owner may have given so much
+	}
+	if hold.Fence > a.lateFence {
+		a.lateUntil = 0 // what was ordered under lower tokens does nothing any more
+	}
 	seen := map[string]bool{}
 	for _, end := range lists.Ended {
 		a.ended(end)
@@ -444,6 +538,8 @@
 			continue
 		}
 		switch {
+		case r.phase == owed && hold.Fence > r.fence && r.outdated:
+			a.release(r, cluster.NotStarted)
 		case r.phase == owed && hold.Fence > r.fence:
 			r.phase = wanted
 		case r.phase == running && hold.Sequence >= r.knownFrom:
