Owners look before they start; ended processes are noticed at once; members go on from their own logs

Cause: after a kill of the core 0.9 s went by until dispatchers were back: restarted members were sent the whole log again from its beginning, and dispatchers were sent away by members about to serve. Workers that were cut off kept their tasks for 6 s. Change: a rejected append names where the receiver's log ends; records carry the commit index, replayed at the start; a refused connection counts as an ended process; holds of 3.2 s, renewed and started only right behind an answer, so that what lapsed is known.

--- a/coordination/chain/chain.go
+++ b/coordination/chain/chain.go
@@ -143,11 +143,13 @@
 	ackReads  []Read
 }
 
-// New returns a replica with the log that its disk held. It takes part in nothing before SetView.
-func New(me MemberID, minimum int, base Snapshot, log []Entry) *Replica {
+// New returns a replica with the log that its disk held, and up to where that is known to be committed.
+// It takes part in nothing before SetView.
+func New(me MemberID, minimum int, base Snapshot, log []Entry, committed uint64) *Replica {
 	r := &Replica{me: me, minimum: minimum, position: -1, base: base.Index, baseEpoch: base.IndexEpoch,
-		baseData: base.Data, log: log, committed: base.Index}
+		baseData: base.Data, log: log}
 	r.synced = r.Last()
+	r.committed = max(base.Index, min(committed, r.Last()))
 	return r
 }
 
@@ -289,7 +291,7 @@
 	}
 	if !known {
 		r.out.Sends = append(r.out.Sends, Send{r.predecessor(), Message{Ack: &Ack{
-			Epoch: r.view.Epoch, Received: r.committed, Rejected: true, Previous: m.PrevIndex, Committed: r.committed}}})
+			Epoch: r.view.Epoch, Received: r.goOnFrom(m.PrevIndex), Rejected: true, Previous: m.PrevIndex, Committed: r.committed}}})
 		return
 	}
 	var fresh []Entry
@@ -316,6 +318,18 @@
 	r.advance()
 }
 
+// goOnFrom returns up to where the log here may be the predecessor's too, if it is not at the index.
+func (r *Replica) goOnFrom(index uint64) uint64 {
+	if index > r.Last() {
+		return r.Last()
+	}
+	epoch := r.epochOf(index)
+	for index > r.committed && r.epochOf(index) == epoch {
+		index--
+	}
+	return max(index, r.committed)
+}
+
 // truncate drops the entries from an index on: another history took their place.
 func (r *Replica) truncate(from uint64) {
 	r.log = r.log[:from-r.base-1]
--- a/coordination/segment/segment.go
+++ b/coordination/segment/segment.go
@@ -32,9 +32,10 @@
 
 // Record is one entry of the log.
 type Record struct {
-	Index uint64
-	Epoch uint64
-	Data  []byte
+	Index     uint64
+	Epoch     uint64
+	Committed uint64 // up to where entries were known to be committed when this one was written
+	Data      []byte
 }
 
 // Snapshot is the state after the entry Index.
@@ -50,10 +51,12 @@
 	Meta     []byte
 	Snapshot Snapshot
 	Records  []Record // those behind the snapshot, without a gap
+	// Committed is the newest index that is known to be committed.
+	Committed uint64
 }
 
 const (
-	recordHeader  = 32 // length, checksum, sequence, life, index, epoch
+	recordHeader  = 40 // length, checksum, sequence, life, index, epoch, committed
 	segmentHeader = 16 // magic, sequence, checksum
 	slotHeader    = 40 // magic, length, checksum, sequence, index, epoch
 	magic         = 0x79665347
@@ -135,6 +138,10 @@
 	if recovered.Records, err = s.scan(); err != nil {
 		return nil, nil, errors.Trace(err)
 	}
+	recovered.Committed = s.covered
+	for _, record := range recovered.Records {
+		recovered.Committed = max(recovered.Committed, record.Committed)
+	}
 	if err := folder.Sync(); err != nil {
 		return nil, nil, errors.Trace(err)
 	}
@@ -233,9 +240,10 @@
 		}
 		life = wrote
 		record := Record{
-			Index: binary.LittleEndian.Uint64(head[16:]),
-			Epoch: binary.LittleEndian.Uint64(head[24:]),
-			Data:  append([]byte(nil), content[at+recordHeader:at+length]...),
+			Index:     binary.LittleEndian.Uint64(head[16:]),
+			Epoch:     binary.LittleEndian.Uint64(head[24:]),
+			Committed: binary.LittleEndian.Uint64(head[32:]),
+			Data:      append([]byte(nil), content[at+recordHeader:at+length]...),
 		}
 		for len(records) > 0 && records[len(records)-1].Index >= record.Index {
 			records = records[:len(records)-1]
@@ -299,6 +307,7 @@
 	binary.LittleEndian.PutUint32(head[12:], s.life)
 	binary.LittleEndian.PutUint64(head[16:], record.Index)
 	binary.LittleEndian.PutUint64(head[24:], record.Epoch)
+	binary.LittleEndian.PutUint64(head[32:], record.Committed)
 	binary.LittleEndian.PutUint32(head[4:], crc32.Checksum(head[8:], castagnoli))
 }
 
--- a/coordination/view/detector.go
+++ b/coordination/view/detector.go
@@ -61,6 +61,13 @@
 	p.ping, p.at = ping, now
 }
 
+// Refused enters that nothing listens at a member's address: its process is gone.
+func (d *Detector) Refused(now time.Duration, id MemberID) {
+	if p := d.peers[id]; p != nil {
+		p.at = min(p.at, now-SilentAfter-1)
+	}
+}
+
 // Hears lists who was heard lately.
 func (d *Detector) Hears(now time.Duration) []MemberID {
 	list := []MemberID{}
--- /dev/null
+++ b/internal/control/cluster/bench_test.go
@@ -0,0 +1,90 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"linnetlift/scheduling/job"
+)
+
+// script returns commands that carry jobs of four tasks through a cluster of 48 workers and 8 sessions.
+func script(jobs int) [][]byte {
+	var list [][]byte
+	add := func(command Command) {
+		data, err := cbor.Marshal(command)
+		if err != nil {
+			panic(err)
+		}
+		list = append(list, data)
+	}
+	for i := range 8 {
+		add(Command{OpenSession: &OpenSession{Node: fmt.Sprint("front-", i), Zone: fmt.Sprint("z", i%3), Life: uint64(i + 1)}})
+	}
+	instances := &Instances{Reader: 1}
+	for i := range 48 {
+		instances.Changed = append(instances.Changed, Instance{ID: fmt.Sprint("w", i), Service: "s",
+			Address: fmt.Sprint("10.0.0.", i, ":80"), Zone: fmt.Sprint("z", i%3), Labels: []string{"a", "r1"},
+			Capacity: job.Resources{Cpu: 1 << 30, MemMb: 1 << 30}})
+	}
+	add(Command{Instances: instances})
+	for n := range jobs {
+		id := fmt.Sprintf("%016x", n)
+		add(Command{Submit: &Submit{job.Job{ID: id, Route: "h/p/", Service: "s", MaxAttempts: 3, Owner: uint64(n%8 + 1),
+			Request: job.Request{Spec: string(make([]byte, 500)), Steps: []job.Step{{Count: 4, Cpu: 1000, MemMb: 100}}}}}})
+		for index := range 4 {
+			key := job.Key{Index: index}
+			worker := fmt.Sprint("w", (n+index)%48)
+			add(Command{Place: &Place{Session: uint64(n%8 + 1), Job: id, Targets: []Target{{key, worker}}}})
+			add(Command{Ended: &Ended{Worker: worker, Job: id, Task: key, Run: 1, How: Done}})
+		}
+		if n%100 == 99 {
+			add(Command{Age: &Age{}})
+		}
+	}
+	return list
+}
+
+// BenchmarkApply measures decoding and applying one command.
+func BenchmarkApply(b *testing.B) {
+	commands := script(4000)
+	b.ReportAllocs()
+	b.ResetTimer()
+	c := New(25)
+	for i := range b.N {
+		if i%len(commands) == 0 {
+			c = New(25)
+		}
+		command := &Command{}
+		if err := cbor.Unmarshal(commands[i%len(commands)], command); err != nil {
+			b.Fatal(err)
+		}
+		if result := c.Apply(command); result.Code != OK {
+			b.Fatal(result.Code)
+		}
+		c.TakeUpdates()
+	}
+}
+
+// BenchmarkSnapshot measures writing the state with 2,500 jobs known.
+func BenchmarkSnapshot(b *testing.B) {
+	c := New(25)
+	for _, data := range script(2500) {
+		command := &Command{}
+		if err := cbor.Unmarshal(data, command); err != nil {
+			b.Fatal(err)
+		}
+		c.Apply(command)
+		c.TakeUpdates()
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		data, err := cbor.Marshal(&c.State)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.SetBytes(int64(len(data)))
+	}
+}
--- a/internal/control/link/link.go
+++ b/internal/control/link/link.go
@@ -56,6 +56,7 @@
 type Peer struct {
 	Ping     *view.Ping          `cbor:"1,keyasint,omitempty"`
 	Sessions []cluster.SessionID `cbor:"2,keyasint,omitempty"` // dispatchers in touch with the sender, with a ping
+	Broken   []cluster.SessionID `cbor:"6,keyasint,omitempty"` // dispatchers whose connections ended all at once
 	View     *view.Message       `cbor:"3,keyasint,omitempty"`
 	Chain    *chain.Message      `cbor:"4,keyasint,omitempty"`
 	Forward  []chain.Proposal    `cbor:"5,keyasint,omitempty"`
--- a/internal/control/server/disk.go
+++ b/internal/control/server/disk.go
@@ -14,11 +14,12 @@
 
 // diskJob is one thing to make durable; done is called by the engine afterwards.
 type diskJob struct {
-	entries  []chain.Entry
-	meta     []byte
-	snapshot *segment.Snapshot
-	reset    bool // the snapshot comes from elsewhere: the log before it is void
-	done     func()
+	entries   []chain.Entry
+	committed uint64 // up to where entries are known to be committed
+	meta      []byte
+	snapshot  *segment.Snapshot
+	reset     bool // the snapshot comes from elsewhere: the log before it is void
+	done      func()
 }
 
 // retryAfter is how long a refused write waits until it is tried again.
@@ -82,7 +83,8 @@
 	var entries []segment.Record
 	for _, job := range batch {
 		for _, entry := range job.entries {
-			entries = append(entries, segment.Record{Index: entry.Index, Epoch: entry.Epoch, Data: entry.Data})
+			entries = append(entries, segment.Record{Index: entry.Index, Epoch: entry.Epoch,
+				Committed: job.committed, Data: entry.Data})
 		}
 		if job.snapshot == nil {
 			continue
--- a/internal/control/server/dispatchers.go
+++ b/internal/control/server/dispatchers.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
 
 	"linnetlift/coordination/frame"
 	"linnetlift/internal/control/cluster"
@@ -13,7 +15,8 @@
 
 // Spans of connections with dispatchers.
 const (
-	dispatcherSilence = 900 * time.Millisecond // heartbeats come every 250 ms
+	dispatcherSilence = 800 * time.Millisecond // heartbeats come every 250 ms
+	attachPatience    = 500 * time.Millisecond // for this replica to serve, which takes less after a change of view
 	heartbeatTicks    = 2                      // of tickEvery, between heartbeats to dispatchers
 )
 
@@ -37,13 +40,20 @@
 
 func (s *Server) listenDispatcher(conn *frame.Conn) {
 	d := &dispatcher{conn: conn}
+	broken := false
 	defer func() {
 		conn.Close()
-		s.do(func() { s.removeDispatcher(d) })
+		s.do(func() {
+			if broken && s.dispatchers[d] && s.bySession[d.session] == d {
+				s.reportBroken(d.session)
+			}
+			s.removeDispatcher(d)
+		})
 	}()
 	for {
 		data, err := conn.Receive(dispatcherSilence)
 		if err != nil {
+			broken = !errors.Is(err, os.ErrDeadlineExceeded)
 			return
 		}
 		up := &link.Up{}
@@ -54,6 +64,13 @@
 	}
 }
 
+// reportBroken tells the head that a dispatcher's connection has ended. An end that its machine has
+// told mostly means that the process is gone.
+func (s *Server) reportBroken(id cluster.SessionID) {
+	s.broken[id] = s.now()
+	s.peers.broadcast(&link.Peer{Broken: []cluster.SessionID{id}})
+}
+
 func (s *Server) receiveUp(d *dispatcher, up *link.Up) {
 	if up.Hello != nil {
 		s.attach(d, up.Hello)
@@ -70,11 +87,12 @@
 }
 
 func (s *Server) attach(d *dispatcher, hello *link.Hello) {
+	d.hello = *hello
 	if !s.inTouch() {
-		d.conn.Send(link.Encode(link.Down{Refused: true, Controls: s.controls()}))
+		s.waiting[d] = s.now()
 		return
 	}
-	d.hello = *hello
+	delete(s.waiting, d)
 	s.dispatchers[d] = true
 	open := &cluster.OpenSession{Node: hello.Node, Zone: hello.Zone, Life: hello.Life}
 	s.submit(&cluster.Command{OpenSession: open}, nil, func(result cluster.Result) {
@@ -85,6 +103,19 @@
 	})
 }
 
+// attachWaiting serves those who came too early, and sends those away who have waited for long.
+func (s *Server) attachWaiting() {
+	for d, since := range s.waiting {
+		switch {
+		case s.inTouch():
+			s.attach(d, &d.hello)
+		case s.now()-since > attachPatience:
+			delete(s.waiting, d)
+			d.conn.Send(link.Encode(link.Down{Refused: true, Controls: s.controls()}))
+		}
+	}
+}
+
 func (s *Server) receiveCommand(d *dispatcher, tagged *link.Tagged) {
 	command := &cluster.Command{}
 	if !link.Decode(tagged.Command, command) {
@@ -98,6 +129,7 @@
 }
 
 func (s *Server) removeDispatcher(d *dispatcher) {
+	delete(s.waiting, d)
 	if !s.dispatchers[d] {
 		return
 	}
@@ -133,6 +165,7 @@
 
 // deliver sends updates to those whom they concern, then outcomes.
 func (s *Server) deliver() {
+	s.attachWaiting()
 	s.addUpdates()
 	for d := range s.dispatchers {
 		if d.snapshot {
@@ -151,6 +184,10 @@
 }
 
 func (s *Server) addUpdates() {
+	if len(s.bySession) == 0 {
+		s.updates = nil
+		return
+	}
 	last := map[string]int{} // the newest figure of a worker's use stands for those before it
 	for i, addressed := range s.updates {
 		if used := addressed.Update.Used; used != nil {
--- a/internal/control/server/engine.go
+++ b/internal/control/server/engine.go
@@ -26,8 +26,9 @@
 	retryTicks     = 4 // without progress of the successor before it is sent everything anew
 	stallAfter     = time.Second
 	resendAfter    = 500 * time.Millisecond // for commands without an outcome
-	sessionTimeout = 1800 * time.Millisecond
-	sessionGrace   = 3 * time.Second // for dispatchers to come back after a change of view
+	sessionTimeout = 1300 * time.Millisecond
+	brokenTimeout  = 300 * time.Millisecond // for a dispatcher whose connection has ended to come back
+	sessionGrace   = 3 * time.Second        // for dispatchers to come back after a change of view
 	ageEvery       = 5 * time.Second
 	jobMargin      = 20 * time.Second // for which jobs are known beyond what clients were promised
 )
@@ -68,6 +69,8 @@
 	dispatchers map[*dispatcher]bool
 	bySession   map[cluster.SessionID]*dispatcher
 	seen        map[cluster.SessionID]time.Duration // by the head: when a session was last in touch
+	waiting     map[*dispatcher]time.Duration       // dispatchers that came while this replica did not serve
+	broken      map[cluster.SessionID]time.Duration // when a session's connection ended
 	viewSince   time.Duration
 	agedAt      time.Duration
 	ended       chan struct{}
@@ -102,6 +105,8 @@
 		dispatchers: map[*dispatcher]bool{},
 		bySession:   map[cluster.SessionID]*dispatcher{},
 		seen:        map[cluster.SessionID]time.Duration{},
+		broken:      map[cluster.SessionID]time.Duration{},
+		waiting:     map[*dispatcher]time.Duration{},
 		nextTag:     rand.Uint64() >> 8,
 		ended:       make(chan struct{}),
 	}
@@ -114,7 +119,8 @@
 		entries[i] = chain.Entry{Index: record.Index, Epoch: record.Epoch, Data: record.Data}
 	}
 	server.replica = chain.New(durable.Me.ID, s.Tolerate.Machines+1, chain.Snapshot{Index: recovered.Snapshot.Index,
-		IndexEpoch: recovered.Snapshot.Epoch, Data: recovered.Snapshot.Data}, entries)
+		IndexEpoch: recovered.Snapshot.Epoch, Data: recovered.Snapshot.Data}, entries, recovered.Committed)
+	server.replay(entries)
 	server.detector = view.NewDetector(durable.Me, 0)
 	server.freeSegments = store.FreeSegments()
 	server.disk = newDisk(store, logger, server.diskDone)
@@ -124,6 +130,18 @@
 	return server, nil
 }
 
+// replay applies what the disk shows to be committed.
+func (s *Server) replay(entries []chain.Entry) {
+	for i := range entries {
+		if entries[i].Index > s.replica.Committed() {
+			break
+		}
+		entries[i].Origin = 0
+		s.apply(&entries[i])
+		s.updates = nil
+	}
+}
+
 // Handler serves all that a control process answers.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -261,7 +279,7 @@
 	for _, write := range out.Writes {
 		last := write.Entries[len(write.Entries)-1].Index
 		generation := write.Generation
-		s.disk.add(diskJob{entries: write.Entries, done: func() { s.replica.Written(last, generation) }})
+		s.disk.add(diskJob{entries: write.Entries, committed: s.replica.Committed(), done: func() { s.replica.Written(last, generation) }})
 	}
 	for _, send := range out.Sends {
 		s.peers.send(send.To, &link.Peer{Chain: &send.Message})
@@ -423,7 +441,10 @@
 			s.seen[id] = now
 		}
 		last := max(s.seen[id], s.viewSince+sessionGrace-sessionTimeout)
-		if now-last > sessionTimeout {
+		brokenAt, isBroken := s.broken[id]
+		gone := isBroken && s.seen[id] <= brokenAt && now-brokenAt > brokenTimeout && now-s.viewSince > sessionTimeout
+		if gone || now-last > sessionTimeout {
+			delete(s.broken, id)
 			s.seen[id] = now // asked for once
 			s.logger.Info().Uint64("session", id).Str("node", s.cluster.Sessions[id].Node).Msg("session over: silent")
 			s.submit(&cluster.Command{CloseSession: &cluster.CloseSession{Session: id}}, nil, func(cluster.Result) {})
@@ -432,6 +453,7 @@
 	for id := range s.seen {
 		if s.cluster.Sessions[id] == nil && now-s.seen[id] > sessionTimeout {
 			delete(s.seen, id)
+			delete(s.broken, id)
 		}
 	}
 	if now-s.agedAt >= ageEvery {
@@ -473,6 +495,10 @@
 		for _, id := range message.Sessions {
 			s.seen[id] = now
 		}
+	case message.Broken != nil:
+		for _, id := range message.Broken {
+			s.broken[id] = now
+		}
 	case message.View != nil:
 		s.register.Receive(from.ID, message.View)
 	case message.Chain != nil:
--- a/internal/control/server/peers.go
+++ b/internal/control/server/peers.go
@@ -2,8 +2,11 @@
 
 import (
 	"net/http"
+	"syscall"
 	"time"
 
+	"github.com/juju/errors"
+
 	"linnetlift/coordination/frame"
 	"linnetlift/coordination/view"
 	"linnetlift/internal/control/link"
@@ -11,7 +14,7 @@
 
 // Spans of connections among control machines.
 const (
-	dialWithin  = 700 * time.Millisecond
+	dialWithin  = 300 * time.Millisecond
 	redialAfter = 150 * time.Millisecond
 	peerSilence = 1200 * time.Millisecond // heartbeats come every 100 ms
 )
@@ -73,6 +76,9 @@
 	p.server.do(func() {
 		other.dialing = false
 		if err != nil {
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				p.refused(other)
+			}
 			return
 		}
 		other.conn = conn
@@ -96,9 +102,22 @@
 		if other.conn == conn {
 			other.conn = nil
 		}
+		if other.conn == nil && !other.dialing {
+			other.dialing, other.triedAt = true, p.server.now()
+			go p.dial(other) // at once: it shows whether the process is gone
+		}
 	})
 }
 
+// refused tells the detector that nothing listens at an address.
+func (p *peers) refused(other *peer) {
+	for id, address := range p.addresses {
+		if address == other.address {
+			p.server.detector.Refused(p.server.now(), id)
+		}
+	}
+}
+
 // accept serves another control machine's connection.
 func (p *peers) accept(w http.ResponseWriter, r *http.Request) {
 	conn, err := frame.Upgrade(w, r)
--- a/internal/dataplane/uplink.go
+++ b/internal/dataplane/uplink.go
@@ -13,13 +13,12 @@
 
 // Spans of the connection with the control machines.
 const (
-	dialWithin    = 600 * time.Millisecond
-	downSilence   = 900 * time.Millisecond // heartbeats come every 200 ms
-	heartbeat     = 250 * time.Millisecond
-	redialPause   = 60 * time.Millisecond
-	redialMost    = 400 * time.Millisecond
-	attachWithin  = 2 * time.Second
-	unknownResult = 0
+	dialWithin   = 250 * time.Millisecond
+	downSilence  = 900 * time.Millisecond // heartbeats come every 200 ms
+	heartbeat    = 250 * time.Millisecond
+	redialPause  = 60 * time.Millisecond
+	redialMost   = 150 * time.Millisecond
+	attachWithin = 900 * time.Millisecond
 )
 
 // pendingCommand is a command without an outcome. It goes out again on each new connection.
--- a/scheduling/worker/worker.go
+++ b/scheduling/worker/worker.go
@@ -21,7 +21,7 @@
 	waitMs      = 600  // a look waits so long for an end
 	holdMs      = 3200 // a hold lasts so long: longer than a takeover takes, short enough to give up lost workers
 	clockSlow   = 0.98 // a worker's clock runs at this rate at least
-	renewEvery  = 300 * time.Millisecond
+	renewEvery  = 600 * time.Millisecond
 	freshFor    = 15 * time.Millisecond    // an answer shows for so long that orders will arrive
 	lateBound   = 12500 * time.Millisecond // an order without an answer may still be carried out for so long
 	lapseMargin = 150 * time.Millisecond
@@ -359,6 +359,7 @@
 
 func (a *Agent) start(now time.Duration, r *run) {
 	r.phase, r.fence = ordered, a.fence()
+	a.renewedAt = now // a start renews the hold as well
 	a.out.Starts = append(a.out.Starts, Start{Task: r.Task, Command: r.Run, Spec: r.Spec,
 		UntilMs: a.untilMs(now), Fence: r.fence, Saved: r.Saved})
 }
@@ -573,7 +574,7 @@
 		return
 	}
 	if r.phase != running {
-		r.phase, r.knownFrom, r.movedAt = running, a.sequence, now
+		r.phase, r.knownFrom, r.movedAt = running, a.sequence+1, now
 	}
 	if listed.Percent != r.percent {
 		r.percent, r.movedAt = listed.Percent, now
