--- a/internal/control/server/engine.go
+++ b/internal/control/server/engine.go
@@ -171,6 +171,7 @@
 	defer ticker.Stop()
 	s.peers.meet(s.settings.Seeds)
 	s.peers.meet(s.controls())
+	s.peers.tick()
 	for {
 		select {
 		case f := <-s.inbox:
@@ -397,19 +398,8 @@
 	s.replica.Tick(retryTicks)
 	s.peers.tick()
 	s.resend(resendAfter)
-	stalled := s.disk.stalledFor() > stallAfter
-	me := s.register.Me()
-	ping := &view.Ping{From: me, Epoch: s.register.View().Epoch, First: s.register.First(), Stalled: stalled,
-		Restarted: s.restarted(), Hears: s.detector.Hears(now)}
-	s.peers.broadcast(&link.Peer{Ping: ping, Sessions: s.sessionsInTouch()})
-	if s.register.View().Epoch == 0 {
-		if founders := s.detector.Founders(now, s.settings.Seeds); founders != nil && s.register.First() {
-			s.register.Found(founders)
-		}
-	}
-	if wish, expected := s.detector.Wish(now, s.register.View(), s.restarted(), stalled); wish != nil && !s.register.Proposing() {
-		s.register.Propose(*wish, expected)
-	}
+	s.peers.broadcast(s.ping())
+	s.considerView()
 	if !s.inTouch() {
 		s.dropDispatchers()
 	}
@@ -420,6 +410,30 @@
 	s.compact()
 }
 
+func (s *Server) stalled() bool { return s.disk.stalledFor() > stallAfter }
+
+func (s *Server) ping() *link.Peer {
+	return &link.Peer{Sessions: s.sessionsInTouch(), Ping: &view.Ping{From: s.register.Me(),
+		Epoch: s.register.View().Epoch, First: s.register.First(), Stalled: s.stalled(), Restarted: s.restarted(),
+		Hears: s.detector.Hears(s.now())}}
+}
+
+// considerView proposes another view where the detector wants one.
+func (s *Server) considerView() {
+	now := s.now()
+	if s.register.View().Epoch == 0 && s.register.First() {
+		if founders := s.detector.Founders(now, s.settings.Seeds); founders != nil {
+			s.register.Found(founders)
+		}
+	}
+	if s.register.Proposing() {
+		return
+	}
+	if wish, expected := s.detector.Wish(now, s.register.View(), s.restarted(), s.stalled()); wish != nil {
+		s.register.Propose(*wish, expected)
+	}
+}
+
 // restarted reports whether this process has no part in the view in force, though its disk has.
 func (s *Server) restarted() bool {
 	epoch := s.register.View().Epoch
@@ -487,7 +501,12 @@
 	now := s.now()
 	switch {
 	case message.Ping != nil:
+		wasAlive := s.detector.Alive(now, from.ID)
 		s.detector.Heard(now, *message.Ping)
+		if !wasAlive {
+			s.peers.send(from.ID, s.ping()) // so that both sides know at once
+			s.considerView()
+		}
 		if message.Ping.Epoch < s.register.View().Epoch {
 			tell := s.register.Tell()
 			s.peers.send(from.ID, &link.Peer{View: &tell})
--- a/internal/control/server/peers.go
+++ b/internal/control/server/peers.go
@@ -82,6 +82,7 @@
 			return
 		}
 		other.conn = conn
+		other.conn.Send(link.Encode(p.server.ping()))
 		for id, address := range p.addresses {
 			if address == other.address {
 				p.server.replica.Reconnected(id)
--- a/scheduling/placement/placement.go
+++ b/scheduling/placement/placement.go
@@ -28,6 +28,9 @@
 	distrust  = 0.35 // part of recent runs that failed or were lost at which a worker is left alone
 	pauseBase = 400 * time.Millisecond
 	pauseMost = 8 * time.Second
+
+	reserveMost = 0.15             // of a worker, at most so much is kept free for urgent tasks
+	reserveSpan = 20 * time.Second // over which the urgent part of the work is measured
 )
 
 // Worker is a worker as a dispatcher knows it.
@@ -89,6 +92,10 @@
 	learner achq.Learner
 	stepAt  time.Duration
 	running int
+
+	urgentWork float64 // core-milliseconds queued lately by urgent units, and by all
+	allWork    float64
+	workAt     time.Duration
 }
 
 // New returns a placer without workers. FarX is how many times as long work takes away from its data.
@@ -200,6 +207,7 @@
 
 // Add puts a unit into the queue: by priority, then by deadline.
 func (p *Placer) Add(unit *Unit) {
+	p.measure(unit)
 	at, _ := slices.BinarySearchFunc(p.queue, unit, func(a, b *Unit) int {
 		if before(a, b) {
 			return -1
@@ -209,6 +217,45 @@
 	p.queue = slices.Insert(p.queue, at, unit)
 }
 
+// measure keeps which part of the work is urgent.
+func (p *Placer) measure(unit *Unit) {
+	if unit.Since > p.workAt {
+		fade := math.Exp(-float64(unit.Since-p.workAt) / float64(reserveSpan))
+		p.urgentWork *= fade
+		p.allWork *= fade
+		p.workAt = unit.Since
+	}
+	step := unit.Step()
+	work := float64(step.Cpu) * float64(step.EstimateMs) * float64(len(unit.Indices))
+	p.allWork += work
+	if unit.Job.Priority == 0 {
+		p.urgentWork += work
+	}
+}
+
+// reserve returns the part of each worker that units of lower priority leave free, so that urgent ones of
+// any dispatcher find room at once. It is the urgent part of the work, within a bound.
+func (p *Placer) reserve(unit *Unit) float64 {
+	if unit.Job.Priority == 0 || p.allWork == 0 || unit.Step().Gang {
+		return 0
+	}
+	return min(p.urgentWork/p.allWork, reserveMost)
+}
+
+// fits reports whether a task of the step has room at the worker beside what is reserved.
+func (w *Worker) fits(asks job.Resources, reserve float64) bool {
+	room := w.room()
+	if !room.Holds(asks) {
+		return false
+	}
+	if reserve == 0 {
+		return true
+	}
+	left := room.Minus(asks)
+	return float64(left.Cpu) >= reserve*float64(w.Capacity.Cpu) && float64(left.MemMb) >= reserve*float64(w.Capacity.MemMb) ||
+		w.Used.Plus(w.Reserved) == (job.Resources{})
+}
+
 func before(a, b *Unit) bool {
 	if a.Job.Priority != b.Job.Priority {
 		return a.Job.Priority < b.Job.Priority
@@ -314,7 +361,7 @@
 		return p.findGang(now, unit)
 	}
 	step := unit.Step()
-	far := math.Log(p.farX)
+	far, reserve := math.Log(p.farX), p.reserve(unit)
 	var best *Worker
 	bestSlow, bestScore, fastest := 0.0, 0.0, math.Inf(1)
 	for _, worker := range p.list {
@@ -327,7 +374,7 @@
 		}
 		fastest = min(fastest, slow)
 		if now < worker.pauseUntil || worker.ID == unit.avoid && now-unit.Since < pauseBase ||
-			!worker.room().Holds(step.Asks()) {
+			!worker.fits(step.Asks(), reserve) {
 			continue
 		}
 		if most := step.AntiAffinity; most > 0 && unit.Job.CountAt(unit.Key, worker.ID) >= most {
