Lower priorities leave room while higher ones wait; work goes far only where there is much room

Ruled out: too few workers tried (all of them were full or reserved in the new debug log 'no place'). Change: a look-ahead by steps; a threshold for far work that starts at the source's RSRT rule; reserves that follow how many tasks of higher priority had to wait; debug logs by job.

--- a/internal/dataplane/dispatcher.go
+++ b/internal/dataplane/dispatcher.go
@@ -44,6 +44,8 @@
 	stopping atomic.Bool
 	attached atomic.Bool
 	lostAt   atomic.Int64
+
+	explainedAt time.Duration
 }
 
 // New returns a dispatcher that is not running yet.
@@ -109,6 +111,23 @@
 		worker.agent.Tick(now, mayRenew)
 	}
 	d.dueJobs()
+	d.explain(now)
+}
+
+// explainAfter is how long a task waits until a debug log says why.
+const explainAfter = 2 * time.Second
+
+// explain logs at debug level which tasks have waited for long, and why.
+func (d *Dispatcher) explain(now time.Duration) {
+	if d.logger.GetLevel() > zerolog.DebugLevel || now-d.explainedAt < explainAfter {
+		return
+	}
+	d.explainedAt = now
+	for service, placer := range d.placers {
+		for _, waiting := range placer.Explain(now, explainAfter) {
+			d.logger.Debug().Str("service", service).Interface("waiting", waiting).Msg("no place")
+		}
+	}
 }
 
 // flush lets whatever the event made possible follow.
@@ -207,6 +226,9 @@
 
 func (d *Dispatcher) setSessions(sessions []cluster.SessionID) {
 	d.sessions = sessions
+	for _, placer := range d.placers {
+		placer.SetPeers(len(sessions))
+	}
 	for _, id := range sessions {
 		if id == d.uplink.session {
 			return
@@ -233,6 +255,7 @@
 	placer := d.placers[service]
 	if placer == nil {
 		placer = placement.New(d.settings.Bounds.FarX, d.uplink.hello.Life+uint64(len(d.placers)))
+		placer.SetPeers(len(d.sessions))
 		d.placers[service] = placer
 	}
 	return placer
--- a/internal/dataplane/jobs.go
+++ b/internal/dataplane/jobs.go
@@ -59,6 +59,7 @@
 		return
 	}
 	known.State = update.State
+	d.logger.Debug().Str("job", update.Job).Stringer("state", update.State).Dur("age", d.now()-known.since).Msg("job")
 	if known.State.Over() {
 		d.placer(known.Service).RemoveJob(known.ID)
 	}
@@ -86,6 +87,8 @@
 	step := &known.Request.Steps[key.Step]
 	run, runs := known.running[key]
 	if runs && run.worker != task.Worker {
+		d.logger.Debug().Str("job", known.ID).Str("task", key.Name("")).Uint64("run", task.Run).Str("worker", run.worker).
+			Stringer("how", how).Dur("took", now-run.at).Int64("estimate", step.EstimateMs).Msg("run over")
 		placer.Ended(run.worker, step.Asks())
 		delete(known.running, key)
 		d.learn(now, known, key, run, how)
@@ -93,6 +96,8 @@
 	}
 	if task.Worker != "" && !runs {
 		known.running[key] = started{task.Worker, now}
+		d.logger.Debug().Str("job", known.ID).Str("task", key.Name("")).Uint64("run", task.Run).
+			Str("worker", task.Worker).Msg("run placed")
 		placer.Started(task.Worker, step.Asks())
 	}
 }
@@ -186,6 +191,7 @@
 		}
 	}
 	d.placer(known.Service).Add(unit)
+	d.logger.Debug().Str("job", known.ID).Int("step", key.Step).Ints("tasks", indices).Msg("queued")
 }
 
 // dueJobs looks at jobs whose next time has fallen due.
--- a/scheduling/placement/placement.go
+++ b/scheduling/placement/placement.go
@@ -20,7 +20,8 @@
 // Bounds of a decision.
 const (
 	nearEqual = 0.15 // speeds this close (ln) count as the same
-	lookAhead = 24   // units tried behind one that fits nowhere
+	lookAhead = 100  // steps tried behind one that fits nowhere
+	untaught  = 5    // visits before which a threshold follows its starting rule
 	jitter    = 0.25 // weight of a dispatcher's own order among workers that are alike
 	speedStep = 0.1  // weight of one run in a worker's speed
 	kindStep  = 0.03 // and in its kind's
@@ -31,6 +32,11 @@
 
 	reserveMost = 0.15             // of a worker, at most so much is kept free for urgent tasks
 	reserveSpan = 20 * time.Second // over which the urgent part of the work is measured
+	reserveMore = 0.35             // and so much more the more of the tasks of higher priority had to wait
+	reserveFar  = 0.25             // away from its data work goes only where so much stays free: it takes more of everything
+	promptly    = 100 * time.Millisecond
+	waitStep    = 0.04 // weight of one task in how many had to wait
+	priorities  = 3    // that are told apart; lower ones count as the last
 )
 
 // Worker is a worker as a dispatcher knows it.
@@ -45,10 +51,11 @@
 	Reserved job.Resources // by own placements that are under way
 	Draining bool
 
-	arm        achq.Arm
-	slow       float64 // ln of run time against the kind's
-	own        float64 // share of the worker that own tasks take
-	bad        float64 // part of recent runs that did not end well through its fault
+	near       achq.Arm // threshold for work whose data is not elsewhere
+	far        achq.Arm // and for work that takes longer here for being away from its data
+	slow       float64  // ln of run time against the kind's
+	own        float64  // share of the worker that own tasks take
+	bad        float64  // part of recent runs that did not end well through its fault
 	pauseUntil time.Duration
 	pauses     int
 	order      float64
@@ -85,6 +92,7 @@
 	farX    float64
 	random  *rand.Rand
 	seed    maphash.Seed
+	peers   int // dispatchers that place on the same workers
 	workers map[string]*Worker
 	list    []*Worker // by ID
 	kinds   map[string]float64
@@ -96,14 +104,18 @@
 	urgentWork float64 // core-milliseconds queued lately by urgent units, and by all
 	allWork    float64
 	workAt     time.Duration
+	pressure   [priorities]float64 // part of the lately placed units of higher priority that had to wait
 }
 
 // New returns a placer without workers. FarX is how many times as long work takes away from its data.
 func New(farX float64, seed uint64) *Placer {
-	return &Placer{farX: max(farX, 1), random: rand.New(rand.NewPCG(seed, 1)), seed: maphash.MakeSeed(),
+	return &Placer{farX: max(farX, 1), peers: 1, random: rand.New(rand.NewPCG(seed, 1)), seed: maphash.MakeSeed(),
 		workers: map[string]*Worker{}, kinds: map[string]float64{}}
 }
 
+// SetPeers enters how many dispatchers place on the same workers.
+func (p *Placer) SetPeers(count int) { p.peers = max(count, 1) }
+
 // SetWorker enters a worker or what has changed of it.
 func (p *Placer) SetWorker(id, service string, labels []string, capacity, used job.Resources, draining bool) {
 	worker := p.workers[id]
@@ -239,7 +251,21 @@
 	if unit.Job.Priority == 0 || p.allWork == 0 || unit.Step().Gang {
 		return 0
 	}
-	return min(p.urgentWork/p.allWork, reserveMost)
+	return min(p.urgentWork/p.allWork, reserveMost) + reserveMore*p.pressure[rank(unit)]
+}
+
+// rank returns the unit's priority among those told apart.
+func rank(unit *Unit) int { return min(max(unit.Job.Priority, 0), priorities-1) }
+
+// placed keeps whether a unit had to wait, which those of lower priority make room for.
+func (p *Placer) placed(now time.Duration, unit *Unit) {
+	waited := 0.0
+	if now-unit.Since > promptly {
+		waited = 1
+	}
+	for lower := rank(unit) + 1; lower < priorities; lower++ {
+		p.pressure[lower] += waitStep * (waited - p.pressure[lower])
+	}
 }
 
 // fits reports whether a task of the step has room at the worker beside what is reserved.
@@ -281,21 +307,22 @@
 	}
 	var decisions []Decision
 	p.endStep(now)
-	misfits := 0
-	for i := 0; i < len(p.queue) && misfits < lookAhead; {
+	misfits := map[stepOf]bool{} // steps of which a task has found no place in this event
+	for i := 0; i < len(p.queue) && len(misfits) < lookAhead; {
 		unit := p.queue[i]
-		workers, slower := p.find(now, unit)
-		if workers == nil {
-			misfits++
+		step := stepOf{unit.Job.ID, unit.Key}
+		if misfits[step] {
 			i++
 			continue
 		}
-		if slower != nil && !p.accepts(slower) {
-			misfits++
+		workers, slower := p.find(now, unit)
+		if workers == nil || slower != nil && !p.accepts(now, unit, slower) {
+			misfits[step] = true
 			i++
 			continue
 		}
 		p.queue = slices.Delete(p.queue, i, i+1)
+		p.placed(now, unit)
 		asks := unit.Step().Asks()
 		for _, id := range workers {
 			worker := p.workers[id]
@@ -309,14 +336,51 @@
 	return decisions
 }
 
-// accepts draws whether the head goes to a slower worker.
-func (p *Placer) accepts(worker *Worker) bool {
-	probability := achq.Accept(len(p.queue), &worker.arm)
+// stepOf names a step of a job; its tasks ask for the same.
+type stepOf struct {
+	job string
+	key job.StepKey
+}
+
+// slowerChoice is that only slower workers than the fastest have room.
+type slowerChoice struct {
+	arm     *achq.Arm
+	ratio   float64 // how many times as long the work takes there
+	faster  float64 // how many such tasks fit on the faster workers
+	sameFar bool    // the faster ones are those near the unit's data
+}
+
+// accepts draws whether a unit goes to a slower worker. Its threshold starts at the number of held tasks
+// that the faster workers get through meanwhile (the source's RSRT rule), for this dispatcher's share of them.
+// A unit that has waited for as long as the slower worker takes longer is not kept any more.
+func (p *Placer) accepts(now time.Duration, unit *Unit, slower *slowerChoice) bool {
+	extra := (slower.ratio - 1) * float64(unit.Step().EstimateMs)
+	if now-unit.Since >= time.Duration(extra)*time.Millisecond {
+		return true
+	}
+	if slower.arm.Visits < untaught {
+		slower.arm.Theta = min((slower.ratio-1)*slower.faster/float64(p.peers), achq.BufferSize)
+	}
+	probability := achq.Accept(p.competing(unit, slower), slower.arm)
 	accepted := p.random.Float64() < probability
-	p.learner.Decided(&worker.arm, probability, accepted)
+	p.learner.Decided(slower.arm, probability, accepted)
 	return accepted
 }
 
+// competing counts the held units that want the same faster workers.
+func (p *Placer) competing(unit *Unit, slower *slowerChoice) int {
+	if !slower.sameFar {
+		return len(p.queue)
+	}
+	count := 0
+	for _, other := range p.queue {
+		if other.Step().Affinity == unit.Step().Affinity {
+			count += len(other.Indices)
+		}
+	}
+	return count
+}
+
 func (p *Placer) beginStep(now time.Duration) {
 	p.stepAt = now
 	p.learner.Begin(float64(len(p.queue)+p.running), p.features)
@@ -325,7 +389,8 @@
 func (p *Placer) endStep(now time.Duration) {
 	p.learner.End((now - p.stepAt).Seconds(), len(p.list), p.features, func(scale float64) {
 		for _, worker := range p.list {
-			worker.arm.Omega *= scale
+			worker.near.Omega *= scale
+			worker.far.Omega *= scale
 		}
 	})
 }
@@ -338,7 +403,7 @@
 	}
 	for _, worker := range p.list {
 		if worker.own > 0 {
-			into = append(into, achq.Feature{Arm: &worker.arm, X: worker.own / k})
+			into = append(into, achq.Feature{Arm: &worker.near, X: worker.own / k})
 		}
 	}
 	return into
@@ -354,27 +419,27 @@
 	return !worker.Draining && worker.hasLabel(step.Requires) && worker.Capacity.Holds(step.Asks())
 }
 
-// find returns where the unit would go now, and the worker whose threshold decides where that is
-// not as fast as the fastest of all.
-func (p *Placer) find(now time.Duration, unit *Unit) (workers []string, slower *Worker) {
+// find returns where the unit would go now, and what decides where that is not as fast as the fastest of all.
+func (p *Placer) find(now time.Duration, unit *Unit) (workers []string, slower *slowerChoice) {
 	if unit.Step().Gang {
 		return p.findGang(now, unit)
 	}
 	step := unit.Step()
 	far, reserve := math.Log(p.farX), p.reserve(unit)
 	var best *Worker
-	bestSlow, bestScore, fastest := 0.0, 0.0, math.Inf(1)
+	bestSlow, bestScore, fastest, bestFar := 0.0, 0.0, math.Inf(1), false
 	for _, worker := range p.list {
 		if !able(worker, step) {
 			continue
 		}
 		slow := p.slowness(worker)
-		if step.Affinity != "" && worker.Rack != step.Affinity {
+		isFar := step.Affinity != "" && worker.Rack != step.Affinity
+		if isFar {
 			slow += far
 		}
 		fastest = min(fastest, slow)
 		if now < worker.pauseUntil || worker.ID == unit.avoid && now-unit.Since < pauseBase ||
-			!worker.fits(step.Asks(), reserve) {
+			!worker.fits(step.Asks(), reserve) || isFar && !worker.fits(step.Asks(), max(reserve, reserveFar)) {
 			continue
 		}
 		if most := step.AntiAffinity; most > 0 && unit.Job.CountAt(unit.Key, worker.ID) >= most {
@@ -382,20 +447,39 @@
 		}
 		score := share(worker.room().Minus(step.Asks()), worker.Capacity) + jitter*worker.order
 		if best == nil || slow < bestSlow-nearEqual || slow < bestSlow+nearEqual && score < bestScore {
-			best, bestSlow, bestScore = worker, slow, score
+			best, bestSlow, bestScore, bestFar = worker, slow, score, isFar
 		}
 	}
 	if best == nil {
 		return nil, nil
 	}
 	if bestSlow > fastest+2*nearEqual {
-		slower = best
+		slower = &slowerChoice{arm: &best.near, ratio: math.Exp(bestSlow - fastest), sameFar: bestFar}
+		if bestFar {
+			slower.arm = &best.far
+		}
+		slower.faster = p.fasterRoom(step, bestSlow-nearEqual)
 	}
 	return []string{best.ID}, slower
 }
 
+// fasterRoom returns how many tasks of the step all workers hold at which it is faster than a bound.
+func (p *Placer) fasterRoom(step *job.Step, bound float64) float64 {
+	room := 0.0
+	for _, worker := range p.list {
+		slow := p.slowness(worker)
+		if step.Affinity != "" && worker.Rack != step.Affinity {
+			slow += math.Log(p.farX)
+		}
+		if able(worker, step) && slow < bound {
+			room += 1 / max(share(step.Asks(), worker.Capacity), 0.01)
+		}
+	}
+	return room
+}
+
 // findGang looks for room for all members, in one rack where the step asks for that.
-func (p *Placer) findGang(now time.Duration, unit *Unit) (workers []string, slower *Worker) {
+func (p *Placer) findGang(now time.Duration, unit *Unit) (workers []string, slower *slowerChoice) {
 	step := unit.Step()
 	if !step.SameRack && step.Affinity == "" {
 		return p.fill(now, unit, ""), nil
@@ -418,7 +502,8 @@
 		return best, nil
 	}
 	if found := p.fill(now, unit, ""); found != nil {
-		return found, p.workers[found[0]]
+		first := p.workers[found[0]]
+		return found, &slowerChoice{arm: &first.far, ratio: p.farX, faster: float64(len(unit.Indices)) * float64(p.peers)}
 	}
 	return nil, nil
 }
