Chain: a member passes on only what its predecessor has confirmed; storms over the chain

Cause: a member that joined a view offered its successor its own old suffix before the head's log had come; the successor took it for confirmed. Change: nothing beyond what is confirmed in the view is passed on.

--- a/coordination/chain/chain.go
+++ b/coordination/chain/chain.go
@@ -521,6 +521,8 @@
 		return
 	}
 	r.wantsSend = false
+	// What the predecessor has not confirmed in this view may yet be replaced by its log.
+	r.next = min(r.next, r.received+1)
 	if r.next <= r.base {
 		r.out.Sends = append(r.out.Sends, Send{r.successor(), Message{Snapshot: &Snapshot{
 			r.view.Epoch, r.base, r.baseEpoch, r.baseData}}})
