--- /dev/null
+++ b/coordination/segment/segment_test.go
@@ -0,0 +1,303 @@
+package segment
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/juju/errors"
+)
+
+// memoryFile is a file whose unsynced writes may be lost, kept or torn by a loss of power.
+type memoryFile struct {
+	folder  *memoryFolder
+	durable []byte
+	content []byte
+	writes  []pendingWrite
+}
+
+type pendingWrite struct {
+	offset int64
+	data   []byte
+}
+
+type memoryFolder struct {
+	files map[string]*memoryFile
+	full  bool
+}
+
+func newMemoryFolder() *memoryFolder { return &memoryFolder{files: map[string]*memoryFile{}} }
+
+func (f *memoryFolder) Open(name string) (File, error) {
+	if f.files[name] == nil {
+		f.files[name] = &memoryFile{folder: f}
+	}
+	return f.files[name], nil
+}
+
+func (f *memoryFolder) Sync() error { return nil }
+
+func (f *memoryFile) ReadAt(p []byte, offset int64) (int, error) {
+	if offset >= int64(len(f.content)) {
+		return 0, nil
+	}
+	return copy(p, f.content[offset:]), nil
+}
+
+func write(content []byte, p []byte, offset int64) []byte {
+	if need := int(offset) + len(p); need > len(content) {
+		content = append(content, make([]byte, need-len(content))...)
+	}
+	copy(content[offset:], p)
+	return content
+}
+
+var errDisk = errors.New("no space left")
+
+func (f *memoryFile) WriteAt(p []byte, offset int64) (int, error) {
+	if f.folder.full {
+		return 0, errDisk
+	}
+	f.content = write(f.content, p, offset)
+	f.writes = append(f.writes, pendingWrite{offset, append([]byte(nil), p...)})
+	return len(p), nil
+}
+
+func (f *memoryFile) Sync() error {
+	if f.folder.full {
+		return errDisk
+	}
+	f.durable, f.writes = append([]byte(nil), f.content...), nil
+	return nil
+}
+
+func (f *memoryFile) Size() (int64, error) { return int64(len(f.content)), nil }
+
+func (f *memoryFile) Truncate(size int64) error {
+	f.content = append(f.content, make([]byte, max(0, size-int64(len(f.content))))...)
+	return nil
+}
+
+// losePower leaves of each unsynced write all, nothing or a part.
+func (f *memoryFolder) losePower(random *rand.Rand) {
+	for _, file := range f.files {
+		content := append([]byte(nil), file.durable...)
+		for _, pending := range file.writes {
+			switch random.IntN(3) {
+			case 0:
+				content = write(content, pending.data, pending.offset)
+			case 1:
+				content = write(content, pending.data[:random.IntN(len(pending.data)+1)], pending.offset)
+			}
+		}
+		file.durable, file.content, file.writes = content, append([]byte(nil), content...), nil
+	}
+}
+
+var layout = Layout{Segments: 4, SegmentSize: 4096}
+
+func open(t *testing.T, folder Folder) (*Store, *Recovered) {
+	t.Helper()
+	store, recovered, err := Open(folder, layout)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if recovered.Fresh {
+		if err := store.SaveMeta([]byte("meta")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return store, recovered
+}
+
+func record(index uint64, text string) Record {
+	return Record{Index: index, Epoch: 1, Data: []byte(text)}
+}
+
+func TestSyncedRecordsComeBack(t *testing.T) {
+	folder := newMemoryFolder()
+	store, recovered := open(t, folder)
+	if !recovered.Fresh {
+		t.Error("an empty folder is not fresh")
+	}
+	if err := store.Append([]Record{record(1, "a"), record(2, "b")}); err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	_, recovered = open(t, folder)
+	if recovered.Fresh || string(recovered.Meta) != "meta" || len(recovered.Records) != 2 || string(recovered.Records[1].Data) != "b" {
+		t.Errorf("recovered %+v", recovered)
+	}
+}
+
+func TestLaterRecordReplacesItsIndexAndAllBehind(t *testing.T) {
+	folder := newMemoryFolder()
+	store, _ := open(t, folder)
+	if err := store.Append([]Record{record(1, "a"), record(2, "b"), record(3, "c")}); err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Append([]Record{{Index: 2, Epoch: 2, Data: []byte("B")}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	_, recovered := open(t, folder)
+	if len(recovered.Records) != 2 || string(recovered.Records[1].Data) != "B" {
+		t.Errorf("recovered %+v", recovered.Records)
+	}
+}
+
+func TestFullRingWantsASnapshot(t *testing.T) {
+	folder := newMemoryFolder()
+	store, _ := open(t, folder)
+	index := uint64(0)
+	var err error
+	for err == nil {
+		index++
+		err = store.Append([]Record{record(index, fmt.Sprintf("%0500d", index))})
+	}
+	if errors.Cause(err) != ErrFull {
+		t.Fatal(err)
+	}
+	if err := store.SaveSnapshot(Snapshot{Index: index - 1, Epoch: 1, Data: []byte("state")}); err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Append([]Record{record(index, "after")}); err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	_, recovered := open(t, folder)
+	if recovered.Snapshot.Index != index-1 || len(recovered.Records) != 1 {
+		t.Errorf("snapshot %d, %d records", recovered.Snapshot.Index, len(recovered.Records))
+	}
+}
+
+func TestRefusedWriteIsRepeated(t *testing.T) {
+	folder := newMemoryFolder()
+	store, _ := open(t, folder)
+	folder.full = true
+	if err := store.Append([]Record{record(1, "a")}); errors.Cause(err) != errDisk {
+		t.Fatal(err)
+	}
+	folder.full = false
+	if err := store.Append([]Record{record(1, "a")}); err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	if _, recovered := open(t, folder); len(recovered.Records) != 1 {
+		t.Errorf("recovered %+v", recovered.Records)
+	}
+}
+
+func TestDamageInTheMiddleIsNamed(t *testing.T) {
+	folder := newMemoryFolder()
+	store, _ := open(t, folder)
+	for index := uint64(1); index <= 20; index++ {
+		if err := store.Append([]Record{record(index, fmt.Sprintf("%0500d", index))}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := store.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	folder.files["segment-a"].content[segmentHeader+recordHeader+5] ^= 1
+	_, _, err := Open(folder, layout)
+	var damage *Damage
+	if !errors.As(err, &damage) {
+		t.Fatalf("damage was not found: %v", err)
+	}
+	if damage.File == "" || damage.What == "" {
+		t.Errorf("damage %+v", damage)
+	}
+}
+
+// TestLossesOfPower appends, syncs, replaces and loses power at random: what was synced is always there.
+func TestLossesOfPower(t *testing.T) {
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 3))
+		folder := newMemoryFolder()
+		store, _ := open(t, folder)
+		durable, written := []Record{}, []Record{}
+		snapshot, epoch := uint64(0), uint64(1)
+		for range 120 {
+			switch dice := random.IntN(10); {
+			case dice < 5:
+				next := snapshot + uint64(len(written)) + 1
+				r := Record{Index: next, Epoch: epoch, Data: []byte(fmt.Sprintf("%d.%d.%0*d", epoch, next, random.IntN(300), 0))}
+				if store.Append([]Record{r}) == nil {
+					written = append(written, r)
+				}
+			case dice < 7:
+				if err := store.Sync(); err != nil {
+					t.Fatal(err)
+				}
+				durable = append([]Record(nil), written...)
+			case dice < 8 && len(durable) > 4:
+				covered := snapshot + uint64(len(durable)) - 2
+				at := durable[covered-snapshot-1].Epoch
+				if err := store.SaveSnapshot(Snapshot{covered, at, []byte("s")}); err != nil {
+					t.Fatal(err)
+				}
+				durable, written = durable[covered-snapshot:], written[covered-snapshot:]
+				snapshot = covered
+			case dice < 9:
+				folder.losePower(random)
+				var recovered *Recovered
+				store, recovered = open(t, folder)
+				checkRecovered(t, seed, recovered, snapshot, durable)
+				written = append([]Record(nil), recovered.Records...)
+				epoch++
+			}
+		}
+	}
+}
+
+func checkRecovered(t *testing.T, seed uint64, recovered *Recovered, snapshot uint64, durable []Record) {
+	t.Helper()
+	if recovered.Snapshot.Index != snapshot {
+		t.Fatalf("seed %d: snapshot %d, want %d", seed, recovered.Snapshot.Index, snapshot)
+	}
+	if len(recovered.Records) < len(durable) {
+		t.Fatalf("seed %d: %d records, %d were synced", seed, len(recovered.Records), len(durable))
+	}
+	for i := range durable {
+		if string(recovered.Records[i].Data) != string(durable[i].Data) {
+			t.Fatalf("seed %d: record %d is %q, want %q", seed, i, recovered.Records[i].Data, durable[i].Data)
+		}
+	}
+}
+
+// BenchmarkRecovery measures opening a ring of 32 MB.
+func BenchmarkRecovery(b *testing.B) {
+	folder := newMemoryFolder()
+	large := Layout{Segments: 8, SegmentSize: 8 << 20}
+	store, _, err := Open(folder, large)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := store.SaveMeta(nil); err != nil {
+		b.Fatal(err)
+	}
+	total := int64(0)
+	for index := uint64(1); total < 32<<20; index++ {
+		r := record(index, fmt.Sprintf("%0400d", index))
+		total += int64(len(r.Data))
+		if err := store.Append([]Record{r}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.SetBytes(total)
+	b.ResetTimer()
+	for range b.N {
+		if _, _, err := Open(folder, large); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/coordination/view/view_test.go
@@ -0,0 +1,316 @@
+package view
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// machine is one member with a disk; sends wait for its sync.
+type machine struct {
+	register *Register
+	disk     Durable
+	synced   bool // its disk holds something
+	waiting  []Output
+	up       bool
+}
+
+// council is a set of machines under one test's control.
+type council struct {
+	machines map[MemberID]*machine
+	order    []MemberID
+	letters  []letter
+	decided  map[uint64]string // what was ever in force, by epoch
+	broken   []string
+	votes    map[MemberID]bool // wiped members whose old votes are lost
+	forget   bool              // planted fault: nothing is synced before it is told
+}
+
+type letter struct {
+	from, to MemberID
+	message  Message
+}
+
+func newCouncil(count int) *council {
+	c := &council{machines: map[MemberID]*machine{}, decided: map[uint64]string{}, votes: map[MemberID]bool{}}
+	var electors []Member
+	for id := MemberID(1); id <= MemberID(count); id++ {
+		electors = append(electors, Member{ID: id, Node: fmt.Sprint("n", id), Address: fmt.Sprint("a", id)})
+	}
+	for _, member := range electors {
+		durable := Durable{Me: member, First: true, View: View{Electors: electors}}
+		c.machines[member.ID] = &machine{register: NewRegister(durable), disk: durable, up: true}
+		c.order = append(c.order, member.ID)
+	}
+	return c
+}
+
+func (c *council) take(id MemberID) {
+	m := c.machines[id]
+	out := m.register.Take()
+	if out.Save == nil && len(out.Sends) == 0 {
+		return
+	}
+	if out.Save == nil || c.forget {
+		c.send(id, out)
+		return
+	}
+	m.waiting = append(m.waiting, out)
+}
+
+// sync makes the oldest save durable, and lets go what waited for it.
+func (c *council) sync(id MemberID) {
+	m := c.machines[id]
+	if len(m.waiting) == 0 {
+		return
+	}
+	out := m.waiting[0]
+	m.waiting = m.waiting[1:]
+	m.disk = *out.Save
+	c.send(id, out)
+}
+
+func (c *council) send(id MemberID, out Output) {
+	if out.Decided {
+		view := out.Save.View
+		text := fmt.Sprint(view)
+		if known, stands := c.decided[view.Epoch]; stands && known != text {
+			c.broken = append(c.broken, fmt.Sprintf("epoch %d: %s and %s", view.Epoch, known, text))
+		}
+		c.decided[view.Epoch] = text
+	}
+	for _, send := range out.Sends {
+		c.letters = append(c.letters, letter{id, send.To, send.Message})
+	}
+}
+
+func (c *council) deliver(i int) {
+	l := c.letters[i]
+	c.letters = append(c.letters[:i], c.letters[i+1:]...)
+	if m := c.machines[l.to]; m != nil && m.up {
+		m.register.Receive(l.from, &l.message)
+		c.take(l.to)
+	}
+}
+
+// restart loses what was not synced.
+func (c *council) restart(id MemberID) {
+	m := c.machines[id]
+	m.waiting = nil
+	m.register = NewRegister(m.disk)
+}
+
+// propose wishes for a random part of the electors as the chain.
+func (c *council) propose(random *rand.Rand, id MemberID) {
+	m := c.machines[id]
+	wish := View{Electors: m.register.View().Electors}
+	for _, elector := range wish.Electors {
+		if random.IntN(4) > 0 {
+			wish.Chain = append(wish.Chain, elector)
+		}
+	}
+	if len(wish.Chain) == 0 {
+		wish.Chain = wish.Electors
+	}
+	m.register.Propose(wish, nil)
+	c.take(id)
+}
+
+func viewStorm(seed uint64, forget bool) *council {
+	random := rand.New(rand.NewPCG(seed, 9))
+	c := newCouncil(3 + 2*int(seed%2))
+	c.forget = forget
+	for range 2000 {
+		id := c.order[random.IntN(len(c.order))]
+		switch dice := random.IntN(1000); {
+		case dice < 15:
+			c.propose(random, id)
+		case dice < 550:
+			if len(c.letters) > 0 {
+				c.deliver(random.IntN(len(c.letters)))
+			}
+		case dice < 570: // lost
+			if len(c.letters) > 0 {
+				i := random.IntN(len(c.letters))
+				c.letters = append(c.letters[:i], c.letters[i+1:]...)
+			}
+		case dice < 590: // doubled
+			if len(c.letters) > 0 {
+				c.letters = append(c.letters, c.letters[random.IntN(len(c.letters))])
+			}
+		case dice < 970:
+			c.sync(id)
+		case dice < 980:
+			c.restart(id)
+		case dice < 985:
+			c.machines[id].register.Tick()
+			c.take(id)
+		default:
+			c.machines[id].register.MarkComplete(c.machines[id].register.View().Epoch)
+			c.take(id)
+		}
+	}
+	return c
+}
+
+func TestOneViewAnEpoch(t *testing.T) {
+	seeds, decided := 600, 0
+	for seed := range seeds {
+		c := viewStorm(uint64(seed), false)
+		if len(c.broken) > 0 {
+			t.Fatalf("seed %d: %s", seed, c.broken[0])
+		}
+		decided += len(c.decided)
+	}
+	if decided < 3*seeds {
+		t.Errorf("only %d views in %d storms: they show little", decided, seeds)
+	}
+}
+
+// TestPlantedForgetting shows that the storms find votes that were told before they were synced.
+func TestPlantedForgetting(t *testing.T) {
+	for seed := range 2000 {
+		if c := viewStorm(uint64(seed), true); len(c.broken) > 0 {
+			return
+		}
+	}
+	t.Error("votes told before their sync were not found")
+}
+
+func pingOf(member Member, epoch uint64, hears ...MemberID) Ping {
+	return Ping{From: member, Epoch: epoch, Hears: hears}
+}
+
+// three returns three members and the view that all of them form.
+func three() ([]Member, *View) {
+	members := []Member{}
+	for id := MemberID(1); id <= 3; id++ {
+		members = append(members, Member{ID: id, Address: fmt.Sprint("a", id), Zone: fmt.Sprint("z", id), Joined: 1})
+	}
+	return members, &View{Epoch: 4, Chain: members, Electors: members}
+}
+
+func TestSilentMemberLeavesTheChain(t *testing.T) {
+	members, view := three()
+	d := NewDetector(members[0], 0)
+	at := time.Duration(0)
+	for ; at < 2*time.Second; at += 100 * time.Millisecond {
+		d.Heard(at, pingOf(members[1], 4, 1, 3))
+		if at < time.Second {
+			d.Heard(at, pingOf(members[2], 4, 1, 2))
+		}
+		wish, _ := d.Wish(at, view, false, false)
+		silent := at - 900*time.Millisecond
+		if (wish != nil) != (silent > SilentAfter) && at > 200*time.Millisecond {
+			t.Fatalf("at %v a wish %v", at, wish)
+		}
+		if wish != nil && len(wish.Chain) != 2 {
+			t.Fatalf("chain %v", wish.Chain)
+		}
+	}
+}
+
+func TestRefusedConnectionCountsAtOnce(t *testing.T) {
+	members, view := three()
+	d := NewDetector(members[0], 0)
+	d.Heard(time.Second, pingOf(members[1], 4, 1, 3))
+	d.Heard(time.Second, pingOf(members[2], 4, 1, 2))
+	d.Refused(time.Second, 3)
+	if wish, _ := d.Wish(time.Second, view, false, false); wish == nil || len(wish.Chain) != 2 {
+		t.Errorf("wish %v", wish)
+	}
+}
+
+func TestOneWayDeafMemberIsNotAlive(t *testing.T) {
+	members, _ := three()
+	d := NewDetector(members[0], 0)
+	d.Heard(time.Second, pingOf(members[1], 4, 3))
+	if d.Alive(time.Second, 2) {
+		t.Error("a member that does not hear this one counts as alive")
+	}
+}
+
+// newcomer lets a stranger and both other electors be heard, but for the silent one.
+func newcomer(stranger Ping, silent MemberID) *View {
+	members, view := three()
+	d := NewDetector(members[0], 0)
+	var wish *View
+	for at := time.Duration(0); at < 4*time.Second; at += 100 * time.Millisecond {
+		for _, member := range members[1:] {
+			if member.ID != silent || at < 500*time.Millisecond {
+				d.Heard(at, pingOf(member, 4, 1, 2, 3))
+			}
+		}
+		d.Heard(at, stranger)
+		wish, _ = d.Wish(at, view, false, false)
+	}
+	return wish
+}
+
+func electorIDs(view *View) string {
+	text := ""
+	for _, elector := range view.Electors {
+		text += fmt.Sprint(elector.ID, " ")
+	}
+	return text
+}
+
+func TestNewcomers(t *testing.T) {
+	cases := []struct {
+		name     string
+		stranger Ping
+		silent   MemberID
+		want     string // electors wished for; "" for no wish
+	}{
+		{"a wiped machine takes its own place", pingOf(Member{ID: 9, Address: "a3", Zone: "z3"}, 0, 1, 2), 3, "1 2 9 "},
+		{"one at another address takes the silent one's place", pingOf(Member{ID: 9, Address: "a9", Zone: "z9"}, 0, 1, 2), 2, "1 9 3 "},
+		{"one at another address waits while all are heard", pingOf(Member{ID: 9, Address: "a9", Zone: "z9"}, 0, 1, 2), 0, ""},
+		{"one of the first start extends the electors",
+			Ping{From: Member{ID: 9, Address: "a9", Zone: "z9"}, First: true, Hears: []MemberID{1, 2}}, 0, "1 2 3 9 "},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			wish := newcomer(c.stranger, c.silent)
+			switch {
+			case c.want == "" && wish != nil:
+				t.Errorf("wish %v", wish)
+			case c.want != "" && (wish == nil || electorIDs(wish) != c.want):
+				t.Errorf("wish %v, want electors %s", wish, c.want)
+			}
+		})
+	}
+}
+
+// TestHeadHasEverything keeps that a newcomer that lacks entries never becomes the head.
+func TestHeadHasEverything(t *testing.T) {
+	members, view := three()
+	members[0].Joined = 4 // joined in the present view, and is not complete
+	view.Chain = members
+	durable := Durable{Me: members[0], View: *view, Complete: 3}
+	r := NewRegister(durable)
+	if r.Valid() {
+		t.Error("a newcomer counts as complete")
+	}
+	r.Propose(View{Chain: members, Electors: members}, nil)
+	ballot := r.proposal.ballot
+	r.Receive(1, &Message{Promise: &Promise{Base: 4, Ballot: ballot, Valid: false}})
+	r.Receive(2, &Message{Promise: &Promise{Base: 4, Ballot: ballot, Valid: true}})
+	r.Receive(3, &Message{Promise: &Promise{Base: 4, Ballot: ballot, Valid: true}})
+	if next := r.proposal.view; next == nil || next.Chain[0].ID == 1 {
+		t.Errorf("next view %v", next)
+	}
+}
+
+func TestNoHeadWithoutACompleteMember(t *testing.T) {
+	members, view := three()
+	r := NewRegister(Durable{Me: members[0], View: *view, Complete: 0})
+	r.Propose(View{Chain: members, Electors: members}, nil)
+	ballot := r.proposal.ballot
+	for id := MemberID(1); id <= 2; id++ {
+		r.Receive(id, &Message{Promise: &Promise{Base: 4, Ballot: ballot}})
+	}
+	if r.proposal.view != nil {
+		t.Errorf("view %v without anybody who has everything", r.proposal.view)
+	}
+}
