Tests of the replicated state and of owners of workers; no loop at refused connections

Cause: a look that was refused at once was made again at once, without end (found by a test that did not end; a dead worker's port would have shown it). Change: after a failed long look only a short one is made; failed short ones pause.

--- /dev/null
+++ b/internal/control/cluster/cluster_test.go
@@ -0,0 +1,366 @@
+package cluster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"linnetlift/scheduling/job"
+)
+
+// yard is a cluster with sessions and workers for tests.
+type yard struct {
+	*Cluster
+	t *testing.T
+}
+
+func newYard(t *testing.T, sessions, workers int) *yard {
+	y := &yard{New(2), t}
+	for i := range sessions {
+		y.do(Command{OpenSession: &OpenSession{Node: fmt.Sprint("front-", i+1), Zone: "z", Life: uint64(i + 1)}}, OK)
+	}
+	list := &Instances{Reader: 1}
+	for i := range workers {
+		list.Changed = append(list.Changed, Instance{ID: fmt.Sprint("w", i+1), Service: "s", Address: fmt.Sprint("a", i+1),
+			Zone: "z", Labels: []string{"kind", "rack"}, Capacity: job.Resources{Cpu: 4000, MemMb: 4000}})
+	}
+	if workers > 0 {
+		y.do(Command{Instances: list}, OK)
+	}
+	y.TakeUpdates()
+	return y
+}
+
+func (y *yard) do(command Command, want Code) Result {
+	y.t.Helper()
+	result := y.Apply(&command)
+	if result.Code != want {
+		y.t.Fatalf("outcome %d, want %d", result.Code, want)
+	}
+	return result
+}
+
+func (y *yard) submit(id string, steps ...job.Step) {
+	y.t.Helper()
+	y.do(Command{Submit: &Submit{job.Job{ID: id, Route: "r", Service: "s", MaxAttempts: 2, Owner: 1,
+		Request: job.Request{Steps: steps}}}}, OK)
+}
+
+func (y *yard) place(id string, want Code, targets ...Target) {
+	y.t.Helper()
+	y.do(Command{Place: &Place{Session: 1, Job: id, Targets: targets}}, want)
+}
+
+func (y *yard) end(id string, key job.Key, worker string, run uint64, how How) {
+	y.t.Helper()
+	y.do(Command{Ended: &Ended{Worker: worker, Job: id, Task: key, Run: run, How: how, Token: y.Workers[worker].Token}}, OK)
+}
+
+func task(step, index int) job.Key { return job.Key{Step: step, Index: index} }
+
+const jobA = "00000000000000aa"
+
+func TestJobRunsToItsEnd(t *testing.T) {
+	y := newYard(t, 1, 1)
+	y.submit(jobA, job.Step{Count: 1, Cpu: 1000}, job.Step{Count: 2, Cpu: 1000, DependsOn: []int{0}})
+	y.place(jobA, Conflict, Target{task(1, 0), "w1"}) // its turn has not come
+	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	y.place(jobA, Conflict, Target{task(0, 0), "w1"}) // placed already
+	y.end(jobA, task(0, 0), "w1", 1, Done)
+	y.place(jobA, OK, Target{task(1, 0), "w1"})
+	y.place(jobA, OK, Target{task(1, 1), "w1"})
+	y.end(jobA, task(1, 0), "w1", 1, Done)
+	if state := y.Jobs[jobA].State; state != job.Running {
+		t.Errorf("state %v before the last task is done", state)
+	}
+	y.end(jobA, task(1, 1), "w1", 1, Done)
+	if state := y.Jobs[jobA].State; state != job.Completed {
+		t.Errorf("state %v", state)
+	}
+	if used := y.Workers["w1"].Used; used != (job.Resources{}) {
+		t.Errorf("still used: %v", used)
+	}
+	y.do(Command{Age: &Age{}}, OK)
+	y.do(Command{Age: &Age{}}, OK)
+	if y.Jobs[jobA] != nil {
+		t.Error("not forgotten")
+	}
+}
+
+func TestCapacityIsNeverExceeded(t *testing.T) {
+	y := newYard(t, 1, 1)
+	y.submit(jobA, job.Step{Count: 3, Cpu: 2000})
+	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	y.place(jobA, NoRoom, Target{task(0, 1), "w1"}, Target{task(0, 2), "w1"})
+	y.place(jobA, OK, Target{task(0, 1), "w1"})
+	y.place(jobA, NoRoom, Target{task(0, 2), "w1"})
+	y.do(Command{Stop: &Stop{Session: 1, Job: jobA, Task: task(0, 0), Run: 1}}, OK)
+	y.place(jobA, NoRoom, Target{task(0, 2), "w1"}) // what is being stopped still counts
+	y.end(jobA, task(0, 0), "w1", 1, Stopped)
+	y.place(jobA, OK, Target{task(0, 2), "w1"})
+}
+
+func TestFailedRunsAreCounted(t *testing.T) {
+	y := newYard(t, 1, 1)
+	y.submit(jobA, job.Step{Count: 1, Cpu: 1})
+	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	y.end(jobA, task(0, 0), "w1", 1, Lost)
+	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	y.end(jobA, task(0, 0), "w1", 2, RunFailed)
+	y.end(jobA, task(0, 0), "w1", 2, RunFailed) // told twice
+	if state := y.Jobs[jobA].State; state != job.Running {
+		t.Errorf("state %v after one failed run of two", state)
+	}
+	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	y.end(jobA, task(0, 0), "w1", 3, RunFailed)
+	if state := y.Jobs[jobA].State; state != job.Failed {
+		t.Errorf("state %v", state)
+	}
+}
+
+func TestGangs(t *testing.T) {
+	y := newYard(t, 1, 2)
+	y.submit(jobA, job.Step{Count: 2, Cpu: 3000, Gang: true})
+	y.place(jobA, Conflict, Target{task(0, 0), "w1"}) // never a part of one
+	y.place(jobA, NoRoom, Target{task(0, 0), "w1"}, Target{task(0, 1), "w1"})
+	if used := y.Workers["w1"].Used; used != (job.Resources{}) {
+		t.Errorf("a gang that did not fit keeps %v", used)
+	}
+	y.place(jobA, OK, Target{task(0, 0), "w1"}, Target{task(0, 1), "w2"})
+	y.end(jobA, task(0, 0), "w1", 1, RunFailed)
+	if !y.Jobs[jobA].Task(task(0, 1)).Stopping {
+		t.Error("the other member is not stopped")
+	}
+	y.end(jobA, task(0, 1), "w2", 1, RunFailed) // the same run's failure counts once
+	if state := y.Jobs[jobA].State; state != job.Running {
+		t.Errorf("state %v after one failed run", state)
+	}
+	y.place(jobA, OK, Target{task(0, 0), "w1"}, Target{task(0, 1), "w2"})
+	y.end(jobA, task(0, 1), "w2", 2, Done)
+	if state := y.Jobs[jobA].State; state != job.Completed {
+		t.Errorf("state %v: one member's good end stands for all", state)
+	}
+}
+
+func TestMembersStartFromTheSameCheckpoint(t *testing.T) {
+	y := newYard(t, 1, 2)
+	y.submit(jobA, job.Step{Count: 2, Cpu: 3000, Gang: true, Checkpoints: true})
+	y.place(jobA, OK, Target{task(0, 0), "w1"}, Target{task(0, 1), "w2"})
+	y.do(Command{Checkpoint: &Checkpoint{Worker: "w1", Job: jobA, Task: task(0, 0), Run: 1, Saved: "x"}}, OK)
+	name := task(0, 1).Name(jobA)
+	if saved := y.Workers["w2"].Placed[name].Saved; saved != "" {
+		t.Errorf("a member of the run under way is to start from %q", saved)
+	}
+	y.end(jobA, task(0, 0), "w1", 1, Lapsed)
+	y.end(jobA, task(0, 1), "w2", 1, Broken)
+	y.place(jobA, OK, Target{task(0, 0), "w1"}, Target{task(0, 1), "w2"})
+	if saved := y.Workers["w2"].Placed[name].Saved; saved != "x" {
+		t.Errorf("the next run starts from %q", saved)
+	}
+}
+
+func TestAntiAffinityLabelsAndDraining(t *testing.T) {
+	y := newYard(t, 1, 2)
+	y.submit(jobA, job.Step{Count: 3, Cpu: 1, AntiAffinity: 1, Requires: "kind"})
+	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	y.place(jobA, Conflict, Target{task(0, 1), "w1"})
+	y.do(Command{Instances: &Instances{Reader: 1, Changed: []Instance{{ID: "w2", Service: "s", Address: "a2", Draining: true,
+		Labels: []string{"kind"}, Capacity: job.Resources{Cpu: 4000}}}}}, OK)
+	y.place(jobA, Conflict, Target{task(0, 1), "w2"})
+	y.submit("00000000000000bb", job.Step{Count: 1, Cpu: 1, Requires: "other"})
+	y.place("00000000000000bb", Conflict, Target{task(0, 0), "w1"})
+}
+
+func TestCancelledJobStartsNothing(t *testing.T) {
+	y := newYard(t, 1, 1)
+	y.submit(jobA, job.Step{Count: 2, Cpu: 1})
+	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	y.do(Command{Cancel: &Cancel{jobA}}, OK)
+	y.do(Command{Cancel: &Cancel{jobA}}, OK)
+	y.place(jobA, Conflict, Target{task(0, 1), "w1"})
+	if !y.Jobs[jobA].Task(task(0, 0)).Stopping {
+		t.Error("what runs is not stopped")
+	}
+	y.end(jobA, task(0, 0), "w1", 1, Stopped)
+	y.do(Command{Cancel: &Cancel{"00000000000000cc"}}, NotFound)
+}
+
+func TestSameJobTwiceIsOneJob(t *testing.T) {
+	y := newYard(t, 1, 1)
+	y.submit(jobA, job.Step{Count: 1, Cpu: 1})
+	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	y.submit(jobA, job.Step{Count: 5, Cpu: 1})
+	if got := y.Jobs[jobA].Request.Steps[0].Count; got != 1 || y.Pending["r"] != 1 {
+		t.Errorf("%d tasks, %d pending", got, y.Pending["r"])
+	}
+}
+
+// TestFormerOwnerFindsNothingOut keeps that a worker's former owner can't release what the next one runs.
+func TestFormerOwnerFindsNothingOut(t *testing.T) {
+	y := newYard(t, 2, 1)
+	y.submit(jobA, job.Step{Count: 1, Cpu: 1})
+	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	former := *y.Workers["w1"]
+	y.do(Command{CloseSession: &CloseSession{former.Owner}}, OK)
+	if y.Workers["w1"].Owner == former.Owner || y.Workers["w1"].Token <= former.Token {
+		t.Fatal("no new owner with a higher token")
+	}
+	y.do(Command{Ended: &Ended{Worker: "w1", Job: jobA, Run: 1, How: NotStarted, Token: former.Token}}, Conflict)
+	if y.Jobs[jobA].Task(task(0, 0)).Worker != "w1" {
+		t.Error("the former owner has released the run")
+	}
+}
+
+func TestNewIncarnationEndsTheFormer(t *testing.T) {
+	y := newYard(t, 1, 1)
+	y.submit(jobA, job.Step{Count: 1, Cpu: 1})
+	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	y.do(Command{Instances: &Instances{Reader: 1, Changed: []Instance{{ID: "w9", Service: "s", Address: "a1",
+		Capacity: job.Resources{Cpu: 4000}}}}}, OK)
+	if y.Workers["w1"] != nil || y.Jobs[jobA].Task(task(0, 0)).Worker != "" {
+		t.Error("the run of the former incarnation counts as placed")
+	}
+	y.place(jobA, OK, Target{task(0, 0), "w9"})
+}
+
+func TestJobsAndWorkersPassOn(t *testing.T) {
+	y := newYard(t, 3, 6)
+	y.submit(jobA, job.Step{Count: 1, Cpu: 1})
+	y.do(Command{CloseSession: &CloseSession{1}}, OK)
+	if owner := y.Jobs[jobA].Owner; owner != 2 && owner != 3 {
+		t.Errorf("the job's owner is %d", owner)
+	}
+	for id, worker := range y.Workers {
+		if worker.Owner == 1 || worker.Owner == 0 {
+			t.Errorf("%s is owned by %d", id, worker.Owner)
+		}
+	}
+	y.do(Command{CloseSession: &CloseSession{2}}, OK)
+	y.do(Command{CloseSession: &CloseSession{3}}, OK)
+	result := y.do(Command{OpenSession: &OpenSession{Node: "front-9", Life: 9}}, OK)
+	if y.Jobs[jobA].Owner != result.Session {
+		t.Error("a job without an owner is not taken up by the next session")
+	}
+}
+
+func TestNextLifeOfANodeTakesOver(t *testing.T) {
+	y := newYard(t, 1, 1)
+	again := y.do(Command{OpenSession: &OpenSession{Node: "front-1", Life: 1}}, OK)
+	if again.Session != 1 {
+		t.Errorf("the same life got session %d", again.Session)
+	}
+	next := y.do(Command{OpenSession: &OpenSession{Node: "front-1", Life: 7}}, OK)
+	if next.Session == 1 || y.Sessions[1] != nil || y.Workers["w1"].Owner != next.Session {
+		t.Errorf("session %d, worker owned by %d", next.Session, y.Workers["w1"].Owner)
+	}
+}
+
+func TestConfigurations(t *testing.T) {
+	y := newYard(t, 1, 0)
+	configure := func(version, match int64, body string, want Code) {
+		t.Helper()
+		y.do(Command{Configure: &Configure{Version: version, Match: match, Body: []byte(body)}}, want)
+	}
+	y.do(Command{ReadConfig: &ReadConfig{}}, NotFound)
+	configure(3, 0, "three", OK)
+	configure(3, 0, "three", OK)       // its acknowledgement was lost
+	configure(3, 0, "other", Conflict) // another change under the same number
+	configure(5, 0, "five", Conflict)  // lost the race
+	configure(2, 3, "two", Invalid)    // not above the current version
+	configure(5, 3, "five", OK)
+	configure(3, 0, "three", OK) // was in force once: never a refusal
+	if body := string(y.do(Command{ReadConfig: &ReadConfig{}}, OK).Body); body != "five" {
+		t.Errorf("in force: %q", body)
+	}
+}
+
+func TestSnapshotHoldsTheWholeState(t *testing.T) {
+	y := newYard(t, 2, 2)
+	y.submit(jobA, job.Step{Count: 2, Cpu: 1})
+	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	data, err := cbor.Marshal(&y.State)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := New(2)
+	if err := cbor.Unmarshal(data, &other.State); err != nil {
+		t.Fatal(err)
+	}
+	restored := &yard{other, t}
+	restored.end(jobA, task(0, 0), "w1", 1, Done)
+	restored.place(jobA, OK, Target{task(0, 1), "w2"})
+}
+
+// TestReplicasAgree applies random commands to two replicas, one of them restored from a snapshot midway.
+func TestReplicasAgree(t *testing.T) {
+	for seed := range uint64(30) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		first, second := New(2), New(2)
+		for step := range 400 {
+			command := randomCommand(random)
+			a, b := first.Apply(command), second.Apply(command)
+			if a.Code != b.Code || a.Session != b.Session || a.State != b.State {
+				t.Fatalf("seed %d step %d: %v and %v", seed, step, a, b)
+			}
+			if fmt.Sprint(len(first.TakeUpdates())) != fmt.Sprint(len(second.TakeUpdates())) {
+				t.Fatalf("seed %d step %d: updates differ", seed, step)
+			}
+			checkRoom(t, first)
+			if step == 200 {
+				data, err := cbor.Marshal(&first.State)
+				if err != nil {
+					t.Fatal(err)
+				}
+				second = New(2)
+				if err := cbor.Unmarshal(data, &second.State); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	}
+}
+
+func randomCommand(random *rand.Rand) *Command {
+	id := fmt.Sprintf("%016x", random.IntN(6))
+	key := task(random.IntN(2), random.IntN(2))
+	worker := fmt.Sprint("w", random.IntN(4))
+	switch random.IntN(10) {
+	case 0:
+		return &Command{OpenSession: &OpenSession{Node: fmt.Sprint(random.IntN(3)), Life: uint64(random.IntN(3))}}
+	case 1:
+		return &Command{CloseSession: &CloseSession{uint64(random.IntN(8))}}
+	case 2:
+		return &Command{Instances: &Instances{Reader: uint64(random.IntN(5)), Changed: []Instance{{ID: worker, Service: "s",
+			Address: fmt.Sprint("a", random.IntN(4)), Capacity: job.Resources{Cpu: 3}}}}}
+	case 3:
+		return &Command{Submit: &Submit{job.Job{ID: id, Route: "r", Service: "s", MaxAttempts: 2,
+			Owner: uint64(random.IntN(8)), Request: job.Request{Steps: []job.Step{{Count: 2, Cpu: 1}, {Count: 2, Cpu: 2,
+				DependsOn: []int{0}, Gang: true}}}}}}
+	case 4:
+		return &Command{Cancel: &Cancel{id}}
+	case 5:
+		return &Command{Age: &Age{}}
+	case 6, 7:
+		return &Command{Place: &Place{Session: uint64(random.IntN(8)), Job: id, Targets: []Target{{key, worker}}}}
+	default:
+		return &Command{Ended: &Ended{Worker: worker, Job: id, Task: key, Run: uint64(random.IntN(3)),
+			How: How(random.IntN(int(Lost) + 1)), Token: uint64(random.IntN(20))}}
+	}
+}
+
+// checkRoom checks that what is used is the sum of what is placed, and within the capacity.
+func checkRoom(t *testing.T, c *Cluster) {
+	t.Helper()
+	for id, worker := range c.Workers {
+		sum := job.Resources{}
+		for name := range worker.Placed {
+			jobID, key, _ := job.ParseName(name)
+			sum = sum.Plus(c.Jobs[jobID].Request.Steps[key.Step].Asks())
+		}
+		if sum != worker.Used || !worker.Capacity.Holds(worker.Used) {
+			t.Fatalf("%s uses %v of %v, placed %v", id, worker.Used, worker.Capacity, sum)
+		}
+	}
+}
--- a/internal/control/cluster/jobs.go
+++ b/internal/control/cluster/jobs.go
@@ -99,6 +99,9 @@
 	task.Run, task.Worker, task.Stopping = run, target.Worker, false
 	worker := c.Workers[target.Worker]
 	name := target.Task.Name(owned.ID)
+	if worker.Placed == nil { // an empty one is left out of snapshots
+		worker.Placed = map[string]Run{}
+	}
 	worker.Placed[name] = Run{run, task.Saved}
 	c.use(worker, owned.Request.Steps[target.Task.Step].Asks())
 	placement := c.placement(worker, name)
--- a/scheduling/worker/worker.go
+++ b/scheduling/worker/worker.go
@@ -154,7 +154,8 @@
 	hasClock bool
 
 	contacted  bool // a list was answered under this token
-	reachable  bool // the last call was answered
+	reachable  bool // the last short look was answered
+	suspect    bool // a long one was not
 	answeredAt time.Duration
 	createdAt  time.Duration
 	renewedAt  time.Duration
@@ -304,10 +305,10 @@
 // only right behind an answer, so that few orders are lost in a cut, and stay unsettled by that.
 func (a *Agent) look(now time.Duration, settling, starting bool) {
 	renew := len(a.runs) > 0 && a.mayRenew && a.contacted && a.fresh(now) && now-a.renewedAt >= renewEvery
-	if a.short == 0 && (settling || starting || renew || !a.reachable && len(a.runs) > 0) {
+	if a.short == 0 && (settling || starting || renew || a.suspect || !a.reachable && len(a.runs) > 0) {
 		a.short = a.hold(now, 0, renew)
 	}
-	if a.long == 0 && a.reachable && !settling && len(a.runs) > 0 {
+	if a.long == 0 && a.reachable && !a.suspect && !settling && len(a.runs) > 0 {
 		a.long = a.hold(now, waitMs, false)
 	}
 }
@@ -460,7 +461,7 @@
 	if answer == Unanswered || answer == Unreached {
 		return
 	}
-	a.answeredAt, a.reachable = now, true
+	a.answeredAt, a.reachable, a.suspect = now, true, false
 	if clockMs > 0 {
 		a.clockMs, a.clockAt, a.hasClock = clockMs, now, true
 	}
@@ -499,10 +500,15 @@
 		a.mayLengthen(now, hold.Fence)
 		a.bumps++
 	}
-	if now-a.answeredAt > freshFor && hold.WaitMs == 0 {
+	switch {
+	case hold.WaitMs > 0:
+		a.suspect = true // a short look shows whether the worker is there
+	case now-a.answeredAt > freshFor:
 		a.reachable = false
 		a.holdAt = now + retryPause
 		a.out.Blames = append(a.out.Blames, 0.6)
+	default:
+		a.holdAt = now + freshFor
 	}
 }
 
