Sick disks are left out at once; a chain is not cut below its least; distrust of workers fades

Cause: a full disk stopped all acknowledgements for 1.25 s; after a restart a chain of one member was agreed on (0.3 s lost); reset connections made sound workers distrusted for long.

--- a/coordination/view/detector.go
+++ b/coordination/view/detector.go
@@ -40,13 +40,14 @@
 type Detector struct {
 	me     Member
 	peers  map[MemberID]*peer
+	least  int           // members that a chain needs
 	wanted time.Duration // since when another view has been wanted; -1: none is
 	began  time.Duration
 }
 
-// NewDetector returns a detector that has heard of nobody.
-func NewDetector(me Member, now time.Duration) *Detector {
-	return &Detector{me: me, peers: map[MemberID]*peer{}, wanted: -1, began: now}
+// NewDetector returns a detector that has heard of nobody, for chains of at least so many members.
+func NewDetector(me Member, now time.Duration, least int) *Detector {
+	return &Detector{me: me, least: least, peers: map[MemberID]*peer{}, wanted: -1, began: now}
 }
 
 // Heard takes in a ping.
@@ -207,6 +208,11 @@
 			wish.Chain = append(wish.Chain, member)
 		}
 	}
+	for _, member := range view.Chain {
+		if len(wish.Chain) < d.least && wish.InChain(member.ID) < 0 && d.silentFor(now, member.ID) <= SilentAfter {
+			wish.Chain = append(wish.Chain, member) // a slow disk is better than none
+		}
+	}
 	if len(wish.Chain) == 0 {
 		wish.Chain = slices.Clone(view.Chain) // none of them may be heard yet; those who answer stay
 	}
--- a/coordination/view/view.go
+++ b/coordination/view/view.go
@@ -122,6 +122,7 @@
 type proposal struct {
 	ballot   Ballot
 	wish     View
+	least    int
 	expected []MemberID
 	promises map[MemberID]*Promise
 	accepts  map[MemberID]bool
@@ -135,6 +136,9 @@
 // View returns the view in force.
 func (r *Register) View() *View { return &r.durable.View }
 
+// Durable returns what this member must never forget.
+func (r *Register) Durable() Durable { return r.durable }
+
 // Me returns this member.
 func (r *Register) Me() Member { return r.durable.Me }
 
@@ -168,12 +172,14 @@
 
 // Propose begins to agree on a next view. The wish names the chain and the electors;
 // members of the present chain that do not answer are left out, and expected are
-// those whose answers are worth waiting for.
-func (r *Register) Propose(wish View, expected []MemberID) {
+// those whose answers are worth waiting for. Where fewer than least are left,
+// members of the present chain that answer are kept though the wish lacks them.
+func (r *Register) Propose(wish View, expected []MemberID, least int) {
 	r.round = max(r.round, r.durable.Promised.Round) + 1
 	r.proposal = &proposal{
 		ballot:   Ballot{r.round, r.durable.Me.ID},
 		wish:     wish,
+		least:    least,
 		expected: expected,
 		promises: map[MemberID]*Promise{},
 		accepts:  map[MemberID]bool{},
@@ -324,6 +330,11 @@
 	if base.Epoch == 0 {
 		return next
 	}
+	for _, member := range base.Chain {
+		if len(next.Chain) < p.least && next.InChain(member.ID) < 0 && p.promises[member.ID] != nil {
+			next.Chain = append(next.Chain, member)
+		}
+	}
 	head := slices.IndexFunc(next.Chain, func(m Member) bool {
 		return p.promises[m.ID] != nil && p.promises[m.ID].Valid
 	})
--- a/coordination/view/view_test.go
+++ b/coordination/view/view_test.go
@@ -113,7 +113,7 @@
 	if len(wish.Chain) == 0 {
 		wish.Chain = wish.Electors
 	}
-	m.register.Propose(wish, nil)
+	m.register.Propose(wish, nil, 2)
 	c.take(id)
 }
 
@@ -193,7 +193,7 @@
 
 func TestSilentMemberLeavesTheChain(t *testing.T) {
 	members, view := three()
-	d := NewDetector(members[0], 0)
+	d := NewDetector(members[0], 0, 2)
 	at := time.Duration(0)
 	for ; at < 2*time.Second; at += 100 * time.Millisecond {
 		d.Heard(at, pingOf(members[1], 4, 1, 3))
@@ -213,7 +213,7 @@
 
 func TestRefusedConnectionCountsAtOnce(t *testing.T) {
 	members, view := three()
-	d := NewDetector(members[0], 0)
+	d := NewDetector(members[0], 0, 2)
 	d.Heard(time.Second, pingOf(members[1], 4, 1, 3))
 	d.Heard(time.Second, pingOf(members[2], 4, 1, 2))
 	d.Refused(time.Second, 3)
@@ -224,7 +224,7 @@
 
 func TestOneWayDeafMemberIsNotAlive(t *testing.T) {
 	members, _ := three()
-	d := NewDetector(members[0], 0)
+	d := NewDetector(members[0], 0, 2)
 	d.Heard(time.Second, pingOf(members[1], 4, 3))
 	if d.Alive(time.Second, 2) {
 		t.Error("a member that does not hear this one counts as alive")
@@ -234,7 +234,7 @@
 // newcomer lets a stranger and both other electors be heard, but for the silent one.
 func newcomer(stranger Ping, silent MemberID) *View {
 	members, view := three()
-	d := NewDetector(members[0], 0)
+	d := NewDetector(members[0], 0, 2)
 	var wish *View
 	for at := time.Duration(0); at < 4*time.Second; at += 100 * time.Millisecond {
 		for _, member := range members[1:] {
@@ -292,7 +292,7 @@
 	if r.Valid() {
 		t.Error("a newcomer counts as complete")
 	}
-	r.Propose(View{Chain: members, Electors: members}, nil)
+	r.Propose(View{Chain: members, Electors: members}, nil, 2)
 	ballot := r.proposal.ballot
 	r.Receive(1, &Message{Promise: &Promise{Base: 4, Ballot: ballot, Valid: false}})
 	r.Receive(2, &Message{Promise: &Promise{Base: 4, Ballot: ballot, Valid: true}})
@@ -305,7 +305,7 @@
 func TestNoHeadWithoutACompleteMember(t *testing.T) {
 	members, view := three()
 	r := NewRegister(Durable{Me: members[0], View: *view, Complete: 0})
-	r.Propose(View{Chain: members, Electors: members}, nil)
+	r.Propose(View{Chain: members, Electors: members}, nil, 2)
 	ballot := r.proposal.ballot
 	for id := MemberID(1); id <= 2; id++ {
 		r.Receive(id, &Message{Promise: &Promise{Base: 4, Ballot: ballot}})
@@ -314,3 +314,17 @@
 		t.Errorf("view %v without anybody who has everything", r.proposal.view)
 	}
 }
+
+// TestChainIsNotCutBelowItsLeast keeps a fault of the first sitting: the wish left a slow member out, another
+// one did not answer in time, and a chain of one was made, which acknowledges nothing.
+func TestChainIsNotCutBelowItsLeast(t *testing.T) {
+	members, view := three()
+	r := NewRegister(Durable{Me: members[0], View: *view, Complete: 4})
+	r.Propose(View{Chain: members[:2], Electors: members}, nil, 2)
+	ballot := r.proposal.ballot
+	r.Receive(1, &Message{Promise: &Promise{Base: 4, Ballot: ballot, Valid: true}})
+	r.Receive(3, &Message{Promise: &Promise{Base: 4, Ballot: ballot, Valid: true}})
+	if next := r.proposal.view; next == nil || len(next.Chain) != 2 {
+		t.Errorf("next view %v", next)
+	}
+}
--- a/internal/control/server/disk.go
+++ b/internal/control/server/disk.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,16 +31,38 @@
 	store  *segment.Store
 	logger zerolog.Logger
 	finish func(jobs []diskJob, freeSegments int) // hands finished jobs to the engine
+	// troubled is called when the disk begins to refuse writes.
+	troubled func()
 
 	mu      sync.Mutex
 	queue   []diskJob
 	wake    chan struct{}
 	busy    atomic.Int64 // since when the present batch has been written, ns on the steady clock; 0: idle
 	started time.Time
+	refuses atomic.Bool  // the last write was refused
+	slowAt  atomic.Int64 // when a batch last took long, ns on the steady clock; 0: never
 }
 
-func newDisk(store *segment.Store, logger zerolog.Logger, finish func([]diskJob, int)) *disk {
-	d := &disk{store: store, logger: logger, finish: finish, wake: make(chan struct{}, 1), started: time.Now()}
+// Bounds of a disk that others had better do without.
+const (
+	stallAfter = 400 * time.Millisecond // for one batch
+	slowBatch  = 200 * time.Millisecond // a sound disk takes a tenth of that
+	slowFor    = 2 * time.Second        // after a slow batch; probes show whether it goes on
+)
+
+// sick reports whether the disk refuses writes, hangs or is slow.
+func (d *disk) sick() bool {
+	if d.refuses.Load() || d.stalledFor() > stallAfter {
+		return true
+	}
+	at := d.slowAt.Load()
+	return at > 0 && time.Since(d.started)-time.Duration(at) < slowFor
+}
+
+func (d *disk) idle() bool { return d.busy.Load() == 0 }
+
+func newDisk(store *segment.Store, logger zerolog.Logger, finish func([]diskJob, int), troubled func()) *disk {
+	d := &disk{store: store, logger: logger, finish: finish, troubled: troubled, wake: make(chan struct{}, 1), started: time.Now()}
 	go d.run()
 	return d
 }
@@ -74,11 +97,18 @@
 		}
 		d.busy.Store(int64(time.Since(d.started)) + 1)
 		d.carryOut(batch)
+		if d.stalledFor() > slowBatch && !hasSnapshot(batch) {
+			d.slowAt.Store(int64(time.Since(d.started)) + 1)
+		}
 		d.busy.Store(0)
 		d.finish(batch, d.store.FreeSegments())
 	}
 }
 
+func hasSnapshot(batch []diskJob) bool {
+	return slices.ContainsFunc(batch, func(job diskJob) bool { return job.snapshot != nil })
+}
+
 func (d *disk) carryOut(batch []diskJob) {
 	var entries []segment.Record
 	for _, job := range batch {
@@ -126,8 +156,12 @@
 	for attempt := 0; ; attempt++ {
 		err := write()
 		if err == nil {
+			d.refuses.Store(false)
 			return
 		}
+		if !d.refuses.Swap(true) {
+			d.troubled()
+		}
 		if attempt == 0 {
 			d.logger.Error().Err(err).Str("what", what).Msg("the disk refuses a write; free space or replace it")
 		}
--- a/internal/control/server/engine.go
+++ b/internal/control/server/engine.go
@@ -23,8 +23,7 @@
 // Spans of the engine.
 const (
 	tickEvery      = 100 * time.Millisecond
-	retryTicks     = 4 // without progress of the successor before it is sent everything anew
-	stallAfter     = time.Second
+	retryTicks     = 4                      // without progress of the successor before it is sent everything anew
 	resendAfter    = 500 * time.Millisecond // for commands without an outcome
 	sessionTimeout = 1300 * time.Millisecond
 	brokenTimeout  = 300 * time.Millisecond // for a dispatcher whose connection has ended to come back
@@ -121,9 +120,11 @@
 	server.replica = chain.New(durable.Me.ID, s.Tolerate.Machines+1, chain.Snapshot{Index: recovered.Snapshot.Index,
 		IndexEpoch: recovered.Snapshot.Epoch, Data: recovered.Snapshot.Data}, entries, recovered.Committed)
 	server.replay(entries)
-	server.detector = view.NewDetector(durable.Me, 0)
+	server.detector = view.NewDetector(durable.Me, 0, s.Tolerate.Machines+1)
 	server.freeSegments = store.FreeSegments()
-	server.disk = newDisk(store, logger, server.diskDone)
+	server.disk = newDisk(store, logger, server.diskDone, func() {
+		server.do(func() { server.peers.broadcast(server.ping()) })
+	})
 	server.peers = newPeers(server)
 	logger.Info().Uint64("epoch", durable.View.Epoch).Uint64("entries", server.replica.Last()).
 		Bool("fresh", recovered.Fresh).Msg("disk read")
@@ -408,9 +409,17 @@
 		s.headTick(now)
 	}
 	s.compact()
+	s.probeDisk()
 }
 
-func (s *Server) stalled() bool { return s.disk.stalledFor() > stallAfter }
+func (s *Server) stalled() bool { return s.disk.sick() }
+
+// probeDisk writes to a disk that was slow, to see whether it still is.
+func (s *Server) probeDisk() {
+	if s.disk.sick() && s.disk.idle() {
+		s.disk.add(diskJob{meta: link.Encode(s.register.Durable())})
+	}
+}
 
 func (s *Server) ping() *link.Peer {
 	return &link.Peer{Sessions: s.sessionsInTouch(), Ping: &view.Ping{From: s.register.Me(),
@@ -430,7 +439,7 @@
 		return
 	}
 	if wish, expected := s.detector.Wish(now, s.register.View(), s.restarted(), s.stalled()); wish != nil {
-		s.register.Propose(*wish, expected)
+		s.register.Propose(*wish, expected, s.settings.Tolerate.Machines+1)
 	}
 }
 
@@ -503,7 +512,7 @@
 	case message.Ping != nil:
 		wasAlive := s.detector.Alive(now, from.ID)
 		s.detector.Heard(now, *message.Ping)
-		if !wasAlive {
+		if wasAlive != s.detector.Alive(now, from.ID) {
 			s.peers.send(from.ID, s.ping()) // so that both sides know at once
 			s.considerView()
 		}
--- a/scheduling/placement/placement.go
+++ b/scheduling/placement/placement.go
@@ -29,6 +29,7 @@
 	distrust  = 0.35 // part of recent runs that failed or were lost at which a worker is left alone
 	pauseBase = 400 * time.Millisecond
 	pauseMost = 8 * time.Second
+	forgiveIn = 4 * time.Second
 
 	reserveMost = 0.15             // of a worker, at most so much is kept free for urgent tasks
 	reserveSpan = 20 * time.Second // over which the urgent part of the work is measured
@@ -51,11 +52,12 @@
 	Reserved job.Resources // by own placements that are under way
 	Draining bool
 
-	near       achq.Arm // threshold for work whose data is not elsewhere
-	far        achq.Arm // and for work that takes longer here for being away from its data
-	slow       float64  // ln of run time against the kind's
-	own        float64  // share of the worker that own tasks take
-	bad        float64  // part of recent runs that did not end well through its fault
+	near       achq.Arm      // threshold for work whose data is not elsewhere
+	far        achq.Arm      // and for work that takes longer here for being away from its data
+	slow       float64       // ln of run time against the kind's
+	own        float64       // share of the worker that own tasks take
+	bad        float64       // part of recent runs that did not end well through its fault
+	badAt      time.Duration // when bad was so
 	pauseUntil time.Duration
 	pauses     int
 	order      float64
@@ -99,6 +101,7 @@
 	queue   []*Unit
 	learner achq.Learner
 	stepAt  time.Duration
+	now     time.Duration
 	running int
 
 	urgentWork float64 // core-milliseconds queued lately by urgent units, and by all
@@ -202,6 +205,11 @@
 	worker.slow += speedStep * (seen - kind - worker.slow)
 }
 
+// badness returns how little the worker is to be trusted, which fades with time.
+func (w *Worker) badness(now time.Duration) float64 {
+	return w.bad * math.Exp(-float64(max(now-w.badAt, 0))/float64(forgiveIn))
+}
+
 // Blame enters that a run did not end well through the worker's fault. It is left alone for a while,
 // longer each time.
 func (p *Placer) Blame(now time.Duration, id string, weight float64) {
@@ -209,6 +217,8 @@
 	if worker == nil {
 		return
 	}
+	worker.bad = worker.badness(now)
+	worker.badAt = now
 	worker.bad += weight * (1 - worker.bad)
 	if worker.bad > distrust {
 		pause := min(pauseBase<<min(worker.pauses, 5), pauseMost)
@@ -306,6 +316,7 @@
 		return nil
 	}
 	var decisions []Decision
+	p.now = now
 	p.endStep(now)
 	misfits := map[stepOf]bool{} // steps of which a task has found no place in this event
 	for i := 0; i < len(p.queue) && len(misfits) < lookAhead; {
@@ -411,7 +422,7 @@
 
 // slowness returns how many times as long (ln) work takes at the worker as at a usual one.
 func (p *Placer) slowness(worker *Worker) float64 {
-	return p.kinds[worker.Kind] + worker.slow + 2*worker.bad
+	return p.kinds[worker.Kind] + worker.slow + 2*worker.badness(p.now)
 }
 
 // able reports whether the unit may go to the worker, room aside.
--- a/scheduling/worker/worker.go
+++ b/scheduling/worker/worker.go
@@ -17,20 +17,21 @@
 
 // Bounds of an agent.
 const (
-	tokenShift  = 20   // an owner's token has room for this many bits of own settlements
-	waitMs      = 600  // a look waits so long for an end
-	holdMs      = 3200 // a hold lasts so long: longer than a takeover takes, short enough to give up lost workers
-	clockSlow   = 0.98 // a worker's clock runs at this rate at least
-	renewEvery  = 600 * time.Millisecond
-	freshFor    = 15 * time.Millisecond    // an answer shows for so long that orders will arrive
-	lateBound   = 12500 * time.Millisecond // an order without an answer may still be carried out for so long
-	lapseMargin = 150 * time.Millisecond
-	foreignHold = 40 * time.Second // for what a former owner may have ordered, where the worker never answered
-	retryPause  = 250 * time.Millisecond
-	notedWithin = 500 * time.Millisecond // ends wait so long for the control machines before the next hold
-	stopAgain   = 600 * time.Millisecond
-	stuckAfter  = 3500 * time.Millisecond // a run whose progress stands still so long is moved
-	stuckFactor = 1.2                     // and for this many times its estimate
+	tokenShift   = 20   // an owner's token has room for this many bits of own settlements
+	waitMs       = 600  // a look waits so long for an end
+	holdMs       = 3200 // a hold lasts so long: longer than a takeover takes, short enough to give up lost workers
+	clockSlow    = 0.98 // a worker's clock runs at this rate at least
+	renewEvery   = 600 * time.Millisecond
+	freshFor     = 15 * time.Millisecond    // an answer shows for so long that orders will arrive
+	lateBound    = 12500 * time.Millisecond // an order without an answer may still be carried out for so long
+	quickFailure = 60 * time.Millisecond    // a call that fails sooner broke with its connection
+	lapseMargin  = 150 * time.Millisecond
+	foreignHold  = 40 * time.Second // for what a former owner may have ordered, where the worker never answered
+	retryPause   = 250 * time.Millisecond
+	notedWithin  = 500 * time.Millisecond // ends wait so long for the control machines before the next hold
+	stopAgain    = 600 * time.Millisecond
+	stuckAfter   = 3500 * time.Millisecond // a run whose progress stands still so long is moved
+	stuckFactor  = 1.2                     // and for this many times its estimate
 )
 
 // Hold is a call that renews the hold and asks for both lists.
@@ -153,16 +154,18 @@
 	clockAt  time.Duration
 	hasClock bool
 
-	contacted  bool // a list was answered under this token
-	reachable  bool // the last short look was answered
-	suspect    bool // a long one was not
-	answeredAt time.Duration
-	createdAt  time.Duration
-	renewedAt  time.Duration
-	untilMax   int64         // the longest hold that any order gave, on the worker's clock
-	lateUntil  time.Duration // until then, an order without an answer may lengthen the hold
-	lateFence  uint64        // of the newest such order
-	mayRenew   bool
+	contacted     bool // a list was answered under this token
+	reachable     bool // the last short look was answered
+	suspect       bool // a long one was not
+	shortAt       time.Duration
+	quickFailures int // short looks in a row whose connections broke at once
+	answeredAt    time.Duration
+	createdAt     time.Duration
+	renewedAt     time.Duration
+	untilMax      int64         // the longest hold that any order gave, on the worker's clock
+	lateUntil     time.Duration // until then, an order without an answer may lengthen the hold
+	lateFence     uint64        // of the newest such order
+	mayRenew      bool
 
 	sequence  uint64
 	long      uint64        // sequence of the waiting hold under way, or 0
@@ -306,7 +309,7 @@
 func (a *Agent) look(now time.Duration, settling, starting bool) {
 	renew := len(a.runs) > 0 && a.mayRenew && a.contacted && a.fresh(now) && now-a.renewedAt >= renewEvery
 	if a.short == 0 && (settling || starting || renew || a.suspect || !a.reachable && len(a.runs) > 0) {
-		a.short = a.hold(now, 0, renew)
+		a.short, a.shortAt = a.hold(now, 0, renew), now
 	}
 	if a.long == 0 && a.reachable && !a.suspect && !settling && len(a.runs) > 0 {
 		a.long = a.hold(now, waitMs, false)
@@ -461,7 +464,7 @@
 	if answer == Unanswered || answer == Unreached {
 		return
 	}
-	a.answeredAt, a.reachable, a.suspect = now, true, false
+	a.answeredAt, a.reachable, a.suspect, a.quickFailures = now, true, false, 0
 	if clockMs > 0 {
 		a.clockMs, a.clockAt, a.hasClock = clockMs, now, true
 	}
@@ -503,6 +506,8 @@
 	switch {
 	case hold.WaitMs > 0:
 		a.suspect = true // a short look shows whether the worker is there
+	case answer == Unanswered && now-a.shortAt < quickFailure && a.quickFailures < 2:
+		a.quickFailures++ // the connection broke; a new one shows more
 	case now-a.answeredAt > freshFor:
 		a.reachable = false
 		a.holdAt = now + retryPause
