--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Build, test, lint and run. 'make test' is what CI calls.
-.PHONY: build test lint run check clean demo fuzz prove-flows prove-limits prove-policy prove-room prove-sites prove-srv prove-start prove-verdicts
+.PHONY: build test lint run check clean demo demo-system fuzz prove-system prove-flows prove-limits prove-policy prove-room prove-sites prove-srv prove-start prove-verdicts
 
 # HTTP/2 is spoken on no side, and its code would lie in memory all the same.
 # Linked dynamically against the C library, as deploy/balancer.toml does.
@@ -27,11 +27,21 @@
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/srv
 	go test -run '^$$' -fuzz FuzzHear -fuzztime $(FUZZTIME) ./internal/gossip
 	go test -run '^$$' -fuzz FuzzCommand -fuzztime $(FUZZTIME) ./internal/keeper
+	go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME) ./internal/control/configuration
 
 # The whole at work on this machine, with stand-ins on loopback; ends by itself.
 demo: build
 	go run ./lab/demo
 
+# The whole system at work on this machine, with stand-ins on loopback; ends by itself.
+demo-system:
+	go run ./lab/demo-system
+
+# Seeded schedules of the whole system in virtual time; no rule may be broken.
+SCHEDULES = 2000
+prove-system:
+	PROVE_SCHEDULES=$(SCHEDULES) go test -timeout 60m -run TestSchedules ./internal/emulator
+
 # Measurements, each with its aim beside it; exit code 1 where one is missed.
 prove-room:
 	go run ./lab/prove-room
--- a/internal/emulator/judge.go
+++ b/internal/emulator/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sort"
 	"sync"
 	"time"
 
@@ -206,3 +207,24 @@
 	j.stopped = true
 	return accepted, completed
 }
+
+// summary says of each job what became of it, in the order of their names.
+func (j *Judge) summary() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	lines := []string{}
+	for id, seen := range j.jobs {
+		tasks, done := 0, 0
+		for step := range seen.request.Steps {
+			tasks += seen.request.Steps[step].Count
+			done += seen.done[job.StepKey{Step: step}]
+		}
+		state := seen.state
+		if !seen.accepted {
+			state = "not accepted"
+		}
+		lines = append(lines, fmt.Sprintf("job %s: %-10s %d of %d tasks done", id, state, done, tasks))
+	}
+	sort.Strings(lines)
+	return lines
+}
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"linnetlift/coordination/frame"
 )
 
 // latency is the one-way delay between any two machines.
@@ -32,7 +34,7 @@
 }
 
 // Machine returns the network as one machine sees it.
-func (n *Network) Machine(name string) *Machine { return &Machine{n, name} }
+func (n *Network) Machine(name string) frame.Network { return &Machine{n, name} }
 
 // Machine is one machine's view of the network. It serves as a frame.Network.
 type Machine struct {
--- a/internal/emulator/schedule_test.go
+++ b/internal/emulator/schedule_test.go
@@ -105,7 +105,7 @@
 
 func play(t *testing.T, shape Shape, seed uint64, logs io.Writer) (result outcome) {
 	synctest.Test(t, func(t *testing.T) {
-		y := NewYard(shape, seed, logs)
+		y := NewYard(shape, NewNetwork(), seed, logs)
 		y.Start()
 		y.Configure()
 		time.Sleep(warmUp)
--- a/internal/emulator/yard.go
+++ b/internal/emulator/yard.go
@@ -13,6 +13,7 @@
 
 	"github.com/rs/zerolog"
 
+	"linnetlift/coordination/frame"
 	"linnetlift/internal/control/server"
 	"linnetlift/internal/dataplane"
 	"linnetlift/internal/settings"
@@ -31,7 +32,7 @@
 // Yard is a whole emulated deployment.
 type Yard struct {
 	Shape       Shape
-	Network     *Network
+	Network     Links
 	Judge       *Judge
 	random      *rand.Rand
 	logger      zerolog.Logger
@@ -55,9 +56,22 @@
 	clientName = "client"
 )
 
+// Links is what connects the machines.
+type Links interface {
+	// Machine returns the network as the named machine sees it.
+	Machine(name string) frame.Network
+	// Kill ends all that a machine's process has open; others see resets.
+	Kill(name string)
+	// PowerOff does the same without a word to others, and PowerOn ends that.
+	PowerOff(name string)
+	PowerOn(name string)
+	// Cut cuts a pair of machines in one direction, or joins it again.
+	Cut(from, to string, cut bool)
+}
+
 // NewYard returns a yard whose machines are not started.
-func NewYard(shape Shape, seed uint64, logs io.Writer) *Yard {
-	y := &Yard{Shape: shape, Network: NewNetwork(), Judge: NewJudge(), random: rand.New(rand.NewPCG(seed, 1)),
+func NewYard(shape Shape, network Links, seed uint64, logs io.Writer) *Yard {
+	y := &Yard{Shape: shape, Network: network, Judge: NewJudge(), random: rand.New(rand.NewPCG(seed, 1)),
 		lateRandom: rand.New(rand.NewPCG(seed, 2)), logger: zerolog.New(logs).With().Logger()}
 	y.client = &http.Client{Transport: &http.Transport{DisableCompression: true,
 		DialContext: func(_ context.Context, _, address string) (net.Conn, error) {
