Members learn the log before they join the chain; silence is noticed sooner

Change: whoever is outside the chain asks a member for committed entries, and joins when it lacks fewer than 400; a member that waits for another keeps its dispatchers. A member counts as silent after 0.45 s (0.7), a control machine for a dispatcher after 0.6 s (0.9), a dispatcher after 1.1 s (1.3).

--- a/coordination/chain/chain.go
+++ b/coordination/chain/chain.go
@@ -294,18 +294,7 @@
 			Epoch: r.view.Epoch, Received: r.goOnFrom(m.PrevIndex), Rejected: true, Previous: m.PrevIndex, Committed: r.committed}}})
 		return
 	}
-	var fresh []Entry
-	for _, entry := range m.Entries {
-		if entry.Index <= r.Last() && r.epochOf(entry.Index) == entry.Epoch {
-			continue
-		}
-		if entry.Index <= r.Last() {
-			r.truncate(entry.Index)
-		}
-		r.log = append(r.log, entry)
-		fresh = append(fresh, entry)
-	}
-	if len(fresh) > 0 {
+	if fresh := r.enter(m.Entries); len(fresh) > 0 {
 		r.out.Writes = append(r.out.Writes, Write{fresh, r.generation})
 	}
 	r.received = max(r.received, m.PrevIndex+uint64(len(m.Entries)))
--- a/coordination/chain/chain_test.go
+++ b/coordination/chain/chain_test.go
@@ -508,3 +508,39 @@
 		t.Error("a member that acknowledges before its sync was not found")
 	}
 }
+
+// TestOutsiderLearns: a replica outside the chain catches up, in the place of its own old suffix, before it joins.
+func TestOutsiderLearns(t *testing.T) {
+	n := newNetwork(3, 2)
+	n.setView(1, 3, 1, 2)
+	n.propose(3, "a")
+	n.settle()
+	n.cut[[2]MemberID{3, 1}] = true
+	n.propose(3, "never passed on")
+	n.settle()
+	n.cut = map[[2]MemberID]bool{}
+	outsider := n.hosts[3]
+	n.setView(2, 1, 2)
+	n.settle()
+	n.propose(1, "b", "c")
+	n.settle()
+	if outsider.replica.Last() != 2 {
+		t.Fatalf("the former head has %d entries", outsider.replica.Last())
+	}
+	for range 3 {
+		if fetch, outside := outsider.replica.NextFetch(); outside {
+			if lesson := n.hosts[2].replica.Teach(fetch); lesson != nil {
+				outsider.replica.Learn(lesson)
+				n.carryOut(outsider)
+				n.settle()
+			}
+		}
+	}
+	if got := texts(outsider.applied); got != "a b c" {
+		t.Errorf("the outsider has %q", got)
+	}
+	if fetch, _ := outsider.replica.NextFetch(); n.hosts[2].replica.Teach(fetch) != nil {
+		t.Error("there is more to learn")
+	}
+	n.check(t)
+}
--- /dev/null
+++ b/coordination/chain/learn.go
@@ -0,0 +1,86 @@
+package chain
+
+// Fetch is asked by a replica outside the chain, of a member: what follows its log?
+type Fetch struct {
+	Index uint64 `cbor:"1,keyasint"` // last entry that it has
+	Epoch uint64 `cbor:"2,keyasint"` // and that entry's epoch
+	// Committed is up to where its log is known to be everybody's.
+	Committed uint64 `cbor:"3,keyasint"`
+}
+
+// Lesson answers a Fetch with committed entries, or with a snapshot where the logs differ or the member's
+// begins later. It ends before the member's newest entries where they are many.
+type Lesson struct {
+	PrevIndex uint64    `cbor:"1,keyasint"`
+	PrevEpoch uint64    `cbor:"2,keyasint"`
+	Entries   []Entry   `cbor:"3,keyasint,omitempty"`
+	Snapshot  *Snapshot `cbor:"4,keyasint,omitempty"`
+	Committed uint64    `cbor:"5,keyasint"`
+}
+
+// NextFetch returns what a replica outside the chain asks for, and false for a member.
+func (r *Replica) NextFetch() (Fetch, bool) {
+	if r.position >= 0 {
+		return Fetch{}, false
+	}
+	return Fetch{r.Last(), r.epochOf(r.Last()), r.committed}, true
+}
+
+// Teach answers a Fetch. It is nil while there is nothing to tell or this replica is no complete member.
+func (r *Replica) Teach(fetch Fetch) *Lesson {
+	if !r.Serves() {
+		return nil
+	}
+	from := fetch.Index
+	if from > r.committed || from < r.base || r.epochOf(from) != fetch.Epoch {
+		from = max(r.base, min(fetch.Committed, r.committed))
+	}
+	if from == r.committed && from == fetch.Index {
+		return nil
+	}
+	lesson := &Lesson{PrevIndex: from, PrevEpoch: r.epochOf(from), Committed: r.committed}
+	if from == r.base && fetch.Committed < r.base {
+		lesson.Snapshot = &Snapshot{r.view.Epoch, r.base, r.baseEpoch, r.baseData}
+	}
+	size := 0
+	for index := from + 1; index <= r.committed && size < maxFlight; index++ {
+		entry := r.log[index-r.base-1]
+		lesson.Entries = append(lesson.Entries, entry)
+		size += len(entry.Data)
+	}
+	return lesson
+}
+
+// Learn takes in a lesson, outside the chain.
+func (r *Replica) Learn(lesson *Lesson) {
+	if r.position >= 0 {
+		return
+	}
+	if s := lesson.Snapshot; s != nil && s.Index > r.Last() {
+		r.restore(s)
+	}
+	known := lesson.PrevIndex >= r.base && lesson.PrevIndex <= r.Last() && r.epochOf(lesson.PrevIndex) == lesson.PrevEpoch
+	if !known {
+		return
+	}
+	if fresh := r.enter(lesson.Entries); len(fresh) > 0 {
+		r.out.Writes = append(r.out.Writes, Write{fresh, r.generation})
+	}
+	r.commit(min(lesson.Committed, lesson.PrevIndex+uint64(len(lesson.Entries)), r.Last()))
+}
+
+// enter takes entries into the log, in the place of others from where they differ, and returns the new ones.
+func (r *Replica) enter(entries []Entry) []Entry {
+	var fresh []Entry
+	for _, entry := range entries {
+		if entry.Index <= r.Last() && r.epochOf(entry.Index) == entry.Epoch {
+			continue
+		}
+		if entry.Index <= r.Last() {
+			r.truncate(entry.Index)
+		}
+		r.log = append(r.log, entry)
+		fresh = append(fresh, entry)
+	}
+	return fresh
+}
--- a/coordination/view/detector.go
+++ b/coordination/view/detector.go
@@ -12,21 +12,24 @@
 	First     bool       `cbor:"3,keyasint,omitempty"` // formatted at the system's first start, and no elector yet
 	Stalled   bool       `cbor:"4,keyasint,omitempty"` // its disk makes no progress
 	Restarted bool       `cbor:"5,keyasint,omitempty"` // it has not taken part in the view of Epoch in this life
+	Last      uint64     `cbor:"7,keyasint,omitempty"` // newest entry of its log
 	Hears     []MemberID `cbor:"6,keyasint,omitempty"`
 }
 
 // Spans of the failure detector.
 const (
-	// SilentAfter is how long a member may be silent before the chain goes on without it: six
-	// heartbeats, and with what agreement takes well under the 2 s after which answers must flow again.
-	SilentAfter = 700 * time.Millisecond
+	// SilentAfter is how long a member may be silent before the chain goes on without it: four heartbeats. A
+	// member that was only slow is taken in again at the cost of one more view.
+	SilentAfter = 450 * time.Millisecond
 	// steadyFor is how long a member must have been heard before it is taken in again.
 	steadyFor = 300 * time.Millisecond
 	// ReplaceAfter is how long an elector must be silent before a newcomer takes its place: longer
 	// than a restart takes.
 	ReplaceAfter = 2500 * time.Millisecond
+	// nearlyAll is how many entries a member may lack that joins the chain: they are sent in some milliseconds.
+	nearlyAll = 400
 	// rankDelay keeps proposers apart: each waits this much longer than the one before it.
-	rankDelay = 250 * time.Millisecond
+	rankDelay = 150 * time.Millisecond
 )
 
 type peer struct {
@@ -38,11 +41,12 @@
 
 // Detector knows which members are alive, and which view they would make.
 type Detector struct {
-	me     Member
-	peers  map[MemberID]*peer
-	least  int           // members that a chain needs
-	wanted time.Duration // since when another view has been wanted; -1: none is
-	began  time.Duration
+	me        Member
+	peers     map[MemberID]*peer
+	least     int // members that a chain needs
+	committed uint64
+	wanted    time.Duration // since when another view has been wanted; -1: none is
+	began     time.Duration
 }
 
 // NewDetector returns a detector that has heard of nobody, for chains of at least so many members.
@@ -93,6 +97,12 @@
 	return id == d.me.ID || d.Alive(now, id) && now-d.peers[id].since >= steadyFor
 }
 
+// caughtUp reports whether a member outside the chain lacks few entries.
+func (d *Detector) caughtUp(id MemberID) bool {
+	p := d.peers[id]
+	return p != nil && p.ping.Last+nearlyAll >= d.committed
+}
+
 func (d *Detector) silentFor(now time.Duration, id MemberID) time.Duration {
 	if id == d.me.ID {
 		return 0
@@ -131,7 +141,11 @@
 
 // Wish returns the view that should follow, and whose answers are expected. It is nil while the
 // present one is as it should be, or while another member is to propose first.
-func (d *Detector) Wish(now time.Duration, view *View, restarted, stalled bool) (*View, []MemberID) {
+//
+// Committed is the newest committed entry known here: others join the chain once they have nearly all up to it,
+// since nothing is acknowledged while a member lacks entries.
+func (d *Detector) Wish(now time.Duration, view *View, restarted, stalled bool, committed uint64) (*View, []MemberID) {
+	d.committed = committed
 	if !view.IsElector(d.me.ID) || stalled {
 		d.wanted = -1
 		return nil, nil
@@ -218,7 +232,8 @@
 	}
 	d.replace(now, view, wish)
 	for _, elector := range wish.Electors {
-		if d.steady(now, elector.ID) && wish.InChain(elector.ID) < 0 {
+		if d.steady(now, elector.ID) && wish.InChain(elector.ID) < 0 &&
+			(d.caughtUp(elector.ID) || len(wish.Chain) < d.least) {
 			wish.Chain = append(wish.Chain, elector)
 		}
 	}
--- a/coordination/view/view_test.go
+++ b/coordination/view/view_test.go
@@ -200,7 +200,7 @@
 		if at < time.Second {
 			d.Heard(at, pingOf(members[2], 4, 1, 2))
 		}
-		wish, _ := d.Wish(at, view, false, false)
+		wish, _ := d.Wish(at, view, false, false, 0)
 		silent := at - 900*time.Millisecond
 		if (wish != nil) != (silent > SilentAfter) && at > 200*time.Millisecond {
 			t.Fatalf("at %v a wish %v", at, wish)
@@ -217,7 +217,7 @@
 	d.Heard(time.Second, pingOf(members[1], 4, 1, 3))
 	d.Heard(time.Second, pingOf(members[2], 4, 1, 2))
 	d.Refused(time.Second, 3)
-	if wish, _ := d.Wish(time.Second, view, false, false); wish == nil || len(wish.Chain) != 2 {
+	if wish, _ := d.Wish(time.Second, view, false, false, 0); wish == nil || len(wish.Chain) != 2 {
 		t.Errorf("wish %v", wish)
 	}
 }
@@ -243,7 +243,7 @@
 			}
 		}
 		d.Heard(at, stranger)
-		wish, _ = d.Wish(at, view, false, false)
+		wish, _ = d.Wish(at, view, false, false, 0)
 	}
 	return wish
 }
--- a/internal/control/link/link.go
+++ b/internal/control/link/link.go
@@ -59,6 +59,8 @@
 	Broken   []cluster.SessionID `cbor:"6,keyasint,omitempty"` // dispatchers whose connections ended all at once
 	View     *view.Message       `cbor:"3,keyasint,omitempty"`
 	Chain    *chain.Message      `cbor:"4,keyasint,omitempty"`
+	Fetch    *chain.Fetch        `cbor:"7,keyasint,omitempty"`
+	Lesson   *chain.Lesson       `cbor:"8,keyasint,omitempty"`
 	Forward  []chain.Proposal    `cbor:"5,keyasint,omitempty"`
 }
 
--- a/internal/control/server/dispatchers.go
+++ b/internal/control/server/dispatchers.go
@@ -15,7 +15,7 @@
 
 // Spans of connections with dispatchers.
 const (
-	dispatcherSilence = 800 * time.Millisecond // heartbeats come every 250 ms
+	dispatcherSilence = 650 * time.Millisecond // heartbeats come every 250 ms
 	attachPatience    = 500 * time.Millisecond // for this replica to serve, which takes less after a change of view
 	heartbeatTicks    = 2                      // of tickEvery, between heartbeats to dispatchers
 )
--- a/internal/control/server/engine.go
+++ b/internal/control/server/engine.go
@@ -26,7 +26,7 @@
 	tickEvery      = 100 * time.Millisecond
 	retryTicks     = 4                      // without progress of the successor before it is sent everything anew
 	resendAfter    = 500 * time.Millisecond // for commands without an outcome
-	sessionTimeout = 1300 * time.Millisecond
+	sessionTimeout = 1100 * time.Millisecond
 	brokenTimeout  = 300 * time.Millisecond // for a dispatcher whose connection has ended to come back
 	sessionGrace   = 3 * time.Second        // for dispatchers to come back after a change of view
 	ageEvery       = 5 * time.Second
@@ -405,7 +405,8 @@
 	s.resend(resendAfter)
 	s.peers.broadcast(s.ping())
 	s.considerView()
-	if !s.inTouch() {
+	s.fetchSome()
+	if !s.standing() {
 		s.dropDispatchers()
 	}
 	s.dispatcherTick()
@@ -428,7 +429,7 @@
 func (s *Server) ping() *link.Peer {
 	return &link.Peer{Sessions: s.sessionsInTouch(), Ping: &view.Ping{From: s.register.Me(),
 		Epoch: s.register.View().Epoch, First: s.register.First(), Stalled: s.stalled(), Restarted: s.restarted(),
-		Hears: s.detector.Hears(s.now())}}
+		Last: s.replica.Last(), Hears: s.detector.Hears(s.now())}}
 }
 
 // considerView proposes another view where the detector wants one.
@@ -442,7 +443,8 @@
 	if s.register.Proposing() {
 		return
 	}
-	if wish, expected := s.detector.Wish(now, s.register.View(), s.restarted(), s.stalled()); wish != nil {
+	if wish, expected := s.detector.Wish(now, s.register.View(), s.restarted(), s.stalled(),
+		s.replica.Committed()); wish != nil {
 		s.register.Propose(*wish, expected, s.settings.Tolerate.Machines+1)
 	}
 }
@@ -458,6 +460,30 @@
 	return s.replica.Serves() && s.detector.Majority(s.now(), s.register.View())
 }
 
+// standing reports whether this replica is a member that stands with a majority. Commands may have to wait
+// for a new member, but they come through.
+func (s *Server) standing() bool {
+	return s.replica.IsMember() && s.detector.Majority(s.now(), s.register.View())
+}
+
+// fetch asks a member for what this replica, outside the chain, lacks.
+func (s *Server) fetch(member view.MemberID) {
+	if fetch, outside := s.replica.NextFetch(); outside && s.register.View().Epoch > 0 && !s.restarted() {
+		s.peers.send(member, &link.Peer{Fetch: &fetch})
+	}
+}
+
+// fetchSome asks the last live member of the chain, which has least to do.
+func (s *Server) fetchSome() {
+	members := s.register.View().Chain
+	for i := len(members) - 1; i >= 0; i-- {
+		if s.detector.Alive(s.now(), members[i].ID) && members[i].ID != s.register.Me().ID {
+			s.fetch(members[i].ID)
+			return
+		}
+	}
+}
+
 // headTick ends sessions of dispatchers that are out of touch, and lets the state age.
 func (s *Server) headTick(now time.Duration) {
 	for _, id := range s.sessionsInTouch() {
@@ -535,6 +561,13 @@
 		s.register.Receive(from.ID, message.View)
 	case message.Chain != nil:
 		s.replica.Receive(from.ID, message.Chain)
+	case message.Fetch != nil:
+		if lesson := s.replica.Teach(*message.Fetch); lesson != nil {
+			s.peers.send(from.ID, &link.Peer{Lesson: lesson})
+		}
+	case message.Lesson != nil:
+		s.replica.Learn(message.Lesson)
+		s.fetch(from.ID)
 	case message.Forward != nil:
 		s.replica.Propose(message.Forward)
 	}
--- a/internal/dataplane/uplink.go
+++ b/internal/dataplane/uplink.go
@@ -14,7 +14,7 @@
 // Spans of the connection with the control machines.
 const (
 	dialWithin   = 250 * time.Millisecond
-	downSilence  = 900 * time.Millisecond // heartbeats come every 200 ms
+	downSilence  = 600 * time.Millisecond // heartbeats come every 200 ms
 	heartbeat    = 250 * time.Millisecond
 	redialPause  = 60 * time.Millisecond
 	redialMost   = 150 * time.Millisecond
