--- a/scheduling/placement/placement.go
+++ b/scheduling/placement/placement.go
@@ -33,7 +33,7 @@
 
 	reserveMost = 0.15             // of a worker, at most so much is kept free for urgent tasks
 	reserveSpan = 20 * time.Second // over which the urgent part of the work is measured
-	reserveMore = 0.35             // and so much more the more of the tasks of higher priority had to wait
+	reserveFull = 0.8              // so much where all tasks of higher priority had to wait
 	reserveFar  = 0.25             // away from its data work goes only where so much stays free: it takes more of everything
 	promptly    = 100 * time.Millisecond
 	waitStep    = 0.04 // weight of one task in how many had to wait
@@ -261,7 +261,11 @@
 	if unit.Job.Priority == 0 || p.allWork == 0 || unit.Step().Gang {
 		return 0
 	}
-	return min(p.urgentWork/p.allWork, reserveMost) + reserveMore*p.pressure[rank(unit)]
+	base := min(p.urgentWork/p.allWork, reserveMost)
+	if p.now-unit.Since > (unit.Deadline-unit.Since)/2 {
+		return base // it has made way for long enough
+	}
+	return base + p.pressure[rank(unit)]*(reserveFull-base)
 }
 
 // rank returns the unit's priority among those told apart.
