--- /dev/null
+++ b/coordination/chain/receive.go
@@ -0,0 +1,121 @@
+package chain
+
+// Receive takes in a message of another member.
+func (r *Replica) Receive(from MemberID, message *Message) {
+	switch {
+	case message.Append != nil:
+		if from == r.predecessor() && message.Append.Epoch == r.view.Epoch {
+			r.append(message.Append)
+		}
+	case message.Ack != nil:
+		if from == r.successor() && message.Ack.Epoch == r.view.Epoch {
+			r.ack(message.Ack)
+		}
+	case message.Snapshot != nil:
+		if from == r.predecessor() && message.Snapshot.Epoch == r.view.Epoch {
+			r.restore(message.Snapshot)
+		}
+	}
+}
+
+func (r *Replica) append(m *Append) {
+	r.ackDue = true
+	known := m.PrevIndex >= r.base && m.PrevIndex <= r.Last() && r.epochOf(m.PrevIndex) == m.PrevEpoch
+	if m.PrevIndex < r.base && m.PrevIndex+uint64(len(m.Entries)) >= r.base {
+		// What the snapshot covers is committed, so it can't differ.
+		m.Entries = m.Entries[r.base-m.PrevIndex:]
+		m.PrevIndex, known = r.base, true
+	}
+	if !known {
+		r.out.Sends = append(r.out.Sends, Send{r.predecessor(), Message{Ack: &Ack{
+			Epoch: r.view.Epoch, Received: r.goOnFrom(m.PrevIndex), Rejected: true, Previous: m.PrevIndex, Committed: r.committed}}})
+		return
+	}
+	if fresh := r.enter(m.Entries); len(fresh) > 0 {
+		r.out.Writes = append(r.out.Writes, Write{fresh, r.generation})
+	}
+	r.received = max(r.received, m.PrevIndex+uint64(len(m.Entries)))
+	r.before = max(r.before, m.Synced)
+	r.start, r.started = m.Start, true
+	r.pending = append(r.pending, m.Reads...)
+	if len(m.Entries) > 0 || len(m.Reads) > 0 {
+		r.wantsSend = true
+	}
+	r.advance()
+}
+
+// goOnFrom returns up to where the log here may be the predecessor's too, if it is not at the index.
+func (r *Replica) goOnFrom(index uint64) uint64 {
+	if index > r.Last() {
+		return r.Last()
+	}
+	epoch := r.epochOf(index)
+	for index > r.committed && r.epochOf(index) == epoch {
+		index--
+	}
+	return max(index, r.committed)
+}
+
+// truncate drops the entries from an index on: another history took their place.
+func (r *Replica) truncate(from uint64) {
+	r.log = r.log[:from-r.base-1]
+	r.synced = min(r.synced, from-1)
+	r.next = min(r.next, from)
+	r.generation++
+}
+
+func (r *Replica) ack(m *Ack) {
+	if m.Rejected {
+		r.rewind(m)
+	} else if m.Received > r.acked {
+		r.acked, r.ackedAt = m.Received, 0
+		r.rewound = r.rewound && m.Received < r.rewoundTo
+		r.next = max(r.next, r.acked+1)
+		r.wantsSend = true
+	}
+	if m.Committed > r.committed {
+		r.commit(min(m.Committed, r.received))
+	}
+	r.finishReads(m.Reads)
+	r.advance()
+}
+
+// rewind goes back to where both logs are the same. Rejections of what was sent
+// before an earlier rewind are passed over.
+func (r *Replica) rewind(m *Ack) {
+	if r.rewound && m.Previous > r.rewoundTo {
+		return
+	}
+	r.rewound, r.rewoundTo = true, m.Received
+	r.next, r.acked, r.ackedAt = m.Received+1, 0, 0
+	r.wantsSend = true
+}
+
+func (r *Replica) restore(m *Snapshot) {
+	if m.Index <= r.committed {
+		return
+	}
+	r.generation++
+	r.base, r.baseEpoch, r.baseData, r.log = m.Index, m.IndexEpoch, m.Data, nil
+	r.synced, r.committed, r.received = 0, m.Index, m.Index
+	r.next = m.Index + 1
+	r.out.Restore = m
+	r.ackDue = true
+}
+
+// Restored tells that a snapshot from the predecessor is durable and in force.
+func (r *Replica) Restored(index uint64) {
+	if index == r.base {
+		r.synced = max(r.synced, index)
+		r.advance()
+	}
+}
+
+// CompletePersisted tells that completeness in the epoch is durable.
+func (r *Replica) CompletePersisted(epoch uint64) {
+	if epoch == r.view.Epoch && r.completing {
+		r.complete = true
+		r.wantsSend = true
+		r.advance()
+	}
+}
--- /dev/null
+++ b/coordination/chain/send.go
@@ -0,0 +1,85 @@
+package chain
+
+// Tick is called at a steady pace; retry says after how many of them without
+// progress the successor gets everything anew.
+func (r *Replica) Tick(retry int) {
+	if r.successor() == 0 {
+		return
+	}
+	r.ackedAt++
+	if r.ackedAt >= retry && r.acked < r.Last() {
+		r.next, r.ackedAt, r.rewound = max(r.acked, r.committed)+1, 0, false
+	}
+	r.wantsSend = true
+}
+
+// Reconnected tells that messages to a member may have been lost.
+func (r *Replica) Reconnected(member MemberID) {
+	if member == r.successor() {
+		r.next = max(r.acked, r.committed) + 1
+		r.wantsSend = true
+	}
+	if member == r.predecessor() {
+		r.ackDue = true
+	}
+}
+
+// Take returns what is to be carried out since the last call.
+func (r *Replica) Take() Output {
+	r.sendAhead()
+	if r.ackDue && r.predecessor() != 0 {
+		r.out.Sends = append(r.out.Sends, Send{r.predecessor(), Message{Ack: &Ack{
+			Epoch: r.view.Epoch, Received: r.received, Committed: r.committed, Reads: r.ackReads}}})
+		r.ackReads = nil
+	}
+	r.ackDue = false
+	out := r.out
+	r.out = Output{}
+	return out
+}
+
+// sendAhead passes on to the successor what it lacks.
+func (r *Replica) sendAhead() {
+	if !r.wantsSend || r.successor() == 0 || !r.started {
+		return
+	}
+	r.wantsSend = false
+	// What the predecessor has not confirmed in this view may yet be replaced by its log.
+	r.next = min(r.next, r.received+1)
+	if r.next <= r.base {
+		r.out.Sends = append(r.out.Sends, Send{r.successor(), Message{Snapshot: &Snapshot{
+			r.view.Epoch, r.base, r.baseEpoch, r.baseData}}})
+		r.next = r.base + 1
+	}
+	for {
+		message := r.nextAppend()
+		r.out.Sends = append(r.out.Sends, Send{r.successor(), Message{Append: message}})
+		if len(message.Entries) == 0 || r.next > r.received || r.inFlight() > maxFlight {
+			return
+		}
+	}
+}
+
+func (r *Replica) nextAppend() *Append {
+	message := &Append{Epoch: r.view.Epoch, PrevIndex: r.next - 1, PrevEpoch: r.epochOf(r.next - 1),
+		Synced: r.durable(), Start: r.start, Reads: r.pending}
+	r.pending, r.toldSync = nil, message.Synced
+	size := 0
+	for r.next <= r.received && size < maxBatch && r.inFlight() <= maxFlight {
+		entry := r.log[r.next-r.base-1]
+		message.Entries = append(message.Entries, entry)
+		size += len(entry.Data)
+		r.next++
+	}
+	return message
+}
+
+// inFlight estimates the bytes sent without an acknowledgement.
+func (r *Replica) inFlight() int {
+	first := max(r.acked, r.base)
+	size := 0
+	for index := first + 1; index < r.next && size <= maxFlight; index++ {
+		size += len(r.log[index-r.base-1].Data)
+	}
+	return size
+}
--- /dev/null
+++ b/internal/control/server/head.go
@@ -0,0 +1,61 @@
+package server
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"linnetlift/coordination/segment"
+	"linnetlift/internal/control/cluster"
+)
+
+// headTick ends sessions of dispatchers that are out of touch, and lets the state age.
+func (s *Server) headTick(now time.Duration) {
+	for _, id := range s.sessionsInTouch() {
+		s.seen[id] = now
+	}
+	for id := range s.cluster.Sessions {
+		if _, known := s.seen[id]; !known {
+			s.seen[id] = now
+		}
+		last := max(s.seen[id], s.viewSince+sessionGrace-sessionTimeout)
+		brokenAt, isBroken := s.broken[id]
+		gone := isBroken && s.seen[id] <= brokenAt && now-brokenAt > brokenTimeout && now-s.viewSince > sessionTimeout
+		if gone || now-last > sessionTimeout {
+			delete(s.broken, id)
+			s.seen[id] = now // asked for once
+			s.logger.Info().Uint64("session", id).Str("node", s.cluster.Sessions[id].Node).Msg("session over: silent")
+			s.submit(&cluster.Command{CloseSession: &cluster.CloseSession{Session: id}}, nil, func(cluster.Result) {})
+		}
+	}
+	for id := range s.seen {
+		if s.cluster.Sessions[id] == nil && now-s.seen[id] > sessionTimeout {
+			delete(s.seen, id)
+			delete(s.broken, id)
+		}
+	}
+	if now-s.agedAt >= ageEvery {
+		s.agedAt = now
+		s.submit(&cluster.Command{Age: &cluster.Age{}}, nil, func(cluster.Result) {})
+	}
+}
+
+// compact saves a snapshot once few segments are left.
+func (s *Server) compact() {
+	if s.compacting || s.freeSegments > 4 || s.replica.Committed() != s.applied {
+		return
+	}
+	s.compacting = true
+	data, err := cbor.Marshal(&s.cluster.State)
+	if err != nil {
+		s.logger.Error().Err(err).Msg("the state can't be written as a snapshot")
+		return
+	}
+	index := s.applied
+	snapshot := &segment.Snapshot{Index: index, Epoch: s.replica.EpochAt(index), Data: data}
+	s.disk.add(diskJob{snapshot: snapshot, done: func() {
+		s.compacting = false
+		s.replica.Compact(index, data)
+		s.logger.Info().Uint64("index", index).Int("bytes", len(data)).Msg("snapshot saved")
+	}})
+}
--- /dev/null
+++ b/internal/control/server/views.go
@@ -0,0 +1,134 @@
+package server
+
+import (
+	"linnetlift/coordination/chain"
+	"linnetlift/coordination/view"
+	"linnetlift/internal/control/link"
+)
+
+func (s *Server) installView(v view.View) {
+	if v.Epoch != s.register.View().Epoch || v.Epoch <= s.replica.Epoch() {
+		return
+	}
+	members := make([]chain.MemberID, len(v.Chain))
+	names := make([]string, len(v.Chain))
+	for i, member := range v.Chain {
+		members[i], names[i] = member.ID, member.Node
+	}
+	s.logger.Info().Uint64("epoch", v.Epoch).Strs("chain", names).Int("electors", len(v.Electors)).Msg("view")
+	s.viewSince = s.now()
+	s.replica.SetView(chain.View{Epoch: v.Epoch, Members: members})
+	addresses := []string{}
+	for _, list := range [][]view.Member{v.Chain, v.Electors} {
+		for _, member := range list {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	s.peers.meet(addresses)
+	s.resend(0)
+}
+
+func (s *Server) stalled() bool { return s.disk.sick() }
+
+// probeDisk writes to a disk that was slow, to see whether it still is.
+func (s *Server) probeDisk() {
+	if s.disk.sick() && s.disk.idle() {
+		s.disk.add(diskJob{meta: link.Encode(s.register.Durable())})
+	}
+}
+
+func (s *Server) ping() *link.Peer {
+	return &link.Peer{Sessions: s.sessionsInTouch(), Ping: &view.Ping{From: s.register.Me(),
+		Epoch: s.register.View().Epoch, First: s.register.First(), Stalled: s.stalled(), Restarted: s.restarted(),
+		Last: s.replica.Last(), Hears: s.detector.Hears(s.now())}}
+}
+
+// considerView proposes another view where the detector wants one.
+func (s *Server) considerView() {
+	now := s.now()
+	if s.register.View().Epoch == 0 && s.register.First() {
+		if founders := s.detector.Founders(now, s.settings.Seeds); founders != nil {
+			s.register.Found(founders)
+		}
+	}
+	if s.register.Proposing() {
+		return
+	}
+	if wish, expected := s.detector.Wish(now, s.register.View(), s.restarted(), s.stalled(),
+		s.replica.Committed()); wish != nil {
+		s.register.Propose(*wish, expected, s.settings.Tolerate.Machines+1)
+	}
+}
+
+// restarted reports whether this process has no part in the view in force, though its disk has.
+func (s *Server) restarted() bool {
+	epoch := s.register.View().Epoch
+	return epoch > 0 && epoch == s.restartedIn && s.register.View().InChain(s.register.Me().ID) >= 0
+}
+
+// inTouch reports whether this replica follows what is committed and stands with a majority.
+func (s *Server) inTouch() bool {
+	return s.replica.Serves() && s.detector.Majority(s.now(), s.register.View())
+}
+
+// standing reports whether this replica is a member that stands with a majority. Commands may have to wait
+// for a new member, but they come through.
+func (s *Server) standing() bool {
+	return s.replica.IsMember() && s.detector.Majority(s.now(), s.register.View())
+}
+
+// fetch asks a member for what this replica, outside the chain, lacks.
+func (s *Server) fetch(member view.MemberID) {
+	if fetch, outside := s.replica.NextFetch(); outside && s.register.View().Epoch > 0 && !s.restarted() {
+		s.peers.send(member, &link.Peer{Fetch: &fetch})
+	}
+}
+
+// fetchSome asks the last live member of the chain, which has least to do.
+func (s *Server) fetchSome() {
+	members := s.register.View().Chain
+	for i := len(members) - 1; i >= 0; i-- {
+		if s.detector.Alive(s.now(), members[i].ID) && members[i].ID != s.register.Me().ID {
+			s.fetch(members[i].ID)
+			return
+		}
+	}
+}
+
+// receivePeer takes in a message of another control machine.
+func (s *Server) receivePeer(from view.Member, message *link.Peer) {
+	now := s.now()
+	switch {
+	case message.Ping != nil:
+		wasAlive := s.detector.Alive(now, from.ID)
+		s.detector.Heard(now, *message.Ping)
+		if wasAlive != s.detector.Alive(now, from.ID) {
+			s.peers.send(from.ID, s.ping()) // so that both sides know at once
+			s.considerView()
+		}
+		if message.Ping.Epoch < s.register.View().Epoch {
+			tell := s.register.Tell()
+			s.peers.send(from.ID, &link.Peer{View: &tell})
+		}
+		for _, id := range message.Sessions {
+			s.seen[id] = now
+		}
+	case message.Broken != nil:
+		for _, id := range message.Broken {
+			s.broken[id] = now
+		}
+	case message.View != nil:
+		s.register.Receive(from.ID, message.View)
+	case message.Chain != nil:
+		s.replica.Receive(from.ID, message.Chain)
+	case message.Fetch != nil:
+		if lesson := s.replica.Teach(*message.Fetch); lesson != nil {
+			s.peers.send(from.ID, &link.Peer{Lesson: lesson})
+		}
+	case message.Lesson != nil:
+		s.replica.Learn(message.Lesson)
+		s.fetch(from.ID)
+	case message.Forward != nil:
+		s.replica.Propose(message.Forward)
+	}
+}
--- /dev/null
+++ b/scheduling/placement/find.go
@@ -0,0 +1,146 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"linnetlift/scheduling/job"
+)
+
+// slowness returns how many times as long (ln) work takes at the worker as at a usual one.
+func (p *Placer) slowness(worker *Worker) float64 {
+	return p.kinds[worker.Kind] + worker.slow + 2*worker.badness(p.now)
+}
+
+// able reports whether the unit may go to the worker, room aside.
+func able(worker *Worker, step *job.Step) bool {
+	return !worker.Draining && worker.hasLabel(step.Requires) && worker.Capacity.Holds(step.Asks())
+}
+
+// find returns where the unit would go now, and what decides where that is not as fast as the fastest of all.
+func (p *Placer) find(now time.Duration, unit *Unit) (workers []string, slower *slowerChoice) {
+	if unit.Step().Gang {
+		return p.findGang(now, unit)
+	}
+	step := unit.Step()
+	far, reserve := math.Log(p.farX), p.reserve(unit)
+	var best *Worker
+	bestSlow, bestScore, fastest, bestFar := 0.0, 0.0, math.Inf(1), false
+	for _, worker := range p.list {
+		if !able(worker, step) {
+			continue
+		}
+		slow := p.slowness(worker)
+		isFar := step.Affinity != "" && worker.Rack != step.Affinity
+		if isFar {
+			slow += far
+		}
+		fastest = min(fastest, slow)
+		if now < worker.pauseUntil || worker.ID == unit.avoid && now-unit.Since < pauseBase ||
+			!worker.fits(step.Asks(), reserve) || isFar && !worker.fits(step.Asks(), max(reserve, reserveFar)) {
+			continue
+		}
+		if most := step.AntiAffinity; most > 0 && unit.Job.CountAt(unit.Key, worker.ID) >= most {
+			continue
+		}
+		score := share(worker.room().Minus(step.Asks()), worker.Capacity) + jitter*worker.order
+		if best == nil || slow < bestSlow-nearEqual || slow < bestSlow+nearEqual && score < bestScore {
+			best, bestSlow, bestScore, bestFar = worker, slow, score, isFar
+		}
+	}
+	if best == nil {
+		return nil, nil
+	}
+	if bestSlow > fastest+2*nearEqual {
+		slower = &slowerChoice{arm: &best.near, ratio: math.Exp(bestSlow - fastest), sameFar: bestFar}
+		if bestFar {
+			slower.arm = &best.far
+		}
+		slower.faster = p.fasterRoom(step, bestSlow-nearEqual)
+	}
+	return []string{best.ID}, slower
+}
+
+// fasterRoom returns how many tasks of the step all workers hold at which it is faster than a bound.
+func (p *Placer) fasterRoom(step *job.Step, bound float64) float64 {
+	room := 0.0
+	for _, worker := range p.list {
+		slow := p.slowness(worker)
+		if step.Affinity != "" && worker.Rack != step.Affinity {
+			slow += math.Log(p.farX)
+		}
+		if able(worker, step) && slow < bound {
+			room += 1 / max(share(step.Asks(), worker.Capacity), 0.01)
+		}
+	}
+	return room
+}
+
+// findGang looks for room for all members, in one rack where the step asks for that.
+func (p *Placer) findGang(now time.Duration, unit *Unit) (workers []string, slower *slowerChoice) {
+	step := unit.Step()
+	if !step.SameRack && step.Affinity == "" {
+		return p.fill(now, unit, ""), nil
+	}
+	racks := []string{}
+	for _, worker := range p.list {
+		if able(worker, step) && !slices.Contains(racks, worker.Rack) &&
+			(step.Affinity == "" || worker.Rack == step.Affinity) {
+			racks = append(racks, worker.Rack)
+		}
+	}
+	best := []string(nil)
+	for _, rack := range racks {
+		found := p.fill(now, unit, rack)
+		if found != nil && (best == nil || p.workers[found[0]].order < p.workers[best[0]].order) {
+			best = found
+		}
+	}
+	if best != nil {
+		return best, nil
+	}
+	if found := p.fill(now, unit, ""); found != nil {
+		first := p.workers[found[0]]
+		return found, &slowerChoice{arm: &first.far, ratio: p.farX, faster: float64(len(unit.Indices)) * float64(p.peers)}
+	}
+	return nil, nil
+}
+
+// fill places all members on workers of a rack ("" for any), or returns nil.
+func (p *Placer) fill(now time.Duration, unit *Unit, rack string) []string {
+	step := unit.Step()
+	candidates := []*Worker{}
+	for _, worker := range p.list {
+		if able(worker, step) && now >= worker.pauseUntil && (rack == "" || worker.Rack == rack) &&
+			worker.room().Holds(step.Asks()) {
+			candidates = append(candidates, worker)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *Worker) int {
+		scoreA := p.slowness(a)/nearEqual + share(a.room(), a.Capacity) + jitter*a.order
+		scoreB := p.slowness(b)/nearEqual + share(b.room(), b.Capacity) + jitter*b.order
+		switch {
+		case scoreA < scoreB:
+			return -1
+		case scoreA > scoreB:
+			return 1
+		}
+		return 0
+	})
+	workers := []string{}
+	for _, worker := range candidates {
+		room := worker.room()
+		for count := 0; len(workers) < len(unit.Indices) && room.Holds(step.Asks()); count++ {
+			if step.AntiAffinity > 0 && count >= step.AntiAffinity {
+				break
+			}
+			workers = append(workers, worker.ID)
+			room = room.Minus(step.Asks())
+		}
+	}
+	if len(workers) < len(unit.Indices) {
+		return nil
+	}
+	return workers
+}
--- /dev/null
+++ b/scheduling/placement/reserve.go
@@ -0,0 +1,65 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"linnetlift/scheduling/job"
+)
+
+// measure keeps which part of the work is urgent.
+func (p *Placer) measure(unit *Unit) {
+	if unit.Since > p.workAt {
+		fade := math.Exp(-float64(unit.Since-p.workAt) / float64(reserveSpan))
+		p.urgentWork *= fade
+		p.allWork *= fade
+		p.workAt = unit.Since
+	}
+	step := unit.Step()
+	work := float64(step.Cpu) * float64(step.EstimateMs) * float64(len(unit.Indices))
+	p.allWork += work
+	if unit.Job.Priority == 0 {
+		p.urgentWork += work
+	}
+}
+
+// reserve returns the part of each worker that units of lower priority leave free, so that urgent ones of
+// any dispatcher find room at once. It is the urgent part of the work, within a bound.
+func (p *Placer) reserve(unit *Unit) float64 {
+	if unit.Job.Priority == 0 || p.allWork == 0 || unit.Step().Gang {
+		return 0
+	}
+	base := min(p.urgentWork/p.allWork, reserveMost)
+	if p.now-unit.Since > (unit.Deadline-unit.Since)/2 {
+		return base // it has made way for long enough
+	}
+	return base + p.pressure[rank(unit)]*(reserveFull-base)
+}
+
+// rank returns the unit's priority among those told apart.
+func rank(unit *Unit) int { return min(max(unit.Job.Priority, 0), priorities-1) }
+
+// placed keeps whether a unit had to wait, which those of lower priority make room for.
+func (p *Placer) placed(now time.Duration, unit *Unit) {
+	waited := 0.0
+	if now-unit.Since > promptly {
+		waited = 1
+	}
+	for lower := rank(unit) + 1; lower < priorities; lower++ {
+		p.pressure[lower] += waitStep * (waited - p.pressure[lower])
+	}
+}
+
+// fits reports whether a task of the step has room at the worker beside what is reserved.
+func (w *Worker) fits(asks job.Resources, reserve float64) bool {
+	room := w.room()
+	if !room.Holds(asks) {
+		return false
+	}
+	if reserve == 0 {
+		return true
+	}
+	left := room.Minus(asks)
+	return float64(left.Cpu) >= reserve*float64(w.Capacity.Cpu) && float64(left.MemMb) >= reserve*float64(w.Capacity.MemMb) ||
+		w.Used.Plus(w.Reserved) == (job.Resources{})
+}
--- /dev/null
+++ b/scheduling/worker/answers.go
@@ -0,0 +1,210 @@
+package worker
+
+import (
+	"time"
+
+	"linnetlift/internal/control/cluster"
+	"linnetlift/scheduling/job"
+)
+
+// StartAnswered enters how an order to start came out.
+func (a *Agent) StartAnswered(now time.Duration, task string, command uint64, answer Answer, clockMs int64) {
+	a.heard(now, answer, clockMs)
+	r := a.runs[task]
+	if r == nil || r.Run != command || r.phase != ordered {
+		if answer == Unanswered {
+			a.mayLengthen(now, a.fence())
+			a.bumps++
+		}
+		a.act(now)
+		return
+	}
+	switch answer {
+	case Done:
+		r.phase, r.knownFrom, r.movedAt = running, a.sequence+1, now
+	case Unanswered:
+		r.phase = owed
+		a.mayLengthen(now, r.fence)
+		a.bumps++
+		a.out.Blames = append(a.out.Blames, 0.2)
+	case Fenced:
+		a.fenced(now, r)
+	case Old, Late:
+		r.outdated = r.outdated || answer == Old
+		r.phase = owed // the lists tell whether it ended here
+		a.bumps++
+	case NoRoom:
+		a.release(r, cluster.NotStarted)
+	case Unhealthy, Invalid, Unreached:
+		a.out.Blames = append(a.out.Blames, 0.4)
+		a.release(r, cluster.NotStarted)
+	case OtherLife:
+		a.otherLife = true
+	}
+	a.act(now)
+}
+
+// fenced handles an order that a higher token overtook: either an own settlement, or another owner.
+func (a *Agent) fenced(now time.Duration, r *run) {
+	r.phase = owed
+	if r.fences++; r.fence == a.fence() {
+		if r.fences > 3 {
+			a.fencedOff = true
+		}
+		a.bumps++
+	}
+}
+
+// StopAnswered enters how an order to stop came out.
+func (a *Agent) StopAnswered(now time.Duration, task string, command uint64, answer Answer, clockMs int64) {
+	a.heard(now, answer, clockMs)
+	if answer == OtherLife {
+		a.otherLife = true
+	}
+	a.act(now)
+}
+
+// heard takes in what every answer shows: that the worker is there, and its clock.
+func (a *Agent) heard(now time.Duration, answer Answer, clockMs int64) {
+	if answer == Unanswered || answer == Unreached {
+		return
+	}
+	a.answeredAt, a.reachable, a.suspect, a.quickFailures = now, true, false, 0
+	if clockMs > 0 {
+		a.clockMs, a.clockAt, a.hasClock = clockMs, now, true
+	}
+}
+
+// HoldAnswered enters how a hold came out.
+func (a *Agent) HoldAnswered(now time.Duration, hold Hold, answer Answer, lists Lists) {
+	if a.long == hold.Sequence {
+		a.long = 0
+	}
+	if a.short == hold.Sequence {
+		a.short = 0
+	}
+	a.heard(now, answer, lists.ClockMs)
+	switch answer {
+	case Done:
+		a.settle(now, hold, &lists)
+		if a.highest > a.noted() {
+			a.holdAt = now + notedWithin
+		}
+	case OtherLife:
+		a.otherLife = true
+	case Fenced:
+		if hold.Fence == a.fence() {
+			a.bumps++
+		}
+		a.holdAt = now + retryPause
+	default:
+		a.holdFailed(now, hold, answer)
+	}
+	a.act(now)
+}
+
+func (a *Agent) holdFailed(now time.Duration, hold Hold, answer Answer) {
+	if answer == Unanswered && hold.UntilMs > 0 {
+		a.mayLengthen(now, hold.Fence)
+		a.bumps++
+	}
+	switch {
+	case hold.WaitMs > 0:
+		a.suspect = true // a short look shows whether the worker is there
+	case answer == Unanswered && now-a.shortAt < quickFailure && a.quickFailures < 2:
+		a.quickFailures++ // the connection broke; a new one shows more
+	case now-a.answeredAt > freshFor:
+		a.reachable = false
+		a.holdAt = now + retryPause
+		a.out.Blames = append(a.out.Blames, 0.6)
+	default:
+		a.holdAt = now + freshFor
+	}
+}
+
+// settle takes in a worker's lists.
+func (a *Agent) settle(now time.Duration, hold Hold, lists *Lists) {
+	if !a.contacted {
+		a.contacted = true
+		a.untilMax = max(a.untilMax, lists.ClockMs+a.mostMs) // a former owner may have given so much
+	}
+	if hold.Fence > a.lateFence {
+		a.lateUntil = 0 // what was ordered under lower tokens does nothing any more
+	}
+	seen := map[string]bool{}
+	for _, end := range lists.Ended {
+		a.ended(end)
+		if r := a.runs[end.Task]; r != nil && r.Run == end.Command {
+			seen[end.Task] = true
+		}
+	}
+	for _, listed := range lists.Running {
+		r := a.runs[listed.Task]
+		if r == nil || r.Run != listed.Command {
+			if r == nil || r.Run > listed.Command {
+				a.out.Stops = append(a.out.Stops, Stop{listed.Task, listed.Command, a.fence()})
+			}
+			continue
+		}
+		seen[listed.Task] = true
+		a.atWork(now, r, listed)
+	}
+	for _, task := range a.tasks() {
+		r := a.runs[task]
+		if seen[task] {
+			continue
+		}
+		switch {
+		case r.phase == owed && hold.Fence > r.fence && r.outdated:
+			a.release(r, cluster.NotStarted)
+		case r.phase == owed && hold.Fence > r.fence:
+			r.phase = wanted
+		case r.phase == running && hold.Sequence >= r.knownFrom:
+			a.release(r, cluster.Lost)
+		}
+	}
+}
+
+// ended takes in one end that the worker tells, once.
+func (a *Agent) ended(end End) {
+	if end.Number <= a.lastSeen {
+		return
+	}
+	a.highest = max(a.highest, end.Number)
+	if _, told := a.reported[end.Number]; told {
+		return
+	}
+	if len(a.reported) == 0 && a.lastSeen == 0 {
+		a.lastSeen = end.Number - 1 // what came before was noted by a former owner
+	}
+	a.reported[end.Number] = false
+	if r := a.runs[end.Task]; r != nil && r.Run == end.Command {
+		r.phase = over
+	}
+	a.report(end.Number, end.Task, end.Command, end.How, end.Saved)
+}
+
+// atWork takes in that a run is at work, and how far it is.
+func (a *Agent) atWork(now time.Duration, r *run, listed Running) {
+	if r.phase == over {
+		return
+	}
+	if r.phase != running {
+		r.phase, r.knownFrom, r.movedAt = running, a.sequence+1, now
+	}
+	if listed.Percent != r.percent {
+		r.percent, r.movedAt = listed.Percent, now
+	}
+	if r.Saves && listed.Saved != "" && listed.Saved != r.saved {
+		r.saved = listed.Saved
+		if id, key, ok := job.ParseName(r.Task); ok {
+			a.out.Checkpoints = append(a.out.Checkpoints, cluster.Checkpoint{Worker: a.id, Job: id, Task: key,
+				Run: r.Run, Saved: listed.Saved})
+		}
+	}
+	stuck := max(stuckAfter, time.Duration(stuckFactor*float64(r.EstimateMs))*time.Millisecond/4)
+	if !r.Stopping && !r.Lasting && now-r.movedAt > stuck {
+		r.Stopping = true
+		a.out.Blames = append(a.out.Blames, 0.6)
+	}
+}
--- /dev/null
+++ b/scheduling/worker/orders.go
@@ -0,0 +1,112 @@
+package worker
+
+import (
+	"slices"
+	"time"
+
+	"linnetlift/internal/control/cluster"
+	"linnetlift/scheduling/job"
+)
+
+// act orders whatever can be ordered now.
+func (a *Agent) act(now time.Duration) {
+	if a.fencedOff || a.otherLife {
+		return
+	}
+	if a.lapsed(now) {
+		a.giveUp()
+	}
+	settling, starting := !a.contacted, false
+	for _, task := range a.tasks() {
+		r := a.runs[task]
+		switch {
+		case r.phase == owed:
+			settling = true
+		case r.phase == wanted && (r.Stopping || !a.reachable):
+			a.release(r, cluster.NotStarted)
+		case r.phase == wanted && a.contacted && a.fresh(now):
+			a.start(now, r)
+		case r.phase == wanted:
+			starting = true
+		case r.phase == running && r.Stopping && (!r.stopSent || now-r.stopAt >= stopAgain):
+			a.stop(now, r)
+		}
+	}
+	if now >= a.holdAt {
+		a.look(now, settling, starting)
+	}
+}
+
+// look makes the calls that renew the hold and show what runs. Holds are renewed and starts are sent
+// only right behind an answer, so that few orders are lost in a cut, and stay unsettled by that.
+func (a *Agent) look(now time.Duration, settling, starting bool) {
+	renew := len(a.runs) > 0 && a.mayRenew && a.contacted && a.fresh(now) && now-a.renewedAt >= renewEvery
+	if a.short == 0 && (settling || starting || renew || a.suspect || !a.reachable && len(a.runs) > 0) {
+		a.short, a.shortAt = a.hold(now, 0, renew), now
+	}
+	if a.long == 0 && a.reachable && !a.suspect && !settling && len(a.runs) > 0 {
+		a.long = a.hold(now, waitMs, false)
+	}
+}
+
+// giveUp reports all that was here as over.
+func (a *Agent) giveUp() {
+	for _, task := range a.tasks() {
+		if r := a.runs[task]; r.phase == running || r.phase == owed || r.phase == ordered {
+			a.release(r, cluster.Lost)
+		}
+	}
+}
+
+func (a *Agent) tasks() []string {
+	tasks := make([]string, 0, len(a.runs))
+	for task := range a.runs {
+		tasks = append(tasks, task)
+	}
+	slices.Sort(tasks)
+	return tasks
+}
+
+func (a *Agent) hold(now time.Duration, wait int64, renew bool) uint64 {
+	a.sequence++
+	a.lastSeen = a.noted()
+	hold := Hold{Sequence: a.sequence, Fence: a.fence(), LastSeen: a.lastSeen, WaitMs: wait}
+	if renew {
+		hold.UntilMs, a.renewedAt = a.untilMs(now), now
+	}
+	if a.highest > a.lastSeen {
+		hold.WaitMs = 0 // ends that are not noted yet would be told again at once
+	}
+	a.out.Holds = append(a.out.Holds, hold)
+	return a.sequence
+}
+
+func (a *Agent) start(now time.Duration, r *run) {
+	r.phase, r.fence = ordered, a.fence()
+	a.renewedAt = now // a start renews the hold as well
+	a.out.Starts = append(a.out.Starts, Start{Task: r.Task, Command: r.Run, Spec: r.Spec,
+		UntilMs: a.untilMs(now), Fence: r.fence, Saved: r.Saved})
+}
+
+func (a *Agent) stop(now time.Duration, r *run) {
+	r.stopSent, r.stopAt = true, now
+	a.out.Stops = append(a.out.Stops, Stop{r.Task, r.Run, a.fence()})
+}
+
+// release reports that a run is not at work and never will be.
+func (a *Agent) release(r *run, how cluster.How) {
+	r.phase = over
+	a.report(0, r.Task, r.Run, how, "")
+}
+
+func (a *Agent) report(number uint64, task string, command uint64, how cluster.How, saved string) {
+	id, key, ok := job.ParseName(task)
+	if !ok {
+		if number > 0 {
+			a.reported[number] = true
+		}
+		return
+	}
+	a.out.Reports = append(a.out.Reports, Report{number, cluster.Ended{Worker: a.id, Job: id, Task: key,
+		Run: command, How: how, Saved: saved, Token: a.token}})
+}
