--- /dev/null
+++ b/coordination/frame/frame_test.go
@@ -0,0 +1,124 @@
+package frame
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// serve upgrades every request and hands the connection over.
+func serve(t *testing.T) (address string, conns <-chan *Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted := make(chan *Conn, 4)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, err := Upgrade(w, r); err == nil {
+			accepted <- conn
+		}
+	})}
+	go server.Serve(listener)
+	t.Cleanup(func() { server.Close() })
+	return listener.Addr().String(), accepted
+}
+
+func dial(t *testing.T, address string) *Conn {
+	t.Helper()
+	conn, err := Dial(TCP{}, address, "/x", time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(conn.Close)
+	return conn
+}
+
+func TestMessagesGoBothWaysInOrder(t *testing.T) {
+	address, conns := serve(t)
+	client := dial(t, address)
+	server := <-conns
+	t.Cleanup(server.Close)
+	large := strings.Repeat("x", 1<<20)
+	var sending sync.WaitGroup
+	for _, side := range []*Conn{client, server} {
+		sending.Add(1)
+		go func() {
+			defer sending.Done()
+			for _, message := range []string{"a", "", large, "b"} {
+				side.Send([]byte(message))
+			}
+		}()
+	}
+	for _, side := range []*Conn{client, server} {
+		for _, want := range []string{"a", "", large, "b"} {
+			got, err := side.Receive(5 * time.Second)
+			if err != nil || string(got) != want {
+				t.Fatalf("%d bytes, %v; want %d", len(got), err, len(want))
+			}
+		}
+	}
+	sending.Wait()
+}
+
+func TestClosedConnectionIsNoticed(t *testing.T) {
+	address, conns := serve(t)
+	client := dial(t, address)
+	server := <-conns
+	server.Close()
+	if _, err := client.Receive(5 * time.Second); err == nil {
+		t.Error("a message from a closed connection")
+	}
+	client.Close()
+	client.Close()
+	if client.Send([]byte("x")) {
+		t.Error("sent on a closed connection")
+	}
+}
+
+func TestSilenceEndsReceive(t *testing.T) {
+	address, conns := serve(t)
+	client := dial(t, address)
+	t.Cleanup((<-conns).Close)
+	if _, err := client.Receive(time.Millisecond); err == nil {
+		t.Error("received from a silent side")
+	}
+}
+
+func TestNoUpgradeNoConnection(t *testing.T) {
+	address, _ := serve(t)
+	response, err := http.Post("http://"+address+"/x", "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode != http.StatusUpgradeRequired {
+		t.Errorf("answered %s", response.Status)
+	}
+	plain := &http.Server{Handler: http.NotFoundHandler()}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go plain.Serve(listener)
+	t.Cleanup(func() { plain.Close() })
+	if _, err := Dial(TCP{}, listener.Addr().String(), "/x", time.Second); err == nil {
+		t.Error("a server that does not upgrade was taken for one that does")
+	}
+}
+
+func TestHugeLengthIsRefused(t *testing.T) {
+	address, conns := serve(t)
+	client := dial(t, address)
+	server := <-conns
+	t.Cleanup(server.Close)
+	if _, err := client.raw.Write([]byte{0xff, 0xff, 0xff, 0xff}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := server.Receive(5 * time.Second); err == nil {
+		t.Error("a message of 4 GB was begun")
+	}
+}
--- /dev/null
+++ b/internal/dataplane/dataplane_test.go
@@ -0,0 +1,154 @@
+package dataplane
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/rs/zerolog"
+
+	"linnetlift/internal/control/cluster"
+	"linnetlift/internal/settings"
+	"linnetlift/scheduling/job"
+	"linnetlift/scheduling/worker"
+)
+
+// deaf is a network on which nobody answers.
+type deaf struct{}
+
+func (deaf) Dial(string, time.Duration) (net.Conn, error) {
+	return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+}
+
+func (deaf) Listen(string) (net.Listener, error) { return nil, errors.New("nothing listens here") }
+
+const config = `{"Version":3,"Routes":[{"Host":"h.example","PathPrefix":"/q/","Service":"s","TimeoutMs":3000}],
+"Services":[{"Name":"s"}],"Limits":{"MaxBodyBytes":2000}}`
+
+// lonely returns a dispatcher that runs without any control machine.
+func lonely(t *testing.T, configured bool) *Dispatcher {
+	t.Helper()
+	d := New(&settings.Settings{Node: "front-1", Seeds: []string{"core-1:1"}}, deaf{}, zerolog.Nop())
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		d.Run(stop)
+		close(ended)
+	}()
+	t.Cleanup(func() {
+		close(stop)
+		<-ended
+	})
+	if configured {
+		done := make(chan struct{})
+		d.do(func() {
+			d.setConfig(&cluster.ConfigUpdate{Version: 3, Body: []byte(config)})
+			close(done)
+		})
+		<-done
+	}
+	return d
+}
+
+func ask(d *Dispatcher, method, path, body string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, "http://h.example"+path, strings.NewReader(body))
+	answer := httptest.NewRecorder()
+	d.ServeHTTP(answer, request)
+	return answer
+}
+
+const sound = `{"Spec":"x","Steps":[{"Count":1,"Cpu":1}]}`
+
+func TestAnswersWithoutControlMachines(t *testing.T) {
+	d := lonely(t, true)
+	id := "/q/0123456789abcdef"
+	cases := []struct {
+		name, method, path, body string
+		status                   int
+		comeBack                 bool
+	}{
+		{"a job that was never sent", "POST", id, sound, http.StatusServiceUnavailable, true},
+		{"a state", "GET", id, "", http.StatusServiceUnavailable, true},
+		{"a cancel that was never sent", "DELETE", id, "", http.StatusServiceUnavailable, true},
+		{"a count", "GET", "/q/", "", http.StatusServiceUnavailable, true},
+		{"no such queue", "POST", "/other/0123456789abcdef", sound, http.StatusNotFound, false},
+		{"no ID", "POST", "/q/xyz", sound, http.StatusNotFound, false},
+		{"no job", "POST", id, `{"Steps":[]}`, http.StatusBadRequest, false},
+		{"a step that depends on a later one", "POST", id, `{"Steps":[{"Count":1,"DependsOn":[1]},{"Count":1}]}`, http.StatusBadRequest, false},
+		{"a body that is too large", "POST", id, `{"Spec":"` + strings.Repeat("x", 3000) + `"}`, http.StatusRequestEntityTooLarge, false},
+		{"another method", "PATCH", id, "", http.StatusMethodNotAllowed, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			answer := ask(d, c.method, c.path, c.body)
+			if answer.Code != c.status || (answer.Header().Get("Retry-After") != "") != c.comeBack {
+				t.Errorf("answered %d, come back %q", answer.Code, answer.Header().Get("Retry-After"))
+			}
+		})
+	}
+}
+
+func TestWithoutConfiguration(t *testing.T) {
+	d := lonely(t, false)
+	if answer := ask(d, "POST", "/q/0123456789abcdef", sound); answer.Code != http.StatusServiceUnavailable {
+		t.Errorf("answered %d", answer.Code)
+	}
+	ready := httptest.NewRecorder()
+	d.Ready(ready, nil)
+	if ready.Code != http.StatusServiceUnavailable {
+		t.Error("ready without a configuration")
+	}
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	d := lonely(t, true)
+	done := make(chan struct{})
+	d.do(func() {
+		d.setConfig(&cluster.ConfigUpdate{Version: 2, Body: []byte(strings.Replace(config, `"Version":3`, `"Version":2`, 1))})
+		close(done)
+	})
+	<-done
+	if version := d.config.Load().Version; version != 3 {
+		t.Errorf("went back to version %d", version)
+	}
+}
+
+func TestWhatWasNeverSentIsKnown(t *testing.T) {
+	dial := &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+	if !neverSent(&url.Error{Op: "Post", Err: errors.Trace(dial)}) {
+		t.Error("a failed dial counts as sent")
+	}
+	if neverSent(&url.Error{Op: "Post", Err: &net.OpError{Op: "read", Err: syscall.ECONNRESET}}) {
+		t.Error("a reset while reading counts as never sent")
+	}
+}
+
+func TestAnswersOfWorkers(t *testing.T) {
+	cases := []struct {
+		status int
+		reason string
+		want   worker.Answer
+	}{
+		{200, "", worker.Done}, {409, "fence", worker.Fenced}, {409, "old", worker.Old}, {409, "late", worker.Late},
+		{409, "room", worker.NoRoom}, {421, "", worker.OtherLife}, {429, "", worker.Unhealthy}, {503, "", worker.Unhealthy},
+		{400, "", worker.Invalid}, {500, "", worker.Unanswered},
+	}
+	for _, c := range cases {
+		if got := classify(c.status, c.reason); got != c.want {
+			t.Errorf("%d %s: %d, want %d", c.status, c.reason, got, c.want)
+		}
+	}
+}
+
+func TestObjectiveCountsFromTheStretch(t *testing.T) {
+	owned := &ownedJob{since: time.Second, Job: &job.Job{Stretch: 2, TargetMs: 500,
+		Request: job.Request{Steps: []job.Step{{Count: 3, EstimateMs: 1000}, {Count: 1, EstimateMs: 250}}}}}
+	if got := owned.objective(); got != 4*time.Second {
+		t.Errorf("objective %v", got)
+	}
+}
