--- a/internal/emulator/schedule_test.go
+++ b/internal/emulator/schedule_test.go
@@ -37,7 +37,13 @@
 		core := y.cores[random.IntN(len(y.cores))]
 		front := y.dispatchers[random.IntN(len(y.dispatchers))]
 		place := random.IntN(y.Shape.Workers)
-		switch random.IntN(10) {
+		switch random.IntN(12) {
+		case 10:
+			y.ReplaceCore(random.IntN(len(y.cores)), span/4)
+		case 11:
+			y.CutDispatcher(front.name, true)
+			time.Sleep(span)
+			y.CutDispatcher(front.name, false)
 		case 0:
 			core.Kill()
 			time.Sleep(span / 4)
--- a/internal/emulator/yard.go
+++ b/internal/emulator/yard.go
@@ -41,6 +41,7 @@
 	list        *instanceList
 	client      *http.Client
 	version     int64
+	replaced    int
 	lateUntil   time.Time
 	lateMu      sync.Mutex
 	lateRandom  *rand.Rand
@@ -182,6 +183,26 @@
 	}
 }
 
+// ReplaceCore takes a control machine away for good; an empty one at another address comes after a while.
+func (y *Yard) ReplaceCore(place int, after time.Duration) {
+	former := y.cores[place]
+	former.PowerOff()
+	time.Sleep(after)
+	y.replaced++
+	successor := &core{yard: y, name: fmt.Sprint("core-", len(y.cores)+y.replaced), zone: former.zone,
+		disk: NewDisk(syncTime, rand.New(rand.NewPCG(uint64(y.replaced), 77)))}
+	y.cores[place] = successor
+	successor.start(false)
+}
+
+// CutDispatcher cuts a dispatcher off from all control machines, or joins it again; it reaches workers all the while.
+func (y *Yard) CutDispatcher(name string, cut bool) {
+	for _, c := range y.cores {
+		y.Network.Cut(name, c.name, cut)
+		y.Network.Cut(c.name, name, cut)
+	}
+}
+
 // dispatcherProcess is a front machine.
 type dispatcherProcess struct {
 	yard *Yard
