--- a/internal/control/cluster/cluster_test.go
+++ b/internal/control/cluster/cluster_test.go
@@ -304,9 +304,12 @@
 			if a.Code != b.Code || a.Session != b.Session || a.State != b.State {
 				t.Fatalf("seed %d step %d: %v and %v", seed, step, a, b)
 			}
-			if fmt.Sprint(len(first.TakeUpdates())) != fmt.Sprint(len(second.TakeUpdates())) {
+			if ours, theirs := encoded(t, first.TakeUpdates()), encoded(t, second.TakeUpdates()); ours != theirs {
 				t.Fatalf("seed %d step %d: updates differ", seed, step)
 			}
+			if encoded(t, first.Jobs) != encoded(t, second.Jobs) {
+				t.Fatalf("seed %d step %d: jobs differ", seed, step)
+			}
 			checkRoom(t, first)
 			if step == 200 {
 				data, err := cbor.Marshal(&first.State)
@@ -322,6 +325,20 @@
 	}
 }
 
+// encoded returns a value's one encoding, with the keys of maps in order.
+func encoded(t *testing.T, value any) string {
+	t.Helper()
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := mode.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
 func randomCommand(random *rand.Rand) *Command {
 	id := fmt.Sprintf("%016x", random.IntN(6))
 	key := task(random.IntN(2), random.IntN(2))
