A flood's unread bytes wait longer for their readers before a client at work makes room

An accept gave the readers of unread bytes 5 turns of 1 ms; beside the other packages' tests the readers came later, and the idle connection of a client at work was closed. Change: up to 100 turns, ended by the first reader; the wait stands in Guard.awaitReaders. Test: TestLateReaderDoesNotCostAClientAtWork holds the reader for 20 turns; fails with 5.

--- /dev/null
+++ b/internal/platform/flood_test.go
@@ -0,0 +1,58 @@
+package platform
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// A stranger's bytes stay unread for 20 turns, as on a machine whose processors others hold:
+// the connection of a client at work is not the one that makes room.
+func TestLateReaderDoesNotCostAClientAtWork(t *testing.T) {
+	guard := NewGuard(2)
+	tcp, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := &Listener{TCPListener: tcp, g: guard, closed: make(chan struct{})}
+	t.Cleanup(func() { tcp.Close() })
+	connect := func(bytes string) *conn {
+		client, err := net.Dial("tcp", tcp.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { client.Close() })
+		if _, err := io.WriteString(client, bytes); err != nil {
+			t.Fatal(err)
+		}
+		accepted, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return accepted.(*conn)
+	}
+	atWork := connect("")
+	atWork.took()
+	guard.state(atWork, http.StateIdle) // its request was answered
+	stranger := connect("POST /issue-loan HTTP/1.1\r\nX-")
+	for limit := time.Now().Add(10 * time.Second); !stranger.unread(); {
+		if time.Now().After(limit) {
+			t.Fatal("the stranger's bytes never came")
+		}
+	}
+	turns := 0
+	guard.onTurn = func() {
+		if turns++; turns == 20 {
+			stranger.Read(make([]byte, 64))
+		}
+	}
+	connect("")
+	if atWork.ending {
+		t.Error("the client at work made room for a newcomer")
+	}
+	if !stranger.ending {
+		t.Error("the stranger with half a request stayed")
+	}
+}
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -29,6 +29,11 @@
 	// backlogWait is how long a listener that is being closed looks for connections that
 	// the kernel has accepted and nobody has taken yet.
 	backlogWait = 5 * time.Millisecond
+	// readerTurns is how often, and readerTurn how long, an accept waits for the readers of
+	// unread bytes: see awaitReaders. On an idle machine the first turn is enough; where other
+	// processes hold the processors a reader was seen to be later than 5 turns.
+	readerTurns = 100
+	readerTurn  = time.Millisecond
 )
 
 // Guard keeps the budget of sockets that all fronts share.
@@ -40,9 +45,10 @@
 
 	// For tests, which force an order by them; nil otherwise. onClose runs just before the
 	// end of a connection is sent, with mu held; onRead between a read from a socket and its
-	// accounting.
+	// accounting; onTurn in place of each readerTurn.
 	onClose func(*conn)
 	onRead  func()
+	onTurn  func()
 }
 
 // NewGuard makes a guard for at most max clients' connections.
@@ -112,6 +118,22 @@
 	return waiting
 }
 
+// awaitReaders gives the readers of unread bytes a moment while crowded. In a flood the newest
+// bytes are not read yet, and what has unread bytes is not closed: without the wait it would be
+// the idle connections of clients at work that make room.
+func (g *Guard) awaitReaders() {
+	for range readerTurns {
+		if !g.crowded() {
+			return
+		}
+		if g.onTurn != nil {
+			g.onTurn()
+			continue
+		}
+		time.Sleep(readerTurn)
+	}
+}
+
 func (g *Guard) admit(c *conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/platform/listener.go
+++ b/internal/platform/listener.go
@@ -53,15 +53,7 @@
 			return nil, err
 		}
 		c := &conn{TCPConn: tcp, g: l.g, since: time.Now()}
-		// In a flood the newest bytes are not read yet, and what has unread bytes is
-		// not closed: their readers get a moment, so that it is not the idle
-		// connections of clients at work that make room.
-		for range 5 {
-			if !l.g.crowded() {
-				break
-			}
-			time.Sleep(time.Millisecond)
-		}
+		l.g.awaitReaders()
 		if l.g.admit(c) {
 			return c, nil
 		}
