Debug log of a queued step tells what it asks for and how long it has

Cause: of a job that came late, the log told when its tasks were queued and placed, but not what they asked for, so large tasks that wait for room couldn't be told from others. Change: priority, amounts, estimate, labels and the time left stand in the line; at debug level only.

--- a/internal/dataplane/jobs.go
+++ b/internal/dataplane/jobs.go
@@ -191,7 +191,10 @@
 		}
 	}
 	d.placer(known.Service).Add(unit)
-	d.logger.Debug().Str("job", known.ID).Int("step", key.Step).Ints("tasks", indices).Msg("queued")
+	step := unit.Step()
+	d.logger.Debug().Str("job", known.ID).Int("step", key.Step).Ints("tasks", indices).Int("priority", known.Priority).
+		Int64("cpu", step.Cpu).Int64("mem", step.MemMb).Int64("estimate", step.EstimateMs).Str("near", step.Affinity).
+		Str("requires", step.Requires).Bool("gang", step.Gang).Dur("left", unit.Deadline-now).Msg("queued")
 }
 
 // dueJobs looks at jobs whose next time has fallen due.
