Room for urgent tasks is reserved over a service, not at each worker

Ruled out: failures, lost runs and takeovers (few of the late jobs had any); the queue's order. Change: a task of lower priority goes to any worker that holds it while the free part of the whole service stays above the reserve; the free part of a worker is that of what it has least of. Test: TestLargeTaskFillsAWorkerThoughRoomIsReserved fails with the reserve at each worker.

--- a/scheduling/placement/explain.go
+++ b/scheduling/placement/explain.go
@@ -42,7 +42,7 @@
 			waiting.Paused++
 		case !worker.room().Holds(asks):
 			waiting.Full++
-		case !worker.fits(asks, reserve):
+		case !p.fits(worker, asks, reserve):
 			waiting.Reserved++
 		case step.AntiAffinity > 0 && unit.Job.CountAt(unit.Key, worker.ID) >= step.AntiAffinity:
 			waiting.Apart++
--- a/scheduling/placement/find.go
+++ b/scheduling/placement/find.go
@@ -38,7 +38,7 @@
 		}
 		fastest = min(fastest, slow)
 		if now < worker.pauseUntil || worker.ID == unit.avoid && now-unit.Since < pauseBase ||
-			!worker.fits(step.Asks(), reserve) || isFar && !worker.fits(step.Asks(), max(reserve, reserveFar)) {
+			!p.fits(worker, step.Asks(), reserve) || isFar && !p.fits(worker, step.Asks(), max(reserve, reserveFar)) {
 			continue
 		}
 		if most := step.AntiAffinity; most > 0 && unit.Job.CountAt(unit.Key, worker.ID) >= most {
--- a/scheduling/placement/placement.go
+++ b/scheduling/placement/placement.go
@@ -99,6 +99,9 @@
 	now     time.Duration
 	running int
 
+	free  float64 // of the service, in thousandths of cores
+	total float64
+
 	urgentWork float64 // core-milliseconds queued lately by urgent units, and by all
 	allWork    float64
 	workAt     time.Duration
@@ -151,6 +154,7 @@
 	}
 	var decisions []Decision
 	p.now = now
+	p.countFree(now)
 	p.endStep(now)
 	misfits := map[stepOf]bool{} // steps of which a task has found no place in this event
 	for i := 0; i < len(p.queue) && len(misfits) < lookAhead; {
@@ -171,7 +175,9 @@
 		asks := unit.Step().Asks()
 		for _, id := range workers {
 			worker := p.workers[id]
+			p.free -= worker.freeCpu()
 			worker.Reserved = worker.Reserved.Plus(asks)
+			p.free += worker.freeCpu()
 		}
 		decisions = append(decisions, Decision{unit, workers})
 		p.beginStep(now)
--- a/scheduling/placement/placement_test.go
+++ b/scheduling/placement/placement_test.go
@@ -184,6 +184,26 @@
 	}
 }
 
+// What is kept free counts over the service: a large task may fill one worker where others have room.
+func TestLargeTaskFillsAWorkerThoughRoomIsReserved(t *testing.T) {
+	p := yard(3)
+	p.urgentWork, p.allWork = 1e9, 2e9
+	p.SetUsed("w0000", job.Resources{Cpu: 1000, MemMb: 1000})
+	p.SetUsed("w0001", job.Resources{Cpu: 4000, MemMb: 4000})
+	p.SetUsed("w0002", job.Resources{Cpu: 4000, MemMb: 4000})
+	p.Add(unit(1, job.Step{Count: 1, Cpu: 7000, EstimateMs: 1000}))
+	if decisions := p.Decide(time.Second); len(decisions) != 1 || decisions[0].Workers[0] != "w0000" {
+		t.Fatalf("decided %v", decisions)
+	}
+	p.Release("w0000", job.Resources{Cpu: 7000})
+	p.SetUsed("w0000", job.Resources{Cpu: 8000, MemMb: 8000})
+	p.SetUsed("w0002", job.Resources{Cpu: 7000, MemMb: 7000})
+	p.Add(unit(1, job.Step{Count: 1, Cpu: 4000, EstimateMs: 1000}))
+	if decisions := p.Decide(1100 * time.Millisecond); len(decisions) != 0 {
+		t.Errorf("took what is reserved for urgent tasks: %v", decisions)
+	}
+}
+
 func TestExplain(t *testing.T) {
 	p := yard(3)
 	fill(p, "w0000")
--- a/scheduling/placement/reserve.go
+++ b/scheduling/placement/reserve.go
@@ -50,16 +50,32 @@
 	}
 }
 
-// fits reports whether a task of the step has room at the worker beside what is reserved.
-func (w *Worker) fits(asks job.Resources, reserve float64) bool {
-	room := w.room()
-	if !room.Holds(asks) {
+// fits reports whether a task has room at the worker beside what is reserved of the whole service.
+func (p *Placer) fits(worker *Worker, asks job.Resources, reserve float64) bool {
+	if !worker.room().Holds(asks) {
 		return false
 	}
-	if reserve == 0 {
+	if reserve == 0 || worker.Used.Plus(worker.Reserved) == (job.Resources{}) {
 		return true
 	}
-	left := room.Minus(asks)
-	return float64(left.Cpu) >= reserve*float64(w.Capacity.Cpu) && float64(left.MemMb) >= reserve*float64(w.Capacity.MemMb) ||
-		w.Used.Plus(w.Reserved) == (job.Resources{})
+	taken := share(asks, worker.Capacity) * float64(worker.Capacity.Cpu)
+	return p.free-taken >= reserve*p.total
+}
+
+// countFree adds up what is free of the service, in thousandths of cores: of each worker as large a part
+// as is free of what it has least of.
+func (p *Placer) countFree(now time.Duration) {
+	p.free, p.total = 0, 0
+	for _, worker := range p.list {
+		if worker.Draining || now < worker.pauseUntil {
+			continue
+		}
+		p.total += float64(worker.Capacity.Cpu)
+		p.free += worker.freeCpu()
+	}
+}
+
+func (w *Worker) freeCpu() float64 {
+	used := share(w.Used.Plus(w.Reserved), w.Capacity)
+	return max(1-used, 0) * float64(w.Capacity.Cpu)
 }
