Chain: bytes in flight are counted on instead of anew for each entry

Cause: each entry sent to a successor walked all that is unacknowledged. A newcomer that lacks 20,000 small entries cost its predecessor 89 ms for one look (0.25 s at a core machine's 0.35 cores), longer than four heartbeats with what comes beside it, and views flapped behind a wiped disk. Change: a running count, begun anew where the log is cut, restored or a view begins. Test: TestBytesInFlight compares it with a count from the beginning over 3,000 random steps.

--- a/coordination/chain/chain.go
+++ b/coordination/chain/chain.go
@@ -129,6 +129,7 @@
 	completing bool
 	committed  uint64
 
+	flight    flight
 	next      uint64 // first entry not yet sent to the successor
 	acked     uint64
 	ackedAt   int // ticks since the successor's last progress
@@ -221,6 +222,7 @@
 	r.received, r.before, r.acked, r.toldSync, r.ackedAt = 0, 0, 0, 0, 0
 	r.started, r.complete, r.completing, r.start = false, false, false, 0
 	r.rewound = false
+	r.flight = flight{}
 	r.pending, r.held, r.ackReads = nil, nil, nil
 	r.next = r.Last() + 1
 	if r.IsHead() {
--- a/coordination/chain/chain_test.go
+++ b/coordination/chain/chain_test.go
@@ -544,3 +544,51 @@
 	}
 	n.check(t)
 }
+
+// What is in flight is counted on, and comes to the same as a count from the beginning.
+func TestBytesInFlight(t *testing.T) {
+	random := rand.New(rand.NewPCG(7, 7))
+	r := New(1, 1, Snapshot{}, nil, 0)
+	r.SetView(View{1, []MemberID{1, 2}})
+	for step := range 3000 {
+		switch random.IntN(5) {
+		case 0, 1:
+			r.Propose([]Proposal{{Origin: 1, Data: make([]byte, random.IntN(300))}})
+			r.Take()
+		case 2:
+			r.acked = max(r.acked, min(r.Last(), r.acked+uint64(random.IntN(4))))
+		case 3:
+			r.committed = max(r.committed, r.acked)
+			if random.IntN(20) == 0 {
+				r.Compact(r.committed, nil)
+				r.next = max(r.next, r.base+1)
+			}
+		case 4:
+			if random.IntN(10) == 0 {
+				r.Reconnected(2)
+				r.Take()
+			}
+		}
+		want := 0
+		for index := max(r.acked, r.base) + 1; index < r.next; index++ {
+			want += len(r.log[index-r.base-1].Data)
+		}
+		if got := r.inFlight(); got != want {
+			t.Fatalf("step %d: %d bytes in flight, want %d", step, got, want)
+		}
+	}
+}
+
+// BenchmarkCatchUp measures how long a head takes to send a new successor what it lacks.
+func BenchmarkCatchUp(b *testing.B) {
+	entries := make([]Entry, 20000)
+	for i := range entries {
+		entries[i] = Entry{Index: uint64(i + 1), Epoch: 1, Data: make([]byte, 100)}
+	}
+	for b.Loop() {
+		r := New(1, 1, Snapshot{}, entries, uint64(len(entries)))
+		r.SetView(View{2, []MemberID{1, 2}})
+		r.next = 1
+		r.Take()
+	}
+}
--- a/coordination/chain/receive.go
+++ b/coordination/chain/receive.go
@@ -61,6 +61,7 @@
 	r.log = r.log[:from-r.base-1]
 	r.synced = min(r.synced, from-1)
 	r.next = min(r.next, from)
+	r.flight = flight{}
 	r.generation++
 }
 
@@ -99,6 +100,7 @@
 	r.base, r.baseEpoch, r.baseData, r.log = m.Index, m.IndexEpoch, m.Data, nil
 	r.synced, r.committed, r.received = 0, m.Index, m.Index
 	r.next = m.Index + 1
+	r.flight = flight{}
 	r.out.Restore = m
 	r.ackDue = true
 }
--- a/coordination/chain/send.go
+++ b/coordination/chain/send.go
@@ -74,12 +74,28 @@
 	return message
 }
 
-// inFlight estimates the bytes sent without an acknowledgement.
+// flight counts the bytes of the entries behind one index and before another.
+type flight struct {
+	behind uint64
+	before uint64
+	bytes  int
+}
+
+// inFlight returns the bytes sent without an acknowledgement. It counts on from the last call, since it is
+// asked for each entry that is sent.
 func (r *Replica) inFlight() int {
 	first := max(r.acked, r.base)
-	size := 0
-	for index := first + 1; index < r.next && size <= maxFlight; index++ {
-		size += len(r.log[index-r.base-1].Data)
+	f := &r.flight
+	if f.behind < r.base || f.behind > first || f.before > r.next || f.before <= first {
+		*f = flight{behind: first, before: first + 1}
 	}
-	return size
+	for ; f.behind < first; f.behind++ {
+		f.bytes -= r.dataBytes(f.behind + 1)
+	}
+	for ; f.before < r.next; f.before++ {
+		f.bytes += r.dataBytes(f.before)
+	}
+	return f.bytes
 }
+
+func (r *Replica) dataBytes(index uint64) int { return len(r.log[index-r.base-1].Data) }
