A busy control member keeps its heartbeats and isn't left out by a proposal that adds others

Ruled out: the disks (none was sick) and lost connections. Who is left out, and why, is logged. Test: TestLateHeartbeatsAreRepeated.

--- a/coordination/view/detector.go
+++ b/coordination/view/detector.go
@@ -63,7 +63,7 @@
 	} else if now-p.at > SilentAfter {
 		p.since = now
 	}
-	p.ping, p.at = ping, now
+	p.ping, p.at = ping, max(p.at, now)
 }
 
 // Refused enters that nothing listens at a member's address: its process is gone.
@@ -86,11 +86,7 @@
 
 // Alive reports whether both sides hear each other and the member's disk works.
 func (d *Detector) Alive(now time.Duration, id MemberID) bool {
-	if id == d.me.ID {
-		return true
-	}
-	p := d.peers[id]
-	return p != nil && now-p.at <= SilentAfter && !p.ping.Stalled && slices.Contains(p.ping.Hears, d.me.ID)
+	return d.Trouble(now, id) == ""
 }
 
 func (d *Detector) steady(now time.Duration, id MemberID) bool {
@@ -278,3 +274,21 @@
 func sameMembers(a, b []Member) bool {
 	return slices.EqualFunc(a, b, func(x, y Member) bool { return x.ID == y.ID })
 }
+
+// Trouble tells why a member doesn't count as alive, or "".
+func (d *Detector) Trouble(now time.Duration, id MemberID) string {
+	p := d.peers[id]
+	switch {
+	case id == d.me.ID:
+		return ""
+	case p == nil:
+		return "never heard"
+	case now-p.at > SilentAfter:
+		return "silent"
+	case p.ping.Stalled:
+		return "disk makes no progress"
+	case !slices.Contains(p.ping.Hears, d.me.ID):
+		return "does not hear this member"
+	}
+	return ""
+}
--- a/coordination/view/view.go
+++ b/coordination/view/view.go
@@ -194,10 +194,12 @@
 }
 
 // proposalTicks bounds how long a proposal may take before it is given up, and
-// patience how long it waits for expected answers beyond a majority.
+// patience how long it waits for expected answers beyond a majority. One that leaves
+// nobody out is not urgent, and a member that is only busy must not fall out by it.
 const (
-	proposalTicks = 5
+	proposalTicks = 8
 	patience      = 1
+	calmPatience  = 4
 )
 
 // Tick is called at a steady pace.
@@ -287,6 +289,7 @@
 	if p == nil || p.view != nil || 2*len(p.promises) <= len(r.durable.View.Electors) {
 		return
 	}
+	patience := r.patience()
 	for _, id := range p.expected {
 		if p.promises[id] == nil && r.durable.View.IsElector(id) && p.waited < patience {
 			return
@@ -300,6 +303,16 @@
 	r.toElectors(Message{Accept: &Accept{r.durable.View.Epoch, p.ballot, *view}})
 }
 
+// patience returns how many ticks the proposal waits for answers.
+func (r *Register) patience() int {
+	for _, member := range r.durable.View.Chain {
+		if r.proposal.wish.InChain(member.ID) < 0 {
+			return patience
+		}
+	}
+	return calmPatience
+}
+
 // choose returns the view to be accepted: one that may have been decided already, else the wish
 // with whoever answered, headed by a member that has everything. It is nil where no such member answered.
 func (r *Register) choose() *View {
--- a/internal/control/cluster/cluster.go
+++ b/internal/control/cluster/cluster.go
@@ -151,27 +151,54 @@
 
 // Snapshot returns the updates that bring a session up to the present state.
 func (c *Cluster) Snapshot(session SessionID) []Update {
+	return append(c.SharedSnapshot(), c.OwnSnapshot(session)...)
+}
+
+// SharedSnapshot returns the part of a snapshot that is the same for all sessions.
+func (c *Cluster) SharedSnapshot() []Update {
 	updates := []Update{{Sessions: c.sessionIDs()}}
 	if c.ConfigVersion > 0 {
 		updates = append(updates, Update{Config: &ConfigUpdate{c.ConfigVersion, c.ConfigBody}})
 	}
 	for _, id := range sortedKeys(c.Workers) {
-		worker := c.Workers[id]
-		updates = append(updates, Update{Worker: worker.public()})
-		if worker.Owner == session {
+		updates = append(updates, Update{Worker: c.Workers[id].public()})
+	}
+	return updates
+}
+
+// OwnSnapshot returns what concerns one session alone: what is placed at its workers, and its jobs. Of a job
+// that is over only the state is told.
+func (c *Cluster) OwnSnapshot(session SessionID) []Update {
+	var updates []Update
+	for _, id := range sortedKeys(c.Workers) {
+		if worker := c.Workers[id]; worker.Owner == session {
 			for _, placement := range c.placementsAt(worker) {
 				updates = append(updates, Update{Placement: placement})
 			}
 		}
 	}
-	for _, id := range sortedKeys(c.Jobs) {
-		if owned := c.Jobs[id]; owned.Owner == session {
+	for _, id := range c.jobsOwnedBy(session) {
+		owned := c.Jobs[id]
+		if owned.State.Over() {
+			updates = append(updates, Update{JobState: &JobState{id, owned.State}})
+		} else {
 			updates = append(updates, Update{Job: owned})
 		}
 	}
 	return updates
 }
 
+func (c *Cluster) jobsOwnedBy(session SessionID) []string {
+	var ids []string
+	for id, owned := range c.Jobs {
+		if owned.Owner == session {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 func (w *Worker) public() *Worker {
 	public := *w
 	public.Placed = nil
--- a/internal/control/server/dispatchers.go
+++ b/internal/control/server/dispatchers.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -68,7 +69,7 @@
 // told mostly means that the process is gone.
 func (s *Server) reportBroken(id cluster.SessionID) {
 	s.broken[id] = s.now()
-	s.peers.broadcast(&link.Peer{Broken: []cluster.SessionID{id}})
+	s.peers.broadcast(link.Encode(&link.Peer{Broken: []cluster.SessionID{id}}))
 }
 
 func (s *Server) receiveUp(d *dispatcher, up *link.Up) {
@@ -167,9 +168,13 @@
 func (s *Server) deliver() {
 	s.attachWaiting()
 	s.addUpdates()
+	var shared []cbor.RawMessage // the same for all that come at once, as after a change of view
 	for d := range s.dispatchers {
 		if d.snapshot {
-			s.addSnapshot(d)
+			if shared == nil {
+				shared = encodeAll(s.cluster.SharedSnapshot())
+			}
+			s.addSnapshot(d, shared)
 		}
 		if len(d.down.Updates) == 0 && len(d.down.Outcomes) == 0 && d.down.Session == 0 {
 			continue
@@ -214,14 +219,19 @@
 	s.updates = nil
 }
 
-func (s *Server) addSnapshot(d *dispatcher) {
+func (s *Server) addSnapshot(d *dispatcher, shared []cbor.RawMessage) {
 	d.snapshot = false
 	d.down.Session = d.session
 	d.down.Controls = s.controls()
-	d.down.Updates = nil
-	for _, update := range s.cluster.Snapshot(d.session) {
-		d.down.Updates = append(d.down.Updates, link.Encode(update))
+	d.down.Updates = append(slices.Clone(shared), encodeAll(s.cluster.OwnSnapshot(d.session))...)
+}
+
+func encodeAll(updates []cluster.Update) []cbor.RawMessage {
+	encoded := make([]cbor.RawMessage, len(updates))
+	for i := range updates {
+		encoded[i] = link.Encode(updates[i])
 	}
+	return encoded
 }
 
 func (s *Server) dispatcherTick() {
--- a/internal/control/server/engine.go
+++ b/internal/control/server/engine.go
@@ -62,6 +62,7 @@
 	compacting   bool
 
 	peers       *peers
+	heartbeats  *heartbeats
 	pending     map[uint64]*request
 	nextTag     uint64
 	outgoing    []chain.Proposal // for the head
@@ -125,9 +126,10 @@
 	server.detector = view.NewDetector(durable.Me, 0, s.Tolerate.Machines+1)
 	server.freeSegments = store.FreeSegments()
 	server.disk = newDisk(store, logger, server.diskDone, func() {
-		server.do(func() { server.peers.broadcast(server.ping()) })
+		server.do(server.beat)
 	})
 	server.peers = newPeers(server)
+	server.heartbeats = newHeartbeats()
 	logger.Info().Uint64("epoch", durable.View.Epoch).Uint64("entries", server.replica.Last()).
 		Bool("fresh", recovered.Fresh).Msg("disk read")
 	return server, nil
@@ -176,12 +178,14 @@
 	s.peers.meet(s.settings.Seeds)
 	s.peers.meet(s.controls())
 	s.peers.tick()
+	go s.heartbeats.run(s.now, s.ended)
 	for {
 		select {
 		case f := <-s.inbox:
 			f()
 			s.drain()
 		case <-ticker.C:
+			s.drain() // after a long piece of work: what has come meanwhile shows who is there
 			s.tick()
 		case <-stop:
 			return
@@ -380,7 +384,7 @@
 	s.replica.Tick(retryTicks)
 	s.peers.tick()
 	s.resend(resendAfter)
-	s.peers.broadcast(s.ping())
+	s.beat()
 	s.considerView()
 	s.fetchSome()
 	if !s.standing() {
--- a/internal/control/server/head.go
+++ b/internal/control/server/head.go
@@ -3,10 +3,9 @@
 import (
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"linnetlift/coordination/segment"
 	"linnetlift/internal/control/cluster"
+	"linnetlift/internal/control/link"
 )
 
 // headTick ends sessions of dispatchers that are out of touch, and lets the state age.
@@ -46,11 +45,7 @@
 		return
 	}
 	s.compacting = true
-	data, err := cbor.Marshal(&s.cluster.State)
-	if err != nil {
-		s.logger.Error().Err(err).Msg("the state can't be written as a snapshot")
-		return
-	}
+	data := link.Encode(&s.cluster.State)
 	index := s.applied
 	snapshot := &segment.Snapshot{Index: index, Epoch: s.replica.EpochAt(index), Data: data}
 	s.disk.add(diskJob{snapshot: snapshot, done: func() {
--- a/internal/control/server/peers.go
+++ b/internal/control/server/peers.go
@@ -146,16 +146,16 @@
 		if from.ID == 0 {
 			continue // whoever has not said its name yet
 		}
-		sender := from
+		sender, at := from, p.server.now()
 		p.server.do(func() {
 			if message.Ping != nil {
 				p.addresses[sender.ID] = sender.Address
 				p.meet([]string{sender.Address})
 				if other := p.byAddress[sender.Address]; other != nil {
-					other.heardAt = p.server.now()
+					other.heardAt = at
 				}
 			}
-			p.server.receivePeer(sender, message)
+			p.server.receivePeer(at, sender, message)
 		})
 	}
 }
@@ -171,8 +171,7 @@
 	}
 }
 
-func (p *peers) broadcast(message *link.Peer) {
-	data := link.Encode(message)
+func (p *peers) broadcast(data []byte) {
 	for _, other := range p.byAddress {
 		if other.conn != nil && !other.conn.Send(data) {
 			other.conn = nil
--- a/internal/control/server/views.go
+++ b/internal/control/server/views.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"time"
+
 	"linnetlift/coordination/chain"
 	"linnetlift/coordination/view"
 	"linnetlift/internal/control/link"
@@ -56,10 +58,20 @@
 	}
 	if wish, expected := s.detector.Wish(now, s.register.View(), s.restarted(), s.stalled(),
 		s.replica.Committed()); wish != nil {
+		s.logDropped(now, wish)
 		s.register.Propose(*wish, expected, s.settings.Tolerate.Machines+1)
 	}
 }
 
+// logDropped logs which members a proposal leaves out of the chain, and why.
+func (s *Server) logDropped(now time.Duration, wish *view.View) {
+	for _, member := range s.register.View().Chain {
+		if wish.InChain(member.ID) < 0 {
+			s.logger.Warn().Str("member", member.Node).Str("trouble", s.detector.Trouble(now, member.ID)).Msg("member left out of the chain")
+		}
+	}
+}
+
 // restarted reports whether this process has no part in the view in force, though its disk has.
 func (s *Server) restarted() bool {
 	epoch := s.register.View().Epoch
@@ -95,13 +107,13 @@
 	}
 }
 
-// receivePeer takes in a message of another control machine.
-func (s *Server) receivePeer(from view.Member, message *link.Peer) {
+// receivePeer takes in a message of another control machine that arrived at the given time.
+func (s *Server) receivePeer(at time.Duration, from view.Member, message *link.Peer) {
 	now := s.now()
 	switch {
 	case message.Ping != nil:
 		wasAlive := s.detector.Alive(now, from.ID)
-		s.detector.Heard(now, *message.Ping)
+		s.detector.Heard(at, *message.Ping)
 		if wasAlive != s.detector.Alive(now, from.ID) {
 			s.peers.send(from.ID, s.ping()) // so that both sides know at once
 			s.considerView()
@@ -111,11 +123,11 @@
 			s.peers.send(from.ID, &link.Peer{View: &tell})
 		}
 		for _, id := range message.Sessions {
-			s.seen[id] = now
+			s.seen[id] = max(s.seen[id], at)
 		}
 	case message.Broken != nil:
 		for _, id := range message.Broken {
-			s.broken[id] = now
+			s.broken[id] = at
 		}
 	case message.View != nil:
 		s.register.Receive(from.ID, message.View)
--- a/internal/dataplane/dispatcher.go
+++ b/internal/dataplane/dispatcher.go
@@ -245,7 +245,8 @@
 	case update.Task != nil:
 		d.setTask(now, update.Task)
 	case update.JobState != nil:
-		d.setJobState(update.JobState)
+		stale.keepJob(update.JobState.Job)
+		d.setJobState(update.JobState, stale != nil)
 	case update.Placement != nil:
 		stale.keepPlacement(update.Placement)
 		if worker := d.owned[update.Placement.Worker]; worker != nil {
--- a/internal/dataplane/intake.go
+++ b/internal/dataplane/intake.go
@@ -194,15 +194,17 @@
 
 // rememberFinal keeps states that don't change any more, so that clients that ask often cost little.
 func (d *Dispatcher) rememberFinal(id string, state job.State) {
+	d.do(func() { d.keepFinal(id, state) })
+}
+
+func (d *Dispatcher) keepFinal(id string, state job.State) {
 	if !state.Over() {
 		return
 	}
-	d.do(func() {
-		if len(d.finals) >= maxFinals {
-			clear(d.finals)
-		}
-		d.finals[id] = state
-	})
+	if len(d.finals) >= maxFinals {
+		clear(d.finals)
+	}
+	d.finals[id] = state
 }
 
 func writeState(w http.ResponseWriter, state job.State) {
--- a/internal/dataplane/jobs.go
+++ b/internal/dataplane/jobs.go
@@ -45,19 +45,29 @@
 	if known == nil {
 		return
 	}
-	placer := d.placer(known.Service)
-	placer.RemoveJob(id)
+	d.placer(known.Service).RemoveJob(id)
+	d.endRuns(known)
+	delete(d.jobs, id)
+}
+
+// endRuns takes a job's runs out of the placer's picture.
+func (d *Dispatcher) endRuns(known *ownedJob) {
 	for key, run := range known.running {
-		placer.Ended(run.worker, known.Request.Steps[key.Step].Asks())
+		d.placer(known.Service).Ended(run.worker, known.Request.Steps[key.Step].Asks())
 	}
-	delete(d.jobs, id)
+	clear(known.running)
 }
 
-func (d *Dispatcher) setJobState(update *cluster.JobState) {
+// setJobState takes in a job's state. In a snapshot it stands for all of a job that is over.
+func (d *Dispatcher) setJobState(update *cluster.JobState, inSnapshot bool) {
 	known := d.jobs[update.Job]
 	if known == nil {
+		d.keepFinal(update.Job, update.State)
 		return
 	}
+	if inSnapshot {
+		d.endRuns(known)
+	}
 	known.State = update.State
 	d.logger.Debug().Str("job", update.Job).Stringer("state", update.State).Dur("age", d.now()-known.since).Msg("job")
 	if known.State.Over() {
