One lesson under way at a time; placements name other workers that are as good

Cause 1: a newcomer asked for entries at every tick though a lesson of 1 MB was under way. Ruled out: its engine (busy half the time, 30 ms at most), its disk, a lack of patience (4 ticks did not help). Cause 2: 25 to 30% of placements were refused for want of room, two thirds behind an outage.

--- a/coordination/chain/learn.go
+++ b/coordination/chain/learn.go
@@ -43,7 +43,7 @@
 		lesson.Snapshot = &Snapshot{r.view.Epoch, r.base, r.baseEpoch, r.baseData}
 	}
 	size := 0
-	for index := from + 1; index <= r.committed && size < maxFlight; index++ {
+	for index := from + 1; index <= r.committed && size < maxBatch; index++ {
 		entry := r.log[index-r.base-1]
 		lesson.Entries = append(lesson.Entries, entry)
 		size += len(entry.Data)
--- a/internal/control/cluster/bench_test.go
+++ b/internal/control/cluster/bench_test.go
@@ -36,7 +36,7 @@
 		for index := range 4 {
 			key := job.Key{Index: index}
 			worker := fmt.Sprint("w", (n+index)%48)
-			add(Command{Place: &Place{Session: uint64(n%8 + 1), Job: id, Targets: []Target{{key, worker}}}})
+			add(Command{Place: &Place{Session: uint64(n%8 + 1), Job: id, Targets: []Target{{Task: key, Worker: worker}}}})
 			add(Command{Ended: &Ended{Worker: worker, Job: id, Task: key, Run: 1, How: Done}})
 		}
 		if n%100 == 99 {
--- a/internal/control/cluster/cluster_test.go
+++ b/internal/control/cluster/cluster_test.go
@@ -65,12 +65,12 @@
 func TestJobRunsToItsEnd(t *testing.T) {
 	y := newYard(t, 1, 1)
 	y.submit(jobA, job.Step{Count: 1, Cpu: 1000}, job.Step{Count: 2, Cpu: 1000, DependsOn: []int{0}})
-	y.place(jobA, Conflict, Target{task(1, 0), "w1"}) // its turn has not come
-	y.place(jobA, OK, Target{task(0, 0), "w1"})
-	y.place(jobA, Conflict, Target{task(0, 0), "w1"}) // placed already
+	y.place(jobA, Conflict, Target{Task: task(1, 0), Worker: "w1"}) // its turn has not come
+	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"})
+	y.place(jobA, Conflict, Target{Task: task(0, 0), Worker: "w1"}) // placed already
 	y.end(jobA, task(0, 0), "w1", 1, Done)
-	y.place(jobA, OK, Target{task(1, 0), "w1"})
-	y.place(jobA, OK, Target{task(1, 1), "w1"})
+	y.place(jobA, OK, Target{Task: task(1, 0), Worker: "w1"})
+	y.place(jobA, OK, Target{Task: task(1, 1), Worker: "w1"})
 	y.end(jobA, task(1, 0), "w1", 1, Done)
 	if state := y.Jobs[jobA].State; state != job.Running {
 		t.Errorf("state %v before the last task is done", state)
@@ -92,28 +92,28 @@
 func TestCapacityIsNeverExceeded(t *testing.T) {
 	y := newYard(t, 1, 1)
 	y.submit(jobA, job.Step{Count: 3, Cpu: 2000})
-	y.place(jobA, OK, Target{task(0, 0), "w1"})
-	y.place(jobA, NoRoom, Target{task(0, 1), "w1"}, Target{task(0, 2), "w1"})
-	y.place(jobA, OK, Target{task(0, 1), "w1"})
-	y.place(jobA, NoRoom, Target{task(0, 2), "w1"})
+	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"})
+	y.place(jobA, NoRoom, Target{Task: task(0, 1), Worker: "w1"}, Target{Task: task(0, 2), Worker: "w1"})
+	y.place(jobA, OK, Target{Task: task(0, 1), Worker: "w1"})
+	y.place(jobA, NoRoom, Target{Task: task(0, 2), Worker: "w1"})
 	y.do(Command{Stop: &Stop{Session: 1, Job: jobA, Task: task(0, 0), Run: 1}}, OK)
-	y.place(jobA, NoRoom, Target{task(0, 2), "w1"}) // what is being stopped still counts
+	y.place(jobA, NoRoom, Target{Task: task(0, 2), Worker: "w1"}) // what is being stopped still counts
 	y.end(jobA, task(0, 0), "w1", 1, Stopped)
-	y.place(jobA, OK, Target{task(0, 2), "w1"})
+	y.place(jobA, OK, Target{Task: task(0, 2), Worker: "w1"})
 }
 
 func TestFailedRunsAreCounted(t *testing.T) {
 	y := newYard(t, 1, 1)
 	y.submit(jobA, job.Step{Count: 1, Cpu: 1})
-	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"})
 	y.end(jobA, task(0, 0), "w1", 1, Lost)
-	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"})
 	y.end(jobA, task(0, 0), "w1", 2, RunFailed)
 	y.end(jobA, task(0, 0), "w1", 2, RunFailed) // told twice
 	if state := y.Jobs[jobA].State; state != job.Running {
 		t.Errorf("state %v after one failed run of two", state)
 	}
-	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"})
 	y.end(jobA, task(0, 0), "w1", 3, RunFailed)
 	if state := y.Jobs[jobA].State; state != job.Failed {
 		t.Errorf("state %v", state)
@@ -123,12 +123,12 @@
 func TestGangs(t *testing.T) {
 	y := newYard(t, 1, 2)
 	y.submit(jobA, job.Step{Count: 2, Cpu: 3000, Gang: true})
-	y.place(jobA, Conflict, Target{task(0, 0), "w1"}) // never a part of one
-	y.place(jobA, NoRoom, Target{task(0, 0), "w1"}, Target{task(0, 1), "w1"})
+	y.place(jobA, Conflict, Target{Task: task(0, 0), Worker: "w1"}) // never a part of one
+	y.place(jobA, NoRoom, Target{Task: task(0, 0), Worker: "w1"}, Target{Task: task(0, 1), Worker: "w1"})
 	if used := y.Workers["w1"].Used; used != (job.Resources{}) {
 		t.Errorf("a gang that did not fit keeps %v", used)
 	}
-	y.place(jobA, OK, Target{task(0, 0), "w1"}, Target{task(0, 1), "w2"})
+	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"}, Target{Task: task(0, 1), Worker: "w2"})
 	y.end(jobA, task(0, 0), "w1", 1, RunFailed)
 	if !y.Jobs[jobA].Task(task(0, 1)).Stopping {
 		t.Error("the other member is not stopped")
@@ -137,7 +137,7 @@
 	if state := y.Jobs[jobA].State; state != job.Running {
 		t.Errorf("state %v after one failed run", state)
 	}
-	y.place(jobA, OK, Target{task(0, 0), "w1"}, Target{task(0, 1), "w2"})
+	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"}, Target{Task: task(0, 1), Worker: "w2"})
 	y.end(jobA, task(0, 1), "w2", 2, Done)
 	if state := y.Jobs[jobA].State; state != job.Completed {
 		t.Errorf("state %v: one member's good end stands for all", state)
@@ -147,7 +147,7 @@
 func TestMembersStartFromTheSameCheckpoint(t *testing.T) {
 	y := newYard(t, 1, 2)
 	y.submit(jobA, job.Step{Count: 2, Cpu: 3000, Gang: true, Checkpoints: true})
-	y.place(jobA, OK, Target{task(0, 0), "w1"}, Target{task(0, 1), "w2"})
+	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"}, Target{Task: task(0, 1), Worker: "w2"})
 	y.do(Command{Checkpoint: &Checkpoint{Worker: "w1", Job: jobA, Task: task(0, 0), Run: 1, Saved: "x"}}, OK)
 	name := task(0, 1).Name(jobA)
 	if saved := y.Workers["w2"].Placed[name].Saved; saved != "" {
@@ -155,7 +155,7 @@
 	}
 	y.end(jobA, task(0, 0), "w1", 1, Lapsed)
 	y.end(jobA, task(0, 1), "w2", 1, Broken)
-	y.place(jobA, OK, Target{task(0, 0), "w1"}, Target{task(0, 1), "w2"})
+	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"}, Target{Task: task(0, 1), Worker: "w2"})
 	if saved := y.Workers["w2"].Placed[name].Saved; saved != "x" {
 		t.Errorf("the next run starts from %q", saved)
 	}
@@ -164,22 +164,22 @@
 func TestAntiAffinityLabelsAndDraining(t *testing.T) {
 	y := newYard(t, 1, 2)
 	y.submit(jobA, job.Step{Count: 3, Cpu: 1, AntiAffinity: 1, Requires: "kind"})
-	y.place(jobA, OK, Target{task(0, 0), "w1"})
-	y.place(jobA, Conflict, Target{task(0, 1), "w1"})
+	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"})
+	y.place(jobA, Conflict, Target{Task: task(0, 1), Worker: "w1"})
 	y.do(Command{Instances: &Instances{Reader: 1, Changed: []Instance{{ID: "w2", Service: "s", Address: "a2", Draining: true,
 		Labels: []string{"kind"}, Capacity: job.Resources{Cpu: 4000}}}}}, OK)
-	y.place(jobA, Conflict, Target{task(0, 1), "w2"})
+	y.place(jobA, Conflict, Target{Task: task(0, 1), Worker: "w2"})
 	y.submit("00000000000000bb", job.Step{Count: 1, Cpu: 1, Requires: "other"})
-	y.place("00000000000000bb", Conflict, Target{task(0, 0), "w1"})
+	y.place("00000000000000bb", Conflict, Target{Task: task(0, 0), Worker: "w1"})
 }
 
 func TestCancelledJobStartsNothing(t *testing.T) {
 	y := newYard(t, 1, 1)
 	y.submit(jobA, job.Step{Count: 2, Cpu: 1})
-	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"})
 	y.do(Command{Cancel: &Cancel{jobA}}, OK)
 	y.do(Command{Cancel: &Cancel{jobA}}, OK)
-	y.place(jobA, Conflict, Target{task(0, 1), "w1"})
+	y.place(jobA, Conflict, Target{Task: task(0, 1), Worker: "w1"})
 	if !y.Jobs[jobA].Task(task(0, 0)).Stopping {
 		t.Error("what runs is not stopped")
 	}
@@ -190,7 +190,7 @@
 func TestSameJobTwiceIsOneJob(t *testing.T) {
 	y := newYard(t, 1, 1)
 	y.submit(jobA, job.Step{Count: 1, Cpu: 1})
-	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"})
 	y.submit(jobA, job.Step{Count: 5, Cpu: 1})
 	if got := y.Jobs[jobA].Request.Steps[0].Count; got != 1 || y.Pending["r"] != 1 {
 		t.Errorf("%d tasks, %d pending", got, y.Pending["r"])
@@ -201,7 +201,7 @@
 func TestFormerOwnerFindsNothingOut(t *testing.T) {
 	y := newYard(t, 2, 1)
 	y.submit(jobA, job.Step{Count: 1, Cpu: 1})
-	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"})
 	former := *y.Workers["w1"]
 	y.do(Command{CloseSession: &CloseSession{former.Owner}}, OK)
 	if y.Workers["w1"].Owner == former.Owner || y.Workers["w1"].Token <= former.Token {
@@ -216,13 +216,13 @@
 func TestNewIncarnationEndsTheFormer(t *testing.T) {
 	y := newYard(t, 1, 1)
 	y.submit(jobA, job.Step{Count: 1, Cpu: 1})
-	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"})
 	y.do(Command{Instances: &Instances{Reader: 1, Changed: []Instance{{ID: "w9", Service: "s", Address: "a1",
 		Capacity: job.Resources{Cpu: 4000}}}}}, OK)
 	if y.Workers["w1"] != nil || y.Jobs[jobA].Task(task(0, 0)).Worker != "" {
 		t.Error("the run of the former incarnation counts as placed")
 	}
-	y.place(jobA, OK, Target{task(0, 0), "w9"})
+	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w9"})
 }
 
 func TestJobsAndWorkersPassOn(t *testing.T) {
@@ -279,7 +279,7 @@
 func TestSnapshotHoldsTheWholeState(t *testing.T) {
 	y := newYard(t, 2, 2)
 	y.submit(jobA, job.Step{Count: 2, Cpu: 1})
-	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"})
 	data, err := cbor.Marshal(&y.State)
 	if err != nil {
 		t.Fatal(err)
@@ -290,7 +290,7 @@
 	}
 	restored := &yard{other, t}
 	restored.end(jobA, task(0, 0), "w1", 1, Done)
-	restored.place(jobA, OK, Target{task(0, 1), "w2"})
+	restored.place(jobA, OK, Target{Task: task(0, 1), Worker: "w2"})
 }
 
 // TestReplicasAgree applies random commands to two replicas, one of them restored from a snapshot midway.
@@ -360,7 +360,7 @@
 	case 5:
 		return &Command{Age: &Age{}}
 	case 6, 7:
-		return &Command{Place: &Place{Session: uint64(random.IntN(8)), Job: id, Targets: []Target{{key, worker}}}}
+		return &Command{Place: &Place{Session: uint64(random.IntN(8)), Job: id, Targets: []Target{{Task: key, Worker: worker}}}}
 	default:
 		return &Command{Ended: &Ended{Worker: worker, Job: id, Task: key, Run: uint64(random.IntN(3)),
 			How: How(random.IntN(int(Lost) + 1)), Token: uint64(random.IntN(20))}}
@@ -386,14 +386,31 @@
 func TestWorkOfALostWorkerCounts(t *testing.T) {
 	y := newYard(t, 1, 2)
 	y.submit(jobA, job.Step{Count: 1, Cpu: 1}, job.Step{Count: 1, Cpu: 1, DependsOn: []int{0}})
-	y.place(jobA, OK, Target{task(0, 0), "w1"})
+	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"})
 	y.end(jobA, task(0, 0), "w1", 1, Lost)
-	y.place(jobA, OK, Target{task(0, 0), "w2"})
+	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w2"})
 	y.do(Command{Ended: &Ended{Worker: "w1", Job: jobA, Task: task(0, 0), Run: 1, How: Done}}, OK)
 	if seen := y.Jobs[jobA].Task(task(0, 0)); !seen.Done || !seen.Stopping {
 		t.Errorf("task %+v", seen)
 	}
-	y.place(jobA, OK, Target{task(1, 0), "w1"})
+	y.place(jobA, OK, Target{Task: task(1, 0), Worker: "w1"})
 	y.end(jobA, task(0, 0), "w2", 2, Stopped)
-	y.place(jobA, Conflict, Target{task(0, 0), "w2"})
+	y.place(jobA, Conflict, Target{Task: task(0, 0), Worker: "w2"})
+}
+
+// A task goes to another worker named beside the first where that one's room is gone, and rules hold there too.
+func TestRefusedTaskGoesToAnotherWorker(t *testing.T) {
+	y := newYard(t, 1, 4)
+	y.submit("j1", job.Step{Count: 1, Cpu: 4000})
+	y.submit("j2", job.Step{Count: 2, Cpu: 4000, AntiAffinity: 1})
+	key := func(index int) job.Key { return job.Key{Index: index} }
+	y.place("j1", OK, Target{Task: key(0), Worker: "w1"})
+	y.place("j2", NoRoom, Target{Task: key(0), Worker: "w1", Others: []string{"w1", "unknown"}})
+	y.place("j2", OK, Target{Task: key(0), Worker: "w1", Others: []string{"w1", "w2"}})
+	if at := y.Jobs["j2"].Task(key(0)).Worker; at != "w2" {
+		t.Errorf("placed at %q, not at the one that has room", at)
+	}
+	y.place("j2", NoRoom, Target{Task: key(1), Worker: "w1", Others: []string{"w2"}})
+	y.place("j2", NoRoom, Target{Task: key(1), Worker: "w2", Others: []string{"w1"}})
+	y.place("j2", OK, Target{Task: key(1), Worker: "w2", Others: []string{"w3"}})
 }
--- a/internal/control/cluster/commands.go
+++ b/internal/control/cluster/commands.go
@@ -73,6 +73,9 @@
 type Target struct {
 	Task   job.Key `cbor:"1,keyasint"`
 	Worker string  `cbor:"2,keyasint"`
+	// Others are workers that are as good, tried in order where the first one has no room any more. They
+	// count for a single target alone.
+	Others []string `cbor:"3,keyasint,omitempty"`
 }
 
 // Place reserves room for tasks of one job, for all of them or for none.
--- a/internal/control/cluster/jobs.go
+++ b/internal/control/cluster/jobs.go
@@ -77,14 +77,15 @@
 	if owned == nil || owned.State.Over() || owned.Owner != command.Session || len(command.Targets) == 0 {
 		return Result{Code: Conflict}
 	}
-	if code := c.placeable(owned, command.Targets); code != OK {
+	targets, code := c.fitTargets(owned, command.Targets)
+	if code != OK {
 		return Result{Code: code}
 	}
 	run := uint64(0)
-	for _, target := range command.Targets {
+	for _, target := range targets {
 		run = max(run, owned.Task(target.Task).Run+1)
 	}
-	for _, target := range command.Targets {
+	for _, target := range targets {
 		c.placeOne(owned, target, run)
 	}
 	if owned.State == job.Queued {
@@ -94,6 +95,22 @@
 	return Result{}
 }
 
+// fitTargets returns where the targets go: to their workers, or where that can't be, a single one to the first
+// other worker that has room for it.
+func (c *Cluster) fitTargets(owned *job.Job, targets []Target) ([]Target, Code) {
+	code := c.placeable(owned, targets)
+	if code == OK || len(targets) != 1 {
+		return targets, code
+	}
+	for _, other := range targets[0].Others {
+		moved := []Target{{Task: targets[0].Task, Worker: other}}
+		if c.placeable(owned, moved) == OK {
+			return moved, OK
+		}
+	}
+	return nil, code
+}
+
 func (c *Cluster) placeOne(owned *job.Job, target Target, run uint64) {
 	task := owned.Task(target.Task)
 	task.Run, task.Worker, task.Stopping = run, target.Worker, false
--- a/internal/control/server/engine.go
+++ b/internal/control/server/engine.go
@@ -57,6 +57,7 @@
 	cluster  *cluster.Cluster
 
 	restartedIn  uint64 // epoch in whose view this life has no part
+	pace         fetchPace
 	applied      uint64
 	freeSegments int
 	compacting   bool
--- a/internal/control/server/views.go
+++ b/internal/control/server/views.go
@@ -89,24 +89,6 @@
 	return s.replica.IsMember() && s.detector.Majority(s.now(), s.register.View())
 }
 
-// fetch asks a member for what this replica, outside the chain, lacks.
-func (s *Server) fetch(member view.MemberID) {
-	if fetch, outside := s.replica.NextFetch(); outside && s.register.View().Epoch > 0 && !s.restarted() {
-		s.peers.send(member, &link.Peer{Fetch: &fetch})
-	}
-}
-
-// fetchSome asks the last live member of the chain, which has least to do.
-func (s *Server) fetchSome() {
-	members := s.register.View().Chain
-	for i := len(members) - 1; i >= 0; i-- {
-		if s.detector.Alive(s.now(), members[i].ID) && members[i].ID != s.register.Me().ID {
-			s.fetch(members[i].ID)
-			return
-		}
-	}
-}
-
 // receivePeer takes in a message of another control machine that arrived at the given time.
 func (s *Server) receivePeer(at time.Duration, from view.Member, message *link.Peer) {
 	now := s.now()
@@ -139,6 +121,7 @@
 		}
 	case message.Lesson != nil:
 		s.replica.Learn(message.Lesson)
+		s.pace.answered()
 		s.fetch(from.ID)
 	case message.Forward != nil:
 		s.replica.Propose(message.Forward)
--- a/internal/dataplane/jobs.go
+++ b/internal/dataplane/jobs.go
@@ -235,7 +235,7 @@
 	command := &cluster.Place{Session: d.uplink.session, Job: unit.Job.ID}
 	for i, index := range unit.Indices {
 		key := job.Key{Time: unit.Key.Time, Step: unit.Key.Step, Index: index}
-		command.Targets = append(command.Targets, cluster.Target{Task: key, Worker: decision.Workers[i]})
+		command.Targets = append(command.Targets, cluster.Target{Task: key, Worker: decision.Workers[i], Others: decision.Others})
 		if known != nil {
 			known.Task(key).Worker = decision.Workers[i] // so that tasks decided upon next are kept apart from it
 		}
--- a/scheduling/placement/find.go
+++ b/scheduling/placement/find.go
@@ -24,6 +24,7 @@
 		return p.findGang(now, unit)
 	}
 	step := unit.Step()
+	p.fitting = p.fitting[:0]
 	far, reserve := math.Log(p.farX), p.reserve(unit)
 	var best *Worker
 	bestSlow, bestScore, fastest, bestFar := 0.0, 0.0, math.Inf(1), false
@@ -44,6 +45,7 @@
 		if most := step.AntiAffinity; most > 0 && unit.Job.CountAt(unit.Key, worker.ID) >= most {
 			continue
 		}
+		p.fitting = append(p.fitting, candidate{worker, slow})
 		score := share(worker.room().Minus(step.Asks()), worker.Capacity) + jitter*worker.order
 		if best == nil || slow < bestSlow-nearEqual || slow < bestSlow+nearEqual && score < bestScore {
 			best, bestSlow, bestScore, bestFar = worker, slow, score, isFar
@@ -62,6 +64,37 @@
 	return []string{best.ID}, slower
 }
 
+// candidate is a worker that has room for a unit, and how slow it would be there.
+type candidate struct {
+	worker *Worker
+	slow   float64
+}
+
+// others draws workers that are about as fast as the chosen one and have room too. Dispatchers decide on
+// pictures that are some milliseconds old, so the chosen worker's room may be gone; drawn at random, the
+// others are not the same for all.
+func (p *Placer) others(unit *Unit, chosen []string) []string {
+	if unit.Step().Gang || len(p.fitting) < 2 {
+		return nil
+	}
+	bound := math.Inf(1)
+	for _, c := range p.fitting {
+		if c.worker.ID == chosen[0] {
+			bound = c.slow + nearEqual
+		}
+	}
+	list := make([]string, 0, otherChoices)
+	for _, at := range p.random.Perm(len(p.fitting)) {
+		if c := p.fitting[at]; c.slow <= bound && c.worker.ID != chosen[0] {
+			list = append(list, c.worker.ID)
+		}
+		if len(list) == otherChoices {
+			break
+		}
+	}
+	return list
+}
+
 // fasterRoom returns how many tasks of the step all workers hold at which it is faster than a bound.
 func (p *Placer) fasterRoom(step *job.Step, bound float64) float64 {
 	room := 0.0
--- a/scheduling/placement/placement.go
+++ b/scheduling/placement/placement.go
@@ -37,6 +37,8 @@
 	promptly    = 100 * time.Millisecond
 	waitStep    = 0.04 // weight of one task in how many had to wait
 	priorities  = 3    // that are told apart; lower ones count as the last
+
+	otherChoices = 3 // workers named beside the chosen one
 )
 
 // Worker is a worker as a dispatcher knows it.
@@ -82,6 +84,7 @@
 type Decision struct {
 	Unit    *Unit
 	Workers []string
+	Others  []string // for a unit of one task: workers that are as good, in case others have taken the room meanwhile
 }
 
 // Placer decides for the workers of one service.
@@ -99,6 +102,8 @@
 	now     time.Duration
 	running int
 
+	fitting []candidate // workers with room for the unit that was looked at last
+
 	free  float64 // of the service, in thousandths of cores
 	total float64
 
@@ -179,7 +184,7 @@
 			worker.Reserved = worker.Reserved.Plus(asks)
 			p.free += worker.freeCpu()
 		}
-		decisions = append(decisions, Decision{unit, workers})
+		decisions = append(decisions, Decision{Unit: unit, Workers: workers, Others: p.others(unit, workers)})
 		p.beginStep(now)
 		p.endStep(now)
 	}
--- a/scheduling/placement/placement_test.go
+++ b/scheduling/placement/placement_test.go
@@ -204,6 +204,26 @@
 	}
 }
 
+func TestOtherWorkersAreNamedThatAreAsGood(t *testing.T) {
+	p := yard(9)
+	for range 200 {
+		p.Learn("w0000", 2*time.Second, time.Second) // slower than the others
+	}
+	fill(p, "w0001")
+	p.Add(unit(0, job.Step{Count: 1, Cpu: 1000, Requires: "a"}))
+	decisions := p.Decide(time.Second)
+	if len(decisions) != 1 || len(decisions[0].Others) != otherChoices {
+		t.Fatalf("decided %+v", decisions)
+	}
+	seen := map[string]bool{decisions[0].Workers[0]: true, "w0000": true, "w0001": true}
+	for _, other := range decisions[0].Others {
+		if seen[other] || p.workers[other].Kind != "a" {
+			t.Errorf("%s is named beside %s", other, decisions[0].Workers[0])
+		}
+		seen[other] = true
+	}
+}
+
 func TestExplain(t *testing.T) {
 	p := yard(3)
 	fill(p, "w0000")
