A worker's owner pauses behind rejected tokens; unused settings and untyped errors go

Cause: an owner whose orders a higher token had rejected four times stopped acting until the worker's owner changed; no test showed that. Change: a pause of 250 ms in place of the stop; the unused fields are gone (unknown keys are skipped). Test: TestFencedOrdersPauseAndGoOn fails without the mend.

--- a/cmd/yard/main.go
+++ b/cmd/yard/main.go
@@ -82,9 +82,11 @@
 	return zerolog.New(os.Stderr).Level(parsed).With().Timestamp().Str("node", node).Logger()
 }
 
+const errUsage = errors.ConstError("usage: yard check SETTINGS")
+
 func check(_ context.Context, args []string) error {
 	if len(args) != 1 {
-		return errors.New("usage: yard check SETTINGS")
+		return errors.Trace(errUsage)
 	}
 	if _, err := settings.Load(args[0]); err != nil {
 		return errors.Trace(err)
--- a/coordination/frame/frame.go
+++ b/coordination/frame/frame.go
@@ -23,6 +23,12 @@
 	header      = 4
 )
 
+// What Upgrade fails with before it has taken a connection over.
+const (
+	ErrNoUpgrade     = errors.ConstError("no upgrade to " + protocol + " was asked for")
+	ErrCannotUpgrade = errors.ConstError("the HTTP server can't give its connection up")
+)
+
 // Conn is one connection. Send may be called by any goroutine, Receive by one.
 type Conn struct {
 	raw    net.Conn
@@ -99,12 +105,12 @@
 func Upgrade(w http.ResponseWriter, r *http.Request) (*Conn, error) {
 	if r.Header.Get("Upgrade") != protocol {
 		http.Error(w, "upgrade to "+protocol+" expected", http.StatusUpgradeRequired)
-		return nil, errors.New("no upgrade was asked for")
+		return nil, errors.Trace(ErrNoUpgrade)
 	}
 	hijacker, able := w.(http.Hijacker)
 	if !able {
 		http.Error(w, "no upgrade here", http.StatusInternalServerError)
-		return nil, errors.New("the server can't upgrade")
+		return nil, errors.Trace(ErrCannotUpgrade)
 	}
 	raw, buffered, err := hijacker.Hijack()
 	if err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -20,10 +20,8 @@
 
 // Limits of the machine.
 type Limits struct {
-	CpuShare float64
 	Cores    int
 	MemoryMb int64
-	MaxFds   int
 	DiskMb   int64
 }
 
@@ -36,51 +34,33 @@
 
 // Bounds are the figures of the rules in force; Ms are milliseconds, S seconds.
 type Bounds struct {
-	ContactMs      int64
-	AckMs          int64
-	DrainMs        int64
-	GraceS         float64
-	ConfigApplyMs  int64
-	HoldMaxMs      int64
-	StopMs         int64   `toml:"stop_ms"`
-	GangMs         int64   `toml:"gang_ms"`
-	StatusS        float64 `toml:"status_s"`
-	EarlyMs        int64   `toml:"early_ms"`
-	FarX           float64 `toml:"far_x"`
-	SaveS          float64 `toml:"save_s"`
-	RestoreMs      float64 `toml:"restore_ms"`
-	ReuseAfterS    float64
-	RollbackSlackM int64 `toml:"RollbackSlackMs"`
+	HoldMaxMs int64
+	StopMs    int64   `toml:"stop_ms"`
+	StatusS   float64 `toml:"status_s"`
+	FarX      float64 `toml:"far_x"`
 }
 
 // Cloud is the platform's list of instances.
 type Cloud struct {
-	Address  string
-	RatePerS float64
-	LagMs    int64
+	Address string
 }
 
 // Settings is what a process is told at its start.
 type Settings struct {
-	Node            string
-	Role            string
-	Class           string
-	Serves          []string
-	Ip              string
-	Zone            string
-	Region          string
-	Seeds           []string
-	Bootstrap       bool
-	CountsForQuorum bool
-	DataDir         string
-	HeartbeatMs     int64
-	Orders          string
-	Zones           map[string]string
-	Listen          Listen
-	Limits          Limits
-	Tolerate        Tolerate
-	Bounds          Bounds
-	Cloud           Cloud
+	Node      string
+	Role      string
+	Class     string
+	Serves    []string
+	Zone      string
+	Seeds     []string
+	Bootstrap bool
+	DataDir   string
+	Zones     map[string]string
+	Listen    Listen
+	Limits    Limits
+	Tolerate  Tolerate
+	Bounds    Bounds
+	Cloud     Cloud
 }
 
 // Fault names a key that is wrong, and what to do about it.
--- a/scheduling/worker/answers.go
+++ b/scheduling/worker/answers.go
@@ -44,15 +44,17 @@
 	a.act(now)
 }
 
-// fenced handles an order that a higher token overtook: either an own settlement, or another owner.
+// fenced handles an order that a higher token overtook: either an own settlement, or another owner. In the
+// second case orders pause, until the control machines have told who owns the worker.
 func (a *Agent) fenced(now time.Duration, r *run) {
 	r.phase = owed
-	if r.fences++; r.fence == a.fence() {
-		if r.fences > 3 {
-			a.fencedOff = true
-		}
-		a.bumps++
+	if r.fences++; r.fence != a.fence() {
+		return
+	}
+	if r.fences > fencesBeforePause {
+		a.fencedUntil = now + retryPause
 	}
+	a.bumps++
 }
 
 // StopAnswered enters how an order to stop came out.
--- a/scheduling/worker/orders.go
+++ b/scheduling/worker/orders.go
@@ -10,7 +10,7 @@
 
 // act orders whatever can be ordered now.
 func (a *Agent) act(now time.Duration) {
-	if a.fencedOff || a.otherLife {
+	if a.otherLife || now < a.fencedUntil {
 		return
 	}
 	if a.lapsed(now) {
--- a/scheduling/worker/worker.go
+++ b/scheduling/worker/worker.go
@@ -15,21 +15,22 @@
 
 // Bounds of an agent.
 const (
-	tokenShift   = 20   // an owner's token has room for this many bits of own settlements
-	waitMs       = 600  // a look waits so long for an end
-	holdMs       = 3200 // a hold lasts so long: longer than a takeover takes, short enough to give up lost workers
-	clockSlow    = 0.98 // a worker's clock runs at this rate at least
-	renewEvery   = 600 * time.Millisecond
-	freshFor     = 15 * time.Millisecond    // an answer shows for so long that orders will arrive
-	lateBound    = 12500 * time.Millisecond // an order without an answer may still be carried out for so long
-	quickFailure = 60 * time.Millisecond    // a call that fails sooner broke with its connection
-	lapseMargin  = 150 * time.Millisecond
-	foreignHold  = 40 * time.Second // for what a former owner may have ordered, where the worker never answered
-	retryPause   = 250 * time.Millisecond
-	notedWithin  = 500 * time.Millisecond // ends wait so long for the control machines before the next hold
-	stopAgain    = 600 * time.Millisecond
-	stuckAfter   = 3500 * time.Millisecond // a run whose progress stands still so long is moved
-	stuckFactor  = 1.2                     // and for this many times its estimate
+	tokenShift        = 20   // an owner's token has room for this many bits of own settlements
+	waitMs            = 600  // a look waits so long for an end
+	holdMs            = 3200 // a hold lasts so long: longer than a takeover takes, short enough to give up lost workers
+	clockSlow         = 0.98 // a worker's clock runs at this rate at least
+	renewEvery        = 600 * time.Millisecond
+	freshFor          = 15 * time.Millisecond    // an answer shows for so long that orders will arrive
+	lateBound         = 12500 * time.Millisecond // an order without an answer may still be carried out for so long
+	quickFailure      = 60 * time.Millisecond    // a call that fails sooner broke with its connection
+	lapseMargin       = 150 * time.Millisecond
+	foreignHold       = 40 * time.Second // for what a former owner may have ordered, where the worker never answered
+	retryPause        = 250 * time.Millisecond
+	fencesBeforePause = 3                      // rejections of one run's orders for a higher token
+	notedWithin       = 500 * time.Millisecond // ends wait so long for the control machines before the next hold
+	stopAgain         = 600 * time.Millisecond
+	stuckAfter        = 3500 * time.Millisecond // a run whose progress stands still so long is moved
+	stuckFactor       = 1.2                     // and for this many times its estimate
 )
 
 // Hold is a call that renews the hold and asks for both lists.
@@ -165,16 +166,16 @@
 	lateFence     uint64        // of the newest such order
 	mayRenew      bool
 
-	sequence  uint64
-	long      uint64        // sequence of the waiting hold under way, or 0
-	short     uint64        // sequence of the settling hold under way, or 0
-	holdAt    time.Duration // no look before then
-	lastSeen  uint64
-	reported  map[uint64]bool // ends reported, true once the control machines have them
-	highest   uint64
-	fencedOff bool
-	otherLife bool
-	out       Calls
+	sequence    uint64
+	long        uint64        // sequence of the waiting hold under way, or 0
+	short       uint64        // sequence of the settling hold under way, or 0
+	holdAt      time.Duration // no look before then
+	lastSeen    uint64
+	reported    map[uint64]bool // ends reported, true once the control machines have them
+	highest     uint64
+	fencedUntil time.Duration // no orders before then: a higher token than this owner's was there again and again
+	otherLife   bool
+	out         Calls
 }
 
 // New returns the agent of a worker under an owner's token.
--- a/scheduling/worker/worker_test.go
+++ b/scheduling/worker/worker_test.go
@@ -390,3 +390,32 @@
 		t.Error("a run whose progress stands still goes on")
 	}
 }
+
+// An owner whose orders a higher token rejects again and again pauses, and goes on where it still is the owner.
+func TestFencedOrdersPauseAndGoOn(t *testing.T) {
+	b := newBench(t)
+	b.contact()
+	b.place(taskA, 1, true)
+	answerUntilStart := func() {
+		for range 4 {
+			if len(b.starts) == 0 {
+				b.answerHold(Lists{})
+			}
+		}
+	}
+	for range fencesBeforePause + 1 {
+		answerUntilStart()
+		b.answerStart(Fenced)
+	}
+	for len(b.holds) > 0 {
+		b.answerHold(Lists{})
+	}
+	b.tick(retryPause / 2)
+	if len(b.holds)+len(b.starts) != 0 {
+		t.Error("orders during the pause")
+	}
+	b.tick(retryPause)
+	answerUntilStart()
+	b.answerStart(Done)
+	b.wantReports()
+}
