--- a/scheduling/placement/find.go
+++ b/scheduling/placement/find.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -45,8 +46,8 @@
 		if most := step.AntiAffinity; most > 0 && unit.Job.CountAt(unit.Key, worker.ID) >= most {
 			continue
 		}
-		p.fitting = append(p.fitting, candidate{worker, slow})
 		score := share(worker.room().Minus(step.Asks()), worker.Capacity) + jitter*worker.order
+		p.fitting = append(p.fitting, candidate{worker, slow, score})
 		if best == nil || slow < bestSlow-nearEqual || slow < bestSlow+nearEqual && score < bestScore {
 			best, bestSlow, bestScore, bestFar = worker, slow, score, isFar
 		}
@@ -64,15 +65,15 @@
 	return []string{best.ID}, slower
 }
 
-// candidate is a worker that has room for a unit, and how slow it would be there.
+// candidate is a worker that has room for a unit, how slow it would be there, and how little it suits.
 type candidate struct {
 	worker *Worker
 	slow   float64
+	score  float64
 }
 
-// others draws workers that are about as fast as the chosen one and have room too. Dispatchers decide on
-// pictures that are some milliseconds old, so the chosen worker's room may be gone; drawn at random, the
-// others are not the same for all.
+// others returns workers that are about as fast as the chosen one and have room too, the best suited first.
+// Dispatchers decide on pictures that are some milliseconds old, so the chosen worker's room may be gone.
 func (p *Placer) others(unit *Unit, chosen []string) []string {
 	if unit.Step().Gang || len(p.fitting) < 2 {
 		return nil
@@ -83,15 +84,20 @@
 			bound = c.slow + nearEqual
 		}
 	}
-	list := make([]string, 0, otherChoices)
-	for _, at := range p.random.Perm(len(p.fitting)) {
-		if c := p.fitting[at]; c.slow <= bound && c.worker.ID != chosen[0] {
-			list = append(list, c.worker.ID)
+	best := make([]candidate, 0, otherChoices+1)
+	for _, c := range p.fitting {
+		if c.slow > bound || c.worker.ID == chosen[0] {
+			continue
 		}
-		if len(list) == otherChoices {
-			break
+		at, _ := slices.BinarySearchFunc(best, c, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+		if best = slices.Insert(best, at, c); len(best) > otherChoices {
+			best = best[:otherChoices]
 		}
 	}
+	list := make([]string, len(best))
+	for i, c := range best {
+		list[i] = c.worker.ID
+	}
 	return list
 }
 
