--- a/internal/emulator/disk.go
+++ b/internal/emulator/disk.go
@@ -14,6 +14,7 @@
 	files    map[string]*file
 	syncTime time.Duration
 	random   *rand.Rand
+	lies     bool // planted: what is synced is lost with the power all the same
 }
 
 // NewDisk returns an empty disk on which a sync takes so long.
@@ -122,7 +123,9 @@
 	time.Sleep(f.disk.syncTime)
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
-	f.durable, f.pending = content, f.pending[covered:]
+	if !f.disk.lies {
+		f.durable, f.pending = content, f.pending[covered:]
+	}
 	return nil
 }
 
--- a/internal/emulator/list.go
+++ b/internal/emulator/list.go
@@ -57,7 +57,7 @@
 	address := fmt.Sprintf("worker-%d:1", place+1)
 	w := newWorker(l.yard.Judge, fmt.Sprint("i-", l.number), service, address, fmt.Sprint("z", place%3),
 		[]string{"a", fmt.Sprint("r", place/3)}, job.Resources{Cpu: 8000, MemMb: 8000})
-	w.late = l.yard.late
+	w.late, w.planted = l.yard.late, l.yard.Shape.Planted
 	if place < len(l.workers) {
 		l.workers[place] = w
 	} else {
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -31,6 +31,7 @@
 	changed  chan struct{}
 	dead     bool
 	lapses   int
+	planted  Fault
 	late     func() time.Duration // how much later an order is carried out, without an answer; 0: at once
 }
 
@@ -121,11 +122,11 @@
 	if w.dead {
 		return http.StatusMisdirectedRequest, answer
 	}
-	if o.FenceToken < w.fence {
+	if o.FenceToken < w.fence && w.planted != FencesFail {
 		answer["Reason"] = "fence"
 		return http.StatusConflict, answer
 	}
-	w.fence = o.FenceToken
+	w.fence = max(w.fence, o.FenceToken)
 	w.extend(o.UntilMs)
 	switch path {
 	case "/-/run-start":
@@ -156,6 +157,9 @@
 		return
 	}
 	w.untilMs = untilMs
+	if w.planted == HoldsOutlast {
+		return
+	}
 	time.AfterFunc(time.Duration(untilMs-w.clockMs())*time.Millisecond, w.lapse)
 }
 
--- a/internal/emulator/yard.go
+++ b/internal/emulator/yard.go
@@ -27,8 +27,21 @@
 	Dispatchers int
 	Workers     int
 	Guards      bool
+	// Planted lets a fault into the machines, so that a test sees that the judge finds it.
+	Planted Fault
 }
 
+// Fault is a planted fault.
+type Fault int
+
+// Planted faults.
+const (
+	NoFault      Fault = iota
+	FencesFail         // workers carry out orders whatever token a higher owner has shown them
+	SyncsLie           // disks call writes durable that a loss of power takes back
+	HoldsOutlast       // workers let tasks run on beyond their hold
+)
+
 // Yard is a whole emulated deployment.
 type Yard struct {
 	Shape       Shape
@@ -82,6 +95,7 @@
 	for i := range shape.Cores {
 		y.cores = append(y.cores, &core{yard: y, name: fmt.Sprint("core-", i+1), zone: fmt.Sprint("z", i%3),
 			disk: NewDisk(syncTime, rand.New(rand.NewPCG(seed, uint64(i+10))))})
+		y.cores[i].disk.lies = shape.Planted == SyncsLie
 	}
 	for i := range shape.Dispatchers {
 		y.dispatchers = append(y.dispatchers, &dispatcherProcess{yard: y, name: fmt.Sprint("front-", i+1), zone: fmt.Sprint("z", i%3)})
@@ -367,6 +381,9 @@
 	for step := range 1 + random.IntN(3) {
 		s := job.Step{Count: 1 + random.IntN(4), Cpu: int64(500 + random.IntN(2000)), MemMb: 100,
 			EstimateMs: int64(200 + random.IntN(1500))}
+		if random.IntN(5) == 0 {
+			s.EstimateMs += int64(random.IntN(9000)) // longer than a hold that is not renewed
+		}
 		if step > 0 {
 			s.DependsOn = []int{random.IntN(step)}
 		}
