--- a/internal/dataplane/jobs.go
+++ b/internal/dataplane/jobs.go
@@ -133,15 +133,6 @@
 	}
 }
 
-// objective returns when the job's time counts as late, on the engine's clock.
-func (j *ownedJob) objective() time.Duration {
-	estimate := 0.0
-	for i := range j.Request.Steps {
-		estimate += float64(j.Request.Steps[i].EstimateMs)
-	}
-	return j.since + time.Duration(j.Stretch*estimate+float64(j.TargetMs))*time.Millisecond
-}
-
 // enqueueReady puts tasks into the queue whose turn has come.
 func (d *Dispatcher) enqueueReady(now time.Duration) {
 	for id := range d.dirty {
@@ -192,7 +183,10 @@
 }
 
 func (d *Dispatcher) enqueue(now time.Duration, known *ownedJob, key job.StepKey, indices []int) {
-	unit := &placement.Unit{Job: known.Job, Key: key, Indices: indices, Since: now, Deadline: known.objective()}
+	longest := chains(&known.Request, d.placer(known.Service).Waves)
+	begin := known.begin(now, time.Now().UnixMilli(), key.Time)
+	unit := &placement.Unit{Job: known.Job, Key: key, Indices: indices, Since: now,
+		Deadline: known.objective(begin, longest), Remaining: longest[key.Step]}
 	for _, index := range indices {
 		full := job.Key{Time: key.Time, Step: key.Step, Index: index}
 		known.queued[full] = true
--- a/scheduling/placement/placement.go
+++ b/scheduling/placement/placement.go
@@ -71,7 +71,10 @@
 	Indices  []int
 	Since    time.Duration // in the queue since then
 	Deadline time.Duration // when the job's objective is over
-	avoid    string        // worker at which its last run did not end well
+	// Remaining is how long the job takes from here on where nothing has to wait.
+	Remaining time.Duration
+	avoid     string // worker at which its last run did not end well
+	late      bool   // its objective can't be met any more
 }
 
 // Step returns the step that the unit belongs to.
@@ -122,9 +125,34 @@
 // SetPeers enters how many dispatchers place on the same workers.
 func (p *Placer) SetPeers(count int) { p.peers = max(count, 1) }
 
-// Add puts a unit into the queue: by priority, then by deadline.
+// Add puts a unit into the queue: by priority, then by deadline. Units that will be late whatever is done come
+// behind those of their priority that can still be in time: under overload each late one would make another
+// one late, and a late one loses nothing more by waiting.
 func (p *Placer) Add(unit *Unit) {
 	p.measure(unit)
+	unit.late = unit.isLate(unit.Since)
+	p.insert(unit)
+}
+
+func (u *Unit) isLate(now time.Duration) bool { return now+u.Remaining > u.Deadline }
+
+// moveLate moves units behind the others that have become late.
+func (p *Placer) moveLate(now time.Duration) {
+	var moved []*Unit
+	p.queue = slices.DeleteFunc(p.queue, func(u *Unit) bool {
+		if u.late || !u.isLate(now) {
+			return false
+		}
+		u.late = true
+		moved = append(moved, u)
+		return true
+	})
+	for _, unit := range moved {
+		p.insert(unit)
+	}
+}
+
+func (p *Placer) insert(unit *Unit) {
 	at, _ := slices.BinarySearchFunc(p.queue, unit, func(a, b *Unit) int {
 		if before(a, b) {
 			return -1
@@ -138,6 +166,9 @@
 	if a.Job.Priority != b.Job.Priority {
 		return a.Job.Priority < b.Job.Priority
 	}
+	if a.late != b.late {
+		return b.late
+	}
 	if a.Deadline != b.Deadline {
 		return a.Deadline < b.Deadline
 	}
@@ -160,6 +191,7 @@
 	var decisions []Decision
 	p.now = now
 	p.countFree(now)
+	p.moveLate(now)
 	p.endStep(now)
 	misfits := map[stepOf]bool{} // steps of which a task has found no place in this event
 	for i := 0; i < len(p.queue) && len(misfits) < lookAhead; {
--- a/scheduling/placement/placement_test.go
+++ b/scheduling/placement/placement_test.go
@@ -224,6 +224,43 @@
 	}
 }
 
+// Under overload a unit that will be late makes way for one that can still be in time, whatever came first.
+func TestLateUnitsMakeWay(t *testing.T) {
+	p := yard(1)
+	add := func(deadline, remaining time.Duration) *Unit {
+		u := unit(1, job.Step{Count: 1, Cpu: 8000, EstimateMs: remaining.Milliseconds()})
+		u.Deadline, u.Remaining = deadline, remaining
+		p.Add(u)
+		return u
+	}
+	fill(p, "w0000")
+	becomesLate, inTime, late := add(4*time.Second, time.Second), add(9*time.Second, time.Second), add(time.Second, 2*time.Second)
+	p.Decide(time.Second)
+	for i, want := range []*Unit{becomesLate, inTime, late} {
+		if p.queue[i] != want {
+			t.Fatalf("place %d before anything became late: %v", i, p.queue[i].Deadline)
+		}
+	}
+	p.Decide(3500 * time.Millisecond)
+	for i, want := range []*Unit{inTime, late, becomesLate} {
+		if p.queue[i] != want {
+			t.Errorf("place %d: deadline %v", i, p.queue[i].Deadline)
+		}
+	}
+}
+
+func TestStepsWiderThanAQuarterRunInWaves(t *testing.T) {
+	p := yard(8)
+	for count, want := range map[int]int{1: 1, 2: 1, 3: 2, 4: 2, 8: 4} {
+		if got := p.Waves(&job.Step{Count: count, Cpu: 8000}); got != want {
+			t.Errorf("%d whole workers of 8: %d waves, want %d", count, got, want)
+		}
+	}
+	if got := p.Waves(&job.Step{Count: 3, Requires: "no such label"}); got != 1 {
+		t.Errorf("%d waves where no worker is able", got)
+	}
+}
+
 func TestExplain(t *testing.T) {
 	p := yard(3)
 	fill(p, "w0000")
--- a/scheduling/placement/reserve.go
+++ b/scheduling/placement/reserve.go
@@ -79,3 +79,23 @@
 	used := share(w.Used.Plus(w.Reserved), w.Capacity)
 	return max(1-used, 0) * float64(w.Capacity.Cpu)
 }
+
+// wideFrom is the part of a service, 1 in so many, that a step may ask for before it runs in waves.
+const wideFrom = 4
+
+// Waves returns in how many waves a step runs: more than one where all its tasks together ask for more than
+// a quarter of the workers that it may run on.
+func (p *Placer) Waves(step *job.Step) int {
+	workers, shares := 0.0, 0.0
+	for _, worker := range p.list {
+		if able(worker, step) {
+			workers++
+			shares += share(step.Asks(), worker.Capacity)
+		}
+	}
+	if workers == 0 {
+		return 1
+	}
+	wanted := float64(step.Count) * shares / workers // in whole workers
+	return max(int(math.Ceil(wanted*wideFrom/workers)), 1)
+}
