--- a/scheduling/placement/placement.go
+++ b/scheduling/placement/placement.go
@@ -134,7 +134,8 @@
 	p.insert(unit)
 }
 
-func (u *Unit) isLate(now time.Duration) bool { return now+u.Remaining > u.Deadline }
+// isLate reports whether the objective can't be met any more. Clients' estimates may be off by half.
+func (u *Unit) isLate(now time.Duration) bool { return now+u.Remaining/2 > u.Deadline }
 
 // moveLate moves units behind the others that have become late.
 func (p *Placer) moveLate(now time.Duration) {
