Decoders of jobs, messages, commands, settings and store records are fuzzed; times are bounded

Cause: only the configuration's reader was fuzzed. A job could ask for any number of times, each of which is walked whenever the job is looked at; an estimate could be below 0. Change: at most 10,000 times, no negative estimates; six fuzz targets, 200 inputs each in make test. Tests: TestValid (its case of too many times fails without the bound), TestDependencies.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,12 @@
 	go test -run '^$$' -fuzz FuzzHear -fuzztime $(FUZZTIME) ./internal/gossip
 	go test -run '^$$' -fuzz FuzzCommand -fuzztime $(FUZZTIME) ./internal/keeper
 	go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME) ./internal/control/configuration
+	go test -run '^$$' -fuzz FuzzRequest -fuzztime $(FUZZTIME) ./scheduling/job
+	go test -run '^$$' -fuzz FuzzName -fuzztime $(FUZZTIME) ./scheduling/job
+	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/control/link
+	go test -run '^$$' -fuzz FuzzApply -fuzztime $(FUZZTIME) ./internal/control/cluster
+	go test -run '^$$' -fuzz FuzzOpen -fuzztime $(FUZZTIME) ./coordination/segment
+	go test -run '^$$' -fuzz FuzzLoad -fuzztime $(FUZZTIME) ./internal/settings
 
 # The whole at work on this machine, with stand-ins on loopback; ends by itself.
 demo: build
--- a/scheduling/job/job.go
+++ b/scheduling/job/job.go
@@ -71,17 +71,18 @@
 	MaxSpecBytes = 4000
 	maxSteps     = 256
 	maxTasks     = 1 << 16
+	maxRuns      = 10_000 // times of a repeated job
 )
 
 // Valid reports whether the request can be carried out as a job at all.
 func (r *Request) Valid() bool {
-	if len(r.Spec) > MaxSpecBytes || len(r.Steps) == 0 || len(r.Steps) > maxSteps || r.Repeat < 0 {
+	if len(r.Spec) > MaxSpecBytes || len(r.Steps) == 0 || len(r.Steps) > maxSteps || r.Repeat < 0 || r.Repeat > maxRuns {
 		return false
 	}
 	tasks := 0
 	for i := range r.Steps {
 		step := &r.Steps[i]
-		if step.Count < 1 || step.Cpu < 0 || step.MemMb < 0 || step.Gpu < 0 {
+		if step.Count < 1 || step.Cpu < 0 || step.MemMb < 0 || step.Gpu < 0 || step.EstimateMs < 0 {
 			return false
 		}
 		if tasks += step.Count; tasks > maxTasks {
