Workers that leave are emptied in time

Cause: RemainingMs of a worker that drains was never read, so whatever ran there died with it and was found out by its hold, 3 to 4 s later. Change: the reader tells it, and the owner stops what can't end in time: at once where its work is in vain anyway, 1.5 s before the end where a checkpoint saves it or where it never ends by itself. Test: TestLeavingWorkerIsEmptied.

--- a/internal/dataplane/dispatcher.go
+++ b/internal/dataplane/dispatcher.go
@@ -306,7 +306,11 @@
 		mine = nil
 	}
 	if mine == nil && worker.Owner == d.uplink.session && d.uplink.session != 0 {
-		d.owned[worker.ID] = newOwnedWorker(d, worker)
+		mine = newOwnedWorker(d, worker)
+		d.owned[worker.ID] = mine
+	}
+	if mine != nil && worker.Draining && worker.Leaves > 0 {
+		mine.agent.Leave(now, time.Duration(worker.Leaves)*time.Millisecond)
 	}
 }
 
--- a/internal/dataplane/reader.go
+++ b/internal/dataplane/reader.go
@@ -135,6 +135,9 @@
 		delete(r.missing, entry.Id)
 		instance := cluster.Instance{ID: entry.Id, Service: entry.Service, Address: entry.Address, Zone: entry.Zone,
 			Labels: entry.Labels, Capacity: entry.Capacity, Draining: entry.State == "draining"}
+		if instance.Draining {
+			instance.Leaves = entry.RemainingMs
+		}
 		known := d.workers[entry.Id]
 		if known == nil || !same(&known.Instance, &instance) {
 			command.Changed = append(command.Changed, instance)
--- a/scheduling/worker/answers.go
+++ b/scheduling/worker/answers.go
@@ -21,7 +21,7 @@
 	}
 	switch answer {
 	case Done:
-		r.phase, r.knownFrom, r.movedAt = running, a.sequence+1, now
+		r.phase, r.knownFrom, r.movedAt, r.startedAt = running, a.sequence+1, now, now
 	case Unanswered:
 		r.phase = owed
 		a.mayLengthen(now, r.fence)
@@ -192,7 +192,7 @@
 		return
 	}
 	if r.phase != running {
-		r.phase, r.knownFrom, r.movedAt = running, a.sequence+1, now
+		r.phase, r.knownFrom, r.movedAt, r.startedAt = running, a.sequence+1, now, now
 	}
 	if listed.Percent != r.percent {
 		r.percent, r.movedAt = listed.Percent, now
--- a/scheduling/worker/orders.go
+++ b/scheduling/worker/orders.go
@@ -19,6 +19,9 @@
 	settling, starting := !a.contacted, false
 	for _, task := range a.tasks() {
 		r := a.runs[task]
+		if r.phase == running && a.mustMove(now, r) {
+			r.Stopping = true
+		}
 		switch {
 		case r.phase == owed:
 			settling = true
--- a/scheduling/worker/worker.go
+++ b/scheduling/worker/worker.go
@@ -136,6 +136,7 @@
 	saved     string
 	percent   int
 	movedAt   time.Duration
+	startedAt time.Duration
 	fences    int
 	outdated  bool // the worker will not start this run any more
 }
@@ -175,6 +176,7 @@
 	highest     uint64
 	fencedUntil time.Duration // no orders before then: a higher token than this owner's was there again and again
 	otherLife   bool
+	leavesAt    time.Duration // the worker drains and leaves then; 0: nothing is known of that
 	out         Calls
 }
 
--- a/scheduling/worker/worker_test.go
+++ b/scheduling/worker/worker_test.go
@@ -419,3 +419,46 @@
 	b.answerStart(Done)
 	b.wantReports()
 }
+
+// A worker that leaves: what can't end in time begins anew elsewhere at once, what is saved stays until just
+// before the end, and what ends in time is left alone.
+func TestLeavingWorkerIsEmptied(t *testing.T) {
+	b := newBench(t)
+	b.contact()
+	const short, long, saved = "00000000000000aa.0.0.0", "00000000000000bb.0.0.0", "00000000000000cc.0.0.0"
+	place := func(task string, estimateMs int64, saves bool) {
+		b.agent.Place(b.now, cluster.Placement{Worker: "w1", Task: task, Run: 1, Fresh: true, EstimateMs: estimateMs, Saves: saves})
+		b.take()
+		for range 3 {
+			if len(b.starts) == 0 {
+				b.answerHold(Lists{})
+			}
+		}
+		b.answerStart(Done)
+	}
+	place(short, 2000, false)
+	place(long, 9000, false)
+	place(saved, 9000, true)
+	stopped := func() string {
+		names := []string{}
+		for _, stop := range b.stops {
+			names = append(names, stop.Task[14:16])
+		}
+		return strings.Join(names, " ")
+	}
+	b.agent.Leave(b.now, 4*time.Second)
+	b.take()
+	if got := stopped(); got != "bb" {
+		t.Fatalf("stopped at once: %q", got)
+	}
+	b.stops = nil
+	b.tick(2 * time.Second)
+	if got := stopped(); strings.Contains(got, "aa") || strings.Contains(got, "cc") {
+		t.Errorf("stopped with time left: %q", got)
+	}
+	b.stops = nil
+	b.tick(600 * time.Millisecond)
+	if got := stopped(); !strings.Contains(got, "cc") || strings.Contains(got, "aa") {
+		t.Errorf("stopped just before the end: %q", got)
+	}
+}
