--- /dev/null
+++ b/internal/emulator/clients.go
@@ -0,0 +1,94 @@
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"linnetlift/scheduling/job"
+)
+
+func (y *Yard) call(method, url, body string, within time.Duration, match string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return 0, ""
+	}
+	request.GetBody = nil
+	if match != "" {
+		request.Header.Set("If-Match", match)
+	} else {
+		request.Host = routeHost
+	}
+	response, err := y.client.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return response.StatusCode, string(text)
+}
+
+// Client hands in one job and follows it to its end, at any dispatcher.
+func (y *Yard) Client(random *rand.Rand, until time.Time) {
+	id := fmt.Sprintf("%016x", random.Uint64())
+	request := y.randomJob(random)
+	y.Judge.submitted(id, request)
+	body := encodeJob(request)
+	anywhere := func() string {
+		return "http://front-" + fmt.Sprint(1+random.IntN(y.Shape.Dispatchers)) + ":1" + route + id
+	}
+	accepted := false
+	for range 5 {
+		status, _ := y.call(http.MethodPost, anywhere(), body, 3*time.Second, "")
+		if accepted = status == http.StatusOK; accepted {
+			y.Judge.accepted(id)
+			break
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	for accepted && time.Now().Before(until) {
+		status, text := y.call(http.MethodGet, anywhere(), "", 2*time.Second, "")
+		switch status {
+		case http.StatusOK:
+			state := strings.TrimSuffix(strings.TrimPrefix(text, `{"State":"`), `"}`)
+			y.Judge.shown(id, state)
+			if state != "queued" && state != "running" {
+				return
+			}
+		case http.StatusGone:
+			y.Judge.gone(id)
+		}
+		time.Sleep(400 * time.Millisecond)
+	}
+}
+
+func (y *Yard) randomJob(random *rand.Rand) job.Request {
+	request := job.Request{Spec: fmt.Sprint("spec ", random.IntN(1000))}
+	for step := range 1 + random.IntN(3) {
+		s := job.Step{Count: 1 + random.IntN(4), Cpu: int64(500 + random.IntN(2000)), MemMb: 100,
+			EstimateMs: int64(200 + random.IntN(1500))}
+		if random.IntN(5) == 0 {
+			s.EstimateMs += int64(random.IntN(9000)) // longer than a hold that is not renewed
+		}
+		if step > 0 {
+			s.DependsOn = []int{random.IntN(step)}
+		}
+		if random.IntN(5) == 0 {
+			s.Gang = true
+		}
+		if random.IntN(5) == 0 {
+			s.Affinity = "r1"
+		}
+		request.Steps = append(request.Steps, s)
+	}
+	return request
+}
--- /dev/null
+++ b/internal/emulator/processes.go
@@ -0,0 +1,135 @@
+package emulator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"linnetlift/internal/control/server"
+	"linnetlift/internal/dataplane"
+)
+
+// core is a control machine.
+type core struct {
+	yard *Yard
+	name string
+	zone string
+	disk *Disk
+	stop chan struct{}
+	http *http.Server
+}
+
+func (c *core) up() bool { return c.stop != nil }
+
+func (c *core) start(first bool) {
+	s := c.yard.settings(c.name, c.zone)
+	s.Listen.Control, s.DataDir, s.Bootstrap = c.name+":1", "data", first
+	machine := c.yard.Network.Machine(c.name)
+	control, err := server.Open(s, machine, c.disk, c.yard.logger.With().Str("node", c.name).Logger())
+	if err != nil {
+		c.yard.Judge.note("START", "%s: %v", c.name, err)
+		return
+	}
+	listener, _ := machine.Listen(s.Listen.Control)
+	c.http = &http.Server{Handler: control.Handler()}
+	c.stop = make(chan struct{})
+	go c.http.Serve(listener)
+	go control.Run(c.stop)
+}
+
+func (c *core) end() {
+	if c.stop == nil {
+		return
+	}
+	close(c.stop)
+	c.stop = nil
+	c.http.Close()
+}
+
+// Kill ends the process; the disk stays as it is.
+func (c *core) Kill() {
+	c.yard.Network.Kill(c.name)
+	c.end()
+	c.disk.Crash()
+}
+
+// PowerOff takes the machine's power; what was not synced may be lost.
+func (c *core) PowerOff() {
+	c.yard.Network.PowerOff(c.name)
+	c.end()
+	c.disk.LosePower()
+}
+
+// Back starts the machine again.
+func (c *core) Back() {
+	c.yard.Network.PowerOn(c.name)
+	if !c.up() {
+		c.start(false)
+	}
+}
+
+// ReplaceCore takes a control machine away for good; an empty one at another address comes after a while.
+func (y *Yard) ReplaceCore(place int, after time.Duration) {
+	former := y.cores[place]
+	former.PowerOff()
+	time.Sleep(after)
+	y.replaced++
+	successor := &core{yard: y, name: fmt.Sprint("core-", len(y.cores)+y.replaced), zone: former.zone,
+		disk: NewDisk(syncTime, rand.New(rand.NewPCG(uint64(y.replaced), 77)))}
+	y.cores[place] = successor
+	successor.start(false)
+}
+
+// CutDispatcher cuts a dispatcher off from all control machines, or joins it again; it reaches workers all the while.
+func (y *Yard) CutDispatcher(name string, cut bool) {
+	for _, c := range y.cores {
+		y.Network.Cut(name, c.name, cut)
+		y.Network.Cut(c.name, name, cut)
+	}
+}
+
+// dispatcherProcess is a front machine.
+type dispatcherProcess struct {
+	yard *Yard
+	name string
+	zone string
+	stop chan struct{}
+	http *http.Server
+}
+
+func (d *dispatcherProcess) start() {
+	s := d.yard.settings(d.name, d.zone)
+	s.Listen.Front = d.name + ":1"
+	machine := d.yard.Network.Machine(d.name)
+	dispatcher := dataplane.New(s, machine, d.yard.logger.With().Str("node", d.name).Logger())
+	listener, _ := machine.Listen(s.Listen.Front)
+	d.http = &http.Server{Handler: dispatcher}
+	d.stop = make(chan struct{})
+	go d.http.Serve(listener)
+	go dispatcher.Run(d.stop)
+}
+
+// Kill ends the process.
+func (d *dispatcherProcess) Kill() { d.end(d.yard.Network.Kill) }
+
+// PowerOff takes the machine's power.
+func (d *dispatcherProcess) PowerOff() { d.end(d.yard.Network.PowerOff) }
+
+func (d *dispatcherProcess) end(off func(name string)) {
+	off(d.name)
+	if d.stop == nil {
+		return
+	}
+	close(d.stop)
+	d.stop = nil
+	d.http.Close()
+}
+
+// Back starts the machine again.
+func (d *dispatcherProcess) Back() {
+	d.yard.Network.PowerOn(d.name)
+	if d.stop == nil {
+		d.start()
+	}
+}
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -122,11 +122,11 @@
 	if w.dead {
 		return http.StatusMisdirectedRequest, answer
 	}
-	if o.FenceToken < w.fence && w.planted != FencesFail {
+	if o.FenceToken < w.fence {
 		answer["Reason"] = "fence"
 		return http.StatusConflict, answer
 	}
-	w.fence = max(w.fence, o.FenceToken)
+	w.fence = o.FenceToken
 	w.extend(o.UntilMs)
 	switch path {
 	case "/-/run-start":
