--- a/coordination/view/view_test.go
+++ b/coordination/view/view_test.go
@@ -328,3 +328,45 @@
 		t.Errorf("next view %v", next)
 	}
 }
+
+// A proposal that leaves nobody out waits for a busy member; one that drops a silent member is urgent.
+func TestPatienceForBusyMembers(t *testing.T) {
+	members, view := three()
+	for name, c := range map[string]struct {
+		wish  []Member
+		ticks int
+	}{"all stay": {members, calmPatience}, "one is dropped": {members[:2], patience}} {
+		r := NewRegister(Durable{Me: members[0], View: *view, Complete: 4})
+		r.Propose(View{Chain: c.wish, Electors: members}, []MemberID{1, 2, 3}, 2)
+		ballot := r.proposal.ballot
+		for id := MemberID(1); id <= 2; id++ {
+			r.Receive(id, &Message{Promise: &Promise{Base: 4, Ballot: ballot, Valid: true}})
+		}
+		for tick := 1; tick <= c.ticks; tick++ {
+			if r.proposal.view != nil {
+				t.Errorf("%s: goes on after %d ticks of %d without the third answer", name, tick-1, c.ticks)
+			}
+			r.Tick()
+		}
+		if r.proposal == nil || r.proposal.view == nil {
+			t.Errorf("%s: still waits after %d ticks", name, c.ticks)
+		}
+	}
+}
+
+func TestTroubleIsNamed(t *testing.T) {
+	members, _ := three()
+	d := NewDetector(members[0], 0, 2)
+	d.Heard(time.Second, pingOf(members[1], 4, 1, 2))
+	d.Heard(time.Second, pingOf(members[2], 4, 2, 3))
+	for _, c := range []struct {
+		now  time.Duration
+		id   MemberID
+		want string
+	}{{time.Second, 1, ""}, {time.Second, 2, ""}, {time.Second, 3, "does not hear this member"},
+		{time.Second + SilentAfter + 1, 2, "silent"}, {time.Second, 9, "never heard"}} {
+		if got := d.Trouble(c.now, c.id); got != c.want {
+			t.Errorf("member %d at %v: %q, want %q", c.id, c.now, got, c.want)
+		}
+	}
+}
--- a/internal/control/cluster/cluster_test.go
+++ b/internal/control/cluster/cluster_test.go
@@ -293,6 +293,42 @@
 	restored.place(jobA, OK, Target{Task: task(0, 1), Worker: "w2"})
 }
 
+// A session's snapshot has its own open jobs whole, the state of those that are over, and nothing of others.
+func TestSnapshotOfASession(t *testing.T) {
+	y := newYard(t, 2, 2)
+	y.submit("open", job.Step{Count: 1, Cpu: 1})
+	y.submit("over", job.Step{Count: 1, Cpu: 1})
+	y.place("over", OK, Target{Task: job.Key{}, Worker: "w1"})
+	y.end("over", job.Key{}, "w1", 1, Done)
+	tell := func(session SessionID) (whole, states []string) {
+		for _, update := range y.OwnSnapshot(session) {
+			if update.Job != nil {
+				whole = append(whole, update.Job.ID)
+			}
+			if update.JobState != nil && update.JobState.State == job.Completed {
+				states = append(states, update.JobState.Job)
+			}
+		}
+		return whole, states
+	}
+	whole, states := tell(1)
+	if len(whole) != 1 || whole[0] != "open" || len(states) != 1 || states[0] != "over" {
+		t.Errorf("whole %v, states %v", whole, states)
+	}
+	if whole, states := tell(2); len(whole)+len(states) != 0 {
+		t.Errorf("another session is told of %v %v", whole, states)
+	}
+	workers := 0
+	for _, update := range y.SharedSnapshot() {
+		if update.Worker != nil {
+			workers++
+		}
+	}
+	if workers != 2 {
+		t.Errorf("%d workers of 2 in the shared part", workers)
+	}
+}
+
 // TestReplicasAgree applies random commands to two replicas, one of them restored from a snapshot midway.
 func TestReplicasAgree(t *testing.T) {
 	for seed := range uint64(30) {
--- a/internal/dataplane/dataplane_test.go
+++ b/internal/dataplane/dataplane_test.go
@@ -168,3 +168,26 @@
 		t.Errorf("a job without times began at %v", begin)
 	}
 }
+
+// A snapshot tells of a job that is over its state alone: it is answered, and nothing of it counts as running.
+func TestSnapshotOfAJobThatIsOver(t *testing.T) {
+	d := New(&settings.Settings{Node: "front-1", Seeds: []string{"core-1:1"}}, deaf{}, zerolog.Nop())
+	step := job.Step{Count: 1, Cpu: 1000}
+	d.setWorker(0, &cluster.Worker{Instance: cluster.Instance{ID: "w1", Service: "s", Capacity: job.Resources{Cpu: 4000}}})
+	d.setJob(0, &job.Job{ID: "known", Service: "s", State: job.Running, Request: job.Request{Steps: []job.Step{step}},
+		Tasks: map[job.Key]*job.Task{{}: {Worker: "w1", Run: 1}}})
+	if len(d.jobs["known"].running) != 1 {
+		t.Fatal("the job's task does not count as running")
+	}
+	stale := d.markStale()
+	for _, id := range []string{"known", "unknown"} {
+		d.receiveUpdate(0, &cluster.Update{JobState: &cluster.JobState{Job: id, State: job.Completed}}, stale)
+	}
+	d.dropStale(0, stale)
+	if known := d.jobs["known"]; known == nil || known.State != job.Completed || len(known.running) != 0 {
+		t.Errorf("the known job: %+v", known)
+	}
+	if state, kept := d.finals["unknown"]; !kept || state != job.Completed {
+		t.Errorf("the unknown job: %v %v", state, kept)
+	}
+}
