--- a/internal/emulator/schedule_test.go
+++ b/internal/emulator/schedule_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"runtime"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -146,7 +147,20 @@
 // troubles plays faults until the given time.
 type troubles func(y *Yard, random *rand.Rand, end time.Time)
 
+// playing bounds how many schedules are played at once: other packages' tests run beside them, and some of
+// those wait for real time. Where a number of schedules is asked for, they have the machine to themselves.
+var playing = make(chan struct{}, atOnce())
+
+func atOnce() int {
+	if os.Getenv("PROVE_SCHEDULES") != "" {
+		return runtime.GOMAXPROCS(0)
+	}
+	return 3
+}
+
 func play(t *testing.T, shape Shape, seed uint64, trouble troubles, logs io.Writer) (result outcome) {
+	playing <- struct{}{}
+	defer func() { <-playing }()
 	synctest.Test(t, func(t *testing.T) {
 		y := NewYard(shape, NewNetwork(), seed, logs)
 		y.Start()
