Planted faults must show by their own rules, and sound machines break none

Cause: TestPlantedFaults took any broken rule as the finding, and nothing showed that its harder troubles leave sound machines without one: it might never have failed. Change: the rule that the fault breaks is asked for (LOST or CONFIG, TWICE or LIMIT), and three schedules of the same troubles without a fault must break none. No program code changes.

--- a/internal/emulator/schedule_test.go
+++ b/internal/emulator/schedule_test.go
@@ -6,7 +6,9 @@
 	"math/rand/v2"
 	"os"
 	"runtime"
+	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -244,18 +246,37 @@
 	}
 }
 
-// TestPlantedFaults shows that the judge finds what the system relies on and machines may break.
+// TestPlantedFaults shows that the judge finds what the system relies on and machines may break, by the rules
+// that it breaks; under the same troubles sound machines break none.
 func TestPlantedFaults(t *testing.T) {
 	const most = 12 // schedules until a fault counts as not found
-	for name, planted := range map[string]Fault{"syncs lie": SyncsLie, "holds outlast": HoldsOutlast} {
+	for name, c := range map[string]struct {
+		planted Fault
+		rules   []string
+	}{
+		"none":          {NoFault, nil},
+		"syncs lie":     {SyncsLie, []string{"LOST", "CONFIG"}},
+		"holds outlast": {HoldsOutlast, []string{"TWICE", "LIMIT"}},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			if c.planted == NoFault {
+				for seed := uint64(1); seed <= 3; seed++ {
+					for _, broken := range play(t, shapeOf(seed), seed, provoke, io.Discard).broken {
+						t.Errorf("schedule %d: %s", seed, broken)
+					}
+				}
+				return
+			}
 			for seed := uint64(1); seed <= most; seed++ {
 				shape := shapeOf(seed)
-				shape.Planted = planted
-				if result := play(t, shape, seed, provoke, io.Discard); len(result.broken) > 0 {
-					t.Logf("schedule %d: %s", seed, result.broken[0])
-					return
+				shape.Planted = c.planted
+				for _, broken := range play(t, shape, seed, provoke, io.Discard).broken {
+					rule, _, _ := strings.Cut(broken, " ")
+					if slices.Contains(c.rules, rule) {
+						t.Logf("schedule %d: %s", seed, broken)
+						return
+					}
 				}
 			}
 			t.Errorf("not found in %d schedules", most)
