--- a/internal/control/cluster/bench_test.go
+++ b/internal/control/cluster/bench_test.go
@@ -22,7 +22,7 @@
 	for i := range 8 {
 		add(Command{OpenSession: &OpenSession{Node: fmt.Sprint("front-", i), Zone: fmt.Sprint("z", i%3), Life: uint64(i + 1)}})
 	}
-	instances := &Instances{Reader: 1}
+	instances := &Instances{Reader: 1, Reading: 1}
 	for i := range 48 {
 		instances.Changed = append(instances.Changed, Instance{ID: fmt.Sprint("w", i), Service: "s",
 			Address: fmt.Sprint("10.0.0.", i, ":80"), Zone: fmt.Sprint("z", i%3), Labels: []string{"a", "r1"},
@@ -40,7 +40,7 @@
 			add(Command{Ended: &Ended{Worker: worker, Job: id, Task: key, Run: 1, How: Done}})
 		}
 		if n%100 == 99 {
-			add(Command{Age: &Age{}})
+			add(Command{Age: &Age{uint64(n/100 + 1)}})
 		}
 	}
 	return list
--- a/internal/control/cluster/cluster.go
+++ b/internal/control/cluster/cluster.go
@@ -8,8 +8,6 @@
 import (
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"linnetlift/scheduling/job"
 )
 
@@ -19,6 +17,14 @@
 	Node string    `cbor:"2,keyasint"`
 	Zone string    `cbor:"3,keyasint"`
 	Life uint64    `cbor:"4,keyasint"`
+	// Settled is the number up to which commands of the session have an outcome that it knows.
+	Settled uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// LastSession is the newest session that a node has had.
+type LastSession struct {
+	ID  SessionID `cbor:"1,keyasint"`
+	Age uint64    `cbor:"2,keyasint"` // AgeCount when it was opened, or was over
 }
 
 // Worker is a worker with its owner and what is placed on it.
@@ -35,6 +41,9 @@
 type Run struct {
 	Number uint64 `cbor:"1,keyasint"`
 	Saved  string `cbor:"2,keyasint,omitempty"` // the checkpoint from which it goes on
+	// Token and Sequence are those of its newest Checkpoint.
+	Token    uint64 `cbor:"3,keyasint,omitempty"`
+	Sequence uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Room returns what is left of the worker.
@@ -44,7 +53,6 @@
 type State struct {
 	ConfigVersion int64                  `cbor:"1,keyasint"`
 	ConfigBody    []byte                 `cbor:"2,keyasint"`
-	Taken         map[int64]uint64       `cbor:"3,keyasint"` // hashes of all configurations ever in force
 	NextSession   SessionID              `cbor:"4,keyasint"`
 	NextToken     uint64                 `cbor:"5,keyasint"`
 	NextJob       uint64                 `cbor:"6,keyasint"`
@@ -52,7 +60,15 @@
 	Sessions      map[SessionID]*Session `cbor:"8,keyasint"`
 	Workers       map[string]*Worker     `cbor:"9,keyasint"`
 	Jobs          map[string]*job.Job    `cbor:"10,keyasint"`
-	Pending       map[string]int         `cbor:"11,keyasint"` // jobs of a route that are not over
+	Pending       map[string]int         `cbor:"11,keyasint"` // jobs of a route of which no task has begun
+	// Acknowledged has the SHA-256 digests of the configurations that were in force lately, by version, and
+	// Forgotten the newest version of which the digest is not kept any more. (3 was another form of it.)
+	Acknowledged map[int64][]byte        `cbor:"12,keyasint"`
+	Forgotten    int64                   `cbor:"13,keyasint"`
+	LastSessions map[string]*LastSession `cbor:"14,keyasint"` // by node
+	// Reader and Reading name the newest reading of the platform's list that was taken in.
+	ReadBy  SessionID `cbor:"15,keyasint"`
+	Reading uint64    `cbor:"16,keyasint"`
 }
 
 // Cluster applies commands to the state and collects updates.
@@ -65,16 +81,50 @@
 // New returns an empty cluster that forgets a job once keepAges ages have passed since its end.
 func New(keepAges uint64) *Cluster {
 	return &Cluster{keepAges: keepAges, State: State{
-		Taken:    map[int64]uint64{},
-		Sessions: map[SessionID]*Session{},
-		Workers:  map[string]*Worker{},
-		Jobs:     map[string]*job.Job{},
-		Pending:  map[string]int{},
+		Acknowledged: map[int64][]byte{},
+		Sessions:     map[SessionID]*Session{},
+		LastSessions: map[string]*LastSession{},
+		Workers:      map[string]*Worker{},
+		Jobs:         map[string]*job.Job{},
+		Pending:      map[string]int{},
 	}}
 }
 
+// Restore puts a state from a snapshot in the place of the present one.
+func (c *Cluster) Restore(state State) {
+	empty := New(c.keepAges).State
+	if state.Acknowledged == nil { // a snapshot of a version that kept other digests
+		state.Acknowledged = empty.Acknowledged
+		state.Forgotten = state.ConfigVersion - 1
+		if state.ConfigVersion > 0 {
+			state.Acknowledged[state.ConfigVersion] = digest(state.ConfigBody)
+		}
+	}
+	if state.LastSessions == nil {
+		state.LastSessions = empty.LastSessions
+		for _, session := range state.Sessions {
+			state.LastSessions[session.Node] = &LastSession{session.ID, state.AgeCount}
+		}
+	}
+	c.State, c.updates = state, nil
+}
+
+// fresh reports whether a dispatcher still waits for the outcome of a command. It is false for a copy that
+// comes late: its session is over, or has its outcome already, or has given it up.
+func (c *Cluster) fresh(command *Command) bool {
+	session := c.Sessions[command.Session]
+	if session == nil {
+		return false
+	}
+	session.Settled = max(session.Settled, command.Settled)
+	return command.Number > session.Settled
+}
+
 // Apply carries out one command.
 func (c *Cluster) Apply(command *Command) Result {
+	if command.Session != 0 && !command.IsRead() && !c.fresh(command) {
+		return Result{Code: Stale}
+	}
 	switch {
 	case command.OpenSession != nil:
 		return c.openSession(command.OpenSession)
@@ -96,8 +146,10 @@
 		return c.checkpoint(command.Checkpoint)
 	case command.Configure != nil:
 		return c.configure(command.Configure)
+	case command.Began != nil:
+		return c.began(command.Began)
 	case command.Age != nil:
-		return c.age()
+		return c.age(command.Age)
 	case command.ReadJob != nil:
 		return c.readJob(command.ReadJob)
 	case command.ReadQueue != nil:
@@ -124,42 +176,10 @@
 
 func (c *Cluster) tellAll(update Update) { c.updates = append(c.updates, Addressed{0, update}) }
 
-// configure puts a configuration in force. One that was ever in force is acknowledged again.
-func (c *Cluster) configure(command *Configure) Result {
-	sum := xxhash.Sum64(command.Body)
-	if taken, known := c.Taken[command.Version]; known && taken == sum {
-		return Result{}
-	}
-	if command.Match != c.ConfigVersion {
-		return Result{Code: Conflict}
-	}
-	if command.Version <= c.ConfigVersion {
-		return Result{Code: Invalid}
-	}
-	c.ConfigVersion, c.ConfigBody = command.Version, command.Body
-	c.Taken[command.Version] = sum
-	c.tellAll(Update{Config: &ConfigUpdate{command.Version, command.Body}})
-	return Result{}
-}
-
-func (c *Cluster) readConfig() Result {
-	if c.ConfigVersion == 0 {
-		return Result{Code: NotFound}
-	}
-	return Result{Body: c.ConfigBody}
-}
-
-// Snapshot returns the updates that bring a session up to the present state.
-func (c *Cluster) Snapshot(session SessionID) []Update {
-	return append(c.SharedSnapshot(), c.OwnSnapshot(session)...)
-}
-
-// SharedSnapshot returns the part of a snapshot that is the same for all sessions.
+// SharedSnapshot returns the part of a snapshot that is the same for all sessions. The configuration is not in
+// it: a session may have it already.
 func (c *Cluster) SharedSnapshot() []Update {
 	updates := []Update{{Sessions: c.sessionIDs()}}
-	if c.ConfigVersion > 0 {
-		updates = append(updates, Update{Config: &ConfigUpdate{c.ConfigVersion, c.ConfigBody}})
-	}
 	for _, id := range sortedKeys(c.Workers) {
 		updates = append(updates, Update{Worker: c.Workers[id].public()})
 	}
--- a/internal/control/cluster/cluster_test.go
+++ b/internal/control/cluster/cluster_test.go
@@ -21,7 +21,7 @@
 	for i := range sessions {
 		y.do(Command{OpenSession: &OpenSession{Node: fmt.Sprint("front-", i+1), Zone: "z", Life: uint64(i + 1)}}, OK)
 	}
-	list := &Instances{Reader: 1}
+	list := &Instances{Reader: 1, Reading: 1}
 	for i := range workers {
 		list.Changed = append(list.Changed, Instance{ID: fmt.Sprint("w", i+1), Service: "s", Address: fmt.Sprint("a", i+1),
 			Zone: "z", Labels: []string{"kind", "rack"}, Capacity: job.Resources{Cpu: 4000, MemMb: 4000}})
@@ -82,8 +82,8 @@
 	if used := y.Workers["w1"].Used; used != (job.Resources{}) {
 		t.Errorf("still used: %v", used)
 	}
-	y.do(Command{Age: &Age{}}, OK)
-	y.do(Command{Age: &Age{}}, OK)
+	y.do(Command{Age: &Age{y.AgeCount + 1}}, OK)
+	y.do(Command{Age: &Age{y.AgeCount + 1}}, OK)
 	if y.Jobs[jobA] != nil {
 		t.Error("not forgotten")
 	}
@@ -148,7 +148,8 @@
 	y := newYard(t, 1, 2)
 	y.submit(jobA, job.Step{Count: 2, Cpu: 3000, Gang: true, Checkpoints: true})
 	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"}, Target{Task: task(0, 1), Worker: "w2"})
-	y.do(Command{Checkpoint: &Checkpoint{Worker: "w1", Job: jobA, Task: task(0, 0), Run: 1, Saved: "x"}}, OK)
+	y.do(Command{Checkpoint: &Checkpoint{Worker: "w1", Job: jobA, Task: task(0, 0), Run: 1, Saved: "x",
+		Token: 1, Sequence: 1}}, OK)
 	name := task(0, 1).Name(jobA)
 	if saved := y.Workers["w2"].Placed[name].Saved; saved != "" {
 		t.Errorf("a member of the run under way is to start from %q", saved)
@@ -166,7 +167,7 @@
 	y.submit(jobA, job.Step{Count: 3, Cpu: 1, AntiAffinity: 1, Requires: "kind"})
 	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"})
 	y.place(jobA, Conflict, Target{Task: task(0, 1), Worker: "w1"})
-	y.do(Command{Instances: &Instances{Reader: 1, Changed: []Instance{{ID: "w2", Service: "s", Address: "a2", Draining: true,
+	y.do(Command{Instances: &Instances{Reader: 1, Reading: 2, Changed: []Instance{{ID: "w2", Service: "s", Address: "a2", Draining: true,
 		Labels: []string{"kind"}, Capacity: job.Resources{Cpu: 4000}}}}}, OK)
 	y.place(jobA, Conflict, Target{Task: task(0, 1), Worker: "w2"})
 	y.submit("00000000000000bb", job.Step{Count: 1, Cpu: 1, Requires: "other"})
@@ -217,7 +218,7 @@
 	y := newYard(t, 1, 1)
 	y.submit(jobA, job.Step{Count: 1, Cpu: 1})
 	y.place(jobA, OK, Target{Task: task(0, 0), Worker: "w1"})
-	y.do(Command{Instances: &Instances{Reader: 1, Changed: []Instance{{ID: "w9", Service: "s", Address: "a1",
+	y.do(Command{Instances: &Instances{Reader: 1, Reading: 2, Changed: []Instance{{ID: "w9", Service: "s", Address: "a1",
 		Capacity: job.Resources{Cpu: 4000}}}}}, OK)
 	if y.Workers["w1"] != nil || y.Jobs[jobA].Task(task(0, 0)).Worker != "" {
 		t.Error("the run of the former incarnation counts as placed")
@@ -251,7 +252,7 @@
 	if again.Session != 1 {
 		t.Errorf("the same life got session %d", again.Session)
 	}
-	next := y.do(Command{OpenSession: &OpenSession{Node: "front-1", Life: 7}}, OK)
+	next := y.do(Command{OpenSession: &OpenSession{Node: "front-1", Life: 7, Behind: 1}}, OK)
 	if next.Session == 1 || y.Sessions[1] != nil || y.Workers["w1"].Owner != next.Session {
 		t.Errorf("session %d, worker owned by %d", next.Session, y.Workers["w1"].Owner)
 	}
@@ -381,11 +382,12 @@
 	worker := fmt.Sprint("w", random.IntN(4))
 	switch random.IntN(10) {
 	case 0:
-		return &Command{OpenSession: &OpenSession{Node: fmt.Sprint(random.IntN(3)), Life: uint64(random.IntN(3))}}
+		return &Command{OpenSession: &OpenSession{Node: fmt.Sprint(random.IntN(3)), Life: uint64(random.IntN(3)),
+			Behind: uint64(random.IntN(8))}}
 	case 1:
 		return &Command{CloseSession: &CloseSession{uint64(random.IntN(8))}}
 	case 2:
-		return &Command{Instances: &Instances{Reader: uint64(random.IntN(5)), Changed: []Instance{{ID: worker, Service: "s",
+		return &Command{Instances: &Instances{Reader: uint64(random.IntN(5)), Reading: uint64(random.IntN(40)), Changed: []Instance{{ID: worker, Service: "s",
 			Address: fmt.Sprint("a", random.IntN(4)), Capacity: job.Resources{Cpu: 3}}}}}
 	case 3:
 		return &Command{Submit: &Submit{job.Job{ID: id, Route: "r", Service: "s", MaxAttempts: 2,
@@ -394,7 +396,7 @@
 	case 4:
 		return &Command{Cancel: &Cancel{id}}
 	case 5:
-		return &Command{Age: &Age{}}
+		return &Command{Age: &Age{uint64(random.IntN(12))}}
 	case 6, 7:
 		return &Command{Place: &Place{Session: uint64(random.IntN(8)), Job: id, Targets: []Target{{Task: key, Worker: worker}}}}
 	default:
--- a/internal/control/cluster/commands.go
+++ b/internal/control/cluster/commands.go
@@ -1,6 +1,9 @@
 package cluster
 
-import "linnetlift/scheduling/job"
+import (
+	"linnetlift/internal/control/patch"
+	"linnetlift/scheduling/job"
+)
 
 // SessionID names a dispatcher's session: one life of its process, as long as it keeps in touch.
 type SessionID = uint64
@@ -21,6 +24,14 @@
 	ReadJob      *ReadJob      `cbor:"20,keyasint,omitempty"`
 	ReadQueue    *ReadQueue    `cbor:"21,keyasint,omitempty"`
 	ReadConfig   *ReadConfig   `cbor:"22,keyasint,omitempty"`
+	Began        *Began        `cbor:"12,keyasint,omitempty"`
+
+	// Session, Number and Settled fence a dispatcher's command against copies of it that come late: the session
+	// that sent it, its number among those of the session, and up to which number the session waits for no
+	// outcome any more. A command of a control machine has none of them.
+	Session SessionID `cbor:"30,keyasint,omitempty"`
+	Number  uint64    `cbor:"31,keyasint,omitempty"`
+	Settled uint64    `cbor:"32,keyasint,omitempty"`
 }
 
 // IsRead reports whether the command changes nothing.
@@ -33,6 +44,9 @@
 	Node string `cbor:"1,keyasint"`
 	Zone string `cbor:"2,keyasint"`
 	Life uint64 `cbor:"3,keyasint"` // drawn by the process at its start: the same life finds its own session
+	// Behind is the node's newest session when the command was sent, 0 where there was none. A command behind
+	// another one is late: it must not end the session of a later life.
+	Behind SessionID `cbor:"4,keyasint,omitempty"`
 }
 
 // CloseSession ends a session; its jobs and workers get other owners.
@@ -57,6 +71,8 @@
 	Reader  SessionID  `cbor:"1,keyasint"`
 	Changed []Instance `cbor:"2,keyasint,omitempty"`
 	Gone    []string   `cbor:"3,keyasint,omitempty"`
+	// Reading numbers what one reader has read, rising: an earlier reading that comes late changes nothing.
+	Reading uint64 `cbor:"4,keyasint"`
 }
 
 // Submit hands in a job.
@@ -133,6 +149,14 @@
 	Task   job.Key `cbor:"3,keyasint"`
 	Run    uint64  `cbor:"4,keyasint"`
 	Saved  string  `cbor:"5,keyasint"`
+	// Token and Sequence order the checkpoints of a run: by the worker's owner, then as the owner saw them.
+	Token    uint64 `cbor:"6,keyasint"`
+	Sequence uint64 `cbor:"7,keyasint"`
+}
+
+// Began tells of which jobs a task has begun.
+type Began struct {
+	Jobs []string `cbor:"1,keyasint"`
 }
 
 // Stop asks for the end of a run, by the job's owner; the task is placed again afterwards.
@@ -143,22 +167,28 @@
 	Run     uint64    `cbor:"4,keyasint"`
 }
 
-// Configure puts a configuration in force.
+// Configure puts a configuration in force. It brings the whole body, or a patch of the body of version Match
+// with the digest of what it makes.
 type Configure struct {
-	Version int64  `cbor:"1,keyasint"`
-	Match   int64  `cbor:"2,keyasint"`
-	Body    []byte `cbor:"3,keyasint"`
+	Version int64        `cbor:"1,keyasint"`
+	Match   int64        `cbor:"2,keyasint"`
+	Body    []byte       `cbor:"3,keyasint,omitempty"`
+	Patch   *patch.Patch `cbor:"4,keyasint,omitempty"`
+	Digest  []byte       `cbor:"5,keyasint,omitempty"` // SHA-256, beside a patch
 }
 
-// Age tells that a span of time has passed; jobs that were over long ago are forgotten.
-type Age struct{}
+// Age tells that a span of time has passed; jobs that were over long ago are forgotten. Count numbers the
+// spans, so that one that is told twice or late counts once.
+type Age struct {
+	Count uint64 `cbor:"1,keyasint"`
+}
 
 // ReadJob asks for a job's state.
 type ReadJob struct {
 	Job string `cbor:"1,keyasint"`
 }
 
-// ReadQueue asks how many jobs of a queue are not over.
+// ReadQueue asks of how many jobs of a queue no task has begun.
 type ReadQueue struct {
 	Route string `cbor:"1,keyasint"`
 }
@@ -176,6 +206,8 @@
 	NoRoom
 	NotFound
 	Invalid
+	Stale   // the session that sent it is over, or does not wait for its outcome any more
+	Unknown // whether it was carried out is not known any more
 )
 
 // Result answers a command.
--- /dev/null
+++ b/internal/control/cluster/configurations.go
@@ -0,0 +1,90 @@
+package cluster
+
+import (
+	"bytes"
+	"crypto/sha256"
+
+	"linnetlift/internal/control/patch"
+)
+
+// keptDigests is how many configurations are remembered as acknowledged: some minutes of changes in quick
+// succession, in 50 KB of state. A change that was acknowledged before and is sent again gets no clear answer.
+const keptDigests = 1024
+
+func digest(body []byte) []byte {
+	sum := sha256.Sum256(body)
+	return sum[:]
+}
+
+// NewConfigure returns the command that puts a body in force on top of a version: as a patch where that version
+// is the present one here.
+func (c *Cluster) NewConfigure(version, match int64, body []byte) *Configure {
+	if match != c.ConfigVersion || match == 0 {
+		return &Configure{Version: version, Match: match, Body: body}
+	}
+	made := patch.Make(c.ConfigBody, body)
+	return &Configure{Version: version, Match: match, Patch: &made, Digest: digest(body)}
+}
+
+// configure puts a configuration in force. One that was acknowledged is acknowledged again.
+func (c *Cluster) configure(command *Configure) Result {
+	sum := command.Digest
+	if command.Patch == nil {
+		sum = digest(command.Body)
+	}
+	if known := c.Acknowledged[command.Version]; known != nil && bytes.Equal(known, sum) {
+		return Result{}
+	}
+	if command.Version <= c.Forgotten && command.Match < command.Version {
+		return Result{Code: Unknown} // it may be one that was acknowledged long ago
+	}
+	if command.Match != c.ConfigVersion {
+		return Result{Code: Conflict}
+	}
+	if command.Version <= c.ConfigVersion {
+		return Result{Code: Invalid}
+	}
+	body := command.Body
+	change := command.Patch
+	if change == nil {
+		made := patch.Make(c.ConfigBody, body)
+		change = &made
+	} else if made, fits := change.Apply(c.ConfigBody); fits {
+		body = made
+	} else {
+		return Result{Code: Unknown}
+	}
+	c.tellAll(Update{Config: &ConfigUpdate{Version: command.Version, Base: c.ConfigVersion, Patch: change}})
+	c.ConfigVersion, c.ConfigBody = command.Version, body
+	c.acknowledge(command.Version, sum)
+	return Result{}
+}
+
+// acknowledge remembers a configuration in force, and forgets the oldest one where there are too many.
+func (c *Cluster) acknowledge(version int64, sum []byte) {
+	c.Acknowledged[version] = sum
+	if len(c.Acknowledged) <= keptDigests {
+		return
+	}
+	oldest := version
+	for known := range c.Acknowledged {
+		oldest = min(oldest, known)
+	}
+	delete(c.Acknowledged, oldest)
+	c.Forgotten = max(c.Forgotten, oldest)
+}
+
+// WholeConfig returns the update that brings the configuration in force as a whole; it is nil before there is one.
+func (c *Cluster) WholeConfig() *ConfigUpdate {
+	if c.ConfigVersion == 0 {
+		return nil
+	}
+	return &ConfigUpdate{Version: c.ConfigVersion, Body: c.ConfigBody}
+}
+
+func (c *Cluster) readConfig() Result {
+	if c.ConfigVersion == 0 {
+		return Result{Code: NotFound}
+	}
+	return Result{Body: c.ConfigBody}
+}
--- a/internal/control/cluster/fuzz_test.go
+++ b/internal/control/cluster/fuzz_test.go
@@ -22,7 +22,7 @@
 	add(Command{Ended: &Ended{Worker: "w1", Job: "j1", Task: job.Key{Time: -1, Step: 9}, Run: 1, How: How(200)}})
 	add(Command{Submit: &Submit{job.Job{ID: "j2", Service: "s", Owner: 1, Request: job.Request{Steps: []job.Step{{Count: 1}}}}}})
 	add(Command{Configure: &Configure{Version: 3, Body: []byte("{}")}})
-	add(Command{Instances: &Instances{Reader: 1, Gone: []string{"w1"}}})
+	add(Command{Instances: &Instances{Reader: 1, Reading: 1, Gone: []string{"w1"}}})
 	add(Command{CloseSession: &CloseSession{Session: 1}})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		command := Command{}
--- a/internal/control/cluster/jobs.go
+++ b/internal/control/cluster/jobs.go
@@ -12,7 +12,7 @@
 	}
 	accepted := command.Job
 	c.NextJob++
-	accepted.Number = c.NextJob
+	accepted.Number, accepted.Begun = c.NextJob, false
 	accepted.Tasks, accepted.Done = map[job.Key]*job.Task{}, map[job.StepKey]int{}
 	if c.Sessions[accepted.Owner] == nil {
 		accepted.Owner = c.choose(accepted.ID, "")
@@ -45,15 +45,33 @@
 // finish ends a job: what still runs of it is stopped.
 func (c *Cluster) finish(owned *job.Job, state job.State) {
 	owned.State, owned.EndedAge = state, c.AgeCount
-	if c.Pending[owned.Route]--; c.Pending[owned.Route] <= 0 {
-		delete(c.Pending, owned.Route)
-	}
+	c.begin(owned)
 	for _, key := range owned.SortedKeys() {
 		c.stopTask(owned, key)
 	}
 	c.tell(owned.Owner, Update{JobState: &JobState{owned.ID, state}})
 }
 
+// begin counts a job no longer among those of which no task has begun.
+func (c *Cluster) begin(owned *job.Job) {
+	if owned.Begun {
+		return
+	}
+	owned.Begun = true
+	if c.Pending[owned.Route]--; c.Pending[owned.Route] <= 0 {
+		delete(c.Pending, owned.Route)
+	}
+}
+
+func (c *Cluster) began(command *Began) Result {
+	for _, id := range command.Jobs {
+		if owned := c.Jobs[id]; owned != nil {
+			c.begin(owned)
+		}
+	}
+	return Result{}
+}
+
 // stopTask asks the worker's owner for the end of a run.
 func (c *Cluster) stopTask(owned *job.Job, key job.Key) {
 	task := owned.Tasks[key]
@@ -119,7 +137,7 @@
 	if worker.Placed == nil { // an empty one is left out of snapshots
 		worker.Placed = map[string]Run{}
 	}
-	worker.Placed[name] = Run{run, task.Saved}
+	worker.Placed[name] = Run{Number: run, Saved: task.Saved}
 	c.use(worker, owned.Request.Steps[target.Task.Step].Asks())
 	placement := c.placement(worker, name)
 	placement.Fresh = true
@@ -172,10 +190,13 @@
 		return Result{Code: Conflict}
 	}
 	name := command.Task.Name(command.Job)
-	if worker == nil || owned == nil || command.Run == 0 || !owned.Has(command.Task) {
+	if owned == nil || command.Run == 0 || !owned.Has(command.Task) {
 		return Result{}
 	}
-	if worker.Placed[name].Number != command.Run {
+	if command.How < NotStarted {
+		c.begin(owned)
+	}
+	if worker == nil || worker.Placed[name].Number != command.Run {
 		c.endedBefore(owned, command)
 		return Result{}
 	}
@@ -274,9 +295,18 @@
 
 func (c *Cluster) checkpoint(command *Checkpoint) Result {
 	worker, owned := c.Workers[command.Worker], c.Jobs[command.Job]
-	if worker == nil || owned == nil || worker.Placed[command.Task.Name(command.Job)].Number != command.Run {
+	if worker == nil || owned == nil {
 		return Result{}
 	}
+	name := command.Task.Name(command.Job)
+	run := worker.Placed[name]
+	late := command.Token < run.Token || command.Token == run.Token && command.Sequence <= run.Sequence
+	if run.Number == 0 || run.Number != command.Run || late {
+		return Result{}
+	}
+	run.Token, run.Sequence = command.Token, command.Sequence
+	worker.Placed[name] = run
+	c.begin(owned)
 	c.save(owned, command.Task, command.Saved)
 	return Result{}
 }
@@ -309,9 +339,13 @@
 	return Result{}
 }
 
-// age forgets jobs that have been over for long and have nothing placed any more.
-func (c *Cluster) age() Result {
+// age forgets jobs that have been over for long and have nothing placed any more. Each span counts once.
+func (c *Cluster) age(command *Age) Result {
+	if command.Count != c.AgeCount+1 {
+		return Result{Code: Conflict}
+	}
 	c.AgeCount++
+	c.forgetSessions()
 	for _, id := range sortedKeys(c.Jobs) {
 		owned := c.Jobs[id]
 		if !owned.State.Over() || owned.EndedAge+c.keepAges > c.AgeCount || anyPlaced(owned) {
--- a/internal/control/cluster/updates.go
+++ b/internal/control/cluster/updates.go
@@ -1,6 +1,9 @@
 package cluster
 
-import "linnetlift/scheduling/job"
+import (
+	"linnetlift/internal/control/patch"
+	"linnetlift/scheduling/job"
+)
 
 // Update tells dispatchers what has changed; one field is set.
 type Update struct {
@@ -17,10 +20,13 @@
 	Sessions      []SessionID    `cbor:"11,keyasint,omitempty"`
 }
 
-// ConfigUpdate brings a configuration that is in force from now on.
+// ConfigUpdate brings a configuration that is in force from now on: the whole body, or a patch of the body of
+// version Base.
 type ConfigUpdate struct {
-	Version int64  `cbor:"1,keyasint"`
-	Body    []byte `cbor:"2,keyasint"`
+	Version int64        `cbor:"1,keyasint"`
+	Body    []byte       `cbor:"2,keyasint,omitempty"`
+	Base    int64        `cbor:"3,keyasint,omitempty"`
+	Patch   *patch.Patch `cbor:"4,keyasint,omitempty"`
 }
 
 // Used tells how much of a worker is taken.
@@ -55,6 +61,7 @@
 	Lasting    bool   `cbor:"9,keyasint,omitempty"`  // it runs until it is stopped
 	EstimateMs int64  `cbor:"10,keyasint,omitempty"` // the client's guess
 	Fresh      bool   `cbor:"8,keyasint,omitempty"`  // placed just now: nobody has ordered it yet
+	First      bool   `cbor:"11,keyasint,omitempty"` // no task of the job is known to have begun
 }
 
 // PlacementGone tells the owner of a worker that a run is over for the system.
--- a/internal/control/cluster/workers.go
+++ b/internal/control/cluster/workers.go
@@ -11,6 +11,10 @@
 	if command.Reader != c.Reader() {
 		return Result{Code: Conflict}
 	}
+	if command.Reader == c.ReadBy && command.Reading <= c.Reading {
+		return Result{} // an earlier reading that comes late
+	}
+	c.ReadBy, c.Reading = command.Reader, command.Reading
 	for i := range command.Changed {
 		c.instance(command.Changed[i])
 	}
@@ -85,6 +89,7 @@
 		Saves:      owned.Request.Steps[key.Step].Checkpoints,
 		Lasting:    owned.Request.Steps[key.Step].LongRunning,
 		EstimateMs: owned.Request.Steps[key.Step].EstimateMs,
+		First:      !owned.Begun,
 	}
 }
 
--- a/internal/control/link/link.go
+++ b/internal/control/link/link.go
@@ -21,20 +21,23 @@
 	Node string `cbor:"1,keyasint"`
 	Zone string `cbor:"2,keyasint"`
 	Life uint64 `cbor:"3,keyasint"`
+	// Config is the version of the configuration that the dispatcher has, so that it need not be sent again.
+	Config int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Tagged is a command with the dispatcher's name for it.
 type Tagged struct {
 	Tag     uint64          `cbor:"1,keyasint"`
-	Read    bool            `cbor:"2,keyasint,omitempty"`
 	Command cbor.RawMessage `cbor:"3,keyasint"`
 }
 
-// Up goes from a dispatcher to its control machine. An empty one is a heartbeat.
+// Up goes from a dispatcher to its control machine. One without commands is a heartbeat.
 type Up struct {
 	Hello    *Hello   `cbor:"1,keyasint,omitempty"`
 	Commands []Tagged `cbor:"2,keyasint,omitempty"`
 	Goodbye  bool     `cbor:"3,keyasint,omitempty"` // the process ends in order
+	// Config acknowledges the configuration that is in force at the dispatcher.
+	Config int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Outcome answers a Tagged.
--- a/internal/control/server/dispatchers.go
+++ b/internal/control/server/dispatchers.go
@@ -26,7 +26,8 @@
 	conn     *frame.Conn
 	hello    link.Hello
 	session  cluster.SessionID
-	snapshot bool // its session is open, and the snapshot is due
+	snapshot bool  // its session is open, and the snapshot is due
+	config   int64 // version that it has acknowledged
 	down     link.Down
 	quiet    int
 }
@@ -77,11 +78,12 @@
 		s.attach(d, up.Hello)
 	}
 	if up.Goodbye && d.session != 0 {
-		s.submit(&cluster.Command{CloseSession: &cluster.CloseSession{Session: d.session}}, nil, func(cluster.Result) {})
+		s.submit(&cluster.Command{CloseSession: &cluster.CloseSession{Session: d.session}}, func(cluster.Result) {})
 	}
 	if !s.dispatchers[d] {
 		return
 	}
+	d.config = max(d.config, up.Config)
 	for i := range up.Commands {
 		s.receiveCommand(d, &up.Commands[i])
 	}
@@ -95,9 +97,19 @@
 	}
 	delete(s.waiting, d)
 	s.dispatchers[d] = true
-	open := &cluster.OpenSession{Node: hello.Node, Zone: hello.Zone, Life: hello.Life}
-	s.submit(&cluster.Command{OpenSession: open}, nil, func(result cluster.Result) {
-		if s.dispatchers[d] {
+	s.openSession(d, s.cluster.NewestSession(hello.Node))
+}
+
+// openSession opens a dispatcher's session behind the newest one that its node has had.
+func (s *Server) openSession(d *dispatcher, behind cluster.SessionID) {
+	open := &cluster.Command{OpenSession: &cluster.OpenSession{Node: d.hello.Node, Zone: d.hello.Zone, Life: d.hello.Life,
+		Behind: behind}}
+	s.submitFor(d, open, link.Encode(open), func(result cluster.Result) {
+		switch {
+		case !s.dispatchers[d]:
+		case result.Code == cluster.Conflict:
+			s.openSession(d, result.Session) // there was a newer one, which this replica had not applied
+		default:
 			d.session, d.snapshot = result.Session, true
 			s.bySession[d.session] = d
 		}
@@ -124,7 +136,7 @@
 		return
 	}
 	tag := tagged.Tag
-	s.submit(command, tagged.Command, func(result cluster.Result) {
+	s.submitFor(d, command, tagged.Command, func(result cluster.Result) {
 		d.down.Outcomes = append(d.down.Outcomes, link.Outcome{Tag: tag, Result: result})
 	})
 }
@@ -135,6 +147,7 @@
 		return
 	}
 	delete(s.dispatchers, d)
+	s.forgetRequests(d)
 	if s.bySession[d.session] == d {
 		delete(s.bySession, d.session)
 	}
@@ -168,13 +181,10 @@
 func (s *Server) deliver() {
 	s.attachWaiting()
 	s.addUpdates()
-	var shared []cbor.RawMessage // the same for all that come at once, as after a change of view
+	var shared sharedSnapshot
 	for d := range s.dispatchers {
 		if d.snapshot {
-			if shared == nil {
-				shared = encodeAll(s.cluster.SharedSnapshot())
-			}
-			s.addSnapshot(d, shared)
+			s.addSnapshot(d, &shared)
 		}
 		if len(d.down.Updates) == 0 && len(d.down.Outcomes) == 0 && d.down.Session == 0 {
 			continue
@@ -219,11 +229,37 @@
 	s.updates = nil
 }
 
-func (s *Server) addSnapshot(d *dispatcher, shared []cbor.RawMessage) {
+// sharedSnapshot keeps the parts of snapshots that are the same for all dispatchers that come at once, as
+// after a change of view.
+type sharedSnapshot struct {
+	state  []cbor.RawMessage
+	config []cbor.RawMessage
+}
+
+func (s *Server) addSnapshot(d *dispatcher, shared *sharedSnapshot) {
+	if shared.state == nil {
+		shared.state = encodeAll(s.cluster.SharedSnapshot())
+	}
 	d.snapshot = false
 	d.down.Session = d.session
 	d.down.Controls = s.controls()
-	d.down.Updates = append(slices.Clone(shared), encodeAll(s.cluster.OwnSnapshot(d.session))...)
+	d.down.Updates = slices.Concat(s.configFor(d, shared), shared.state, encodeAll(s.cluster.OwnSnapshot(d.session)))
+}
+
+// configFor returns what brings a dispatcher from the configuration that it has to the one in force: nothing, the
+// changes since, or the whole.
+func (s *Server) configFor(d *dispatcher, shared *sharedSnapshot) []cbor.RawMessage {
+	whole := s.cluster.WholeConfig()
+	if whole == nil || d.hello.Config == whole.Version {
+		return nil
+	}
+	if since := s.changes.since(d.hello.Config); since != nil {
+		return encodeAll(since)
+	}
+	if shared.config == nil {
+		shared.config = encodeAll([]cluster.Update{{Config: whole}})
+	}
+	return shared.config
 }
 
 func encodeAll(updates []cluster.Update) []cbor.RawMessage {
--- a/internal/control/server/engine.go
+++ b/internal/control/server/engine.go
@@ -4,8 +4,10 @@
 package server
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -37,6 +39,7 @@
 	data    []byte
 	read    bool
 	command *cluster.Command
+	from    *dispatcher          // whose command it is; nil: this machine's own or an operator's
 	done    func(cluster.Result) // called by the engine
 	sentAt  time.Duration
 }
@@ -68,6 +71,7 @@
 	nextTag     uint64
 	outgoing    []chain.Proposal // for the head
 	updates     []cluster.Addressed
+	changes     recentChanges
 	dispatchers map[*dispatcher]bool
 	bySession   map[cluster.SessionID]*dispatcher
 	seen        map[cluster.SessionID]time.Duration // by the head: when a session was last in touch
@@ -113,7 +117,7 @@
 		nextTag:     rand.Uint64() >> 8,
 		ended:       make(chan struct{}),
 	}
-	if recovered.Snapshot.Index > 0 && !link.Decode(recovered.Snapshot.Data, &server.cluster.State) {
+	if recovered.Snapshot.Index > 0 && !server.restoreState(recovered.Snapshot.Data) {
 		return nil, errors.Errorf("%s: the snapshot can't be read; replace this disk, or empty the folder so that this machine joins anew", s.DataDir)
 	}
 	server.applied = recovered.Snapshot.Index
@@ -297,16 +301,25 @@
 	s.disk.add(diskJob{reset: true,
 		snapshot: &segment.Snapshot{Index: index, Epoch: snapshot.IndexEpoch, Data: snapshot.Data},
 		done:     func() { s.replica.Restored(index) }})
-	state := cluster.State{}
-	if !link.Decode(snapshot.Data, &state) {
+	if !s.restoreState(snapshot.Data) {
 		s.logger.Error().Msg("a snapshot from another member can't be read; this member stays incomplete")
 		return
 	}
-	s.cluster.State = state
 	s.applied = index
 	s.dropDispatchers()
 }
 
+// restoreState puts the state of a snapshot in force, and reports whether it can be read.
+func (s *Server) restoreState(data []byte) bool {
+	state := cluster.State{}
+	if !link.Decode(data, &state) {
+		return false
+	}
+	s.cluster.Restore(state)
+	s.changes.clear()
+	return true
+}
+
 func (s *Server) apply(entry *chain.Entry) {
 	command := &cluster.Command{}
 	s.applied = entry.Index
@@ -314,7 +327,13 @@
 		return
 	}
 	result := s.cluster.Apply(command)
-	s.updates = append(s.updates, s.cluster.TakeUpdates()...)
+	updates := s.cluster.TakeUpdates()
+	s.updates = append(s.updates, updates...)
+	for i := range updates {
+		if updates[i].Update.Config != nil {
+			s.changes.add(updates[i].Update.Config)
+		}
+	}
 	if entry.Origin == s.register.Me().ID {
 		s.answer(entry.Tag, result)
 	}
@@ -335,15 +354,39 @@
 
 // submit sends a command through the chain. It is sent again until it has an outcome, so
 // every command must be one that may be carried out twice.
-func (s *Server) submit(command *cluster.Command, data []byte, done func(cluster.Result)) uint64 {
-	if data == nil {
-		data = link.Encode(command)
-	}
+func (s *Server) submit(command *cluster.Command, done func(cluster.Result)) {
+	s.submitFor(nil, command, link.Encode(command), done)
+}
+
+// submitFor sends a dispatcher's command through the chain. The dispatcher sends it again itself once it has
+// another connection, so nothing of it is kept here after that.
+func (s *Server) submitFor(from *dispatcher, command *cluster.Command, data []byte, done func(cluster.Result)) {
 	s.nextTag++
-	waiting := &request{data: data, command: command, read: command.IsRead(), done: done, sentAt: s.now()}
+	waiting := &request{data: data, command: command, read: command.IsRead(), from: from, done: done, sentAt: s.now()}
 	s.pending[s.nextTag] = waiting
 	s.propose(s.nextTag, waiting)
-	return s.nextTag
+}
+
+// abandon gives up all commands without an outcome: this member has lost the majority, or its place in the
+// chain. Whoever waits is told that the outcome is unknown. On its return the member proposes nothing that has
+// grown old meanwhile.
+func (s *Server) abandon() {
+	given := s.pending
+	s.pending, s.outgoing = map[uint64]*request{}, nil
+	for _, waiting := range given {
+		if waiting.from == nil {
+			waiting.done(cluster.Result{Code: cluster.Unknown})
+		}
+	}
+}
+
+// forgetRequests gives up the commands of a dispatcher that is connected here no more.
+func (s *Server) forgetRequests(d *dispatcher) {
+	for tag, waiting := range s.pending {
+		if waiting.from == d {
+			delete(s.pending, tag)
+		}
+	}
 }
 
 func (s *Server) propose(tag uint64, r *request) {
@@ -355,10 +398,10 @@
 	s.outgoing = append(s.outgoing, proposal)
 }
 
-// resend proposes anew what has been without an outcome for so long.
+// resend proposes anew what has been without an outcome for so long, in the order in which it came in.
 func (s *Server) resend(after time.Duration) {
-	for tag, waiting := range s.pending {
-		if s.now()-waiting.sentAt >= after {
+	for _, tag := range slices.Sorted(maps.Keys(s.pending)) {
+		if waiting := s.pending[tag]; s.now()-waiting.sentAt >= after {
 			s.propose(tag, waiting)
 		}
 	}
@@ -390,6 +433,7 @@
 	s.fetchSome()
 	if !s.standing() {
 		s.dropDispatchers()
+		s.abandon()
 	}
 	s.dispatcherTick()
 	if s.replica.IsHead() && s.replica.Serves() {
--- a/internal/control/server/head.go
+++ b/internal/control/server/head.go
@@ -24,7 +24,7 @@
 			delete(s.broken, id)
 			s.seen[id] = now // asked for once
 			s.logger.Info().Uint64("session", id).Str("node", s.cluster.Sessions[id].Node).Msg("session over: silent")
-			s.submit(&cluster.Command{CloseSession: &cluster.CloseSession{Session: id}}, nil, func(cluster.Result) {})
+			s.submit(&cluster.Command{CloseSession: &cluster.CloseSession{Session: id}}, func(cluster.Result) {})
 		}
 	}
 	for id := range s.seen {
@@ -35,7 +35,8 @@
 	}
 	if now-s.agedAt >= ageEvery {
 		s.agedAt = now
-		s.submit(&cluster.Command{Age: &cluster.Age{}}, nil, func(cluster.Result) {})
+		age := &cluster.Age{Count: s.cluster.AgeCount + 1}
+		s.submit(&cluster.Command{Age: age}, func(cluster.Result) {})
 	}
 }
 
--- a/internal/control/server/operator.go
+++ b/internal/control/server/operator.go
@@ -18,23 +18,24 @@
 	answerWithin   = 3 * time.Second
 )
 
-// ask sends a command through the chain and waits for its outcome.
-func (s *Server) ask(command *cluster.Command) (cluster.Result, bool) {
+// ask sends a command through the chain and waits for its outcome, which is Unknown where none comes in time.
+// The command is made by the engine, from the state here.
+func (s *Server) ask(command func() *cluster.Command) cluster.Result {
 	answer := make(chan cluster.Result, 1)
 	s.do(func() {
 		if s.inTouch() {
-			s.submit(command, nil, func(result cluster.Result) { answer <- result })
+			s.submit(command(), func(result cluster.Result) { answer <- result })
 		} else {
-			close(answer)
+			answer <- cluster.Result{Code: cluster.Unknown}
 		}
 	})
 	timer := time.NewTimer(answerWithin)
 	defer timer.Stop()
 	select {
-	case result, known := <-answer:
-		return result, known
+	case result := <-answer:
+		return result
 	case <-timer.C:
-		return cluster.Result{}, false
+		return cluster.Result{Code: cluster.Unknown}
 	}
 }
 
@@ -58,32 +59,38 @@
 		http.Error(w, fault.Error(), http.StatusBadRequest)
 		return
 	}
-	result, known := s.ask(&cluster.Command{Configure: &cluster.Configure{
-		Version: configured.Version, Match: match, Body: body}})
-	switch {
-	case !known:
+	result := s.ask(func() *cluster.Command {
+		return &cluster.Command{Configure: s.cluster.NewConfigure(configured.Version, match, body)}
+	})
+	switch result.Code {
+	case cluster.Unknown:
 		http.Error(w, "no outcome yet; send the same again", http.StatusServiceUnavailable)
-	case result.Code == cluster.Conflict:
+	case cluster.Conflict:
 		http.Error(w, "another version is current", http.StatusPreconditionFailed)
-	case result.Code != cluster.OK:
+	case cluster.Invalid:
 		http.Error(w, "Version: must be above the current one", http.StatusBadRequest)
-	default:
+	case cluster.OK:
 		s.logger.Info().Int64("version", configured.Version).Msg("configuration acknowledged")
 		w.WriteHeader(http.StatusOK)
+	default:
+		s.logger.Error().Uint8("code", uint8(result.Code)).Msg("an outcome that no configuration has")
+		http.Error(w, "no outcome yet; send the same again", http.StatusServiceUnavailable)
 	}
 }
 
 func (s *Server) getConfig(w http.ResponseWriter, r *http.Request) {
-	result, known := s.ask(&cluster.Command{ReadConfig: &cluster.ReadConfig{}})
-	switch {
-	case !known:
-		http.Error(w, "not in touch with the other control machines", http.StatusServiceUnavailable)
-	case result.Code == cluster.NotFound:
+	result := s.ask(func() *cluster.Command {
+		return &cluster.Command{ReadConfig: &cluster.ReadConfig{}}
+	})
+	switch result.Code {
+	case cluster.NotFound:
 		http.Error(w, "no configuration yet", http.StatusNotFound)
-	default:
+	case cluster.OK:
 		w.Header().Set("Content-Type", "application/json")
 		w.Header().Set("ETag", `"`+strconv.FormatInt(s.version(result.Body), 10)+`"`)
 		w.Write(result.Body)
+	default:
+		http.Error(w, "not in touch with the other control machines", http.StatusServiceUnavailable)
 	}
 }
 
@@ -112,6 +119,7 @@
 	Open       int // jobs that are not over
 	StalledMs  int64
 	Dispatched int // dispatchers connected here
+	Behind     int // of these, dispatchers that have not acknowledged the configuration in force
 }
 
 func (s *Server) currentStatus() Status {
@@ -128,8 +136,15 @@
 		for _, member := range v.Electors {
 			status.Electors = append(status.Electors, member.Node)
 		}
-		for _, count := range s.cluster.Pending {
-			status.Open += count
+		for _, known := range s.cluster.Jobs {
+			if !known.State.Over() {
+				status.Open++
+			}
+		}
+		for d := range s.dispatchers {
+			if d.config < s.cluster.ConfigVersion {
+				status.Behind++
+			}
 		}
 		answer <- status
 	})
@@ -168,6 +183,7 @@
 		{"yardflow_jobs_open", int64(status.Open)},
 		{"yardflow_disk_stalled_ms", status.StalledMs},
 		{"yardflow_dispatchers_connected", int64(status.Dispatched)},
+		{"yardflow_dispatchers_behind", int64(status.Behind)},
 	}
 	for _, figure := range figures {
 		io.WriteString(w, figure.name+" "+strconv.FormatInt(figure.value, 10)+"\n")
--- a/internal/dataplane/dataplane_test.go
+++ b/internal/dataplane/dataplane_test.go
@@ -48,6 +48,7 @@
 		done := make(chan struct{})
 		d.do(func() {
 			d.setConfig(&cluster.ConfigUpdate{Version: 3, Body: []byte(config)})
+			d.readConfig()
 			close(done)
 		})
 		<-done
@@ -110,6 +111,7 @@
 	done := make(chan struct{})
 	d.do(func() {
 		d.setConfig(&cluster.ConfigUpdate{Version: 2, Body: []byte(strings.Replace(config, `"Version":3`, `"Version":2`, 1))})
+		d.readConfig()
 		close(done)
 	})
 	<-done
--- a/internal/dataplane/dispatcher.go
+++ b/internal/dataplane/dispatcher.go
@@ -36,17 +36,22 @@
 	uplink   *uplink
 	sessions []cluster.SessionID
 	config   atomic.Pointer[configuration.Configuration]
-	workers  map[string]*cluster.Worker
-	placers  map[string]*placement.Placer // by service
-	jobs     map[string]*ownedJob
-	dirty    map[string]bool // jobs to look through for ready tasks
-	owned    map[string]*ownedWorker
-	reader   *reader
-	finals   map[string]job.State // states of jobs that were over when they were read
-	stopping atomic.Bool
-	attached atomic.Bool
-	lostAt   atomic.Int64
-
+	body     []byte // the newest configuration told, of version bodyVersion; it is read by the next flush
+
+	bodyVersion int64
+	workers     map[string]*cluster.Worker
+	placers     map[string]*placement.Placer // by service
+	jobs        map[string]*ownedJob
+	dirty       map[string]bool // jobs to look through for ready tasks
+	owned       map[string]*ownedWorker
+	reader      *reader
+	finals      map[string]job.State // states of jobs that were over when they were read
+	stopping    atomic.Bool
+	attached    atomic.Bool
+	lostAt      atomic.Int64
+
+	begun       map[string]bool // jobs of which a first task began here, to be told
+	begunToldAt time.Duration
 	explainedAt time.Duration
 	ended       chan struct{} // closed once the engine has ended
 }
@@ -66,6 +71,7 @@
 		dirty:    map[string]bool{},
 		owned:    map[string]*ownedWorker{},
 		finals:   map[string]job.State{},
+		begun:    map[string]bool{},
 	}
 	d.uplink = newUplink(d, rand.Uint64()>>1|1)
 	d.uplink.controls = s.Seeds
@@ -140,6 +146,7 @@
 		worker.agent.Tick(now, mayRenew)
 	}
 	d.dueJobs()
+	d.tellBegun(now)
 	d.explain(now)
 }
 
@@ -162,6 +169,7 @@
 // flush lets whatever the event made possible follow.
 func (d *Dispatcher) flush() {
 	now := d.now()
+	d.readConfig()
 	d.enqueueReady(now)
 	d.decide(now)
 	for _, worker := range d.owned {
@@ -172,26 +180,34 @@
 	d.lostAt.Store(int64(d.uplink.lostAt))
 }
 
+// attempt is one attempt to open the session at a control machine.
+type attempt struct {
+	address string // "": none is known
+	hello   link.Hello
+}
+
 // nextControl returns the control machine to dial next: those in the own zone can't be told from
 // others by address, so the order is a fixed one that differs between dispatchers.
-func (d *Dispatcher) nextControl(attempt int) string {
-	answer := make(chan string, 1)
+func (d *Dispatcher) nextControl(count int) attempt {
+	answer := make(chan attempt, 1)
 	d.do(func() {
+		hello := d.uplink.hello
+		hello.Config = d.bodyVersion
 		list := append([]string{}, d.uplink.controls...)
-		if attempt%5 == 4 || len(list) == 0 {
+		if count%5 == 4 || len(list) == 0 {
 			list = d.freshSeeds()
 		}
 		if len(list) == 0 {
-			answer <- ""
+			answer <- attempt{}
 			return
 		}
-		answer <- list[(int(d.uplink.hello.Life%1024)+attempt)%len(list)]
+		answer <- attempt{list[(int(hello.Life%1024)+count)%len(list)], hello}
 	})
 	select {
-	case address := <-answer:
-		return address
+	case next := <-answer:
+		return next
 	case <-d.ended:
-		return ""
+		return attempt{}
 	}
 }
 
@@ -273,19 +289,6 @@
 	d.uplink.reconnect()
 }
 
-func (d *Dispatcher) setConfig(update *cluster.ConfigUpdate) {
-	if current := d.config.Load(); current != nil && current.Version >= update.Version {
-		return // a process never goes back
-	}
-	read, fault := configuration.Read(update.Body)
-	if fault != nil {
-		d.logger.Error().Str("fault", fault.Error()).Msg("a configuration in force can't be read")
-		return
-	}
-	d.config.Store(read)
-	d.logger.Info().Int64("version", read.Version).Msg("configuration in force")
-}
-
 func (d *Dispatcher) placer(service string) *placement.Placer {
 	placer := d.placers[service]
 	if placer == nil {
--- a/internal/dataplane/intake.go
+++ b/internal/dataplane/intake.go
@@ -101,12 +101,13 @@
 		sent   bool
 	}
 	answers := make(chan reply, 1)
+	tag := uint64(0) // belongs to the engine
 	d.do(func() {
 		if !d.uplink.attached {
 			answers <- reply{}
 			return
 		}
-		d.uplink.submit(command(), func(result cluster.Result) { answers <- reply{result, true} })
+		tag = d.uplink.submit(command(), func(result cluster.Result) { answers <- reply{result, true} })
 	})
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -117,10 +118,12 @@
 		}
 		return got.result, answered
 	case <-timer.C:
-		return cluster.Result{}, unknown
 	case <-r.Context().Done():
-		return cluster.Result{}, unknown
 	}
+	// The client is told nothing, or that the outcome is unknown, and sends the same again: a copy that went out
+	// again much later could find the job forgotten, and start it anew.
+	d.do(func() { d.uplink.forget(tag) })
+	return cluster.Result{}, unknown
 }
 
 func (d *Dispatcher) submit(w http.ResponseWriter, r *http.Request, config *configuration.Configuration,
--- a/internal/dataplane/jobs.go
+++ b/internal/dataplane/jobs.go
@@ -1,6 +1,8 @@
 package dataplane
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"linnetlift/internal/control/cluster"
@@ -211,6 +213,20 @@
 	}
 }
 
+// begunEvery is how often the control machines are told which jobs have begun: counts of a queue may be 2 s old.
+const begunEvery = 500 * time.Millisecond
+
+// tellBegun tells of which jobs a first task has begun here.
+func (d *Dispatcher) tellBegun(now time.Duration) {
+	if len(d.begun) == 0 || now-d.begunToldAt < begunEvery {
+		return
+	}
+	d.begunToldAt = now
+	began := &cluster.Began{Jobs: slices.Sorted(maps.Keys(d.begun))}
+	clear(d.begun)
+	d.uplink.submit(&cluster.Command{Began: began}, func(cluster.Result) {})
+}
+
 // decide lets every placer decide, and brings the decisions to the control machines.
 func (d *Dispatcher) decide(now time.Duration) {
 	if !d.uplink.attached {
--- a/internal/dataplane/reader.go
+++ b/internal/dataplane/reader.go
@@ -31,6 +31,7 @@
 	client     *http.Client
 	busy       bool
 	readAt     time.Duration
+	readings   uint64         // lists reported
 	missing    map[string]int // lists in a row that lack a worker
 	stopped    atomic.Bool
 }
@@ -157,6 +158,8 @@
 		}
 	}
 	if len(command.Changed)+len(command.Gone) > 0 {
+		r.readings++
+		command.Reading = r.readings
 		d.uplink.submit(&cluster.Command{Instances: command}, func(cluster.Result) {})
 	}
 }
--- a/internal/dataplane/uplink.go
+++ b/internal/dataplane/uplink.go
@@ -23,8 +23,8 @@
 
 // pendingCommand is a command without an outcome. It goes out again on each new connection.
 type pendingCommand struct {
-	tagged link.Tagged
-	done   func(cluster.Result)
+	command *cluster.Command
+	done    func(cluster.Result)
 }
 
 // uplink keeps one connection to a control machine. Its state belongs to the engine.
@@ -43,7 +43,7 @@
 	nextTag  uint64
 	pending  map[uint64]*pendingCommand
 	order    []uint64 // tags of pending, in order
-	outgoing []link.Tagged
+	outgoing []uint64 // tags of commands to be sent
 }
 
 func newUplink(d *Dispatcher, life uint64) *uplink {
@@ -55,13 +55,35 @@
 // that may be carried out twice.
 func (u *uplink) submit(command *cluster.Command, done func(cluster.Result)) uint64 {
 	u.nextTag++
-	tagged := link.Tagged{Tag: u.nextTag, Read: command.IsRead(), Command: link.Encode(command)}
-	u.pending[u.nextTag] = &pendingCommand{tagged, done}
+	u.pending[u.nextTag] = &pendingCommand{command, done}
 	u.order = append(u.order, u.nextTag)
-	u.outgoing = append(u.outgoing, tagged)
+	u.outgoing = append(u.outgoing, u.nextTag)
 	return u.nextTag
 }
 
+// forget gives up waiting for a command's outcome. It is not sent again, and a copy of it that is still on its
+// way is refused by the state once it knows.
+func (u *uplink) forget(tag uint64) { delete(u.pending, tag) }
+
+// settled returns the number up to which no command waits for its outcome.
+func (u *uplink) settled() uint64 {
+	for len(u.order) > 0 && u.pending[u.order[0]] == nil {
+		u.order = u.order[1:]
+	}
+	if len(u.order) == 0 {
+		return u.nextTag
+	}
+	return u.order[0] - 1
+}
+
+// encode writes a command with the fences of the present session.
+func (u *uplink) encode(tag uint64, command *cluster.Command, settled uint64) link.Tagged {
+	if !command.IsRead() {
+		command.Session, command.Number, command.Settled = u.session, tag, settled
+	}
+	return link.Tagged{Tag: tag, Command: link.Encode(command)}
+}
+
 // flush sends what has gathered.
 func (u *uplink) flush(now time.Duration) {
 	if !u.attached || u.conn == nil {
@@ -72,16 +94,23 @@
 		return
 	}
 	u.sentAt = now
-	u.conn.Send(link.Encode(link.Up{Commands: u.outgoing}))
+	up := link.Up{Config: u.dispatcher.configInForce()}
+	settled := u.settled()
+	for _, tag := range u.outgoing {
+		if waiting := u.pending[tag]; waiting != nil {
+			up.Commands = append(up.Commands, u.encode(tag, waiting.command, settled))
+		}
+	}
 	u.outgoing = nil
+	u.conn.Send(link.Encode(up))
 }
 
 // run dials control machines, one after the other, for as long as the process lives.
 func (u *uplink) run() {
 	pause := redialPause
 	for attempt := 0; !u.dispatcher.isEnded(); attempt++ {
-		address := u.dispatcher.nextControl(attempt)
-		if address != "" && u.serve(address) {
+		next := u.dispatcher.nextControl(attempt)
+		if next.address != "" && u.serve(next) {
 			pause = redialPause
 			continue
 		}
@@ -94,13 +123,13 @@
 }
 
 // serve carries one connection to its end, and reports whether it was of use.
-func (u *uplink) serve(address string) bool {
-	conn, err := frame.Dial(u.dispatcher.network, address, link.DispatcherPath, dialWithin)
+func (u *uplink) serve(next attempt) bool {
+	conn, err := frame.Dial(u.dispatcher.network, next.address, link.DispatcherPath, dialWithin)
 	if err != nil {
 		return false
 	}
 	defer conn.Close()
-	conn.Send(link.Encode(link.Up{Hello: &u.hello}))
+	conn.Send(link.Encode(link.Up{Hello: &next.hello}))
 	stop := make(chan struct{})
 	defer close(stop)
 	go beat(conn, stop)
@@ -159,10 +188,19 @@
 	}
 	u.dispatcher.receiveUpdates(down)
 	for _, outcome := range down.Outcomes {
-		if waiting := u.pending[outcome.Tag]; waiting != nil {
-			delete(u.pending, outcome.Tag)
-			waiting.done(outcome.Result)
-		}
+		u.receiveOutcome(outcome)
+	}
+}
+
+func (u *uplink) receiveOutcome(outcome link.Outcome) {
+	waiting := u.pending[outcome.Tag]
+	switch {
+	case waiting == nil:
+	case outcome.Result.Code == cluster.Stale:
+		u.reconnect() // the session is over; the command goes out again under the next one
+	default:
+		delete(u.pending, outcome.Tag)
+		waiting.done(outcome.Result)
 	}
 }
 
@@ -176,7 +214,7 @@
 	for _, tag := range u.order {
 		if waiting := u.pending[tag]; waiting != nil {
 			order = append(order, tag)
-			u.outgoing = append(u.outgoing, waiting.tagged)
+			u.outgoing = append(u.outgoing, tag)
 		}
 	}
 	u.order = order
--- a/internal/dataplane/workers.go
+++ b/internal/dataplane/workers.go
@@ -73,6 +73,9 @@
 	for i := range calls.Checkpoints {
 		w.dispatcher.uplink.submit(&cluster.Command{Checkpoint: &calls.Checkpoints[i]}, func(cluster.Result) {})
 	}
+	for _, id := range calls.Began {
+		w.dispatcher.begun[id] = true
+	}
 	for _, weight := range calls.Blames {
 		w.dispatcher.placer(w.service).Blame(now, w.id, weight)
 	}
@@ -80,6 +83,9 @@
 
 func (w *ownedWorker) report(report worker.Report) {
 	ended := report.Ended
+	if ended.How < cluster.NotStarted {
+		delete(w.dispatcher.begun, ended.Job) // the end tells that it has begun
+	}
 	w.dispatcher.uplink.submit(&cluster.Command{Ended: &ended}, func(cluster.Result) {
 		if report.Number > 0 && !w.closed {
 			w.agent.Noted(w.dispatcher.now(), report.Number)
--- a/scheduling/job/job.go
+++ b/scheduling/job/job.go
@@ -213,6 +213,7 @@
 	GangRun     map[StepKey]uint64 `cbor:"14,keyasint,omitempty"` // last run of a gang that was counted as failed
 	EndedAge    uint64             `cbor:"15,keyasint,omitempty"` // age of the system when the job was over
 	Number      uint64             `cbor:"16,keyasint,omitempty"` // position in the order of acceptance
+	Begun       bool               `cbor:"17,keyasint,omitempty"` // a task is known to have begun, or the job is over
 }
 
 // Task returns the state of one task, which it enters where there was none.
--- a/scheduling/worker/answers.go
+++ b/scheduling/worker/answers.go
@@ -21,7 +21,7 @@
 	}
 	switch answer {
 	case Done:
-		r.phase, r.knownFrom, r.movedAt, r.startedAt = running, a.sequence+1, now, now
+		a.begin(now, r)
 	case Unanswered:
 		r.phase = owed
 		a.mayLengthen(now, r.fence)
@@ -44,6 +44,14 @@
 	a.act(now)
 }
 
+// begin enters that a run is at work.
+func (a *Agent) begin(now time.Duration, r *run) {
+	r.phase, r.knownFrom, r.movedAt, r.startedAt = running, a.sequence+1, now, now
+	if id, _, ok := job.ParseName(r.Task); ok && r.First {
+		a.out.Began = append(a.out.Began, id)
+	}
+}
+
 // fenced handles an order that a higher token overtook: either an own settlement, or another owner. In the
 // second case orders pause, until the control machines have told who owns the worker.
 func (a *Agent) fenced(now time.Duration, r *run) {
@@ -88,6 +96,7 @@
 	a.heard(now, answer, lists.ClockMs)
 	switch answer {
 	case Done:
+		a.told = max(a.told, hold.LastSeen)
 		a.settle(now, hold, &lists)
 		if a.highest > a.noted() {
 			a.holdAt = now + notedWithin
@@ -192,7 +201,7 @@
 		return
 	}
 	if r.phase != running {
-		r.phase, r.knownFrom, r.movedAt, r.startedAt = running, a.sequence+1, now, now
+		a.begin(now, r)
 	}
 	if listed.Percent != r.percent {
 		r.percent, r.movedAt = listed.Percent, now
@@ -200,8 +209,9 @@
 	if r.Saves && listed.Saved != "" && listed.Saved != r.saved {
 		r.saved = listed.Saved
 		if id, key, ok := job.ParseName(r.Task); ok {
+			a.checkpoints++
 			a.out.Checkpoints = append(a.out.Checkpoints, cluster.Checkpoint{Worker: a.id, Job: id, Task: key,
-				Run: r.Run, Saved: listed.Saved})
+				Run: r.Run, Saved: listed.Saved, Token: a.token, Sequence: a.checkpoints})
 		}
 	}
 	stuck := max(stuckAfter, time.Duration(stuckFactor*float64(r.EstimateMs))*time.Millisecond/4)
--- a/scheduling/worker/orders.go
+++ b/scheduling/worker/orders.go
@@ -44,7 +44,7 @@
 // only right behind an answer, so that few orders are lost in a cut, and stay unsettled by that.
 func (a *Agent) look(now time.Duration, settling, starting bool) {
 	renew := len(a.runs) > 0 && a.mayRenew && a.contacted && a.fresh(now) && now-a.renewedAt >= renewEvery
-	if a.short == 0 && (settling || starting || renew || a.suspect || !a.reachable && len(a.runs) > 0) {
+	if a.short == 0 && (settling || starting || renew || a.suspect || a.owesNote(now) || !a.reachable && len(a.runs) > 0) {
 		a.short, a.shortAt = a.hold(now, 0, renew), now
 	}
 	if a.long == 0 && a.reachable && !a.suspect && !settling && len(a.runs) > 0 {
@@ -52,6 +52,12 @@
 	}
 }
 
+// owesNote reports whether an idle worker still waits to be told which of its ends were taken note of. One that
+// is at work is told with the next hold.
+func (a *Agent) owesNote(now time.Duration) bool {
+	return a.reachable && a.contacted && len(a.runs) == 0 && a.lastSeen > a.told && now-a.notedAt >= tellAfter
+}
+
 // giveUp reports all that was here as over.
 func (a *Agent) giveUp() {
 	for _, task := range a.tasks() {
--- a/scheduling/worker/worker.go
+++ b/scheduling/worker/worker.go
@@ -27,6 +27,7 @@
 	foreignHold       = 40 * time.Second // for what a former owner may have ordered, where the worker never answered
 	retryPause        = 250 * time.Millisecond
 	fencesBeforePause = 3                      // rejections of one run's orders for a higher token
+	tellAfter         = 800 * time.Millisecond // an idle worker is told of noted ends so late, all at once
 	notedWithin       = 500 * time.Millisecond // ends wait so long for the control machines before the next hold
 	stopAgain         = 600 * time.Millisecond
 	stuckAfter        = 3500 * time.Millisecond // a run whose progress stands still so long is moved
@@ -113,6 +114,7 @@
 	Stops       []Stop
 	Reports     []Report
 	Checkpoints []cluster.Checkpoint
+	Began       []string  // jobs of which a first task is at work
 	Blames      []float64 // weights by which the worker is to be trusted less
 }
 
@@ -172,6 +174,9 @@
 	short       uint64        // sequence of the settling hold under way, or 0
 	holdAt      time.Duration // no look before then
 	lastSeen    uint64
+	told        uint64          // LastSeen of the newest hold that was answered
+	notedAt     time.Duration   // when the control machines last had ends that the worker is to be told of
+	checkpoints uint64          // reported under this token
 	reported    map[uint64]bool // ends reported, true once the control machines have them
 	highest     uint64
 	fencedUntil time.Duration // no orders before then: a higher token than this owner's was there again and again
@@ -294,7 +299,10 @@
 	if number > a.lastSeen {
 		a.reported[number] = true
 	}
-	if a.noted() >= a.highest {
+	if before := a.lastSeen; a.noted() > before {
+		a.notedAt = now
+	}
+	if a.lastSeen >= a.highest {
 		a.holdAt = 0
 	}
 	a.act(now)
