Ballots are durable before they leave, so that no later life uses one again

Cause: Propose sent Prepare before its round was on disk; a restarted member began at the round that it had promised, which may be the same, and answers to its former life counted for another view. Change: the round is part of what must never be forgotten and is synced with the proposal, at the cost of one sync.

--- a/coordination/view/view.go
+++ b/coordination/view/view.go
@@ -57,6 +57,9 @@
 	AcceptedAt Ballot `cbor:"5,keyasint"`
 	Accepted   *View  `cbor:"6,keyasint,omitempty"`
 	Complete   uint64 `cbor:"7,keyasint,omitempty"` // last epoch in which this member had the chain's whole log
+	// Round is the newest round of an own ballot. It is durable before the ballot leaves, so that no later life of
+	// the member uses the ballot for another view.
+	Round uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Prepare asks for a promise. It brings the view that it builds on.
@@ -114,7 +117,7 @@
 type Register struct {
 	durable  Durable
 	proposal *proposal
-	round    uint64
+	refused  uint64 // highest round that an answer has named as promised to somebody else
 	out      Output
 	changed  bool
 }
@@ -175,9 +178,10 @@
 // those whose answers are worth waiting for. Where fewer than least are left,
 // members of the present chain that answer are kept though the wish lacks them.
 func (r *Register) Propose(wish View, expected []MemberID, least int) {
-	r.round = max(r.round, r.durable.Promised.Round) + 1
+	r.durable.Round = max(r.durable.Round, r.refused, r.durable.Promised.Round) + 1
+	r.changed = true
 	r.proposal = &proposal{
-		ballot:   Ballot{r.round, r.durable.Me.ID},
+		ballot:   Ballot{r.durable.Round, r.durable.Me.ID},
 		wish:     wish,
 		least:    least,
 		expected: expected,
@@ -270,7 +274,7 @@
 		return
 	}
 	if m.Refused {
-		r.round = max(r.round, m.Ballot.Round)
+		r.refused = max(r.refused, m.Ballot.Round)
 		if r.proposal.ballot.less(m.Ballot) {
 			r.proposal = nil
 		}
