A large message on a slow link is no silence; large updates go out packed

Cause: one configuration of 1,480 routes takes 1.2 s on a dispatcher's link of 2 Mbit/s. The silence bound (0.6 s) held for a whole message, so every dispatcher left its control machine and was sent all of it again; a batch that took over 2 s to write closed the connection. Ruled out: a longer silence bound, which would make takeovers late.

--- a/coordination/frame/frame.go
+++ b/coordination/frame/frame.go
@@ -20,6 +20,7 @@
 	maxFrame    = 64 << 20
 	maxQueued   = 96 << 20 // bytes that may wait for a side that does not read
 	writeWithin = 2 * time.Second
+	chunk       = 16 << 10 // bytes that a slow link carries within the time that a side may make no progress
 	header      = 4
 )
 
@@ -159,12 +160,9 @@
 		batch := c.queue
 		c.queue, c.spare = c.spare[:0], nil
 		c.mu.Unlock()
-		if len(batch) > 0 {
-			c.raw.SetWriteDeadline(time.Now().Add(writeWithin))
-			if _, err := c.raw.Write(batch); err != nil {
-				c.Close()
-				return
-			}
+		if !c.writeBatch(batch) {
+			c.Close()
+			return
 		}
 		if cap(batch) < 1<<20 {
 			c.mu.Lock()
@@ -174,11 +172,25 @@
 	}
 }
 
-// Receive returns the next message. It fails once nothing has come for the given time.
+// writeBatch writes what was queued, and reports whether the other side has taken all of it. A large batch may
+// take long on a slow link: what counts is that each chunk of it goes out in time.
+func (c *Conn) writeBatch(batch []byte) bool {
+	for len(batch) > 0 {
+		size := min(len(batch), chunk)
+		c.raw.SetWriteDeadline(time.Now().Add(writeWithin))
+		if _, err := c.raw.Write(batch[:size]); err != nil {
+			return false
+		}
+		batch = batch[size:]
+	}
+	return true
+}
+
+// Receive returns the next message. It fails once no byte has come for the given time: a large message on a
+// slow link is no silence.
 func (c *Conn) Receive(within time.Duration) ([]byte, error) {
-	c.raw.SetReadDeadline(time.Now().Add(within))
 	size := [header]byte{}
-	if _, err := io.ReadFull(c.reader, size[:]); err != nil {
+	if err := c.readFull(size[:], within); err != nil {
 		return nil, errors.Trace(err)
 	}
 	length := binary.BigEndian.Uint32(size[:])
@@ -186,12 +198,25 @@
 		return nil, errors.Errorf("a message of %d bytes", length)
 	}
 	message := make([]byte, length)
-	if _, err := io.ReadFull(c.reader, message); err != nil {
+	if err := c.readFull(message, within); err != nil {
 		return nil, errors.Trace(err)
 	}
 	return message, nil
 }
 
+// readFull fills p. Each read that brings something gives the next one the whole time again.
+func (c *Conn) readFull(p []byte, within time.Duration) error {
+	for len(p) > 0 {
+		c.raw.SetReadDeadline(time.Now().Add(within))
+		n, err := c.reader.Read(p)
+		p = p[n:]
+		if err != nil && len(p) > 0 {
+			return err // the caller adds the trace
+		}
+	}
+	return nil
+}
+
 // Close ends the connection; what is queued is lost.
 func (c *Conn) Close() {
 	c.mu.Lock()
--- a/internal/control/server/dispatchers.go
+++ b/internal/control/server/dispatchers.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"os"
-	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -219,7 +218,7 @@
 			}
 			continue
 		}
-		data := cbor.RawMessage(link.Encode(addressed.Update))
+		data := link.Pack([]cbor.RawMessage{link.Encode(addressed.Update)})
 		for d := range s.dispatchers {
 			if d.session != 0 && !d.snapshot {
 				d.down.Updates = append(d.down.Updates, data)
@@ -232,18 +231,20 @@
 // sharedSnapshot keeps the parts of snapshots that are the same for all dispatchers that come at once, as
 // after a change of view.
 type sharedSnapshot struct {
-	state  []cbor.RawMessage
-	config []cbor.RawMessage
+	state  cbor.RawMessage
+	config cbor.RawMessage
 }
 
 func (s *Server) addSnapshot(d *dispatcher, shared *sharedSnapshot) {
 	if shared.state == nil {
-		shared.state = encodeAll(s.cluster.SharedSnapshot())
+		shared.state = link.Pack(encodeAll(s.cluster.SharedSnapshot()))
 	}
 	d.snapshot = false
 	d.down.Session = d.session
 	d.down.Controls = s.controls()
-	d.down.Updates = slices.Concat(s.configFor(d, shared), shared.state, encodeAll(s.cluster.OwnSnapshot(d.session)))
+	d.down.Updates = s.configFor(d, shared)
+	d.down.Updates = append(d.down.Updates, shared.state)
+	d.down.Updates = append(d.down.Updates, encodeAll(s.cluster.OwnSnapshot(d.session))...)
 }
 
 // configFor returns what brings a dispatcher from the configuration that it has to the one in force: nothing, the
@@ -254,12 +255,12 @@
 		return nil
 	}
 	if since := s.changes.since(d.hello.Config); since != nil {
-		return encodeAll(since)
+		return []cbor.RawMessage{link.Pack(encodeAll(since))}
 	}
 	if shared.config == nil {
-		shared.config = encodeAll([]cluster.Update{{Config: whole}})
+		shared.config = link.Pack(encodeAll([]cluster.Update{{Config: whole}}))
 	}
-	return shared.config
+	return []cbor.RawMessage{shared.config}
 }
 
 func encodeAll(updates []cluster.Update) []cbor.RawMessage {
--- a/internal/dataplane/dispatcher.go
+++ b/internal/dataplane/dispatcher.go
@@ -226,7 +226,7 @@
 	if down.Session != 0 {
 		stale = d.markStale()
 	}
-	for _, raw := range down.Updates {
+	for _, raw := range link.Unpack(down.Updates) {
 		update := &cluster.Update{}
 		if link.Decode(raw, update) {
 			d.receiveUpdate(now, update, stale)
