A full disk at the start is waited for; a process that stops hands its place over

Cause: a control process whose disk was full at its start ended with code 1, again and again; one that was sent SIGTERM only stopped, and was found out by silence. Change: opening the store insists on what the disk refuses (no space, quota, I/O error, read-only), and the process says so in its log and its status meanwhile. Ruled out: ending the elector's place without a newcomer, since a rolled machine comes back.

--- a/cmd/yard/main.go
+++ b/cmd/yard/main.go
@@ -123,24 +123,31 @@
 
 func runControl(s *settings.Settings, logger zerolog.Logger) error {
 	limitMemory(s)
-	control, err := server.Open(s, frame.TCP{}, segment.Dir(s.DataDir), logger)
-	if err != nil {
-		return errors.Trace(err)
-	}
+	process := server.NewProcess(s, frame.TCP{}, segment.Dir(s.DataDir), logger)
 	stop := stopSignal()
-	listener := &http.Server{Addr: s.Listen.Control, Handler: control.Handler(), ReadHeaderTimeout: 10 * time.Second}
-	failed := make(chan error, 1)
-	go func() { failed <- listener.ListenAndServe() }()
-	engineStop := make(chan struct{})
-	go control.Run(engineStop)
+	listener := &http.Server{Addr: s.Listen.Control, Handler: process, ReadHeaderTimeout: 10 * time.Second}
+	failed := make(chan error, 2)
+	go func() { failed <- errors.Annotate(listener.ListenAndServe(), "Listen.Control") }()
+	engineStop, engineEnded := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(engineEnded)
+		if err := process.Run(engineStop); err != nil {
+			failed <- errors.Trace(err)
+		}
+	}()
 	select {
 	case err := <-failed:
-		return errors.Annotate(err, "Listen.Control")
+		return err
 	case <-stop:
 	}
+	process.Leave()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	listener.Shutdown(ctx)
 	close(engineStop)
+	select {
+	case <-engineEnded:
+	case <-ctx.Done(): // a disk that hangs holds the start up
+	}
 	return nil
 }
--- a/coordination/view/detector.go
+++ b/coordination/view/detector.go
@@ -14,6 +14,7 @@
 	Restarted bool       `cbor:"5,keyasint,omitempty"` // it has not taken part in the view of Epoch in this life
 	Last      uint64     `cbor:"7,keyasint,omitempty"` // newest entry of its log
 	Hears     []MemberID `cbor:"6,keyasint,omitempty"`
+	Leaving   bool       `cbor:"8,keyasint,omitempty"` // it is to stop in order, and hands its place over
 }
 
 // Spans of the failure detector.
@@ -42,6 +43,7 @@
 // Detector knows which members are alive, and which view they would make.
 type Detector struct {
 	me        Member
+	leaving   bool // this member is to stop in order
 	peers     map[MemberID]*peer
 	least     int // members that a chain needs
 	committed uint64
@@ -54,6 +56,18 @@
 	return &Detector{me: me, least: least, peers: map[MemberID]*peer{}, wanted: -1, began: now}
 }
 
+// Leave enters that this member is to stop in order: the others go on without it as soon as they can.
+func (d *Detector) Leave() { d.leaving = true }
+
+// isLeaving reports whether a member has said that it is to stop.
+func (d *Detector) isLeaving(id MemberID) bool {
+	if id == d.me.ID {
+		return d.leaving
+	}
+	p := d.peers[id]
+	return p != nil && p.ping.Leaving
+}
+
 // Heard takes in a ping.
 func (d *Detector) Heard(now time.Duration, ping Ping) {
 	p := d.peers[ping.From.ID]
@@ -228,17 +242,36 @@
 	}
 	d.replace(now, view, wish)
 	for _, elector := range wish.Electors {
-		if d.steady(now, elector.ID) && wish.InChain(elector.ID) < 0 &&
+		if d.steady(now, elector.ID) && wish.InChain(elector.ID) < 0 && !d.isLeaving(elector.ID) &&
 			(d.caughtUp(elector.ID) || len(wish.Chain) < d.least) {
 			wish.Chain = append(wish.Chain, elector)
 		}
 	}
+	d.release(wish)
 	return wish
 }
 
+// release takes leaving members out of a chain that is long enough without them.
+func (d *Detector) release(wish *View) {
+	if d.staying(wish.Chain) >= d.least {
+		wish.Chain = slices.DeleteFunc(wish.Chain, func(m Member) bool { return d.isLeaving(m.ID) })
+	}
+}
+
+// staying counts the members that are not to stop.
+func (d *Detector) staying(members []Member) int {
+	count := 0
+	for _, member := range members {
+		if !d.isLeaving(member.ID) {
+			count++
+		}
+	}
+	return count
+}
+
 // replace takes newcomers in as electors. One at the address of an elector is that machine with an
 // empty disk, and takes its place at once. One from the first start extends the electors. Any other
-// takes the place of an elector that has been silent for long, one in its own zone first.
+// takes the place of an elector that is to stop, or that has been silent for long, one in its own zone first.
 func (d *Detector) replace(now time.Duration, view *View, wish *View) {
 	for _, id := range sortedIDs(d.peers) {
 		newcomer := d.peers[id]
@@ -261,7 +294,7 @@
 		if elector.Address == newcomer.From.Address {
 			return i
 		}
-		if newcomer.First || d.silentFor(now, elector.ID) < ReplaceAfter {
+		if newcomer.First || d.silentFor(now, elector.ID) < ReplaceAfter && !d.mayHandOver(wish, elector.ID, newcomer) {
 			continue
 		}
 		if best < 0 || elector.Zone == newcomer.From.Zone && wish.Electors[best].Zone != newcomer.From.Zone {
@@ -271,6 +304,19 @@
 	return best
 }
 
+// mayHandOver reports whether a leaving elector may give its place to a newcomer now: only once the chain is long
+// enough without it, since a member of the chain that is no elector falls out of the next view.
+func (d *Detector) mayHandOver(wish *View, id MemberID, newcomer *Ping) bool {
+	if !d.isLeaving(id) {
+		return false
+	}
+	staying := d.staying(wish.Chain)
+	if d.caughtUp(newcomer.From.ID) {
+		staying++
+	}
+	return staying >= d.least
+}
+
 func sameMembers(a, b []Member) bool {
 	return slices.EqualFunc(a, b, func(x, y Member) bool { return x.ID == y.ID })
 }
--- a/internal/control/server/engine.go
+++ b/internal/control/server/engine.go
@@ -59,6 +59,7 @@
 	replica  *chain.Replica
 	cluster  *cluster.Cluster
 
+	leaving      bool   // the process is to stop, and hands its place in the chain over
 	restartedIn  uint64 // epoch in whose view this life has no part
 	pace         fetchPace
 	applied      uint64
@@ -152,6 +153,8 @@
 	}
 }
 
+const statusPath = "/-/status"
+
 // Handler serves all that a control process answers.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -159,7 +162,7 @@
 	mux.HandleFunc("POST "+link.DispatcherPath, s.acceptDispatcher)
 	mux.HandleFunc("PUT /-/config", s.putConfig)
 	mux.HandleFunc("GET /-/config", s.getConfig)
-	mux.HandleFunc("GET /-/status", s.status)
+	mux.HandleFunc("GET "+statusPath, s.status)
 	mux.HandleFunc("GET /-/metrics", s.metrics)
 	return mux
 }
--- a/internal/control/server/operator.go
+++ b/internal/control/server/operator.go
@@ -105,6 +105,7 @@
 // Status is what operators see of a control process.
 type Status struct {
 	Node       string
+	Waiting    string `json:",omitempty"` // why the process has not read its disk yet
 	Epoch      uint64
 	Chain      []string
 	Electors   []string
--- a/internal/control/server/views.go
+++ b/internal/control/server/views.go
@@ -42,7 +42,7 @@
 func (s *Server) ping() *link.Peer {
 	return &link.Peer{Sessions: s.sessionsInTouch(), Ping: &view.Ping{From: s.register.Me(),
 		Epoch: s.register.View().Epoch, First: s.register.First(), Stalled: s.stalled(), Restarted: s.restarted(),
-		Last: s.replica.Last(), Hears: s.detector.Hears(s.now())}}
+		Last: s.replica.Last(), Hears: s.detector.Hears(s.now()), Leaving: s.leaving}}
 }
 
 // considerView proposes another view where the detector wants one.
--- a/internal/emulator/disk.go
+++ b/internal/emulator/disk.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"linnetlift/coordination/segment"
@@ -15,6 +16,7 @@
 	syncTime time.Duration
 	random   *rand.Rand
 	lies     bool // planted: what is synced is lost with the power all the same
+	full     bool
 }
 
 // NewDisk returns an empty disk on which a sync takes so long.
@@ -83,6 +85,13 @@
 	d.files = files
 }
 
+// Fill lets the disk refuse every write, or take writes again.
+func (d *Disk) Fill(full bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.full = full
+}
+
 // Wipe empties the disk.
 func (d *Disk) Wipe() {
 	d.mu.Lock()
@@ -110,6 +119,9 @@
 func (f handle) WriteAt(p []byte, offset int64) (int, error) {
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
+	if f.disk.full {
+		return 0, syscall.ENOSPC
+	}
 	f.content = patch(f.content, p, offset)
 	f.pending = append(f.pending, change{offset, append([]byte(nil), p...)})
 	return len(p), nil
@@ -138,6 +150,9 @@
 func (f handle) Truncate(size int64) error {
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
+	if f.disk.full {
+		return syscall.ENOSPC
+	}
 	f.content = append(f.content, make([]byte, max(0, size-int64(len(f.content))))...)
 	return nil
 }
--- a/internal/emulator/processes.go
+++ b/internal/emulator/processes.go
@@ -18,6 +18,7 @@
 	disk *Disk
 	stop chan struct{}
 	http *http.Server
+	run  *server.Process
 }
 
 func (c *core) up() bool { return c.stop != nil }
@@ -26,16 +27,17 @@
 	s := c.yard.settings(c.name, c.zone)
 	s.Listen.Control, s.DataDir, s.Bootstrap = c.name+":1", "data", first
 	machine := c.yard.Network.Machine(c.name)
-	control, err := server.Open(s, machine, c.disk, c.yard.logger.With().Str("node", c.name).Logger())
-	if err != nil {
-		c.yard.Judge.note("START", "%s: %v", c.name, err)
-		return
-	}
+	control := server.NewProcess(s, machine, c.disk, c.yard.logger.With().Str("node", c.name).Logger())
 	listener, _ := machine.Listen(s.Listen.Control)
-	c.http = &http.Server{Handler: control.Handler()}
-	c.stop = make(chan struct{})
+	c.http = &http.Server{Handler: control}
+	stop := make(chan struct{})
+	c.stop, c.run = stop, control
 	go c.http.Serve(listener)
-	go control.Run(c.stop)
+	go func() {
+		if err := control.Run(stop); err != nil {
+			c.yard.Judge.note("START", "%s: %v", c.name, err)
+		}
+	}()
 }
 
 func (c *core) end() {
@@ -54,6 +56,15 @@
 	c.disk.Crash()
 }
 
+// Terminate stops the process in order, as SIGTERM does.
+func (c *core) Terminate() {
+	if c.stop == nil {
+		return
+	}
+	c.run.Leave()
+	c.Kill()
+}
+
 // PowerOff takes the machine's power; what was not synced may be lost.
 func (c *core) PowerOff() {
 	c.yard.Network.PowerOff(c.name)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,7 @@
 type Bounds struct {
 	HoldMaxMs int64
 	StopMs    int64   `toml:"stop_ms"`
+	GraceS    float64 // between SIGTERM and SIGKILL
 	StatusS   float64 `toml:"status_s"`
 	FarX      float64 `toml:"far_x"`
 }
