Emulator: nine more kinds of disruption, operators in races with lost answers

Control machines cut off for 20 s or in halves while operators write on both sides; replacement, in order or not, with a lost disk right behind it; changes in quick succession round a restart; a full disk at the start; every connection reset; disks lost while all other machines are dark; stops in order in turn. Two operators send different changes under one number, and a quarter of the acknowledgements are lost. Reads at every machine are judged against what was acknowledged before. A run of many schedules prints how often each kind came about and fails for one that never did.

Also corrected: a schedule's operator gave up as soon as its first answer came, so a lost acknowledgement was never followed by the same order.

--- a/internal/emulator/demo.go
+++ b/internal/emulator/demo.go
@@ -18,11 +18,11 @@
 	}
 	say("3 control machines, 3 dispatchers and 6 workers start")
 	y.Start()
-	if !y.Configure() {
+	if !y.Operator.Configure() {
 		say("the first configuration is not taken")
 		return false
 	}
-	say("configuration %d is in force", y.version)
+	say("configuration %d is in force", y.Operator.version)
 	time.Sleep(2 * time.Second)
 	ended := make(chan struct{}, jobs)
 	random := rand.New(rand.NewPCG(7, 7))
@@ -37,7 +37,7 @@
 			say("control machine %s is killed", y.cores[0].name)
 			y.cores[0].Kill()
 		case jobs / 2:
-			say("configuration changed: %v, now %d", y.Configure(), y.version)
+			say("configuration changed: %v, now %d", y.Operator.Configure(), y.Operator.version)
 			say("worker 1 crashes and comes back as another incarnation")
 			y.list.Restart(0, time.Second)
 		case jobs * 3 / 4:
@@ -49,7 +49,7 @@
 	for range jobs {
 		<-ended
 	}
-	y.ReadBack()
+	y.Operator.ReadBack()
 	accepted, completed := y.Judge.finish()
 	for _, line := range y.Judge.summary() {
 		fmt.Fprintln(out, "          "+line)
--- /dev/null
+++ b/internal/emulator/disruptions_test.go
@@ -0,0 +1,285 @@
+package emulator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Spans that the deployments' settings name.
+const (
+	catchUp  = 4 * time.Second  // for which a machine counts as lost after its return
+	longCut  = 9 * time.Second  // a worker is cut off so long that its hold is over
+	coldCut  = 20 * time.Second // a control machine is cut off so long
+	changing = 12 * time.Second // changes come in quick succession for so long
+)
+
+// disruption is one kind of what befalls a yard. Play returns once it is over, but for the time that machines
+// count as lost afterwards.
+type disruption struct {
+	name string
+	play func(y *Yard, random *rand.Rand, span time.Duration)
+}
+
+func anyOf[T any](random *rand.Rand, list []T) T { return list[random.IntN(len(list))] }
+
+func anyWorker(y *Yard, random *rand.Rand) string {
+	return fmt.Sprint("worker-", random.IntN(y.Shape.Workers)+1)
+}
+
+// disruptions are all kinds. None takes more disks at once than the shape is to bear.
+var disruptions = []disruption{
+	{"core killed", func(y *Yard, random *rand.Rand, span time.Duration) {
+		core := anyOf(random, y.Cores())
+		core.Kill()
+		time.Sleep(span / 4)
+		core.Back()
+	}},
+	{"core without power", func(y *Yard, random *rand.Rand, span time.Duration) {
+		core := anyOf(random, y.Cores())
+		core.PowerOff()
+		time.Sleep(span)
+		core.Back()
+	}},
+	{"core disk lost", func(y *Yard, random *rand.Rand, span time.Duration) {
+		core := anyOf(random, y.Cores())
+		core.PowerOff()
+		core.disk.Wipe()
+		time.Sleep(span)
+		core.Back()
+	}},
+	{"core cut off", func(y *Yard, random *rand.Rand, span time.Duration) {
+		core := anyOf(random, y.Cores())
+		cutOff(y, core.name, random.IntN(2) == 0, true)
+		time.Sleep(span)
+		cutOff(y, core.name, true, false)
+	}},
+	{"all cores without power", func(y *Yard, _ *rand.Rand, span time.Duration) {
+		cores := y.Cores()
+		for _, core := range cores {
+			core.PowerOff()
+		}
+		time.Sleep(span / 2)
+		for _, core := range cores {
+			core.Back()
+		}
+	}},
+	{"all cores killed", func(y *Yard, _ *rand.Rand, span time.Duration) {
+		cores := y.Cores()
+		for _, core := range cores {
+			core.Kill()
+		}
+		time.Sleep(span / 8)
+		for _, core := range cores {
+			core.Back()
+		}
+	}},
+	{"core replaced", func(y *Yard, random *rand.Rand, span time.Duration) {
+		y.ReplaceCore(random.IntN(y.Shape.Cores), span/4)
+	}},
+	{"dispatcher killed", func(y *Yard, random *rand.Rand, span time.Duration) {
+		front := anyOf(random, y.dispatchers)
+		front.Kill()
+		time.Sleep(span / 4)
+		front.Back()
+	}},
+	{"dispatcher without power", func(y *Yard, random *rand.Rand, span time.Duration) {
+		front := anyOf(random, y.dispatchers)
+		front.PowerOff()
+		time.Sleep(span)
+		front.Back()
+	}},
+	{"dispatcher cut off from the core", func(y *Yard, random *rand.Rand, span time.Duration) {
+		front := anyOf(random, y.dispatchers)
+		y.CutDispatcher(front.name, true)
+		time.Sleep(span)
+		y.CutDispatcher(front.name, false)
+	}},
+	{"worker crashed", func(y *Yard, random *rand.Rand, span time.Duration) {
+		y.list.Restart(random.IntN(y.Shape.Workers), span)
+	}},
+	{"worker cut off", func(y *Yard, random *rand.Rand, span time.Duration) {
+		worker := anyWorker(y, random)
+		cutOff(y, worker, random.IntN(2) == 0, true)
+		time.Sleep(span)
+		cutOff(y, worker, true, false)
+	}},
+	{"orders carried out late", func(y *Yard, _ *rand.Rand, span time.Duration) { y.LateOrders(span) }},
+	{"late orders at a worker that is cut off beyond its hold", func(y *Yard, random *rand.Rand, _ time.Duration) {
+		worker := anyWorker(y, random)
+		y.LateOrders(2 * time.Second)
+		time.Sleep(time.Second)
+		cutOff(y, worker, true, true)
+		time.Sleep(longCut)
+		cutOff(y, worker, true, false)
+	}},
+	{"core cut off from the core for 20 s", func(y *Yard, random *rand.Rand, _ time.Duration) {
+		// Operators and dispatchers reach both sides, and write on both.
+		cutAmong(y, []*core{anyOf(random, y.Cores())}, true)
+		time.Sleep(coldCut)
+		joinAll(y)
+	}},
+	{"core cut into halves", func(y *Yard, random *rand.Rand, span time.Duration) {
+		cores := y.Cores()
+		random.Shuffle(len(cores), func(i, j int) { cores[i], cores[j] = cores[j], cores[i] })
+		cutAmong(y, cores[:len(cores)/2], true)
+		time.Sleep(span + time.Second)
+		joinAll(y)
+	}},
+	{"core replaced in order, then a disk lost", func(y *Yard, random *rand.Rand, span time.Duration) {
+		place := random.IntN(y.Shape.Cores)
+		y.ReplaceInOrder(place, time.Second)
+		time.Sleep(catchUp)
+		loseDisk(y, (place+1+random.IntN(y.Shape.Cores-1))%y.Shape.Cores, span)
+	}},
+	{"core replaced, then a disk lost", func(y *Yard, random *rand.Rand, span time.Duration) {
+		place := random.IntN(y.Shape.Cores)
+		y.ReplaceCore(place, span/4)
+		if y.Shape.Tolerate < 2 { // with two to be borne the second loss comes at once
+			time.Sleep(catchUp)
+		}
+		loseDisk(y, (place+1+random.IntN(y.Shape.Cores-1))%y.Shape.Cores, span)
+	}},
+	{"hundreds of changes round a restart", func(y *Yard, random *rand.Rand, span time.Duration) {
+		y.hurry.Store(true)
+		time.Sleep(changing / 4)
+		core := anyOf(random, y.Cores())
+		core.PowerOff()
+		time.Sleep(changing / 2)
+		core.Back()
+		time.Sleep(changing / 4)
+		y.hurry.Store(false)
+	}},
+	{"disk full at the start", func(y *Yard, random *rand.Rand, span time.Duration) {
+		core := anyOf(random, y.Cores())
+		core.disk.Fill(true)
+		core.Kill()
+		if random.IntN(2) == 0 {
+			core.disk.Wipe() // it has to make its files
+		}
+		core.Back()
+		time.Sleep(span)
+		core.disk.Fill(false)
+	}},
+	{"every connection reset", func(y *Yard, random *rand.Rand, span time.Duration) {
+		for range 1 + random.IntN(4) {
+			y.Network.Reset()
+			time.Sleep(span / 8)
+		}
+	}},
+	{"disks lost while all other machines are dark", func(y *Yard, random *rand.Rand, span time.Duration) {
+		cores := y.Cores()
+		for _, core := range cores {
+			core.PowerOff()
+		}
+		for _, front := range y.dispatchers {
+			front.PowerOff()
+		}
+		for _, place := range random.Perm(len(cores))[:y.Shape.Tolerate] {
+			cores[place].disk.Wipe()
+		}
+		time.Sleep(span / 2)
+		for _, core := range cores {
+			core.Back()
+		}
+		for _, front := range y.dispatchers {
+			front.Back()
+		}
+	}},
+	{"cores stopped in order, in turn", func(y *Yard, random *rand.Rand, span time.Duration) {
+		for _, core := range y.Cores() {
+			core.Terminate()
+			time.Sleep(span / 8)
+			core.Back()
+			time.Sleep(catchUp)
+		}
+	}},
+}
+
+func loseDisk(y *Yard, place int, span time.Duration) {
+	core := y.Cores()[place]
+	core.PowerOff()
+	core.disk.Wipe()
+	time.Sleep(span)
+	core.Back()
+}
+
+// cutAmong cuts some control machines off from the other ones.
+func cutAmong(y *Yard, some []*core, cut bool) {
+	inside := map[string]bool{}
+	for _, core := range some {
+		inside[core.name] = true
+	}
+	for _, one := range y.Cores() {
+		for _, other := range y.Cores() {
+			if inside[one.name] != inside[other.name] {
+				y.Network.Cut(one.name, other.name, cut)
+			}
+		}
+	}
+}
+
+// joinAll joins all control machines.
+func joinAll(y *Yard) {
+	for _, one := range y.Cores() {
+		for _, other := range y.Cores() {
+			y.Network.Cut(one.name, other.name, false)
+		}
+	}
+}
+
+// cutOff cuts a machine off from all others, in both directions or in one.
+func cutOff(y *Yard, name string, both, cut bool) {
+	others := []string{}
+	for _, c := range y.Cores() {
+		others = append(others, c.name)
+	}
+	for _, d := range y.dispatchers {
+		others = append(others, d.name)
+	}
+	for _, other := range others {
+		if other != name {
+			y.Network.Cut(name, other, cut)
+			if both {
+				y.Network.Cut(other, name, cut)
+			}
+		}
+	}
+}
+
+// tally counts how often each kind of disruption came about, over all schedules.
+type tally struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+var played = tally{counts: map[string]int{}}
+
+func (t *tally) add(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counts[name]++
+}
+
+// leastDisruptions is how many disruptions a schedule plays at least.
+const leastDisruptions = 4
+
+// faults plays disruptions one after the other during the traffic: kinds in turn, so that few schedules bring all
+// about, and kinds at random.
+func faults(y *Yard, random *rand.Rand, end time.Time) {
+	next := int(y.seed) * leastDisruptions / 2
+	for count := 0; count < leastDisruptions || time.Now().Before(end); count++ {
+		time.Sleep(time.Duration(300+random.IntN(2500)) * time.Millisecond)
+		span := time.Duration(500+random.IntN(4000)) * time.Millisecond
+		kind := disruptions[random.IntN(len(disruptions))]
+		if count%2 == 0 {
+			kind = disruptions[next%len(disruptions)]
+			next++
+		}
+		kind.play(y, random, span)
+		played.add(kind.name)
+		// A machine counts as lost a while after it is back; with two to be borne the next may be lost before.
+		time.Sleep(catchUp / time.Duration(y.Shape.Tolerate))
+	}
+}
--- a/internal/emulator/judge.go
+++ b/internal/emulator/judge.go
@@ -168,6 +168,9 @@
 func (j *Judge) configured(version, base int64, body string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if known, taken := j.bodies[version]; taken && known != body {
+		j.breaks("CONFIG", "two bodies are acknowledged under version %d", version)
+	}
 	if version <= j.latest {
 		return // acknowledged again
 	}
@@ -177,11 +180,19 @@
 	j.latest, j.bodies[version] = version, body
 }
 
-func (j *Judge) readBack(version int64, body string) {
+// newestVersion returns the newest version acknowledged so far.
+func (j *Judge) newestVersion() int64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.latest
+}
+
+// readBack judges what a read was answered that was sent when a version had been acknowledged.
+func (j *Judge) readBack(acknowledged, version int64, body string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if version < j.latest {
-		j.breaks("CONFIG", "version %d is read back, %d was acknowledged", version, j.latest)
+	if version < acknowledged {
+		j.breaks("CONFIG", "version %d is read back, %d was acknowledged", version, acknowledged)
 	}
 	if want, known := j.bodies[version]; known && want != body {
 		j.breaks("CONFIG", "version %d reads back differently", version)
--- a/internal/emulator/loopback.go
+++ b/internal/emulator/loopback.go
@@ -53,6 +53,9 @@
 // PowerOn does nothing: a machine is back once its processes listen.
 func (l *Loopback) PowerOn(string) {}
 
+// Reset does nothing.
+func (l *Loopback) Reset() {}
+
 // Cut does nothing.
 func (l *Loopback) Cut(string, string, bool) {}
 
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -89,6 +89,19 @@
 	n.wakeAll()
 }
 
+// Reset ends all connections between machines; both sides see resets.
+func (n *Network) Reset() {
+	n.mu.Lock()
+	var all []*stream
+	for s := range n.streams {
+		all = append(all, s)
+	}
+	n.mu.Unlock()
+	for _, s := range all {
+		s.reset(false)
+	}
+}
+
 func (n *Network) end(name string, dark bool) {
 	n.mu.Lock()
 	n.dark[name] = dark
--- a/internal/emulator/operator.go
+++ b/internal/emulator/operator.go
@@ -2,45 +2,141 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"strings"
+	"sync"
 	"time"
 )
 
-// Configure puts a configuration in force, at any control machine that answers, until it is taken.
-func (y *Yard) Configure() bool {
-	base := y.version
-	version := base + 1 + int64(y.random.IntN(3))
-	body := fmt.Sprintf(`{"Version":%d,"Routes":[{"Host":"%s","PathPrefix":"%s","Service":"%s","TimeoutMs":3000,`+
+// Bounds of the operators' calls.
+const (
+	operatorTries = 40
+	operatorPause = 100 * time.Millisecond
+	callWithin    = time.Second
+)
+
+// Operator changes the configuration, and reads it, at any control machine. Some answers to it are lost on their
+// way.
+type Operator struct {
+	yard    *Yard
+	random  *rand.Rand
+	version int64 // newest version that was acknowledged
+	History *ConfigHistory
+}
+
+// newOperator returns an operator with own luck.
+func newOperator(y *Yard, seed uint64) *Operator {
+	return &Operator{yard: y, random: rand.New(rand.NewPCG(seed, 5)), History: &ConfigHistory{began: time.Now()}}
+}
+
+// configBody returns a configuration; note tells two under one version apart.
+func (y *Yard) configBody(version int64, note string) string {
+	return fmt.Sprintf(`{"Version":%d,"Note":"%s","Routes":[{"Host":"%s","PathPrefix":"%s","Service":"%s","TimeoutMs":3000,`+
 		`"MaxAttempts":%d,"TargetLatencyMs":%d}],"Services":[{"Name":"%s","Guards":%v}]}`,
-		version, routeHost, route, service, attempts, 100+version, service, y.Shape.Guards)
-	for range 40 {
-		core := y.cores[y.random.IntN(len(y.cores))]
-		status, _ := y.call(http.MethodPut, "http://"+core.name+":1/-/config", body, time.Second, fmt.Sprint(base))
+		version, note, routeHost, route, service, attempts, 100+version, service, y.Shape.Guards)
+}
+
+// Configure puts a configuration in force and reports whether it was taken.
+func (o *Operator) Configure() bool {
+	base := o.version
+	version := base + 1 + int64(o.random.IntN(3))
+	body := o.yard.configBody(version, "")
+	if o.send(o.random, version, base, body) != http.StatusOK {
+		return false
+	}
+	o.version = version
+	return true
+}
+
+// send sends one change until it has a clear answer: 200, or a refusal, which ends the call; 0 means none.
+func (o *Operator) send(random *rand.Rand, version, base int64, body string) int {
+	acknowledged := false
+	for range operatorTries {
+		status := o.put(random, version, base, body)
+		lost := random.IntN(4) == 0
 		switch status {
 		case http.StatusOK:
-			y.Judge.configured(version, base, body)
-			y.version = version
-			return true
+			o.yard.Judge.configured(version, base, body)
+			if acknowledged = true; !lost {
+				return status
+			}
 		case http.StatusPreconditionFailed, http.StatusBadRequest:
-			y.Judge.note("CONFIG", "a proper change to %d is refused with %d", version, status)
-			return false
+			if acknowledged {
+				o.yard.Judge.note("CONFIG", "version %d was acknowledged and is refused with %d when sent again", version, status)
+			}
+			return status
 		}
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(operatorPause)
 	}
-	return false
+	if acknowledged {
+		return http.StatusOK
+	}
+	return 0
+}
+
+func (o *Operator) put(random *rand.Rand, version, base int64, body string) int {
+	done := o.History.begin(ConfigCall{Put: true, Version: version, Base: base, Body: body})
+	status, _ := o.yard.call(http.MethodPut, o.yard.anyCore(random), body, callWithin, fmt.Sprint(base))
+	done(status, "")
+	return status
+}
+
+// Race lets two operators send different changes under one number, and reports whether one of them was taken.
+func (o *Operator) Race() bool {
+	base := o.version
+	version := base + 1 + int64(o.random.IntN(3))
+	var answers [2]int
+	var both sync.WaitGroup
+	for i := range answers {
+		random := rand.New(rand.NewPCG(o.random.Uint64(), uint64(i)))
+		body := o.yard.configBody(version, fmt.Sprint("operator ", i))
+		both.Go(func() { answers[i] = o.send(random, version, base, body) })
+	}
+	both.Wait()
+	taken := answers[0] == http.StatusOK || answers[1] == http.StatusOK
+	if taken {
+		o.version = version
+	}
+	if answers[0] == http.StatusOK && answers[1] == http.StatusOK {
+		o.yard.Judge.note("CONFIG", "two operators are acknowledged under version %d", version)
+	}
+	if !taken && answers[0] != 0 && answers[1] != 0 {
+		o.yard.Judge.note("CONFIG", "both changes to version %d are refused", version)
+	}
+	return taken
+}
+
+// Read reads the configuration at any control machine; what is older than what was acknowledged before is noted.
+func (o *Operator) Read(random *rand.Rand) (status int) {
+	newest := o.yard.Judge.newestVersion()
+	done := o.History.begin(ConfigCall{})
+	status, body := o.yard.call(http.MethodGet, o.yard.anyCore(random), "", callWithin, "")
+	done(status, body)
+	if status == http.StatusOK {
+		o.yard.Judge.readBack(newest, versionOf(body), body)
+	}
+	return status
 }
 
 // ReadBack reads the configuration at the end.
-func (y *Yard) ReadBack() {
-	for range 40 {
-		core := y.cores[y.random.IntN(len(y.cores))]
-		if status, body := y.call(http.MethodGet, "http://"+core.name+":1/-/config", "", time.Second, ""); status == http.StatusOK {
-			version := int64(0)
-			fmt.Sscanf(body, `{"Version":%d`, &version)
-			y.Judge.readBack(version, body)
+func (o *Operator) ReadBack() {
+	for range operatorTries {
+		if o.Read(o.random) == http.StatusOK {
 			return
 		}
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(operatorPause)
 	}
-	y.Judge.note("CONFIG", "the configuration can't be read back")
+	o.yard.Judge.note("CONFIG", "the configuration can't be read back")
+}
+
+func versionOf(body string) (version int64) {
+	fmt.Sscanf(strings.TrimSpace(body), `{"Version":%d`, &version)
+	return version
+}
+
+// anyCore returns the address of the configuration at some control machine.
+func (y *Yard) anyCore(random *rand.Rand) string {
+	cores := y.Cores()
+	return "http://" + cores[random.IntN(len(cores))].name + ":1/-/config"
 }
--- a/internal/emulator/processes.go
+++ b/internal/emulator/processes.go
@@ -82,19 +82,34 @@
 
 // ReplaceCore takes a control machine away for good; an empty one at another address comes after a while.
 func (y *Yard) ReplaceCore(place int, after time.Duration) {
-	former := y.cores[place]
-	former.PowerOff()
+	y.Cores()[place].PowerOff()
 	time.Sleep(after)
+	y.addSuccessor(place).start(false)
+}
+
+// ReplaceInOrder starts an empty control machine at another address, and stops the one that it is to replace in
+// order a while later.
+func (y *Yard) ReplaceInOrder(place int, after time.Duration) {
+	former := y.Cores()[place]
+	y.addSuccessor(place).start(false)
+	time.Sleep(after)
+	former.Terminate()
+}
+
+// addSuccessor puts a new machine in the place of another one.
+func (y *Yard) addSuccessor(place int) *core {
+	y.coresMu.Lock()
+	defer y.coresMu.Unlock()
 	y.replaced++
-	successor := &core{yard: y, name: fmt.Sprint("core-", len(y.cores)+y.replaced), zone: former.zone,
+	successor := &core{yard: y, name: fmt.Sprint("core-", len(y.cores)+y.replaced), zone: y.cores[place].zone,
 		disk: NewDisk(syncTime, rand.New(rand.NewPCG(uint64(y.replaced), 77)))}
 	y.cores[place] = successor
-	successor.start(false)
+	return successor
 }
 
 // CutDispatcher cuts a dispatcher off from all control machines, or joins it again; it reaches workers all the while.
 func (y *Yard) CutDispatcher(name string, cut bool) {
-	for _, c := range y.cores {
+	for _, c := range y.Cores() {
 		y.Network.Cut(name, c.name, cut)
 		y.Network.Cut(c.name, name, cut)
 	}
--- a/internal/emulator/schedule_test.go
+++ b/internal/emulator/schedule_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,7 +23,6 @@
 	warmUp  = 4 * time.Second
 	traffic = 14 * time.Second
 	drain   = 100 * time.Second // three steps of ten seconds, each failing once, behind a cut-off worker
-	longCut = 9 * time.Second   // a worker is cut off so long that its hold is over
 )
 
 // outcome is what a schedule has shown.
@@ -30,95 +30,7 @@
 	broken              []string
 	accepted, completed int
 	configurations      int
-}
-
-// faults plays troubles at random times during the traffic, at most as many machines with disks at once as
-// are to be borne.
-func faults(y *Yard, random *rand.Rand, end time.Time) {
-	for time.Now().Before(end) {
-		time.Sleep(time.Duration(300+random.IntN(2500)) * time.Millisecond)
-		span := time.Duration(500+random.IntN(4000)) * time.Millisecond
-		core := y.cores[random.IntN(len(y.cores))]
-		front := y.dispatchers[random.IntN(len(y.dispatchers))]
-		place := random.IntN(y.Shape.Workers)
-		switch random.IntN(14) {
-		case 12, 13:
-			// Orders without an answer at a worker that is cut off for longer than its hold: what it is told
-			// late meets what was started elsewhere meanwhile.
-			y.LateOrders(2 * time.Second)
-			time.Sleep(time.Second)
-			cutOff(y, fmt.Sprint("worker-", place+1), true, true)
-			time.Sleep(longCut)
-			cutOff(y, fmt.Sprint("worker-", place+1), true, false)
-		case 10:
-			y.ReplaceCore(random.IntN(len(y.cores)), span/4)
-		case 11:
-			y.CutDispatcher(front.name, true)
-			time.Sleep(span)
-			y.CutDispatcher(front.name, false)
-		case 0:
-			core.Kill()
-			time.Sleep(span / 4)
-			core.Back()
-		case 1:
-			core.PowerOff()
-			time.Sleep(span)
-			core.Back()
-		case 2:
-			core.PowerOff()
-			core.disk.Wipe()
-			time.Sleep(span)
-			core.Back()
-		case 3:
-			cutOff(y, core.name, random.IntN(2) == 0, true)
-			time.Sleep(span)
-			cutOff(y, core.name, true, false)
-		case 4:
-			front.Kill()
-			time.Sleep(span / 4)
-			front.Back()
-		case 5:
-			front.PowerOff()
-			time.Sleep(span)
-			front.Back()
-		case 6:
-			y.list.Restart(place, span)
-		case 7:
-			cutOff(y, fmt.Sprint("worker-", place+1), random.IntN(2) == 0, true)
-			time.Sleep(span)
-			cutOff(y, fmt.Sprint("worker-", place+1), true, false)
-		case 8:
-			y.LateOrders(span)
-		case 9:
-			for _, c := range y.cores {
-				c.PowerOff()
-			}
-			time.Sleep(span / 2)
-			for _, c := range y.cores {
-				c.Back()
-			}
-		}
-		time.Sleep(6 * time.Second / time.Duration(1+random.IntN(3))) // a machine counts as lost a while after it is back
-	}
-}
-
-// cutOff cuts a machine off from all others, in both directions or in one.
-func cutOff(y *Yard, name string, both, cut bool) {
-	others := []string{}
-	for _, c := range y.cores {
-		others = append(others, c.name)
-	}
-	for _, d := range y.dispatchers {
-		others = append(others, d.name)
-	}
-	for _, other := range others {
-		if other != name {
-			y.Network.Cut(name, other, cut)
-			if both {
-				y.Network.Cut(other, name, cut)
-			}
-		}
-	}
+	calls               []ConfigCall
 }
 
 // provoke plays what the planted faults show in: orders without an answer at half of the workers, which are cut
@@ -135,11 +47,11 @@
 		for place := first; place < y.Shape.Workers; place += 2 {
 			cutOff(y, fmt.Sprint("worker-", place+1), true, false)
 		}
-		for _, c := range y.cores {
+		for _, c := range y.Cores() {
 			c.PowerOff()
 		}
 		time.Sleep(time.Second)
-		for _, c := range y.cores {
+		for _, c := range y.Cores() {
 			c.Back()
 		}
 		time.Sleep(2 * time.Second)
@@ -166,7 +78,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		y := NewYard(shape, NewNetwork(), seed, logs)
 		y.Start()
-		y.Configure()
+		y.Operator.Configure()
 		time.Sleep(warmUp)
 		end := time.Now().Add(traffic)
 		done := make(chan struct{})
@@ -177,17 +89,7 @@
 		random := rand.New(rand.NewPCG(seed, 4))
 		clients := 0
 		ended := make(chan struct{}, 10000)
-		configured := make(chan int, 1)
-		go func() {
-			count := 0
-			for time.Now().Before(end) {
-				if y.Configure() {
-					count++
-				}
-				time.Sleep(1500 * time.Millisecond)
-			}
-			configured <- count
-		}()
+		operators := playOperators(y, seed, done)
 		for time.Now().Before(end) {
 			clients++
 			own := rand.New(rand.NewPCG(seed, uint64(clients+100)))
@@ -198,11 +100,12 @@
 			time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
 		}
 		<-done
-		result.configurations = <-configured
+		result.configurations = <-operators
 		for range clients {
 			<-ended
 		}
-		y.ReadBack()
+		y.Operator.ReadBack()
+		result.calls = y.Operator.History.Calls()
 		result.accepted, result.completed = y.Judge.finish()
 		result.broken = y.Judge.Broken()
 		y.Stop()
@@ -211,7 +114,50 @@
 	return result
 }
 
+// playOperators changes the configuration until the disruptions are over, alone and in races, and reads it
+// meanwhile; the channel gets the number of changes that were taken.
+func playOperators(y *Yard, seed uint64, over <-chan struct{}) <-chan int {
+	taken := make(chan int, 1)
+	random := rand.New(rand.NewPCG(seed, 6))
+	wait := func(span time.Duration) bool {
+		select {
+		case <-over:
+			return false
+		case <-time.After(span):
+			return true
+		}
+	}
+	var reads sync.WaitGroup
+	reads.Go(func() {
+		own := rand.New(rand.NewPCG(seed, 7))
+		for wait(700 * time.Millisecond) {
+			y.Operator.Read(own)
+		}
+	})
+	go func() {
+		count, pause := 0, time.Duration(0)
+		for wait(pause) {
+			change := y.Operator.Configure
+			pause = 1500 * time.Millisecond
+			if y.hurry.Load() {
+				pause = 20 * time.Millisecond
+			} else if random.IntN(3) == 0 {
+				change = y.Operator.Race
+			}
+			if change() {
+				count++
+			}
+		}
+		reads.Wait()
+		taken <- count
+	}()
+	return taken
+}
+
 func shapeOf(seed uint64) Shape {
+	if seed%8 == 5 {
+		return Shape{Cores: 9, Tolerate: 2, Dispatchers: 4, Workers: 6, Guards: true}
+	}
 	if seed%4 == 3 {
 		return Shape{Cores: 5, Tolerate: 2, Dispatchers: 4, Workers: 6, Guards: true}
 	}
@@ -244,6 +190,18 @@
 			}
 		})
 	}
+	t.Cleanup(func() { reportPlayed(t, count) })
+}
+
+// reportPlayed prints how often each kind of disruption came about; with as many schedules as there are kinds, one
+// that never did fails.
+func reportPlayed(t *testing.T, schedules int) {
+	for _, kind := range disruptions {
+		t.Logf("%5d  %s", played.counts[kind.name], kind.name)
+		if schedules >= len(disruptions) && played.counts[kind.name] == 0 {
+			t.Errorf("%q never came about", kind.name)
+		}
+	}
 }
 
 // TestPlantedFaults shows that the judge finds what the system relies on and machines may break, by the rules
--- a/internal/emulator/yard.go
+++ b/internal/emulator/yard.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -42,13 +43,16 @@
 	Shape       Shape
 	Network     Links
 	Judge       *Judge
+	seed        uint64
+	hurry       atomic.Bool // operators change the configuration in quick succession
 	random      *rand.Rand
 	logger      zerolog.Logger
+	coresMu     sync.Mutex
 	cores       []*core
+	Operator    *Operator
 	dispatchers []*dispatcherProcess
 	list        *instanceList
 	client      *http.Client
-	version     int64
 	replaced    int
 	lateUntil   time.Time
 	lateMu      sync.Mutex
@@ -74,19 +78,22 @@
 	// PowerOff does the same without a word to others, and PowerOn ends that.
 	PowerOff(name string)
 	PowerOn(name string)
+	// Reset ends all connections between machines; both sides see resets.
+	Reset()
 	// Cut cuts a pair of machines in one direction, or joins it again.
 	Cut(from, to string, cut bool)
 }
 
 // NewYard returns a yard whose machines are not started.
 func NewYard(shape Shape, network Links, seed uint64, logs io.Writer) *Yard {
-	y := &Yard{Shape: shape, Network: network, Judge: NewJudge(), random: rand.New(rand.NewPCG(seed, 1)),
+	y := &Yard{seed: seed, Shape: shape, Network: network, Judge: NewJudge(), random: rand.New(rand.NewPCG(seed, 1)),
 		lateRandom: rand.New(rand.NewPCG(seed, 2)), logger: zerolog.New(logs).With().Logger()}
 	y.client = &http.Client{Transport: &http.Transport{DisableCompression: true,
 		DialContext: func(_ context.Context, _, address string) (net.Conn, error) {
 			return y.Network.Machine(clientName).Dial(address, 300*time.Millisecond)
 		}}}
 	y.list = newInstanceList(y)
+	y.Operator = newOperator(y, seed)
 	for i := range shape.Cores {
 		y.cores = append(y.cores, &core{yard: y, name: fmt.Sprint("core-", i+1), zone: fmt.Sprint("z", i%3),
 			disk: NewDisk(syncTime, rand.New(rand.NewPCG(seed, uint64(i+10))))})
@@ -100,8 +107,9 @@
 
 func (y *Yard) settings(name, zone string) *settings.Settings {
 	s := &settings.Settings{Node: name, Zone: zone, Cloud: settings.Cloud{Address: cloud}}
-	for i := range min(3, len(y.cores)) {
-		s.Seeds = append(s.Seeds, y.cores[i].name+":1")
+	cores := y.Cores()
+	for i := range min(3, len(cores)) {
+		s.Seeds = append(s.Seeds, cores[i].name+":1")
 	}
 	s.Tolerate.Machines = y.Shape.Tolerate
 	s.Limits.DiskMb = 16
@@ -109,10 +117,17 @@
 	return s
 }
 
+// Cores returns the present control machines.
+func (y *Yard) Cores() []*core {
+	y.coresMu.Lock()
+	defer y.coresMu.Unlock()
+	return append([]*core(nil), y.cores...)
+}
+
 // Start starts every machine for the first time.
 func (y *Yard) Start() {
 	y.list.start()
-	for _, c := range y.cores {
+	for _, c := range y.Cores() {
 		c.start(true)
 	}
 	for _, d := range y.dispatchers {
@@ -125,7 +140,7 @@
 	for _, d := range y.dispatchers {
 		d.Kill()
 	}
-	for _, c := range y.cores {
+	for _, c := range y.Cores() {
 		c.Kill()
 	}
 	y.list.stop()
