--- a/internal/control/server/engine.go
+++ b/internal/control/server/engine.go
@@ -65,6 +65,7 @@
 	applied      uint64
 	freeSegments int
 	compacting   bool
+	unreadable   bool // the last snapshot of another member could not be read
 
 	peers       *peers
 	heartbeats  *heartbeats
@@ -299,15 +300,19 @@
 	return true
 }
 
+// restore takes over a snapshot of another member. One that can't be read is never made durable here, so this
+// member stays incomplete; it reports itself as sick, and the chain goes on without it.
 func (s *Server) restore(snapshot *chain.Snapshot) {
 	index := snapshot.Index
-	s.disk.add(diskJob{reset: true,
-		snapshot: &segment.Snapshot{Index: index, Epoch: snapshot.IndexEpoch, Data: snapshot.Data},
-		done:     func() { s.replica.Restored(index) }})
 	if !s.restoreState(snapshot.Data) {
-		s.logger.Error().Msg("a snapshot from another member can't be read; this member stays incomplete")
+		s.unreadable = true
+		s.logger.Error().Uint64("index", index).Msg("a snapshot of another member can't be read; staying out of the chain: are all machines of one version?")
 		return
 	}
+	s.unreadable = false
+	s.disk.add(diskJob{reset: true,
+		snapshot: &segment.Snapshot{Index: index, Epoch: snapshot.IndexEpoch, Data: snapshot.Data},
+		done:     func() { s.replica.Restored(index) }})
 	s.applied = index
 	s.dropDispatchers()
 }
--- a/internal/control/server/views.go
+++ b/internal/control/server/views.go
@@ -30,7 +30,8 @@
 	s.resend(0)
 }
 
-func (s *Server) stalled() bool { return s.disk.sick() }
+// stalled reports whether the chain had better do without this member.
+func (s *Server) stalled() bool { return s.disk.sick() || s.unreadable }
 
 // probeDisk writes to a disk that was slow, to see whether it still is.
 func (s *Server) probeDisk() {
