--- a/internal/control/cluster/jobs.go
+++ b/internal/control/cluster/jobs.go
@@ -44,8 +44,8 @@
 
 // finish ends a job: what still runs of it is stopped.
 func (c *Cluster) finish(owned *job.Job, state job.State) {
-	owned.State, owned.EndedAge = state, c.AgeCount
 	c.begin(owned)
+	owned.State, owned.EndedAge = state, c.AgeCount
 	for _, key := range owned.SortedKeys() {
 		c.stopTask(owned, key)
 	}
@@ -54,7 +54,7 @@
 
 // begin counts a job no longer among those of which no task has begun.
 func (c *Cluster) begin(owned *job.Job) {
-	if owned.Begun {
+	if owned.Begun || owned.State.Over() {
 		return
 	}
 	owned.Begun = true
