--- /dev/null
+++ b/internal/control/server/process_test.go
@@ -0,0 +1,72 @@
+package server_test
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"linnetlift/internal/control/server"
+	"linnetlift/internal/emulator"
+	"linnetlift/internal/settings"
+)
+
+func ask(handler http.Handler, path string) (int, server.Status) {
+	answer := httptest.NewRecorder()
+	handler.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, path, nil))
+	status := server.Status{}
+	json.Unmarshal(answer.Body.Bytes(), &status)
+	return answer.Code, status
+}
+
+// TestFullDiskAtTheStart keeps a fault that hunts have shown: a control process whose disk was full at its start ended
+// with code 1, four times in one day.
+func TestFullDiskAtTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := emulator.NewDisk(time.Millisecond, rand.New(rand.NewPCG(1, 1)))
+		disk.Fill(true)
+		s := &settings.Settings{Node: "core-1", Listen: settings.Listen{Control: "core-1:1"}, Limits: settings.Limits{DiskMb: 16}}
+		process := server.NewProcess(s, emulator.NewNetwork().Machine("core-1"), disk, zerolog.Nop())
+		stop, ended := make(chan struct{}), make(chan error, 1)
+		go func() { ended <- process.Run(stop) }()
+		time.Sleep(5 * time.Second)
+		if code, status := ask(process, "/-/status"); code != http.StatusOK || !strings.Contains(status.Waiting, "no space") {
+			t.Errorf("the status answers %d, waiting for %q", code, status.Waiting)
+		}
+		if code, _ := ask(process, "/-/config"); code != http.StatusServiceUnavailable {
+			t.Errorf("a read is answered %d", code)
+		}
+		disk.Fill(false)
+		time.Sleep(time.Second)
+		if code, status := ask(process, "/-/status"); code != http.StatusOK || status.Waiting != "" {
+			t.Errorf("the status answers %d, waiting for %q", code, status.Waiting)
+		}
+		close(stop)
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// TestStopWhileTheDiskIsFull keeps that a process that waits for its disk ends when it is told to.
+func TestStopWhileTheDiskIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		disk := emulator.NewDisk(time.Millisecond, rand.New(rand.NewPCG(1, 1)))
+		disk.Fill(true)
+		process := server.NewProcess(&settings.Settings{Node: "core-1"}, emulator.NewNetwork().Machine("core-1"), disk, zerolog.Nop())
+		stop, ended := make(chan struct{}), make(chan error, 1)
+		go func() { ended <- process.Run(stop) }()
+		time.Sleep(time.Second)
+		process.Leave()
+		close(stop)
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/server/server_test.go
@@ -0,0 +1,120 @@
+package server
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"linnetlift/coordination/chain"
+	"linnetlift/coordination/frame"
+	"linnetlift/coordination/segment"
+	"linnetlift/internal/control/cluster"
+	"linnetlift/internal/settings"
+)
+
+// resting returns a server whose engine does not run, so that a test can call what belongs to it.
+func resting(t *testing.T) *Server {
+	t.Helper()
+	s := &settings.Settings{Node: "core-1", Listen: settings.Listen{Control: "core-1:1"}, Limits: settings.Limits{DiskMb: 16}}
+	server, err := Open(s, frame.TCP{}, segment.Dir(t.TempDir()), zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.disk.close)
+	return server
+}
+
+// TestMemberWithoutMajorityGivesUpWhatIsPending keeps that a member that was cut off proposes nothing on its return
+// that has grown old: operators are told that the outcome is unknown, dispatchers send again by themselves.
+func TestMemberWithoutMajorityGivesUpWhatIsPending(t *testing.T) {
+	s := resting(t)
+	told := cluster.Result{}
+	s.submit(&cluster.Command{ReadConfig: &cluster.ReadConfig{}}, func(result cluster.Result) { told = result })
+	s.submitFor(&dispatcher{}, &cluster.Command{Cancel: &cluster.Cancel{Job: "a"}}, nil, func(cluster.Result) {
+		t.Error("a dispatcher that is gone is answered")
+	})
+	s.tick()
+	if told.Code != cluster.Unknown {
+		t.Errorf("the operator is told %d", told.Code)
+	}
+	s.resend(0)
+	if len(s.pending) != 0 || len(s.outgoing) != 0 {
+		t.Errorf("%d commands are kept, %d are proposed", len(s.pending), len(s.outgoing))
+	}
+}
+
+func TestCommandsOfADispatcherThatIsGone(t *testing.T) {
+	s := resting(t)
+	gone, other := &dispatcher{}, &dispatcher{}
+	s.dispatchers[gone], s.dispatchers[other] = true, true
+	for range 3 {
+		s.submitFor(gone, &cluster.Command{Cancel: &cluster.Cancel{Job: "a"}}, nil, func(cluster.Result) {})
+	}
+	s.submitFor(other, &cluster.Command{Cancel: &cluster.Cancel{Job: "b"}}, nil, func(cluster.Result) {})
+	s.removeDispatcher(gone)
+	if len(s.pending) != 1 {
+		t.Errorf("%d commands are kept, want that of the other dispatcher", len(s.pending))
+	}
+}
+
+// TestProposedAgainInOrder keeps that commands without an outcome go out again in the order in which they came.
+func TestProposedAgainInOrder(t *testing.T) {
+	s := resting(t)
+	for i := range 50 {
+		s.submit(&cluster.Command{Cancel: &cluster.Cancel{Job: fmt.Sprint(i)}}, func(cluster.Result) {})
+	}
+	s.outgoing = nil
+	s.resend(0)
+	for i := 1; i < len(s.outgoing); i++ {
+		if s.outgoing[i-1].Tag >= s.outgoing[i].Tag {
+			t.Fatalf("tag %d before %d", s.outgoing[i-1].Tag, s.outgoing[i].Tag)
+		}
+	}
+	if len(s.outgoing) != 50 {
+		t.Errorf("%d of 50 go out again", len(s.outgoing))
+	}
+}
+
+// TestUnreadableSnapshotKeepsTheMemberOut keeps a fault that a reading found: the member counted as complete with the
+// state that it had before.
+func TestUnreadableSnapshotKeepsTheMemberOut(t *testing.T) {
+	s := resting(t)
+	s.cluster.AgeCount = 7
+	s.restore(snapshotOf(9, []byte("no state")))
+	if s.applied == 9 || s.cluster.AgeCount != 7 || !s.stalled() {
+		t.Errorf("applied %d, stalled %v", s.applied, s.stalled())
+	}
+}
+
+func TestChangesSince(t *testing.T) {
+	changes := recentChanges{}
+	versions := func(since int64) string {
+		text := ""
+		for _, update := range changes.since(since) {
+			text += fmt.Sprint(update.Config.Version, " ")
+		}
+		return text
+	}
+	for _, version := range []int64{4, 7, 9} {
+		base := map[int64]int64{4: 2, 7: 4, 9: 7}[version]
+		changes.add(&cluster.ConfigUpdate{Version: version, Base: base})
+	}
+	if versions(4) != "7 9 " || versions(2) != "4 7 9 " || versions(3) != "" || versions(9) != "" {
+		t.Errorf("since 4: %s; since 2: %s; since 3: %s", versions(4), versions(2), versions(3))
+	}
+	changes.add(&cluster.ConfigUpdate{Version: 20, Base: 15}) // behind a snapshot
+	if versions(4) != "" || versions(15) != "20 " {
+		t.Error("changes with a gap between them are told")
+	}
+	for version := int64(20); version < 500; version++ {
+		changes.add(&cluster.ConfigUpdate{Version: version + 1, Base: version})
+	}
+	if len(changes.list) != keptChanges {
+		t.Errorf("%d changes are kept", len(changes.list))
+	}
+}
+
+func snapshotOf(index uint64, data []byte) *chain.Snapshot {
+	return &chain.Snapshot{Epoch: 1, Index: index, IndexEpoch: 1, Data: data}
+}
--- /dev/null
+++ b/internal/dataplane/uplink_test.go
@@ -0,0 +1,110 @@
+package dataplane
+
+import (
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"linnetlift/coordination/frame"
+	"linnetlift/internal/control/cluster"
+	"linnetlift/internal/control/link"
+	"linnetlift/internal/settings"
+)
+
+// idle returns a dispatcher whose engine does not run, so that a test can call what belongs to it.
+func idle() *Dispatcher {
+	return New(&settings.Settings{Node: "front-1", Seeds: []string{"core-1:1"}}, deaf{}, zerolog.Nop())
+}
+
+func cancel(id string) *cluster.Command { return &cluster.Command{Cancel: &cluster.Cancel{Job: id}} }
+
+// sent returns the commands that would go out now, by tag.
+func (u *uplink) sent(t *testing.T) map[uint64]*cluster.Command {
+	t.Helper()
+	commands := map[uint64]*cluster.Command{}
+	settled := u.settled()
+	for _, tag := range u.outgoing {
+		if waiting := u.pending[tag]; waiting != nil {
+			command := &cluster.Command{}
+			if !link.Decode(u.encode(tag, waiting.command, settled).Command, command) {
+				t.Fatal("a command can't be read")
+			}
+			commands[tag] = command
+		}
+	}
+	u.outgoing = nil
+	return commands
+}
+
+func TestCommandsAreFencedBySessionAndNumber(t *testing.T) {
+	u := idle().uplink
+	u.attach(&frame.Conn{}, 7)
+	first := u.submit(cancel("a"), func(cluster.Result) {})
+	second := u.submit(cancel("b"), func(cluster.Result) {})
+	sent := u.sent(t)
+	if sent[first].Session != 7 || sent[second].Number != second || sent[first].Settled != first-1 {
+		t.Errorf("sent %+v and %+v", sent[first], sent[second])
+	}
+	u.receiveOutcome(link.Outcome{Tag: second})
+	if settled := u.settled(); settled != first-1 {
+		t.Errorf("settled up to %d while %d waits", settled, first)
+	}
+	u.receiveOutcome(link.Outcome{Tag: first})
+	if settled := u.settled(); settled != second {
+		t.Errorf("settled up to %d, want %d", settled, second)
+	}
+}
+
+// TestOutcomeOfAFormerConnection keeps that an answer which another connection brings, also one of another life of
+// the control machine, is not taken for one of this connection.
+func TestOutcomeOfAFormerConnection(t *testing.T) {
+	u := idle().uplink
+	former, present := &frame.Conn{}, &frame.Conn{}
+	u.attach(former, 7)
+	answered := false
+	tag := u.submit(cancel("a"), func(cluster.Result) { answered = true })
+	u.attach(present, 7)
+	u.receive(former, &link.Down{Outcomes: []link.Outcome{{Tag: tag, Result: cluster.Result{Code: cluster.NotFound}}}})
+	if answered || u.pending[tag] == nil {
+		t.Error("an answer of a former connection is taken")
+	}
+	u.receive(present, &link.Down{Outcomes: []link.Outcome{{Tag: tag}, {Tag: tag + 1}, {Tag: tag}}})
+	if !answered {
+		t.Error("the answer is not taken")
+	}
+}
+
+// TestCommandOfAnOverSessionGoesOutAgain keeps that a command which a session's end has overtaken goes out under
+// the next one, with its own fences.
+func TestCommandOfAnOverSessionGoesOutAgain(t *testing.T) {
+	u := idle().uplink
+	u.attach(&frame.Conn{}, 7)
+	answered := false
+	tag := u.submit(cancel("a"), func(cluster.Result) { answered = true })
+	u.sent(t)
+	u.conn = nil // as behind a connection that is given up
+	u.receiveOutcome(link.Outcome{Tag: tag, Result: cluster.Result{Code: cluster.Stale}})
+	if answered {
+		t.Fatal("whoever waits is told that the session is over")
+	}
+	u.attach(&frame.Conn{}, 9)
+	if sent := u.sent(t); sent[tag] == nil || sent[tag].Session != 9 {
+		t.Errorf("sent again: %+v", sent[tag])
+	}
+}
+
+// TestGivenUpCommandIsNotSentAgain keeps that a job whose client has left long ago is not handed in by a later
+// connection: it may be done and forgotten by then.
+func TestGivenUpCommandIsNotSentAgain(t *testing.T) {
+	u := idle().uplink
+	u.attach(&frame.Conn{}, 7)
+	given := u.submit(cancel("a"), func(cluster.Result) {})
+	kept := u.submit(cancel("b"), func(cluster.Result) {})
+	u.sent(t)
+	u.forget(given)
+	u.attach(&frame.Conn{}, 7)
+	sent := u.sent(t)
+	if sent[given] != nil || sent[kept] == nil || sent[kept].Settled < given {
+		t.Errorf("sent again: %+v", sent)
+	}
+}
