Tests: idle workers, first tasks and checkpoints at a worker's owner

An idle worker is told of its noted ends with one look; a job has begun once a worker has started one of its tasks; an owner numbers the checkpoints of a run.

--- /dev/null
+++ b/scheduling/worker/notes_test.go
@@ -0,0 +1,81 @@
+package worker
+
+import (
+	"testing"
+	"time"
+
+	"linnetlift/internal/control/cluster"
+)
+
+// TestIdleWorkerIsToldOfNotedEnds keeps that the last ends at a worker are taken note of though nothing runs there any
+// more, with one look for all of them.
+func TestIdleWorkerIsToldOfNotedEnds(t *testing.T) {
+	b := newBench(t)
+	b.contact()
+	for i, task := range []string{taskA, taskB} {
+		b.place(task, 1, true)
+		b.answerStart(Done)
+		b.agent.HoldAnswered(b.now, b.nextHold(), Done, Lists{ClockMs: b.clockMs(), Ended: []End{{Number: uint64(i + 1), Task: task,
+			Command: 1, How: cluster.Done}}})
+		b.take()
+		b.agent.Remove(b.now, task, 1)
+		b.agent.Noted(b.now, uint64(i+1))
+		b.take()
+	}
+	b.holds = nil
+	looks := 0
+	for range 60 {
+		b.tick(100 * time.Millisecond)
+		for len(b.holds) > 0 {
+			if hold := b.answerHold(Lists{}); hold.LastSeen != 2 || hold.UntilMs != 0 {
+				t.Errorf("a look with seen %d, until %d", hold.LastSeen, hold.UntilMs)
+			}
+			looks++
+		}
+	}
+	if looks != 1 {
+		t.Errorf("%d looks at an idle worker, want one", looks)
+	}
+	b.golden()
+}
+
+// TestFirstTaskIsTold keeps that a job counts as begun once a worker has started one of its tasks, not when it is placed.
+func TestFirstTaskIsTold(t *testing.T) {
+	b := newBench(t)
+	b.contact()
+	b.agent.Place(b.now, cluster.Placement{Worker: "w1", Task: taskA, Run: 1, Fresh: true, First: true})
+	calls := b.agent.Take()
+	if len(calls.Began) != 0 || len(calls.Starts) != 1 {
+		t.Fatalf("placed: began %v, %d starts", calls.Began, len(calls.Starts))
+	}
+	b.agent.StartAnswered(b.now, taskA, 1, Unanswered, 0)
+	if began := b.agent.Take().Began; len(began) != 0 {
+		t.Errorf("an order without an answer counts as begun: %v", began)
+	}
+	b.agent.HoldAnswered(b.now, Hold{Sequence: 99, Fence: 1 << 40}, Done, Lists{ClockMs: b.clockMs(),
+		Running: []Running{{Task: taskA, Command: 1}}})
+	if began := b.agent.Take().Began; len(began) != 1 || began[0] != taskA[:16] {
+		t.Errorf("began %v", began)
+	}
+}
+
+// TestCheckpointsAreNumbered keeps that the control machines can tell an older checkpoint from a newer one.
+func TestCheckpointsAreNumbered(t *testing.T) {
+	b := newBench(t)
+	b.contact()
+	b.agent.Place(b.now, cluster.Placement{Worker: "w1", Task: taskA, Run: 1, Saves: true})
+	last := uint64(0)
+	for sequence, saved := range []string{"a", "b", "b", "c"} {
+		b.agent.HoldAnswered(b.now, Hold{Sequence: uint64(50 + sequence), Fence: 1 << 40}, Done, Lists{ClockMs: b.clockMs(),
+			Running: []Running{{Task: taskA, Command: 1, Saved: saved}}})
+		for _, checkpoint := range b.agent.Take().Checkpoints {
+			if checkpoint.Sequence <= last || checkpoint.Token != b.agent.Token() {
+				t.Errorf("%q is number %d behind %d, token %d", saved, checkpoint.Sequence, last, checkpoint.Token)
+			}
+			last = checkpoint.Sequence
+		}
+	}
+	if last != 3 {
+		t.Errorf("%d checkpoints of 3", last)
+	}
+}
