--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,8 @@
 	go test -run '^$$' -fuzz FuzzRequest -fuzztime $(FUZZTIME) ./scheduling/job
 	go test -run '^$$' -fuzz FuzzName -fuzztime $(FUZZTIME) ./scheduling/job
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/control/link
+	go test -run '^$$' -fuzz FuzzUnpack -fuzztime $(FUZZTIME) ./internal/control/link
+	go test -run '^$$' -fuzz FuzzApply -fuzztime $(FUZZTIME) ./internal/control/patch
 	go test -run '^$$' -fuzz FuzzApply -fuzztime $(FUZZTIME) ./internal/control/cluster
 	go test -run '^$$' -fuzz FuzzOpen -fuzztime $(FUZZTIME) ./coordination/segment
 	go test -run '^$$' -fuzz FuzzLoad -fuzztime $(FUZZTIME) ./internal/settings
