Scenario limit-open waits until each dispatcher has the limit

Cause of "27 jobs were open at worker 2, of 14" on a busy machine: under the fence "last" a dispatcher that has not got the policy yet admits by the one before, which had no limit, and the scenario began to push at once. Ruled out: jobs of the killed dispatcher, which take 0.15 s of the 3 s of settling. The check itself is as it was.

--- a/lab/rig/stage/limits.go
+++ b/lab/rig/stage/limits.go
@@ -97,7 +97,11 @@
 
 func limitOpen(t T, r *Rig) {
 	r.Runs(150 * time.Millisecond)
-	force(t, r, "dispatchers = 7\nsettle = \"3s\"\n[[limit]]\nname = \"open\"\nkind = \"open\"\namount = 28.0\nstatic = 0.5\n[[limit]]\nname = \"each\"\nkind = \"at-worker\"\namount = 14.0\nstatic = 0.5\n")
+	version := force(t, r, "dispatchers = 7\nsettle = \"3s\"\n[[limit]]\nname = \"open\"\nkind = \"open\"\namount = 28.0\nstatic = 0.5\n[[limit]]\nname = \"each\"\nkind = \"at-worker\"\namount = 14.0\nstatic = 0.5\n")
+	// Under the fence "last" a dispatcher admits by the policy before, which limits nothing, until it has the new one.
+	for _, d := range r.Dispatcher {
+		under(t, r, d, version)
+	}
 	for _, w := range r.Workers {
 		w.Peak()
 	}
