--- a/internal/control/server/server_test.go
+++ b/internal/control/server/server_test.go
@@ -118,3 +118,41 @@
 func snapshotOf(index uint64, data []byte) *chain.Snapshot {
 	return &chain.Snapshot{Epoch: 1, Index: index, IndexEpoch: 1, Data: data}
 }
+
+// TestAnswerForAnotherLife keeps that an answer for a former life of a member, which has the same name, meets no
+// command of the present one. Planted: both lives begin at the same tag.
+func TestAnswerForAnotherLife(t *testing.T) {
+	folder := t.TempDir()
+	life := func() *Server {
+		s := &settings.Settings{Node: "core-1", Listen: settings.Listen{Control: "core-1:1"}, Limits: settings.Limits{DiskMb: 16}}
+		server, err := Open(s, frame.TCP{}, segment.Dir(folder), zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(server.disk.close)
+		return server
+	}
+	// answered reports whether the present life's read is answered by one of the former life.
+	answered := func(sameTags bool) bool {
+		former := life()
+		first := former.nextTag
+		former.submit(&cluster.Command{ReadConfig: &cluster.ReadConfig{}}, func(cluster.Result) {})
+		present := life()
+		if present.register.Me().ID != former.register.Me().ID {
+			t.Fatal("the member has another name in its next life")
+		}
+		if sameTags {
+			present.nextTag = first
+		}
+		taken := false
+		present.submit(&cluster.Command{ReadConfig: &cluster.ReadConfig{}}, func(cluster.Result) { taken = true })
+		present.answerRead(chain.Read{Origin: present.register.Me().ID, Tag: former.nextTag})
+		return taken
+	}
+	if answered(false) {
+		t.Error("an answer for a former life is taken")
+	}
+	if !answered(true) {
+		t.Error("tags that two lives share were not found")
+	}
+}
