--- a/coordination/chain/chain_test.go
+++ b/coordination/chain/chain_test.go
@@ -546,6 +546,44 @@
 }
 
 // What is in flight is counted on, and comes to the same as a count from the beginning.
+// TestOutsiderWithALongSuffix keeps a fault that a planted one has shown: a replica whose log reached beyond its
+// teacher's snapshot with entries that were never committed took nothing in, and asked again without end.
+func TestOutsiderWithALongSuffix(t *testing.T) {
+	n := newNetwork(3, 2)
+	n.setView(1, 1, 2, 3)
+	n.propose(1, "a")
+	n.settle()
+	n.cut[[2]MemberID{1, 2}] = true
+	n.propose(1, "x", "y", "z", "u") // never committed
+	n.sync(1)
+	n.view = View{2, []MemberID{2, 3}}
+	for _, id := range n.view.Members {
+		n.hosts[id].replica.SetView(n.view)
+		n.carryOut(n.hosts[id])
+	}
+	n.settle()
+	n.propose(2, "b", "c", "d")
+	n.settle()
+	teacher, outsider := n.hosts[2].replica, n.hosts[1].replica
+	teacher.Compact(3, []byte("state of 3"))
+	outsider.SetView(n.view)
+	for range 4 {
+		fetch, outside := outsider.NextFetch()
+		if !outside {
+			t.Fatal("the replica is a member")
+		}
+		if lesson := teacher.Teach(fetch); lesson != nil {
+			outsider.Learn(lesson)
+			n.carryOut(n.hosts[1])
+		}
+	}
+	if outsider.Committed() != teacher.Committed() || string(n.hosts[1].base.Data) != "state of 3" || texts(n.hosts[1].applied) != "d" {
+		t.Errorf("committed %d of %d, snapshot %q, applied %q", outsider.Committed(), teacher.Committed(),
+			n.hosts[1].base.Data, texts(n.hosts[1].applied))
+	}
+	n.check(t)
+}
+
 func TestBytesInFlight(t *testing.T) {
 	random := rand.New(rand.NewPCG(7, 7))
 	r := New(1, 1, Snapshot{}, nil, 0)
--- a/coordination/chain/learn.go
+++ b/coordination/chain/learn.go
@@ -56,7 +56,8 @@
 	if r.position >= 0 {
 		return
 	}
-	if s := lesson.Snapshot; s != nil && s.Index > r.Last() {
+	// A log that reaches beyond the snapshot may do so with entries that were never committed.
+	if s := lesson.Snapshot; s != nil && r.epochOf(s.Index) != s.IndexEpoch {
 		r.restore(s)
 	}
 	known := lesson.PrevIndex >= r.base && lesson.PrevIndex <= r.Last() && r.epochOf(lesson.PrevIndex) == lesson.PrevEpoch
--- a/coordination/view/detector.go
+++ b/coordination/view/detector.go
@@ -275,7 +275,7 @@
 func (d *Detector) replace(now time.Duration, view *View, wish *View) {
 	for _, id := range sortedIDs(d.peers) {
 		newcomer := d.peers[id]
-		if view.IsElector(id) || !d.steady(now, id) {
+		if view.IsElector(id) || !d.steady(now, id) || d.isLeaving(id) {
 			continue
 		}
 		if place := d.placeFor(now, wish, &newcomer.ping); place >= 0 {
--- a/coordination/view/losses_test.go
+++ b/coordination/view/losses_test.go
@@ -354,3 +354,21 @@
 		t.Errorf("a newcomer with the log does not take the leaving member's place: %v", got)
 	}
 }
+
+// TestLeavingMemberIsNoNewcomer keeps that a member that is to stop and has given its place away does not take that of
+// another one that stops.
+func TestLeavingMemberIsNoNewcomer(t *testing.T) {
+	members, view := three()
+	d := NewDetector(members[1], 0, 2)
+	former := Ping{From: Member{ID: 9, Address: "a9", Zone: "z1"}, Epoch: 4, Hears: []MemberID{2}, Leaving: true, Last: 100}
+	for at := time.Duration(0); at < time.Second; at += beat {
+		leaving := pingOf(members[0], 4, 2)
+		leaving.Leaving = true
+		d.Heard(at, leaving)
+		d.Heard(at, pingOf(members[2], 4, 2))
+		d.Heard(at, former)
+		if wish, _ := d.Wish(at, view, false, false, 0); wish != nil && wish.IsElector(9) {
+			t.Fatalf("a member that stops takes the place of another one: %v", wish)
+		}
+	}
+}
--- a/internal/control/server/views.go
+++ b/internal/control/server/views.go
@@ -121,9 +121,12 @@
 			s.peers.send(from.ID, &link.Peer{Lesson: lesson})
 		}
 	case message.Lesson != nil:
+		before := s.replica.Committed()
 		s.replica.Learn(message.Lesson)
 		s.pace.answered()
-		s.fetch(from.ID)
+		if s.replica.Committed() > before {
+			s.fetch(from.ID) // else the next tick asks: one that brings nothing must not be asked for at once again
+		}
 	case message.Forward != nil:
 		s.replica.Propose(message.Forward)
 	}
--- a/internal/emulator/processes.go
+++ b/internal/emulator/processes.go
@@ -34,12 +34,24 @@
 	c.stop, c.run = stop, control
 	go c.http.Serve(listener)
 	go func() {
+		defer c.yard.noteStopped(c.name)
 		if err := control.Run(stop); err != nil {
 			c.yard.Judge.note("START", "%s: %v", c.name, err)
 		}
 	}()
 }
 
+// noteStopped notes a process that a broken invariant has stopped, where a fault is planted: lying disks break what
+// the processes rely on. Elsewhere it stops the test.
+func (y *Yard) noteStopped(name string) {
+	if y.Shape.Planted == NoFault {
+		return
+	}
+	if stopped := recover(); stopped != nil {
+		y.Judge.note("LOST", "%s stops: %v", name, stopped)
+	}
+}
+
 func (c *core) end() {
 	if c.stop == nil {
 		return
