--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -17,6 +17,10 @@
 // latency is the one-way delay between any two machines.
 const latency = 700 * time.Microsecond
 
+// bytesPerSecond is what a connection carries: 200 Mbit/s. Without such a bound two members that disagree without end,
+// as with disks that lie, exchange logs forever in no time.
+const bytesPerSecond = 25_000_000
+
 // Network connects emulated machines by their addresses.
 type Network struct {
 	mu        sync.Mutex
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -15,9 +15,10 @@
 	from, to string
 	mu       sync.Mutex
 	chunks   []chunk
-	fin      bool  // the sender has closed
-	broken   error // what the receiver gets at once
-	silent   bool  // the receiver's own process is gone
+	fin      bool      // the sender has closed
+	broken   error     // what the receiver gets at once
+	silent   bool      // the receiver's own process is gone
+	freeAt   time.Time // when all that was written has left the sender
 	changed  chan struct{}
 }
 
@@ -130,7 +131,12 @@
 		c.out.mu.Unlock()
 		return 0, syscall.EPIPE
 	}
-	c.out.chunks = append(c.out.chunks, chunk{time.Now().Add(latency), append([]byte(nil), p...)})
+	begins := time.Now()
+	if c.out.freeAt.After(begins) {
+		begins = c.out.freeAt
+	}
+	c.out.freeAt = begins.Add(time.Duration(len(p)) * time.Second / bytesPerSecond)
+	c.out.chunks = append(c.out.chunks, chunk{c.out.freeAt.Add(latency), append([]byte(nil), p...)})
 	c.out.mu.Unlock()
 	c.out.wake()
 	return len(p), nil
