Logs say which workers come and go, which runs are given up and on what evidence

Now the head logs each worker that joins or leaves the state with the reading that said so and what was placed there, each run given up, each failed run with the attempts counted, and each end that is passed over. A dispatcher logs its own findings with their evidence, and the reader what each reading changed. No decision changes.

--- a/internal/control/cluster/cluster.go
+++ b/internal/control/cluster/cluster.go
@@ -76,6 +76,7 @@
 	State
 	keepAges uint64
 	updates  []Addressed
+	notices  []Notice
 }
 
 // New returns an empty cluster that forgets a job once keepAges ages have passed since its end.
@@ -106,7 +107,7 @@
 			state.LastSessions[session.Node] = &LastSession{session.ID, state.AgeCount}
 		}
 	}
-	c.State, c.updates = state, nil
+	c.State, c.updates, c.notices = state, nil, nil
 }
 
 // fresh reports whether a dispatcher still waits for the outcome of a command. It is false for a copy that
--- a/internal/control/cluster/jobs.go
+++ b/internal/control/cluster/jobs.go
@@ -200,6 +200,10 @@
 		c.endedBefore(owned, command)
 		return Result{}
 	}
+	if command.How == Lost {
+		c.notice(Notice{Kind: RunGivenUp, Worker: worker.ID, Task: name, Run: command.Run, How: command.How,
+			Evidence: OwnersFinding, Attempts: owned.Task(command.Task).Attempts})
+	}
 	delete(worker.Placed, name)
 	c.use(worker, job.Resources{}.Minus(owned.Request.Steps[command.Task.Step].Asks()))
 	c.tell(worker.Owner, Update{PlacementGone: &PlacementGone{worker.ID, name, command.Run}})
@@ -230,6 +234,8 @@
 	task := owned.Task(command.Task)
 	step := &owned.Request.Steps[command.Task.Step]
 	if command.How != Done || step.Gang || step.LongRunning || task.Done || owned.State.Over() || command.Run > task.Run {
+		c.notice(Notice{Kind: EndPassedOver, Worker: command.Worker, Task: command.Task.Name(command.Job),
+			Run: command.Run, How: command.How, Attempts: task.Attempts})
 		return
 	}
 	c.stopTask(owned, command.Task)
@@ -270,6 +276,8 @@
 		task.Attempts++
 		attempts = task.Attempts
 	}
+	c.notice(Notice{Kind: FailureNoted, Worker: owned.Task(key).LastLost, Task: key.Name(owned.ID), Run: run,
+		How: RunFailed, Attempts: attempts})
 	if attempts >= owned.MaxAttempts && !owned.State.Over() {
 		c.finish(owned, job.Failed)
 	}
--- a/internal/control/cluster/workers.go
+++ b/internal/control/cluster/workers.go
@@ -19,7 +19,7 @@
 		c.instance(command.Changed[i])
 	}
 	for _, id := range command.Gone {
-		c.removeWorker(id)
+		c.removeWorker(id, OffTheList, "")
 	}
 	return Result{}
 }
@@ -28,13 +28,14 @@
 	// A new incarnation at a known address proves that the former one runs nothing any more.
 	for _, id := range sortedKeys(c.Workers) {
 		if id != instance.ID && c.Workers[id].Address == instance.Address {
-			c.removeWorker(id)
+			c.removeWorker(id, AddressReused, instance.ID)
 		}
 	}
 	worker := c.Workers[instance.ID]
 	if worker == nil {
 		worker = &Worker{Instance: instance, Placed: map[string]Run{}}
 		c.Workers[instance.ID] = worker
+		c.notice(Notice{Kind: WorkerJoined, Worker: instance.ID, Address: instance.Address, Reader: c.ReadBy, Reading: c.Reading})
 		c.assignWorker(worker)
 		if worker.Owner != 0 {
 			return
@@ -47,11 +48,13 @@
 }
 
 // removeWorker forgets a worker that is gone; its runs are lost.
-func (c *Cluster) removeWorker(id string) {
+func (c *Cluster) removeWorker(id string, evidence Evidence, successor string) {
 	worker := c.Workers[id]
 	if worker == nil {
 		return
 	}
+	c.notice(Notice{Kind: WorkerLeft, Worker: id, Address: worker.Address, Evidence: evidence, Successor: successor,
+		Placed: len(worker.Placed), Reader: c.ReadBy, Reading: c.Reading})
 	for _, name := range sortedKeys(worker.Placed) {
 		jobID, key, _ := job.ParseName(name)
 		c.ended(&Ended{Worker: id, Job: jobID, Task: key, Run: worker.Placed[name].Number, How: Lost,
--- a/internal/control/server/engine.go
+++ b/internal/control/server/engine.go
@@ -151,6 +151,7 @@
 		entries[i].Origin = 0
 		s.apply(&entries[i])
 		s.updates = nil
+		s.cluster.TakeNotices()
 	}
 }
 
@@ -294,6 +295,7 @@
 	for i := range out.Committed {
 		s.apply(&out.Committed[i])
 	}
+	s.logNotices()
 	for _, read := range out.Reads {
 		s.answerRead(read)
 	}
--- /dev/null
+++ b/internal/control/server/notices.go
@@ -0,0 +1,35 @@
+package server
+
+import (
+	"github.com/rs/zerolog"
+
+	"linnetlift/internal/control/cluster"
+)
+
+// logNotices writes what the state machine tells operators of. Of all replicas the head does so.
+func (s *Server) logNotices() {
+	notices := s.cluster.TakeNotices()
+	if !s.replica.IsHead() {
+		return
+	}
+	for i := range notices {
+		logNotice(s.logger.Info(), &notices[i])
+	}
+}
+
+func logNotice(line *zerolog.Event, n *cluster.Notice) {
+	line.Str("worker", n.Worker)
+	if n.Address != "" {
+		line.Str("address", n.Address).Uint64("reader", n.Reader).Uint64("reading", n.Reading)
+	}
+	if n.Successor != "" {
+		line.Str("successor", n.Successor)
+	}
+	if n.Evidence != cluster.NoEvidence {
+		line.Stringer("evidence", n.Evidence).Int("placed", n.Placed)
+	}
+	if n.Task != "" {
+		line.Str("task", n.Task).Uint64("run", n.Run).Stringer("how", n.How).Int("attempts", n.Attempts)
+	}
+	line.Msg(n.Kind.String())
+}
--- a/internal/dataplane/reader.go
+++ b/internal/dataplane/reader.go
@@ -159,11 +159,21 @@
 	}
 	if len(command.Changed)+len(command.Gone) > 0 {
 		r.readings++
+		d.logger.Info().Uint64("reading", r.readings).Int("listed", len(list)).Strs("changed", changedIDs(command)).
+			Strs("gone", command.Gone).Msg("list read")
 		command.Reading = r.readings
 		d.uplink.submit(&cluster.Command{Instances: command}, func(cluster.Result) {})
 	}
 }
 
+func changedIDs(command *cluster.Instances) []string {
+	ids := make([]string, len(command.Changed))
+	for i := range command.Changed {
+		ids[i] = command.Changed[i].ID
+	}
+	return ids
+}
+
 // same reports whether the state already says what the list says. One that drains stays so.
 func same(known, read *cluster.Instance) bool {
 	return known.Service == read.Service && known.Address == read.Address && known.Zone == read.Zone &&
--- a/internal/dataplane/workers.go
+++ b/internal/dataplane/workers.go
@@ -83,6 +83,10 @@
 
 func (w *ownedWorker) report(report worker.Report) {
 	ended := report.Ended
+	if ended.How == cluster.Lost {
+		w.dispatcher.logger.Info().Str("worker", w.id).Str("task", ended.Task.Name(ended.Job)).Uint64("run", ended.Run).
+			Uint64("token", ended.Token).Stringer("evidence", report.Evidence).Msg("run given up")
+	}
 	if ended.How < cluster.NotStarted {
 		delete(w.dispatcher.begun, ended.Job) // the end tells that it has begun
 	}
--- a/scheduling/worker/answers.go
+++ b/scheduling/worker/answers.go
@@ -34,10 +34,13 @@
 		r.phase = owed // the lists tell whether it ended here
 		a.bumps++
 	case NoRoom:
-		a.release(r, cluster.NotStarted)
-	case Unhealthy, Invalid, Unreached:
+		a.release(r, cluster.NotStarted, Rejected)
+	case Unhealthy, Invalid:
 		a.out.Blames = append(a.out.Blames, 0.4)
-		a.release(r, cluster.NotStarted)
+		a.release(r, cluster.NotStarted, Rejected)
+	case Unreached:
+		a.out.Blames = append(a.out.Blames, 0.4)
+		a.release(r, cluster.NotStarted, NeverSent)
 	case OtherLife:
 		a.otherLife = true
 	}
@@ -167,11 +170,11 @@
 		}
 		switch {
 		case r.phase == owed && hold.Fence > r.fence && r.outdated:
-			a.release(r, cluster.NotStarted)
+			a.release(r, cluster.NotStarted, NeverOrdered)
 		case r.phase == owed && hold.Fence > r.fence:
 			r.phase = wanted
 		case r.phase == running && hold.Sequence >= r.knownFrom:
-			a.release(r, cluster.Lost)
+			a.release(r, cluster.Lost, NotInLists)
 		}
 	}
 }
@@ -192,7 +195,7 @@
 	if r := a.runs[end.Task]; r != nil && r.Run == end.Command {
 		r.phase = over
 	}
-	a.report(end.Number, end.Task, end.Command, end.How, end.Saved)
+	a.report(end.Number, end.Task, end.Command, end.How, end.Saved, ToldByWorker)
 }
 
 // atWork takes in that a run is at work, and how far it is.
--- a/scheduling/worker/orders.go
+++ b/scheduling/worker/orders.go
@@ -26,7 +26,7 @@
 		case r.phase == owed:
 			settling = true
 		case r.phase == wanted && (r.Stopping || !a.reachable):
-			a.release(r, cluster.NotStarted)
+			a.release(r, cluster.NotStarted, NeverOrdered)
 		case r.phase == wanted && a.contacted && a.fresh(now):
 			a.start(now, r)
 		case r.phase == wanted:
@@ -62,7 +62,7 @@
 func (a *Agent) giveUp() {
 	for _, task := range a.tasks() {
 		if r := a.runs[task]; r.phase == running || r.phase == owed || r.phase == ordered {
-			a.release(r, cluster.Lost)
+			a.release(r, cluster.Lost, HoldOver)
 		}
 	}
 }
@@ -103,12 +103,13 @@
 }
 
 // release reports that a run is not at work and never will be.
-func (a *Agent) release(r *run, how cluster.How) {
+func (a *Agent) release(r *run, how cluster.How, evidence Evidence) {
 	r.phase = over
-	a.report(0, r.Task, r.Run, how, "")
+	a.report(0, r.Task, r.Run, how, "", evidence)
 }
 
-func (a *Agent) report(number uint64, task string, command uint64, how cluster.How, saved string) {
+func (a *Agent) report(number uint64, task string, command uint64, how cluster.How, saved string,
+	evidence Evidence) {
 	id, key, ok := job.ParseName(task)
 	if !ok {
 		if number > 0 {
@@ -117,5 +118,5 @@
 		return
 	}
 	a.out.Reports = append(a.out.Reports, Report{number, cluster.Ended{Worker: a.id, Job: id, Task: key,
-		Run: command, How: how, Saved: saved, Token: a.token}})
+		Run: command, How: how, Saved: saved, Token: a.token}, evidence})
 }
--- a/scheduling/worker/worker.go
+++ b/scheduling/worker/worker.go
@@ -101,10 +101,29 @@
 	Unreached // nothing was sent
 )
 
+// Evidence is why an owner counts a run as over that its worker has not told the end of.
+type Evidence uint8
+
+// Kinds of evidence.
+const (
+	ToldByWorker Evidence = iota
+	NotInLists            // the worker's lists lack a run that was at work
+	HoldOver              // the worker is silent, and every hold that any order can have given is over
+	NeverOrdered          // nobody has ordered the run, or every such order was overtaken by a higher token
+	Rejected              // the worker answered that it has done nothing
+	NeverSent             // there was no connection to send the order on
+)
+
+var evidenceNames = [...]string{"told by the worker", "not in its lists", "hold over", "never ordered", "rejected", "never sent"}
+
+// String returns the evidence's name in logs.
+func (e Evidence) String() string { return evidenceNames[e] }
+
 // Report is what the control machines are to know. Number is that of the worker's end, or 0.
 type Report struct {
-	Number uint64
-	Ended  cluster.Ended
+	Number   uint64
+	Ended    cluster.Ended
+	Evidence Evidence
 }
 
 // Calls is what an agent wants done.
