--- a/internal/emulator/clients.go
+++ b/internal/emulator/clients.go
@@ -71,8 +71,19 @@
 	}
 }
 
+// Poison jobs can never be done: each run of a task that is not a gang's fails.
+const (
+	poisonSpec  = "poison"
+	poisonOneIn = 10
+)
+
+func isPoison(request *job.Request) bool { return request.Spec == poisonSpec }
+
 func (y *Yard) randomJob(random *rand.Rand) job.Request {
 	request := job.Request{Spec: fmt.Sprint("spec ", random.IntN(1000))}
+	if random.IntN(poisonOneIn) == 0 {
+		request.Spec = poisonSpec
+	}
 	for step := range 1 + random.IntN(3) {
 		s := job.Step{Count: 1 + random.IntN(4), Cpu: int64(500 + random.IntN(2000)), MemMb: 100,
 			EstimateMs: int64(200 + random.IntN(1500))}
--- a/internal/emulator/list.go
+++ b/internal/emulator/list.go
@@ -4,14 +4,21 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"linnetlift/scheduling/job"
 )
 
-// listLag is how long a change takes to show on the platform's list.
-const listLag = 500 * time.Millisecond
+const (
+	// listLag is how long a change takes to show on the platform's list.
+	listLag = 500 * time.Millisecond
+	// reuseAfter is how soon an address may be given to another worker after its last one crashed.
+	reuseAfter = 2 * time.Second
+	// lingers is how long a crashed worker that has no successor of its service stays on the list.
+	lingers = 10 * time.Second
+)
 
 // instanceList is the platform's list with the workers on it.
 type instanceList struct {
@@ -19,6 +26,7 @@
 	mu      sync.Mutex
 	workers []*Worker
 	servers []*http.Server
+	crashed []*Worker // that are still listed
 	shown   []listEntry
 	number  int
 }
@@ -81,12 +89,27 @@
 	})
 }
 
+// Reuse crashes the worker in the place. It stays on the list for long, also once another worker has its address.
+func (l *instanceList) Reuse(place int) {
+	l.mu.Lock()
+	crashed := l.workers[place]
+	l.crashed = append(l.crashed, crashed)
+	l.mu.Unlock()
+	time.AfterFunc(lingers, func() {
+		l.mu.Lock()
+		l.crashed = slices.DeleteFunc(l.crashed, func(w *Worker) bool { return w == crashed })
+		l.mu.Unlock()
+		l.show()
+	})
+	l.Restart(place, reuseAfter)
+}
+
 // show lets the list tell the present state.
 func (l *instanceList) show() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.shown = nil
-	for _, w := range l.workers {
+	for _, w := range slices.Concat(l.crashed, l.workers) {
 		l.shown = append(l.shown, listEntry{w.ID, w.Service, w.Address, w.Zone, "ready", w.Capacity, w.Labels})
 	}
 }
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -220,7 +220,7 @@
 	w.outdated[task] = max(w.outdated[task], run.command)
 	w.nextEnd++
 	w.ended = append(w.ended, workerEnd{w.nextEnd, w.lapses, task, run.command, how})
-	w.judge.ended(w, task, how)
+	w.judge.ended(w, task, how, w.nextEnd)
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -232,7 +232,7 @@
 	w.dead = true
 	for task, run := range w.running {
 		run.timer.Stop()
-		w.judge.ended(w, task, "crashed")
+		w.judge.ended(w, task, "crashed", 0)
 	}
 	w.running = map[string]*workerRun{}
 }
