Absence in a full list is no proof; calls are answered before a dispatcher stops

A dispatcher that stops had 1.5 s for its calls, however long GraceS is, and then cut off those without an outcome. It now has the time until SIGKILL less 0.8 s, and answers what still waits 0.3 s before that (504, send the same again; 503 for reads).

Package tests pass.

--- a/internal/dataplane/dispatcher.go
+++ b/internal/dataplane/dispatcher.go
@@ -54,6 +54,7 @@
 	begunToldAt time.Duration
 	explainedAt time.Duration
 	ended       chan struct{} // closed once the engine has ended
+	hurried     chan struct{} // closed when calls have to be answered, whatever their outcome
 }
 
 // New returns a dispatcher that is not running yet.
@@ -63,6 +64,7 @@
 		logger:   logger,
 		network:  network,
 		ended:    make(chan struct{}),
+		hurried:  make(chan struct{}),
 		began:    time.Now(),
 		inbox:    make(chan func(), 4096),
 		workers:  map[string]*cluster.Worker{},
--- a/internal/dataplane/intake.go
+++ b/internal/dataplane/intake.go
@@ -118,6 +118,7 @@
 		}
 		return got.result, answered
 	case <-timer.C:
+	case <-d.hurried:
 	case <-r.Context().Done():
 	}
 	// The client is told nothing, or that the outcome is unknown, and sends the same again: a copy that went out
--- a/internal/dataplane/serve.go
+++ b/internal/dataplane/serve.go
@@ -15,7 +15,10 @@
 // Spans of a stop in order.
 const (
 	leaveAfter = 2200 * time.Millisecond // the platform notices within two checks, a second apart
-	endWithin  = 1500 * time.Millisecond
+	usualGrace = 6 * time.Second         // until SIGKILL, where the settings don't tell it
+	stopMargin = 800 * time.Millisecond  // before SIGKILL, the process has ended
+	leastDrain = 500 * time.Millisecond
+	lastWords  = 300 * time.Millisecond // before the connections end, calls without an outcome are answered
 	idleAfter  = 60 * time.Second
 	headWithin = 10 * time.Second
 )
@@ -46,14 +49,34 @@
 	d.stopping.Store(true)
 	clients.SetKeepAlivesEnabled(false)
 	time.Sleep(leaveAfter)
-	ctx, cancel := context.WithTimeout(context.Background(), endWithin)
-	defer cancel()
-	clients.Shutdown(ctx)
+	d.drainCalls(clients)
 	d.leave()
 	close(engineStop)
 	return nil
 }
 
+// drainCalls lets the calls under way end. Those that wait for an outcome until the last are told that there is none
+// yet: no call that was read is cut off.
+func (d *Dispatcher) drainCalls(clients *http.Server) {
+	within := d.drainWithin()
+	hurry := time.AfterFunc(within-lastWords, func() { close(d.hurried) })
+	defer hurry.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	if err := clients.Shutdown(ctx); err != nil {
+		d.logger.Warn().Err(err).Msg("calls are cut off: they had no answer in the time until SIGKILL")
+	}
+}
+
+// drainWithin returns how long calls may still take behind leaveAfter.
+func (d *Dispatcher) drainWithin() time.Duration {
+	grace := usualGrace
+	if d.settings.Bounds.GraceS > 0 {
+		grace = time.Duration(d.settings.Bounds.GraceS * float64(time.Second))
+	}
+	return max(grace-leaveAfter-stopMargin, leastDrain)
+}
+
 // leave ends the session, so that others take over at once.
 func (d *Dispatcher) leave() {
 	done := make(chan struct{})
--- a/scheduling/worker/answers.go
+++ b/scheduling/worker/answers.go
@@ -185,7 +185,7 @@
 			a.release(r, cluster.NotStarted, NeverOrdered)
 		case r.phase == owed && hold.Fence > r.fence:
 			r.phase = wanted
-		case r.phase == running && hold.Sequence >= r.knownFrom:
+		case r.phase == running && hold.Sequence >= r.knownFrom && len(lists.Ended) < endsAtOnce:
 			a.release(r, cluster.Lost, NotInLists)
 		}
 	}
--- a/scheduling/worker/orders.go
+++ b/scheduling/worker/orders.go
@@ -28,7 +28,7 @@
 		switch {
 		case r.phase == owed:
 			settling = true
-		case r.phase == wanted && (r.Stopping || !a.reachable):
+		case r.phase == wanted && (r.Stopping || !a.reachable || a.unlistedAt > 0):
 			a.release(r, cluster.NotStarted, NeverOrdered)
 		case r.phase == wanted && a.contacted && a.fresh(now):
 			a.start(now, r)
--- a/scheduling/worker/worker.go
+++ b/scheduling/worker/worker.go
@@ -32,6 +32,7 @@
 	stopAgain         = 600 * time.Millisecond
 	stuckAfter        = 3500 * time.Millisecond // a run whose progress stands still so long is moved
 	stuckFactor       = 1.2                     // and for this many times its estimate
+	endsAtOnce        = 500                     // ends in a list at most: a full list does not show what it lacks
 	otherLivesProve   = 2                       // answers of another life in a row, before this one counts as over
 	offListSilence    = time.Second             // for which one that is not listed any more must have been silent
 )
--- a/scheduling/worker/worker_test.go
+++ b/scheduling/worker/worker_test.go
@@ -431,6 +431,48 @@
 	b.wantReports()
 }
 
+// TestFullListProvesNoEnd: a worker tells 500 ends at once, so a full list does not show what it lacks.
+func TestFullListProvesNoEnd(t *testing.T) {
+	for _, told := range []int{endsAtOnce - 1, endsAtOnce} {
+		b := newBench(t)
+		b.contact()
+		b.place(taskA, 1, true)
+		b.answerStart(Done)
+		ends := make([]End, told)
+		for i := range ends {
+			ends[i] = End{Number: uint64(i + 1), Task: taskB, Command: uint64(i + 1), How: cluster.RunFailed}
+		}
+		for range 3 { // the looks under way were sent before the run began
+			b.tick(time.Second)
+			for count := len(b.holds); count > 0; count-- {
+				b.answerHold(Lists{Ended: ends})
+			}
+		}
+		lost := 0
+		for _, report := range b.reports {
+			if report.Ended.How == cluster.Lost {
+				lost++
+			}
+		}
+		if full := told == endsAtOnce; full != (lost == 0) {
+			t.Errorf("a list of %d ends: %d runs are given up", told, lost)
+		}
+	}
+}
+
+// TestUnlistedWorkerStartsNothing: what was placed before and is not ordered yet goes elsewhere.
+func TestUnlistedWorkerStartsNothing(t *testing.T) {
+	b := newBench(t)
+	b.contact()
+	b.tick(time.Second)
+	b.agent.Listed(b.now, false)
+	b.place(taskA, 1, true)
+	b.wantReports("aa not-started")
+	if len(b.starts) != 0 {
+		t.Error("started at a worker that is not listed any more")
+	}
+}
+
 // TestUnlistedWorkerThatIsSilentIsGivenUp: neither the list nor the worker itself shows that it lives. A new owner,
 // who does not know what a former one has ordered, gives its runs up by that.
 func TestUnlistedWorkerThatIsSilentIsGivenUp(t *testing.T) {
