make soak: real processes on loopback under signals, restarts and changes that overlap

The emulator plays whole processes' state machines in virtual time, but no signals, no process ends and no sockets. internal/soak starts control machines and dispatchers as processes of their own, on addresses of the loopback range, beside the emulator's stand-ins and its judge. Series of signals (SIGTERM once, again and within a start, SIGHUP, SIGKILL, SIGSTOP), lost disks, workers whose addresses are used again, late orders and changes of the configuration run at once, drawn from a seed. Clients use their connections until the process closes them; a call that is cut off around a stop in order, more than a second after it was sent, breaks LOST. Processes that end by themselves, outlast their time to stop, or outgrow their memory or descriptors break FAULT.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Build, test, lint and run. 'make test' is what CI calls.
 # What 'make test' passes over stands in KNOWN-RED.txt.
-.PHONY: build test lint known-red run check clean demo demo-system fuzz prove-system prove-flows prove-limits prove-policy prove-room prove-sites prove-srv prove-start prove-verdicts
+.PHONY: build test lint known-red run check clean demo demo-system fuzz soak prove-system prove-flows prove-limits prove-policy prove-room prove-sites prove-srv prove-start prove-verdicts
 
 # HTTP/2 is spoken on no side, and its code would lie in memory all the same.
 # Linked dynamically against the C library, as deploy/balancer.toml does.
@@ -30,6 +30,7 @@
 	go test $(SKIP) -timeout 400s ./lab/rig/stage
 	go test $(SKIP) -race -timeout 300s -tags debug ./...
 	$(MAKE) fuzz FUZZTIME=200x
+	$(MAKE) soak
 
 # What comes from outside, thrown at its reader: make fuzz FUZZTIME=1m for long.
 FUZZTIME = 10s
@@ -60,6 +61,17 @@
 prove-system:
 	PROVE_SCHEDULES=$(SCHEDULES) go test -timeout 60m -run TestSchedules ./internal/emulator
 
+# Yards of real processes on loopback under overlapping signals, restarts and changes. By hand, 50 seeds or more:
+# make soak SOAK_SEEDS=50 SOAK_AT_ONCE=8, and one of all that the machine bears:
+# make soak SOAK_SHAPE='-cores 9 -tolerate 2 -dispatchers 200 -workers 100 -clients 400 -series 20'
+SOAK_SEEDS = 2
+SOAK_FIRST = 1
+SOAK_AT_ONCE = 2
+SOAK_SPAN = 12s
+SOAK_SHAPE =
+soak: build
+	go run ./lab/soak -first $(SOAK_FIRST) -seeds $(SOAK_SEEDS) -at-once $(SOAK_AT_ONCE) -span $(SOAK_SPAN) $(SOAK_SHAPE)
+
 # Measurements, each with its aim beside it; exit code 1 where one is missed.
 prove-room:
 	go run ./lab/prove-room
--- a/internal/emulator/clients.go
+++ b/internal/emulator/clients.go
@@ -41,16 +41,16 @@
 func (y *Yard) Client(random *rand.Rand, until time.Time) {
 	id := fmt.Sprintf("%016x", random.Uint64())
 	request := y.randomJob(random)
-	y.Judge.submitted(id, request)
+	y.Judge.Submitted(id, request)
 	body := encodeJob(request)
 	anywhere := func() string {
-		return "http://front-" + fmt.Sprint(1+random.IntN(y.Shape.Dispatchers)) + ":1" + route + id
+		return "http://" + y.Address(fmt.Sprint("front-", 1+random.IntN(y.Shape.Dispatchers))) + route + id
 	}
 	accepted := false
 	for range 5 {
 		status, _ := y.call(http.MethodPost, anywhere(), body, 3*time.Second, "")
 		if accepted = status == http.StatusOK; accepted {
-			y.Judge.accepted(id)
+			y.Judge.Accepted(id)
 			break
 		}
 		time.Sleep(300 * time.Millisecond)
@@ -60,12 +60,12 @@
 		switch status {
 		case http.StatusOK:
 			state := strings.TrimSuffix(strings.TrimPrefix(text, `{"State":"`), `"}`)
-			y.Judge.shown(id, state)
+			y.Judge.Shown(id, state)
 			if state != "queued" && state != "running" {
 				return
 			}
 		case http.StatusGone:
-			y.Judge.gone(id)
+			y.Judge.Gone(id)
 		}
 		time.Sleep(400 * time.Millisecond)
 	}
@@ -79,6 +79,18 @@
 
 func isPoison(request *job.Request) bool { return request.Spec == poisonSpec }
 
+// RandomJob returns a job to hand in, and the body of the call that does so.
+func (y *Yard) RandomJob(random *rand.Rand) (job.Request, string) {
+	request := y.randomJob(random)
+	return request, encodeJob(request)
+}
+
+// RouteHost and RoutePrefix name the yard's only queue.
+const (
+	RouteHost   = routeHost
+	RoutePrefix = route
+)
+
 func (y *Yard) randomJob(random *rand.Rand) job.Request {
 	request := job.Request{Spec: fmt.Sprint("spec ", random.IntN(1000))}
 	if random.IntN(poisonOneIn) == 0 {
--- a/internal/emulator/demo.go
+++ b/internal/emulator/demo.go
@@ -50,7 +50,7 @@
 		<-ended
 	}
 	y.Operator.ReadBack()
-	accepted, completed := y.Judge.finish()
+	accepted, completed := y.Judge.Finish()
 	for _, line := range y.Judge.summary() {
 		fmt.Fprintln(out, "          "+line)
 	}
--- a/internal/emulator/judge.go
+++ b/internal/emulator/judge.go
@@ -60,8 +60,8 @@
 	j.broken = append(j.broken, fmt.Sprintf("%s at %.3f s: %s", rule, at, fmt.Sprintf(format, args...)))
 }
 
-// note is breaks for those who do not hold the lock.
-func (j *Judge) note(rule, format string, args ...any) {
+// Note is breaks for those who do not hold the lock.
+func (j *Judge) Note(rule, format string, args ...any) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.breaks(rule, format, args...)
@@ -74,20 +74,22 @@
 	return append([]string(nil), j.broken...)
 }
 
-func (j *Judge) submitted(id string, request job.Request) {
+// Submitted takes in that a client is about to hand a job in.
+func (j *Judge) Submitted(id string, request job.Request) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.jobs[id] = &jobSeen{request: request, done: map[job.StepKey]int{}}
 }
 
-func (j *Judge) accepted(id string) {
+// Accepted takes in that a job was answered with success.
+func (j *Judge) Accepted(id string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.jobs[id].accepted = true
 }
 
-// shown takes in a state that a client was told.
-func (j *Judge) shown(id, state string) {
+// Shown takes in a state that a client was told.
+func (j *Judge) Shown(id, state string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	seen := j.jobs[id]
@@ -105,7 +107,8 @@
 	}
 }
 
-func (j *Judge) gone(id string) {
+// Gone takes in that a client was told that there is no such job.
+func (j *Judge) Gone(id string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if seen := j.jobs[id]; seen.accepted && !seen.cancelled {
@@ -256,8 +259,8 @@
 	}
 }
 
-// finish judges what must hold at the end.
-func (j *Judge) finish() (accepted, completed int) {
+// Finish judges what must hold at the end.
+func (j *Judge) Finish() (accepted, completed int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for id, seen := range j.jobs {
--- a/internal/emulator/list.go
+++ b/internal/emulator/list.go
@@ -29,7 +29,8 @@
 	mu      sync.Mutex
 	workers []*Worker
 	servers []*http.Server
-	crashed []*Worker // that are still listed
+	crashed []*Worker    // that are still listed
+	down    map[int]bool // places whose next incarnation has not begun
 	shown   []listEntry
 	number  int
 }
@@ -44,18 +45,21 @@
 	Labels   []string
 }
 
-func newInstanceList(y *Yard) *instanceList { return &instanceList{yard: y} }
+func newInstanceList(y *Yard) *instanceList { return &instanceList{yard: y, down: map[int]bool{}} }
 
 func (l *instanceList) start() {
-	l.serve(cloud, http.HandlerFunc(l.answer))
+	l.serve(cloudName, http.HandlerFunc(l.answer))
 	for i := range l.yard.Shape.Workers {
 		l.add(i)
 	}
 	l.show()
 }
 
-func (l *instanceList) serve(address string, handler http.Handler) {
-	listener, _ := l.yard.Network.Machine(machineOf(address)).Listen(address)
+func (l *instanceList) serve(machine string, handler http.Handler) {
+	listener, err := l.yard.Network.Machine(machine).Listen(l.yard.Address(machine))
+	if err != nil {
+		panic(err) // an emulated machine can always listen, and a real one's address belongs to the yard
+	}
 	server := &http.Server{Handler: handler}
 	l.servers = append(l.servers, server)
 	go server.Serve(listener)
@@ -65,7 +69,8 @@
 func (l *instanceList) add(place int) {
 	l.mu.Lock()
 	l.number++
-	address := fmt.Sprintf("worker-%d:1", place+1)
+	machine := workerName(place)
+	address := l.yard.Address(machine)
 	w := newWorker(l.yard.Judge, fmt.Sprint("i-", l.number), service, address, fmt.Sprint("z", place%3),
 		[]string{"a", fmt.Sprint("r", place/3)}, job.Resources{Cpu: 8000, MemMb: 8000})
 	w.late, w.planted = l.yard.late, l.yard.Shape.Planted
@@ -75,19 +80,28 @@
 		l.workers = append(l.workers, w)
 	}
 	l.mu.Unlock()
-	l.serve(address, w)
+	l.serve(machine, w)
 }
 
+func workerName(place int) string { return fmt.Sprint("worker-", place+1) }
+
 // Restart crashes the worker in the place, and lets its next incarnation begin after a while.
 func (l *instanceList) Restart(place int, after time.Duration) {
 	l.mu.Lock()
-	w := l.workers[place]
+	w, down := l.workers[place], l.down[place]
+	l.down[place] = true
 	l.mu.Unlock()
+	if down {
+		return
+	}
 	w.Crash()
-	l.yard.Network.PowerOff(machineOf(w.Address))
+	l.yard.Network.PowerOff(workerName(place))
 	time.AfterFunc(after, func() {
-		l.yard.Network.PowerOn(machineOf(w.Address))
+		l.yard.Network.PowerOn(workerName(place))
 		l.add(place)
+		l.mu.Lock()
+		delete(l.down, place)
+		l.mu.Unlock()
 		time.AfterFunc(listLag, l.show)
 	})
 }
@@ -95,9 +109,14 @@
 // Reuse crashes the worker in the place. It stays on the list for long, also once another worker has its address.
 func (l *instanceList) Reuse(place int) {
 	l.mu.Lock()
-	crashed := l.workers[place]
-	l.crashed = append(l.crashed, crashed)
+	crashed, down := l.workers[place], l.down[place]
+	if !down {
+		l.crashed = append(l.crashed, crashed)
+	}
 	l.mu.Unlock()
+	if down {
+		return
+	}
 	time.AfterFunc(lingers, func() {
 		l.mu.Lock()
 		l.crashed = slices.DeleteFunc(l.crashed, func(w *Worker) bool { return w == crashed })
--- a/internal/emulator/loopback.go
+++ b/internal/emulator/loopback.go
@@ -14,6 +14,7 @@
 // Loopback connects the machines of a yard by real TCP on the loopback address, for demonstrations. It
 // plays no cuts, and a loss of power looks like the end of a process.
 type Loopback struct {
+	fixed     bool // the yard's addresses are real ones
 	mu        sync.Mutex
 	real      map[string]string // addresses of the yard, and the real ones
 	listeners map[string][]net.Listener
@@ -25,6 +26,14 @@
 	return &Loopback{real: map[string]string{}, listeners: map[string][]net.Listener{}, conns: map[string][]net.Conn{}}
 }
 
+// NewFixedLoopback returns links without machines, for a yard whose addresses are real ones of the loopback range:
+// processes that run elsewhere reach the machines there.
+func NewFixedLoopback() *Loopback {
+	l := NewLoopback()
+	l.fixed = true
+	return l
+}
+
 // Machine returns the network as the named machine sees it.
 func (l *Loopback) Machine(name string) frame.Network { return &loopbackMachine{l, name} }
 
@@ -69,6 +78,9 @@
 	m.links.mu.Lock()
 	target := m.links.real[address]
 	m.links.mu.Unlock()
+	if m.links.fixed {
+		target = address
+	}
 	if target == "" {
 		return nil, refused(syscall.ECONNREFUSED)
 	}
@@ -84,7 +96,11 @@
 
 // Listen listens at an address of the yard.
 func (m *loopbackMachine) Listen(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	real := "127.0.0.1:0"
+	if m.links.fixed {
+		real = address
+	}
+	listener, err := net.Listen("tcp", real)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/emulator/operator.go
+++ b/internal/emulator/operator.go
@@ -63,7 +63,7 @@
 			}
 		case http.StatusPreconditionFailed, http.StatusBadRequest:
 			if acknowledged {
-				o.yard.Judge.note("CONFIG", "version %d was acknowledged and is refused with %d when sent again", version, status)
+				o.yard.Judge.Note("CONFIG", "version %d was acknowledged and is refused with %d when sent again", version, status)
 			}
 			return status
 		}
@@ -99,10 +99,10 @@
 		o.version = version
 	}
 	if answers[0] == http.StatusOK && answers[1] == http.StatusOK {
-		o.yard.Judge.note("CONFIG", "two operators are acknowledged under version %d", version)
+		o.yard.Judge.Note("CONFIG", "two operators are acknowledged under version %d", version)
 	}
 	if !taken && answers[0] != 0 && answers[1] != 0 {
-		o.yard.Judge.note("CONFIG", "both changes to version %d are refused", version)
+		o.yard.Judge.Note("CONFIG", "both changes to version %d are refused", version)
 	}
 	return taken
 }
@@ -127,7 +127,7 @@
 		}
 		time.Sleep(operatorPause)
 	}
-	o.yard.Judge.note("CONFIG", "the configuration can't be read back")
+	o.yard.Judge.Note("CONFIG", "the configuration can't be read back")
 }
 
 func versionOf(body string) (version int64) {
@@ -138,5 +138,5 @@
 // anyCore returns the address of the configuration at some control machine.
 func (y *Yard) anyCore(random *rand.Rand) string {
 	cores := y.Cores()
-	return "http://" + cores[random.IntN(len(cores))].name + ":1/-/config"
+	return "http://" + y.Address(cores[random.IntN(len(cores))].name) + "/-/config"
 }
--- a/internal/emulator/processes.go
+++ b/internal/emulator/processes.go
@@ -25,7 +25,7 @@
 
 func (c *core) start(first bool) {
 	s := c.yard.settings(c.name, c.zone)
-	s.Listen.Control, s.DataDir, s.Bootstrap = c.name+":1", "data", first
+	s.Listen.Control, s.DataDir, s.Bootstrap = c.yard.Address(c.name), "data", first
 	machine := c.yard.Network.Machine(c.name)
 	control := server.NewProcess(s, machine, c.disk, c.yard.logger.With().Str("node", c.name).Logger())
 	listener, _ := machine.Listen(s.Listen.Control)
@@ -36,7 +36,7 @@
 	go func() {
 		defer c.yard.noteStopped(c.name)
 		if err := control.Run(stop); err != nil {
-			c.yard.Judge.note("START", "%s: %v", c.name, err)
+			c.yard.Judge.Note("START", "%s: %v", c.name, err)
 		}
 	}()
 }
@@ -48,7 +48,7 @@
 		return
 	}
 	if stopped := recover(); stopped != nil {
-		y.Judge.note("LOST", "%s stops: %v", name, stopped)
+		y.Judge.Note("LOST", "%s stops: %v", name, stopped)
 	}
 }
 
@@ -138,7 +138,7 @@
 
 func (d *dispatcherProcess) start() {
 	s := d.yard.settings(d.name, d.zone)
-	s.Listen.Front = d.name + ":1"
+	s.Listen.Front = d.yard.Address(d.name)
 	machine := d.yard.Network.Machine(d.name)
 	dispatcher := dataplane.New(s, machine, d.yard.logger.With().Str("node", d.name).Logger())
 	listener, _ := machine.Listen(s.Listen.Front)
@@ -171,3 +171,6 @@
 		d.start()
 	}
 }
+
+// Name returns the machine's name.
+func (c *core) Name() string { return c.name }
--- a/internal/emulator/schedule_test.go
+++ b/internal/emulator/schedule_test.go
@@ -103,7 +103,7 @@
 		}
 		y.Operator.ReadBack()
 		result.calls = y.Operator.History.Calls()
-		result.accepted, result.completed = y.Judge.finish()
+		result.accepted, result.completed = y.Judge.Finish()
 		result.broken = y.Judge.Broken()
 		y.Stop()
 		time.Sleep(20 * time.Second) // orders under way and timers run out
--- a/internal/emulator/yard.go
+++ b/internal/emulator/yard.go
@@ -40,9 +40,11 @@
 
 // Yard is a whole emulated deployment.
 type Yard struct {
-	Shape       Shape
-	Network     Links
-	Judge       *Judge
+	Shape   Shape
+	Network Links
+	Judge   *Judge
+	// Address returns where a machine serves. It may be set before the start.
+	Address     func(machine string) string
 	seed        uint64
 	hurry       atomic.Bool // operators change the configuration in quick succession
 	random      *rand.Rand
@@ -65,7 +67,7 @@
 	routeHost  = "jobs.example"
 	service    = "service"
 	attempts   = 4
-	cloud      = "cloud:1"
+	cloudName  = "cloud"
 	clientName = "client"
 )
 
@@ -86,7 +88,7 @@
 
 // NewYard returns a yard whose machines are not started.
 func NewYard(shape Shape, network Links, seed uint64, logs io.Writer) *Yard {
-	y := &Yard{seed: seed, Shape: shape, Network: network, Judge: NewJudge(), random: rand.New(rand.NewPCG(seed, 1)),
+	y := &Yard{seed: seed, Shape: shape, Network: network, Judge: NewJudge(), Address: emulatedAddress, random: rand.New(rand.NewPCG(seed, 1)),
 		lateRandom: rand.New(rand.NewPCG(seed, 2)), logger: zerolog.New(logs).With().Logger()}
 	y.client = &http.Client{Transport: &http.Transport{DisableCompression: true,
 		DialContext: func(_ context.Context, _, address string) (net.Conn, error) {
@@ -106,10 +108,10 @@
 }
 
 func (y *Yard) settings(name, zone string) *settings.Settings {
-	s := &settings.Settings{Node: name, Zone: zone, Cloud: settings.Cloud{Address: cloud}}
+	s := &settings.Settings{Node: name, Zone: zone, Cloud: settings.Cloud{Address: y.Address(cloudName)}}
 	cores := y.Cores()
 	for i := range min(3, len(cores)) {
-		s.Seeds = append(s.Seeds, cores[i].name+":1")
+		s.Seeds = append(s.Seeds, y.Address(cores[i].name))
 	}
 	s.Tolerate.Machines = y.Shape.Tolerate
 	s.Limits.DiskMb = 16
@@ -117,6 +119,27 @@
 	return s
 }
 
+func emulatedAddress(machine string) string { return machine + ":1" }
+
+// Settings returns what a machine's process is told of the yard; the addresses at which it serves are not set.
+func (y *Yard) Settings(machine, zone string) *settings.Settings { return y.settings(machine, zone) }
+
+// StartStandIns starts what processes that run elsewhere need: the platform's list and the workers.
+func (y *Yard) StartStandIns() { y.list.start() }
+
+// StopStandIns ends them, and the clients' connections.
+func (y *Yard) StopStandIns() {
+	y.list.stop()
+	y.client.CloseIdleConnections()
+	y.Network.Kill(clientName)
+}
+
+// RestartWorker crashes the worker in the place; its next incarnation begins after a while.
+func (y *Yard) RestartWorker(place int, after time.Duration) { y.list.Restart(place, after) }
+
+// ReuseAddress crashes the worker in the place; another one begins at its address while it is still listed.
+func (y *Yard) ReuseAddress(place int) { y.list.Reuse(place) }
+
 // Cores returns the present control machines.
 func (y *Yard) Cores() []*core {
 	y.coresMu.Lock()
@@ -143,9 +166,7 @@
 	for _, c := range y.Cores() {
 		c.Kill()
 	}
-	y.list.stop()
-	y.client.CloseIdleConnections()
-	y.Network.Kill(clientName)
+	y.StopStandIns()
 }
 
 // LateOrders lets a share of the orders to workers go without an answer, and be carried out 2 to 12 s later.
--- /dev/null
+++ b/internal/soak/series.go
@@ -0,0 +1,199 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"syscall"
+	"time"
+)
+
+// Spans of the series.
+const (
+	coreCatchUp = 4 * time.Second // for which a control machine counts as lost after its return
+	shortPause  = 300 * time.Millisecond
+	longPause   = 2 * time.Second
+	longFreeze  = 4 * time.Second
+	startTime   = 400 * time.Millisecond // in which a process starts
+)
+
+// Streams of random numbers, one for each series.
+const (
+	changeStream = 11 + iota
+	coreStream
+	workerStream
+	frontStream // and above
+)
+
+func (s *soak) random(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(s.config.Seed, stream)) }
+
+func between(random *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(random.Int64N(int64(most-least)+1))
+}
+
+// action is one thing that is done to a process, named for the report.
+type action struct {
+	name string
+	play func(p *process, random *rand.Rand)
+}
+
+// frontActions are what befalls dispatchers. After each the process runs again.
+var frontActions = []action{
+	{"stops", func(p *process, random *rand.Rand) {
+		p.terminate(0)
+		time.Sleep(between(random, 0, longPause))
+	}},
+	{"stops at once again", func(p *process, _ *rand.Rand) {
+		p.terminate(0)
+		p.back()
+		p.terminate(0)
+	}},
+	{"stops while starting", func(p *process, random *rand.Rand) {
+		p.kill()
+		p.start(false)
+		time.Sleep(between(random, 0, startTime))
+		p.terminate(0)
+	}},
+	{"stops with more signals", func(p *process, random *rand.Rand) {
+		go func() {
+			for range 4 {
+				time.Sleep(between(random, 0, shortPause))
+				p.signal(syscall.SIGHUP, false)
+				p.signal(syscall.SIGTERM, true)
+			}
+		}()
+		p.terminate(0)
+	}},
+	{"stops cut short", func(p *process, random *rand.Rand) {
+		p.terminate(between(random, time.Millisecond, graceS*time.Second))
+	}},
+	{"kills", func(p *process, random *rand.Rand) {
+		p.kill()
+		time.Sleep(between(random, 0, longPause))
+	}},
+	{"settings and hangups", func(p *process, random *rand.Rand) {
+		for range 1 + random.IntN(4) {
+			p.writeSettings(false)
+			p.signal(syscall.SIGHUP, false)
+			time.Sleep(between(random, 0, shortPause))
+		}
+	}},
+	{"freezes", func(p *process, random *rand.Rand) {
+		p.freeze()
+		time.Sleep(between(random, 0, longFreeze))
+		p.thaw()
+	}},
+	{"freezes within a stop", func(p *process, random *rand.Rand) {
+		go func() {
+			time.Sleep(between(random, 0, longPause))
+			p.freeze()
+			time.Sleep(between(random, 0, longPause))
+			p.thaw()
+		}()
+		p.terminate(0)
+	}},
+}
+
+// coreActions are what befalls control machines, one at a time.
+var coreActions = []action{
+	{"core stops", func(p *process, _ *rand.Rand) { p.terminate(0) }},
+	{"core stops cut short", func(p *process, random *rand.Rand) {
+		p.terminate(between(random, time.Millisecond, graceS*time.Second))
+	}},
+	{"core kills", func(p *process, random *rand.Rand) {
+		p.kill()
+		time.Sleep(between(random, 0, longPause))
+	}},
+	{"core disks lost", func(p *process, random *rand.Rand) {
+		p.kill()
+		p.wipe()
+		time.Sleep(between(random, 0, longPause))
+	}},
+	{"core freezes", func(p *process, random *rand.Rand) {
+		p.freeze()
+		time.Sleep(between(random, 0, longFreeze))
+		p.thaw()
+	}},
+	{"core hangups", func(p *process, random *rand.Rand) {
+		p.writeSettings(false)
+		p.signal(syscall.SIGHUP, false)
+	}},
+}
+
+// frontSeries does one thing after the other to dispatchers of its own share, so that no two series meet at one.
+func (s *soak) frontSeries(end time.Time, share int) {
+	random := s.random(frontStream + uint64(share))
+	own := []*process{}
+	for i := share; i < len(s.fronts)-1; i += s.config.Series { // the last one is left alone
+		own = append(own, s.fronts[i])
+	}
+	for len(own) > 0 && time.Now().Before(end) {
+		time.Sleep(between(random, 0, longPause))
+		s.act(own[random.IntN(len(own))], frontActions[random.IntN(len(frontActions))], random)
+	}
+}
+
+func (s *soak) act(p *process, act action, random *rand.Rand) {
+	s.count(act.name)
+	act.play(p, random)
+	p.thaw()
+	p.back()
+}
+
+// coreSeries does one thing after the other to control machines; now and then all of them are killed at once.
+func (s *soak) coreSeries(end time.Time) {
+	random := s.random(coreStream)
+	for time.Now().Before(end) {
+		time.Sleep(between(random, 0, longPause))
+		if random.IntN(8) == 0 {
+			s.count("core kills of all")
+			for _, core := range s.cores {
+				core.kill()
+			}
+			for _, core := range s.cores {
+				core.back()
+			}
+		} else {
+			s.act(s.cores[random.IntN(len(s.cores))], coreActions[random.IntN(len(coreActions))], random)
+		}
+		time.Sleep(coreCatchUp)
+	}
+}
+
+// workerSeries crashes workers, of which some lose their addresses while they are listed, and lets orders go without
+// an answer.
+func (s *soak) workerSeries(end time.Time) {
+	random := s.random(workerStream)
+	for time.Now().Before(end) {
+		time.Sleep(between(random, shortPause, 2*longPause))
+		place := random.IntN(s.config.Shape.Workers)
+		switch random.IntN(3) {
+		case 0:
+			s.count("worker crashes")
+			s.yard.RestartWorker(place, between(random, 0, longPause))
+		case 1:
+			s.count("addresses used again")
+			s.yard.ReuseAddress(place)
+		default:
+			s.count("spells of late orders")
+			s.yard.LateOrders(longPause)
+		}
+	}
+}
+
+// changes changes the configuration, alone and in races, slowly and in quick succession.
+func (s *soak) changes(end time.Time) (taken int) {
+	random := s.random(changeStream)
+	for time.Now().Before(end) {
+		pause := between(random, shortPause, longPause)
+		change := s.yard.Operator.Configure
+		if random.IntN(3) == 0 {
+			change = s.yard.Operator.Race
+		}
+		for range 1 + random.IntN(6) {
+			if change() {
+				taken++
+			}
+		}
+		time.Sleep(pause)
+	}
+	return taken
+}
--- /dev/null
+++ b/lab/soak/main.go
@@ -0,0 +1,79 @@
+// Command soak plays yards of real processes on the loopback range under overlapping signals, restarts and changes. It
+// ends by itself, with exit code 1 where a rule was broken; the logs of such a run are kept.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"linnetlift/internal/emulator"
+	"linnetlift/internal/soak"
+)
+
+func main() {
+	program := flag.String("program", "bin/yard", "the system's program")
+	folder := flag.String("folder", "logs/soak", "for settings, disks and logs; a run's part is emptied first")
+	first := flag.Uint64("first", 1, "first seed")
+	seeds := flag.Int("seeds", 1, "how many seeds are played")
+	atOnce := flag.Int("at-once", 1, "how many of them at once")
+	span := flag.Duration("span", 20*time.Second, "of disruptions and traffic, for each seed")
+	cores := flag.Int("cores", 3, "control machines")
+	tolerate := flag.Int("tolerate", 1, "control machines that may be lost at once")
+	dispatchers := flag.Int("dispatchers", 6, "dispatchers")
+	workers := flag.Int("workers", 8, "workers")
+	clients := flag.Int("clients", 24, "clients, each with a connection of its own")
+	series := flag.Int("series", 3, "series of disruptions of dispatchers at once")
+	flag.Parse()
+	absolute, err := filepath.Abs(*program)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(2)
+	}
+	var playing sync.WaitGroup
+	var printing sync.Mutex
+	failed := false
+	turns := make(chan struct{}, *atOnce)
+	for seed := *first; seed < *first+uint64(*seeds); seed++ {
+		turns <- struct{}{}
+		playing.Go(func() {
+			defer func() { <-turns }()
+			config := soak.Config{Program: absolute, Folder: filepath.Join(*folder, fmt.Sprint("seed-", seed)), Seed: seed,
+				Span: *span, Clients: *clients, Series: *series, Shape: emulator.Shape{Cores: *cores, Tolerate: *tolerate,
+					Dispatchers: *dispatchers, Workers: *workers, Guards: true}}
+			held := play(config, &printing)
+			printing.Lock()
+			defer printing.Unlock()
+			failed = failed || !held
+		})
+	}
+	playing.Wait()
+	if failed {
+		fmt.Println("a rule was broken, or a yard did not start; the processes' logs stand in", *folder)
+		os.Exit(1)
+	}
+}
+
+// play plays one seed and reports whether every rule held.
+func play(config soak.Config, printing *sync.Mutex) bool {
+	if err := os.RemoveAll(config.Folder); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		return false
+	}
+	report, err := soak.Run(config)
+	printing.Lock()
+	defer printing.Unlock()
+	if err != nil {
+		fmt.Printf("seed %d: %v\n", config.Seed, err)
+		return false
+	}
+	fmt.Println(report)
+	held := len(report.Broken) == 0 && report.Accepted > 0
+	if held {
+		os.RemoveAll(config.Folder)
+	}
+	return held
+}
