--- /dev/null
+++ b/scheduling/worker/bench_test.go
@@ -0,0 +1,148 @@
+package worker
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+
+	"linnetlift/internal/control/cluster"
+)
+
+// bench plays one agent against a worker, with a timeline of a column each.
+type bench struct {
+	t       *testing.T
+	agent   *Agent
+	now     time.Duration
+	clock   int64 // the worker's clock runs with the test's
+	reports []Report
+	starts  []Start
+	stops   []Stop
+	holds   []Hold
+	overs   int // how often the worker's life was told to be over
+	lines   []string
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, agent: New(0, "w1", 5, 6000)}
+	b.tick(0)
+	return b
+}
+
+func (b *bench) note(column int, format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	if column == 1 {
+		text = strings.Repeat(" ", 44) + "| " + text
+	}
+	b.lines = append(b.lines, fmt.Sprintf("%6d ms  %s", b.now.Milliseconds(), text))
+}
+
+// take collects the calls that the agent wants made.
+func (b *bench) take() {
+	calls := b.agent.Take()
+	for _, hold := range calls.Holds {
+		b.note(0, "look %d, token %d, renews %v, seen %d", hold.Sequence, hold.Fence&0xff, hold.UntilMs > 0, hold.LastSeen)
+	}
+	for _, start := range calls.Starts {
+		b.note(0, "start %s run %d, token %d", start.Task[14:16], start.Command, start.Fence&0xff)
+	}
+	for _, stop := range calls.Stops {
+		b.note(0, "stop %s run %d", stop.Task[14:16], stop.Command)
+	}
+	for _, report := range calls.Reports {
+		b.note(0, "reports %s run %d %v", report.Ended.Job[14:16], report.Ended.Run, report.Ended.How)
+	}
+	if calls.Over {
+		b.overs++
+		b.note(0, "its life is over")
+	}
+	b.holds = append(b.holds, calls.Holds...)
+	b.starts = append(b.starts, calls.Starts...)
+	b.stops = append(b.stops, calls.Stops...)
+	b.reports = append(b.reports, calls.Reports...)
+}
+
+func (b *bench) tick(after time.Duration) {
+	b.now += after
+	b.agent.Tick(b.now, true)
+	b.take()
+}
+
+func (b *bench) clockMs() int64 { return 1000 + b.now.Milliseconds() }
+
+func (b *bench) nextHold() Hold {
+	b.t.Helper()
+	if len(b.holds) == 0 {
+		b.t.Fatal("no look is under way")
+	}
+	hold := b.holds[0]
+	b.holds = b.holds[1:]
+	return hold
+}
+
+// answerHold lets the worker answer the oldest look with these lists.
+func (b *bench) answerHold(lists Lists) Hold {
+	b.t.Helper()
+	hold := b.nextHold()
+	lists.ClockMs = b.clockMs()
+	b.note(1, "answers look %d: %d running, %d ended", hold.Sequence, len(lists.Running), len(lists.Ended))
+	b.agent.HoldAnswered(b.now, hold, Done, lists)
+	b.take()
+	return hold
+}
+
+func (b *bench) loseHold() {
+	b.t.Helper()
+	hold := b.nextHold()
+	b.note(1, "no answer to look %d", hold.Sequence)
+	b.agent.HoldAnswered(b.now, hold, Unanswered, Lists{})
+	b.take()
+}
+
+func (b *bench) nextStart() Start {
+	b.t.Helper()
+	if len(b.starts) == 0 {
+		b.t.Fatal("nothing was started")
+	}
+	start := b.starts[0]
+	b.starts = b.starts[1:]
+	return start
+}
+
+func (b *bench) answerStart(answer Answer) Start {
+	b.t.Helper()
+	start := b.nextStart()
+	b.note(1, "answers start of %s: %d", start.Task[14:16], answer)
+	b.agent.StartAnswered(b.now, start.Task, start.Command, answer, b.clockMs())
+	b.take()
+	return start
+}
+
+func (b *bench) place(task string, run uint64, fresh bool) {
+	b.agent.Place(b.now, cluster.Placement{Worker: "w1", Task: task, Run: run, Fresh: fresh, EstimateMs: 1000})
+	b.take()
+}
+
+// contact lets the first look under the token be answered.
+func (b *bench) contact() {
+	b.t.Helper()
+	b.answerHold(Lists{})
+}
+
+func (b *bench) wantReports(want ...string) {
+	b.t.Helper()
+	got := []string{}
+	for _, report := range b.reports {
+		got = append(got, report.Ended.Job[14:16]+" "+report.Ended.How.String())
+	}
+	if strings.Join(got, ", ") != strings.Join(want, ", ") {
+		b.t.Errorf("reported %v, want %v", got, want)
+	}
+}
+
+func (b *bench) golden() {
+	b.t.Helper()
+	goldie.New(b.t).Assert(b.t, b.t.Name(), []byte(strings.Join(b.lines, "\n")+"\n"))
+}
--- /dev/null
+++ b/scheduling/worker/over_test.go
@@ -0,0 +1,139 @@
+package worker
+
+import (
+	"testing"
+	"time"
+
+	"linnetlift/internal/control/cluster"
+)
+
+// answerOtherLife lets another life at the address answer the oldest look.
+func (b *bench) answerOtherLife() {
+	b.t.Helper()
+	hold := b.nextHold()
+	b.note(1, "another life answers look %d", hold.Sequence)
+	b.agent.HoldAnswered(b.now, hold, OtherLife, Lists{})
+	b.take()
+}
+
+// TestOtherLifeProvesTheEnd: orders never go to another life. Its second answer in a row proves that this one is over,
+// and that is told once.
+func TestOtherLifeProvesTheEnd(t *testing.T) {
+	b := newBench(t)
+	b.contact()
+	b.place(taskA, 1, true)
+	b.answerStart(OtherLife)
+	if b.overs != 0 || len(b.starts) != 0 {
+		t.Fatalf("after one answer of another life: told %d times, %d starts", b.overs, len(b.starts))
+	}
+	for len(b.holds) > 1 {
+		b.loseHold()
+	}
+	b.answerOtherLife()
+	b.tick(time.Second)
+	if b.overs != 1 || !b.agent.Over() || len(b.starts)+len(b.holds) != 0 {
+		t.Errorf("told %d times; %d starts and %d looks go on", b.overs, len(b.starts), len(b.holds))
+	}
+	b.wantReports()
+	b.golden()
+}
+
+// TestOneAnswerOfAnotherLifeProvesNothing: the life that is meant answers the next look, and the order goes out again.
+func TestOneAnswerOfAnotherLifeProvesNothing(t *testing.T) {
+	b := newBench(t)
+	b.contact()
+	b.place(taskA, 1, true)
+	b.answerStart(OtherLife)
+	for len(b.starts) == 0 && len(b.holds) > 0 {
+		b.answerHold(Lists{})
+	}
+	if b.overs != 0 || len(b.starts) != 1 {
+		t.Errorf("told %d times, %d starts", b.overs, len(b.starts))
+	}
+}
+
+// TestUnlistedWorkerThatAnswersGoesOn: the platform's list lacks the worker, which lives; what runs there stays.
+func TestUnlistedWorkerThatAnswersGoesOn(t *testing.T) {
+	b := newBench(t)
+	b.contact()
+	b.place(taskA, 1, true)
+	b.answerStart(Done)
+	b.agent.Listed(b.now, false)
+	b.take()
+	for range 12 {
+		b.tick(200 * time.Millisecond)
+		for count := len(b.holds); count > 0; count-- {
+			b.answerHold(Lists{Running: []Running{{Task: taskA, Command: 1, Percent: int(b.now.Milliseconds() / 50)}}})
+		}
+	}
+	b.wantReports()
+}
+
+// TestFullListProvesNoEnd: a worker tells 500 ends at once, so a full list does not show what it lacks.
+func TestFullListProvesNoEnd(t *testing.T) {
+	for _, told := range []int{endsAtOnce - 1, endsAtOnce} {
+		b := newBench(t)
+		b.contact()
+		b.place(taskA, 1, true)
+		b.answerStart(Done)
+		ends := make([]End, told)
+		for i := range ends {
+			ends[i] = End{Number: uint64(i + 1), Task: taskB, Command: uint64(i + 1), How: cluster.RunFailed}
+		}
+		for range 3 { // the looks under way were sent before the run began
+			b.tick(time.Second)
+			for count := len(b.holds); count > 0; count-- {
+				b.answerHold(Lists{Ended: ends})
+			}
+		}
+		lost := 0
+		for _, report := range b.reports {
+			if report.Ended.How == cluster.Lost {
+				lost++
+			}
+		}
+		if full := told == endsAtOnce; full != (lost == 0) {
+			t.Errorf("a list of %d ends: %d runs are given up", told, lost)
+		}
+	}
+}
+
+// TestUnlistedWorkerStartsNothing: what was placed before and is not ordered yet goes elsewhere.
+func TestUnlistedWorkerStartsNothing(t *testing.T) {
+	b := newBench(t)
+	b.contact()
+	b.tick(time.Second)
+	b.agent.Listed(b.now, false)
+	b.place(taskA, 1, true)
+	b.wantReports("aa not-started")
+	if len(b.starts) != 0 {
+		t.Error("started at a worker that is not listed any more")
+	}
+}
+
+// TestUnlistedWorkerThatIsSilentIsGivenUp: neither the list nor the worker itself shows that it lives. A new owner,
+// who does not know what a former one has ordered, gives its runs up by that.
+func TestUnlistedWorkerThatIsSilentIsGivenUp(t *testing.T) {
+	for name, listed := range map[string]bool{"listed": true, "unlisted": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.place(taskA, 1, false)
+			b.agent.Listed(b.now, listed)
+			b.take()
+			for range 12 {
+				b.tick(200 * time.Millisecond)
+				for len(b.holds) > 0 {
+					b.loseHold()
+				}
+			}
+			if listed {
+				b.wantReports()
+				return
+			}
+			b.wantReports("aa lost")
+			if evidence := b.reports[0].Evidence; evidence != SilentOffList {
+				t.Errorf("evidence: %v", evidence)
+			}
+		})
+	}
+}
