What the list lacks is given up only once its holds are over

A worker that the platform's list lacks and that is silent may be cut off and drain still: what runs there goes on until its hold is over, for 3.3 s at most, and 6.1 s where a former owner gave it. The list's absence now waives only the 12.5 s for orders that may be carried out late, not the holds.

TestUnlistedWorkerThatIsCutOffHoldsOn; TestUnlistedWorkerThatIsSilentIsGivenUp now waits as long.

--- a/scheduling/worker/over_test.go
+++ b/scheduling/worker/over_test.go
@@ -120,12 +120,17 @@
 			b.place(taskA, 1, false)
 			b.agent.Listed(b.now, listed)
 			b.take()
-			for range 12 {
-				b.tick(200 * time.Millisecond)
-				for len(b.holds) > 0 {
-					b.loseHold()
+			silence := func(span time.Duration) {
+				for end := b.now + span; b.now < end; {
+					b.tick(200 * time.Millisecond)
+					for len(b.holds) > 0 {
+						b.loseHold()
+					}
 				}
 			}
+			silence(6 * time.Second) // for which a former owner may have had it hold
+			b.wantReports()
+			silence(600 * time.Millisecond)
 			if listed {
 				b.wantReports()
 				return
@@ -137,3 +142,30 @@
 		})
 	}
 }
+
+// TestUnlistedWorkerThatIsCutOffHoldsOn: what runs at a worker goes on until its hold is over, also where nobody sees it
+// any more. An order without an answer lengthens the wait only as long as the worker is listed.
+func TestUnlistedWorkerThatIsCutOffHoldsOn(t *testing.T) {
+	b := newBench(t)
+	b.contact()
+	b.place(taskA, 1, true)
+	b.answerStart(Done)
+	b.place(taskB, 1, true)
+	b.answerStart(Unanswered)
+	b.agent.Listed(b.now, false)
+	b.take()
+	over := time.Duration(0)
+	for range 70 {
+		b.tick(100 * time.Millisecond)
+		for len(b.holds) > 0 {
+			b.loseHold()
+		}
+		if over == 0 && len(b.reports) > 0 {
+			over = b.now
+		}
+	}
+	b.wantReports("aa lost", "bb lost")
+	if least := 6000 * time.Millisecond * 100 / 98; over < least {
+		t.Errorf("given up after %v, its first hold may last until %v", over, least)
+	}
+}
--- a/scheduling/worker/worker.go
+++ b/scheduling/worker/worker.go
@@ -145,15 +145,25 @@
 	if !a.contacted {
 		return now-a.createdAt > foreignHold
 	}
-	left := max(a.untilMax-a.clockMs, 0)
-	over := a.clockAt + time.Duration(float64(left)/clockSlow)*time.Millisecond + lapseMargin
-	return now > over && now > a.lateUntil
+	return a.holdsOver(now) && now > a.lateUntil
 }
 
-// silentOffList reports whether a worker that the platform's list lacks has given no sign since. The list alone is
-// no proof: one that answers goes on.
+// holdsOver reports whether every hold is over that orders gave which were carried out at once. Orders carried out
+// late may have given longer ones.
+func (a *Agent) holdsOver(now time.Duration) bool {
+	from, left := a.clockAt, max(a.untilMax-a.clockMs, 0)
+	if !a.contacted {
+		from, left = a.createdAt, a.mostMs // a former owner may have given so much until then
+	}
+	return now > from+time.Duration(float64(left)/clockSlow)*time.Millisecond+lapseMargin
+}
+
+// silentOffList reports whether a worker that the platform's list lacks has given no sign since, and its holds are
+// over. The list alone is no proof: one that answers goes on, and one that is cut off runs on until its hold is over.
+// What the list adds is that no late order is carried out there any more.
 func (a *Agent) silentOffList(now time.Duration) bool {
-	return a.unlistedAt > 0 && !a.reachable && a.answeredAt < a.unlistedAt && now-a.unlistedAt >= offListSilence
+	silent := !a.reachable && a.answeredAt < a.unlistedAt && now-a.unlistedAt >= offListSilence
+	return a.unlistedAt > 0 && silent && a.holdsOver(now)
 }
 
 // Listed enters whether the platform's list has the worker.
