Soak lies in lab/soak, and an exit code other than 0 is a fault

A process that was told to stop and ended with a panic, or with what the race detector found, passed before.

--- a/lab/soak/main.go
+++ b/lab/soak/main.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"linnetlift/internal/emulator"
-	"linnetlift/internal/soak"
+	"linnetlift/lab/soak/play"
 )
 
 func main() {
@@ -41,10 +41,10 @@
 		turns <- struct{}{}
 		playing.Go(func() {
 			defer func() { <-turns }()
-			config := soak.Config{Program: absolute, Folder: filepath.Join(*folder, fmt.Sprint("seed-", seed)), Seed: seed,
+			config := play.Config{Program: absolute, Folder: filepath.Join(*folder, fmt.Sprint("seed-", seed)), Seed: seed,
 				Span: *span, Clients: *clients, Series: *series, Shape: emulator.Shape{Cores: *cores, Tolerate: *tolerate,
 					Dispatchers: *dispatchers, Workers: *workers, Guards: true}}
-			held := play(config, &printing)
+			held := playSeed(config, &printing)
 			printing.Lock()
 			defer printing.Unlock()
 			failed = failed || !held
@@ -57,13 +57,13 @@
 	}
 }
 
-// play plays one seed and reports whether every rule held.
-func play(config soak.Config, printing *sync.Mutex) bool {
+// playSeed plays one seed and reports whether every rule held.
+func playSeed(config play.Config, printing *sync.Mutex) bool {
 	if err := os.RemoveAll(config.Folder); err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		return false
 	}
-	report, err := soak.Run(config)
+	report, err := play.Run(config)
 	printing.Lock()
 	defer printing.Unlock()
 	if err != nil {
--- a/internal/soak/client.go
+++ b/lab/soak/play/client.go
@@ -1,4 +1,4 @@
-package soak
+package play
 
 import (
 	"bufio"
--- a/internal/soak/process.go
+++ b/lab/soak/play/process.go
@@ -1,4 +1,4 @@
-package soak
+package play
 
 import (
 	"fmt"
@@ -92,14 +92,18 @@
 	go p.watch(cmd, p.ended)
 }
 
-// watch waits for the process's end. One that nobody has asked for is a fault.
+// watch waits for the process's end. One that nobody has asked for is a fault, and so is an exit code: a panic, say, or
+// what the race detector found.
 func (p *process) watch(cmd *exec.Cmd, ended chan struct{}) {
 	cmd.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.asked {
+	switch {
+	case !p.asked:
 		p.unplanned = time.Now()
 		p.soak.breaks("FAULT", "%s ended by itself: %v", p.name, cmd.ProcessState)
+	case cmd.ProcessState.Exited() && !cmd.ProcessState.Success():
+		p.soak.breaks("FAULT", "%s was stopped and ended with %v", p.name, cmd.ProcessState)
 	}
 	if p.cmd == cmd {
 		p.cmd = nil
--- a/internal/soak/series.go
+++ b/lab/soak/play/series.go
@@ -1,4 +1,4 @@
-package soak
+package play
 
 import (
 	"math/rand/v2"
