--- a/lab/soak/main.go
+++ b/lab/soak/main.go
@@ -27,6 +27,7 @@
 	workers := flag.Int("workers", 8, "workers")
 	clients := flag.Int("clients", 24, "clients, each with a connection of its own")
 	series := flag.Int("series", 3, "series of disruptions of dispatchers at once")
+	slack := flag.Duration("loss-slack", time.Second, "a call sent that shortly before its connection ends may be cut off; 200ms on an idle machine")
 	flag.Parse()
 	absolute, err := filepath.Abs(*program)
 	if err != nil {
@@ -42,7 +43,7 @@
 		playing.Go(func() {
 			defer func() { <-turns }()
 			config := play.Config{Program: absolute, Folder: filepath.Join(*folder, fmt.Sprint("seed-", seed)), Seed: seed,
-				Span: *span, Clients: *clients, Series: *series, Shape: emulator.Shape{Cores: *cores, Tolerate: *tolerate,
+				Span: *span, Clients: *clients, Series: *series, LossSlack: *slack, Shape: emulator.Shape{Cores: *cores, Tolerate: *tolerate,
 					Dispatchers: *dispatchers, Workers: *workers, Guards: true}}
 			held := playSeed(config, &printing)
 			printing.Lock()
--- a/lab/soak/play/client.go
+++ b/lab/soak/play/client.go
@@ -21,7 +21,6 @@
 	connectWithin  = 2 * time.Second
 	clientPatience = 3 * time.Second  // told with each call
 	answerWithin   = 12 * time.Second // of a frozen process, say; a sound one answers within clientPatience
-	lossSlack      = time.Second      // a call sent that shortly before its connection ends may meet a process that has not read it
 	jobPause       = 300 * time.Millisecond
 	askPause       = 250 * time.Millisecond
 )
@@ -126,7 +125,7 @@
 func (c *caller) judgeCut(link *connection, method, id string, sent time.Time, err error) {
 	now := time.Now()
 	waited := now.Sub(sent)
-	if waited < lossSlack || link.front.excused(now) || link.front.excused(sent) {
+	if waited < c.soak.config.LossSlack || link.front.excused(now) || link.front.excused(sent) {
 		return
 	}
 	var timeout net.Error
--- a/lab/soak/play/soak.go
+++ b/lab/soak/play/soak.go
@@ -37,6 +37,8 @@
 	Shape   emulator.Shape
 	Clients int
 	Series  int // of signals and restarts of dispatchers, at once
+	// LossSlack: a call sent that shortly before its connection ends may meet a process that has not read it.
+	LossSlack time.Duration
 }
 
 // Report is what a soak has shown.
