--- /dev/null
+++ b/internal/dataplane/stop_test.go
@@ -0,0 +1,65 @@
+package dataplane
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"linnetlift/internal/control/cluster"
+	"linnetlift/internal/control/link"
+	"linnetlift/internal/settings"
+	"linnetlift/scheduling/worker"
+)
+
+// TestCallsAreAnsweredBeforeTheStop: a call that waits for its outcome is told that there is none yet, before the
+// process ends.
+func TestCallsAreAnsweredBeforeTheStop(t *testing.T) {
+	d := idle()
+	close(d.hurried)
+	call := httptest.NewRequest("DELETE", "/queue/00000000000000aa", nil)
+	_, how := d.ask(call, time.Hour, func() *cluster.Command { return cancel("00000000000000aa") })
+	if how != unknown {
+		t.Errorf("outcome %v of a call under way", how)
+	}
+}
+
+func TestTimeForCallsBehindSIGTERM(t *testing.T) {
+	for _, c := range []struct {
+		graceS float64
+		want   time.Duration
+	}{
+		{0, 3 * time.Second}, // not told: 6 s
+		{6, 3 * time.Second},
+		{10, 7 * time.Second},
+		{2, leastDrain},
+	} {
+		d := New(&settings.Settings{Bounds: settings.Bounds{GraceS: c.graceS}}, deaf{}, zerolog.Nop())
+		if within := d.drainWithin(); within != c.want {
+			t.Errorf("GraceS %v: %v, want %v", c.graceS, within, c.want)
+		}
+	}
+}
+
+// TestEndsAreNotedOnceTheyAreTakenIn keeps that a worker forgets an end only when the control machines have it.
+func TestEndsAreNotedOnceTheyAreTakenIn(t *testing.T) {
+	for _, code := range []cluster.Code{cluster.OK, cluster.Conflict, cluster.Invalid} {
+		d := idle()
+		w := newOwnedWorker(d, &cluster.Worker{Instance: cluster.Instance{ID: "w1", Address: "w1:1"}, Token: 5})
+		ended := cluster.Ended{Worker: "w1", Job: "00000000000000aa", Run: 1, How: cluster.RunFailed}
+		w.agent.HoldAnswered(0, worker.Hold{}, worker.Done, worker.Lists{Ended: []worker.End{{Number: 1,
+			Task: "00000000000000aa.0.0.0", Command: 1, How: cluster.RunFailed}}})
+		w.agent.Take()
+		w.report(worker.Report{Number: 1, Ended: ended})
+		d.uplink.receiveOutcome(link.Outcome{Tag: d.uplink.nextTag, Result: cluster.Result{Code: code}})
+		w.agent.Place(time.Second, cluster.Placement{Worker: "w1", Task: "00000000000000bb.0.0.0", Run: 1})
+		holds := w.agent.Take().Holds
+		if len(holds) == 0 {
+			t.Fatal("no look at the worker")
+		}
+		if noted := holds[0].LastSeen == 1; noted != (code == cluster.OK) {
+			t.Errorf("outcome %d: the worker is told that %d ends are noted", code, holds[0].LastSeen)
+		}
+	}
+}
