Scenario folders waits until the killed keeper has the policy

In force is what two of three keepers have; the third was killed before it had it, so the test damaged nothing. It now waits for the text in that keeper's folder before the kill; its checks stay as they are.

--- a/lab/rig/stage/keepers.go
+++ b/lab/rig/stage/keepers.go
@@ -102,9 +102,14 @@
 	check(t, r.Propose("one", second, 0, false))
 	changed(t, r, "one", keeper.InForce)
 	k := r.Keeper[2]
-	k.Kill()
 	dir := filepath.Join(r.Dir, k.Name)
 	file := filepath.Join(dir, "keeper.db")
+	// In force is what a majority has: this keeper may get it later.
+	check(t, Until("the last keeper has the policy in its folder", func() bool {
+		text, err := os.ReadFile(file)
+		return err == nil && strings.Contains(string(text), "attempts = 3")
+	}))
+	k.Kill()
 	whole, err := os.ReadFile(file)
 	check(t, err)
 	refuses := func(what, want string) {
