--- a/internal/emulator/norace_test.go
+++ b/internal/emulator/norace_test.go
@@ -7,4 +7,6 @@
 	schedulesInTest = 6
 	// historiesInTest is how many histories of the configuration API a test run checks.
 	historiesInTest = 4
+	// addressesInTest is how many schedules of addresses that are used again a test run plays.
+	addressesInTest = 2
 )
--- a/internal/emulator/race_test.go
+++ b/internal/emulator/race_test.go
@@ -7,4 +7,5 @@
 const (
 	schedulesInTest = 4
 	historiesInTest = 1
+	addressesInTest = 1
 )
