A keeper killed right behind a compaction starts again

Ruled out: a lost log entry (the log is whole), the load beside it. Nothing acknowledged was at risk of being shown older.

The scenarios' report of a process that ended has its panic from the first line on.

--- a/internal/quorum/quorum_test.go
+++ b/internal/quorum/quorum_test.go
@@ -193,3 +193,104 @@
 		q.Close()
 	}
 }
+
+// compactedLate has a keeper's folder compacted while the folder's commit index is older than the one in memory, as it
+// is while commit indexes wait for the next write that has to be synced.
+func compactedLate(t *testing.T, dir string, compact func(s *store, index uint64, conf *raftpb.ConfState, state []byte) error) {
+	t.Helper()
+	q, err := alone(t, dir, true, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	propose(t, q, 1)
+	propose(t, q, 2)
+	if err := q.Close(); err != nil {
+		t.Fatal(err)
+	}
+	state, err := q.state.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conf, applied := q.conf, q.applied
+	s, err := open(dir, "f", 1, false, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.close()
+	hard, _, _ := s.mem.InitialState()
+	synced := proto.Clone(hard).(*raftpb.HardState)
+	synced.Commit = new(uint64(1))
+	if err := s.save(synced, nil, nil, true); err != nil {
+		t.Fatal(err)
+	}
+	agreed := proto.Clone(hard).(*raftpb.HardState)
+	agreed.Commit = new(applied)
+	if err := s.save(agreed, nil, nil, false); err != nil {
+		t.Fatal(err)
+	}
+	if err := compact(s, applied, conf, state); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// starts checks that a keeper of two versions starts from its folder.
+func starts(t *testing.T, dir string) {
+	t.Helper()
+	q, err := alone(t, dir, false, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer q.Close()
+	if v := version(t, q); v != 2 {
+		t.Errorf("version %d after a restart, want 2", v)
+	}
+}
+
+// A keeper that is killed right behind a compaction starts again, though the commit index that it had synced before is
+// older than the snapshot: raft ends the process where a folder's commit index lies before its snapshot.
+func TestKilledBehindACompaction(t *testing.T) {
+	dir := t.TempDir()
+	compactedLate(t, dir, func(s *store, index uint64, conf *raftpb.ConfState, state []byte) error {
+		return s.compact(index, conf, state, keepEntries)
+	})
+	s, err := open(dir, "f", 1, false, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := syncedHardState(s)
+	s.close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text.GetCommit() < 3 {
+		t.Errorf("the folder's commit index is %d behind a compaction: older than its snapshot", text.GetCommit())
+	}
+	starts(t, dir)
+}
+
+// syncedHardState reads the hard state as the folder has it, not as it is mended on reading.
+func syncedHardState(s *store) (*raftpb.HardState, error) {
+	hard := &raftpb.HardState{}
+	err := s.db.View(func(tx *bbolt.Tx) error { return unpack(keyHard, tx.Bucket(bucketMeta).Get(keyHard), hard) })
+	return hard, err
+}
+
+// A folder that an earlier version left with a commit index older than its snapshot is opened: what a snapshot holds was
+// agreed on.
+func TestFolderWithAnOlderCommitIndexStarts(t *testing.T) {
+	dir := t.TempDir()
+	compactedLate(t, dir, func(s *store, index uint64, conf *raftpb.ConfState, state []byte) error {
+		snap, err := s.mem.CreateSnapshot(index, conf, state)
+		if err != nil {
+			return err
+		}
+		return s.db.Update(func(tx *bbolt.Tx) error {
+			text, err := pack(keySnapshot, snap)
+			if err != nil {
+				return err
+			}
+			return tx.Bucket(bucketMeta).Put(keySnapshot, text)
+		})
+	})
+	starts(t, dir)
+}
--- a/internal/quorum/store.go
+++ b/internal/quorum/store.go
@@ -240,6 +240,9 @@
 			s.mem.SetHardState(hard)
 		}
 		first, _ := s.mem.FirstIndex()
+		if err := s.commitAtLeast(first - 1); err != nil {
+			return err
+		}
 		next := first
 		return log.ForEach(func(k, v []byte) error {
 			index := binary.BigEndian.Uint64(k)
@@ -259,6 +262,18 @@
 	})
 }
 
+// commitAtLeast raises the commit index in memory to that of the snapshot, which holds nothing but what was agreed on.
+// Folders of earlier versions may have a snapshot that is newer than their commit index, and raft takes no such folder.
+func (s *store) commitAtLeast(index uint64) error {
+	hard, _, err := s.mem.InitialState()
+	if err != nil || hard.GetCommit() >= index {
+		return err
+	}
+	raised := proto.Clone(hard).(*raftpb.HardState)
+	raised.Commit = &index
+	return s.mem.SetHardState(raised)
+}
+
 // Restored is what came of a restore, for staff.
 type Restored struct {
 	From             uint64 // the member whose folder it was
@@ -421,11 +436,7 @@
 			}
 		}
 		if !raft.IsEmptyHardState(hard) {
-			text, err := pack(keyHard, hard)
-			if err != nil {
-				return err
-			}
-			if err := meta.Put(keyHard, text); err != nil {
+			if err := putHardState(meta, hard); err != nil {
 				return err
 			}
 		}
@@ -477,20 +488,37 @@
 	return nil
 }
 
+func putHardState(meta *bbolt.Bucket, hard *raftpb.HardState) error {
+	text, err := pack(keyHard, hard)
+	if err != nil {
+		return err
+	}
+	return meta.Put(keyHard, text)
+}
+
 // compact puts a snapshot in the place of the log up to an index, but for the last few
-// entries: a follower a little behind is not sent the whole state for them.
+// entries: a follower a little behind is not sent the whole state for them. The commit index goes
+// with it: a folder in which it is older than the snapshot is not taken at the next start.
 func (s *store) compact(index uint64, conf *raftpb.ConfState, state []byte, keep uint64) error {
 	snap, err := s.mem.CreateSnapshot(index, conf, state)
 	if err != nil {
 		return err
 	}
+	hard, _, err := s.mem.InitialState()
+	if err != nil {
+		return err
+	}
 	from := index - min(index, keep)
 	err = s.db.Update(func(tx *bbolt.Tx) error {
 		text, err := pack(keySnapshot, snap)
 		if err != nil {
 			return err
 		}
-		if err := tx.Bucket(bucketMeta).Put(keySnapshot, text); err != nil {
+		meta := tx.Bucket(bucketMeta)
+		if err := meta.Put(keySnapshot, text); err != nil {
+			return err
+		}
+		if err := putHardState(meta, hard); err != nil {
 			return err
 		}
 		return cut(tx.Bucket(bucketLog), index+1) // read again, the log begins behind the snapshot
@@ -498,6 +526,7 @@
 	if err != nil {
 		return err
 	}
+	s.late = false
 	if first, _ := s.mem.FirstIndex(); from >= first {
 		return s.mem.Compact(from)
 	}
--- a/lab/rig/stage/process.go
+++ b/lab/rig/stage/process.go
@@ -127,7 +127,7 @@
 			}
 			if strings.HasPrefix(p.log[from], "ended: ") && text != "ended: " {
 				defer p.mu.Unlock()
-				return "", fmt.Errorf("%s has ended before %q: %s", p.Name, text, strings.Join(p.log[max(0, from-5):], "\n"))
+				return "", fmt.Errorf("%s has ended before %q: %s", p.Name, text, strings.Join(lastWords(p.log[:from+1]), "\n"))
 			}
 		}
 		more := p.more
@@ -140,6 +140,18 @@
 	}
 }
 
+// lastWords are the lines of a log that tell why its process has ended: from the panic on, where there was one.
+func lastWords(log []string) []string {
+	const tail, most = 5, 60
+	from := max(0, len(log)-tail)
+	for i := max(0, len(log)-1000); i < from; i++ {
+		if strings.HasPrefix(log[i], "panic: ") || strings.HasPrefix(log[i], "fatal error: ") {
+			return log[i:min(len(log), i+most)]
+		}
+	}
+	return log[from:]
+}
+
 // Limit bounds the files that it may write from its next start on, as a full disk would.
 func (p *Process) Limit(bytes int64) { p.most = bytes }
 
