A control machine whose log is contradicted stays out of the chain and says so

It rejected, the head sent the same megabyte again, and so on at the speed of the network; outside the chain the same piece was asked for at every tick.

chain.Replica notes a divergence, takes no part any more and tells its predecessor; the engine reports the member as stalled, logs once, and shows it in status and metrics. Storms of the chain check that sound disks never bring a divergence about.

--- a/coordination/chain/chain.go
+++ b/coordination/chain/chain.go
@@ -56,6 +56,7 @@
 	Previous  uint64 `cbor:"6,keyasint,omitempty"` // of the Append that is rejected
 	Committed uint64 `cbor:"4,keyasint"`
 	Reads     []Read `cbor:"5,keyasint,omitempty"`
+	Diverged  bool   `cbor:"7,keyasint,omitempty"` // the receiver's log contradicts what is committed here; no part is taken
 }
 
 // Snapshot brings a member up to an index that its predecessor's log has no more.
@@ -128,6 +129,8 @@
 	complete   bool // the log of the view is here, and that is persisted
 	completing bool
 	committed  uint64
+	diverged   *Divergence // this replica takes no part any more
+	refused    bool        // the successor takes no part in the view
 
 	flight    flight
 	next      uint64 // first entry not yet sent to the successor
@@ -174,7 +177,7 @@
 
 // Serves reports whether the replica's state follows what is committed.
 func (r *Replica) Serves() bool {
-	return r.position >= 0 && r.complete && len(r.view.Members) >= r.minimum && r.committed >= r.start
+	return r.diverged == nil && r.position >= 0 && r.complete && len(r.view.Members) >= r.minimum && r.committed >= r.start
 }
 
 // Head returns the head of the view, or 0.
@@ -221,7 +224,7 @@
 	r.position = slices.Index(view.Members, r.me)
 	r.received, r.before, r.acked, r.toldSync, r.ackedAt = 0, 0, 0, 0, 0
 	r.started, r.complete, r.completing, r.start = false, false, false, 0
-	r.rewound = false
+	r.rewound, r.refused = false, false
 	r.flight = flight{}
 	r.pending, r.held, r.ackReads = nil, nil, nil
 	r.next = r.Last() + 1
@@ -234,7 +237,7 @@
 
 // Propose orders new entries and reads at the head. It reports whether this replica is the head.
 func (r *Replica) Propose(proposals []Proposal) bool {
-	if !r.IsHead() {
+	if !r.IsHead() || r.diverged != nil {
 		return false
 	}
 	var entries []Entry
@@ -279,7 +282,7 @@
 
 // advance draws what follows from the present figures.
 func (r *Replica) advance() {
-	if r.position < 0 {
+	if r.position < 0 || r.diverged != nil {
 		return
 	}
 	if r.started && !r.completing && min(r.synced, r.received) >= r.start {
--- a/coordination/chain/chain_test.go
+++ b/coordination/chain/chain_test.go
@@ -81,6 +81,9 @@
 
 func (n *network) carryOut(h *host) {
 	out := h.replica.Take()
+	if d := h.replica.Diverged(); d != nil {
+		n.breaks("member %d finds its log contradicted at %d, which sound disks can't bring about", h.id, d.Index)
+	}
 	if n.faulty != nil {
 		n.faulty(h, &out)
 	}
--- a/coordination/chain/learn.go
+++ b/coordination/chain/learn.go
@@ -18,9 +18,9 @@
 	Committed uint64    `cbor:"5,keyasint"`
 }
 
-// NextFetch returns what a replica outside the chain asks for, and false for a member.
+// NextFetch returns what a replica outside the chain asks for, and false for a member and for one that has diverged.
 func (r *Replica) NextFetch() (Fetch, bool) {
-	if r.position >= 0 {
+	if r.position >= 0 || r.diverged != nil {
 		return Fetch{}, false
 	}
 	return Fetch{r.Last(), r.epochOf(r.Last()), r.committed}, true
@@ -35,7 +35,7 @@
 	if from > r.committed || from < r.base || r.epochOf(from) != fetch.Epoch {
 		from = max(r.base, min(fetch.Committed, r.committed))
 	}
-	if from == r.committed && from == fetch.Index {
+	if from == r.committed && from == fetch.Index && r.epochOf(from) == fetch.Epoch {
 		return nil
 	}
 	lesson := &Lesson{PrevIndex: from, PrevEpoch: r.epochOf(from), Committed: r.committed}
@@ -53,7 +53,13 @@
 
 // Learn takes in a lesson, outside the chain.
 func (r *Replica) Learn(lesson *Lesson) {
-	if r.position >= 0 {
+	if r.position >= 0 || r.diverged != nil {
+		return
+	}
+	if s := lesson.Snapshot; s != nil && r.contradicts(s.Index, s.IndexEpoch) {
+		return
+	}
+	if r.anyContradicts(lesson.PrevIndex, lesson.PrevEpoch, lesson.Entries) {
 		return
 	}
 	// A log that reaches beyond the snapshot may do so with entries that were never committed.
--- a/coordination/chain/receive.go
+++ b/coordination/chain/receive.go
@@ -2,6 +2,9 @@
 
 // Receive takes in a message of another member.
 func (r *Replica) Receive(from MemberID, message *Message) {
+	if r.diverged != nil {
+		return
+	}
 	switch {
 	case message.Append != nil:
 		if from == r.predecessor() && message.Append.Epoch == r.view.Epoch {
@@ -19,6 +22,10 @@
 }
 
 func (r *Replica) append(m *Append) {
+	if r.anyContradicts(m.PrevIndex, m.PrevEpoch, m.Entries) {
+		r.refuseChain()
+		return
+	}
 	r.ackDue = true
 	known := m.PrevIndex >= r.base && m.PrevIndex <= r.Last() && r.epochOf(m.PrevIndex) == m.PrevEpoch
 	if m.PrevIndex < r.base && m.PrevIndex+uint64(len(m.Entries)) >= r.base {
@@ -66,6 +73,10 @@
 }
 
 func (r *Replica) ack(m *Ack) {
+	if m.Diverged {
+		r.refused = true
+		return
+	}
 	if m.Rejected {
 		r.rewind(m)
 	} else if m.Received > r.acked {
--- a/coordination/chain/send.go
+++ b/coordination/chain/send.go
@@ -27,7 +27,7 @@
 // Take returns what is to be carried out since the last call.
 func (r *Replica) Take() Output {
 	r.sendAhead()
-	if r.ackDue && r.predecessor() != 0 {
+	if r.ackDue && r.predecessor() != 0 && r.diverged == nil {
 		r.out.Sends = append(r.out.Sends, Send{r.predecessor(), Message{Ack: &Ack{
 			Epoch: r.view.Epoch, Received: r.received, Committed: r.committed, Reads: r.ackReads}}})
 		r.ackReads = nil
@@ -40,7 +40,7 @@
 
 // sendAhead passes on to the successor what it lacks.
 func (r *Replica) sendAhead() {
-	if !r.wantsSend || r.successor() == 0 || !r.started {
+	if !r.wantsSend || r.successor() == 0 || !r.started || r.refused || r.diverged != nil {
 		return
 	}
 	r.wantsSend = false
--- a/internal/control/server/engine.go
+++ b/internal/control/server/engine.go
@@ -55,6 +55,8 @@
 	compacting   bool
 	unreadable   bool // the last snapshot of another member could not be read
 
+	toldDivergence bool // that another member's log contradicts this one's is in the log
+
 	peers       *peers
 	heartbeats  *heartbeats
 	pending     map[uint64]*request
@@ -344,6 +346,7 @@
 	s.peers.tick()
 	s.resend(resendAfter)
 	s.beat()
+	s.tellDivergence()
 	s.considerView()
 	s.fetchSome()
 	if !s.standing() {
--- a/internal/control/server/operator.go
+++ b/internal/control/server/operator.go
@@ -121,6 +121,8 @@
 	StalledMs  int64
 	Dispatched int // dispatchers connected here
 	Behind     int // of these, dispatchers that have not acknowledged the configuration in force
+
+	Diverged bool `json:",omitempty"` // another member's log contradicts what is committed here
 }
 
 func (s *Server) currentStatus() Status {
@@ -130,7 +132,8 @@
 		status := Status{Node: s.settings.Node, Epoch: v.Epoch, Serves: s.inTouch(), Last: s.replica.Last(),
 			Committed: s.replica.Committed(), Pending: len(s.pending), Version: s.cluster.ConfigVersion,
 			Sessions: len(s.cluster.Sessions), Workers: len(s.cluster.Workers), Jobs: len(s.cluster.Jobs),
-			StalledMs: s.disk.stalledFor().Milliseconds(), Dispatched: len(s.dispatchers)}
+			StalledMs: s.disk.stalledFor().Milliseconds(), Dispatched: len(s.dispatchers),
+			Diverged: s.replica.Diverged() != nil}
 		for _, member := range v.Chain {
 			status.Chain = append(status.Chain, member.Node)
 		}
@@ -164,16 +167,13 @@
 
 func (s *Server) metrics(w http.ResponseWriter, r *http.Request) {
 	status := s.currentStatus()
-	serves := int64(0)
-	if status.Serves {
-		serves = 1
-	}
 	figures := []struct {
 		name  string
 		value int64
 	}{
 		{"yardflow_view_epoch", int64(status.Epoch)},
-		{"yardflow_serves", serves},
+		{"yardflow_serves", oneIf(status.Serves)},
+		{"yardflow_diverged", oneIf(status.Diverged)},
 		{"yardflow_chain_last", int64(status.Last)},
 		{"yardflow_chain_committed", int64(status.Committed)},
 		{"yardflow_commands_pending", int64(status.Pending)},
@@ -190,3 +190,11 @@
 		io.WriteString(w, figure.name+" "+strconv.FormatInt(figure.value, 10)+"\n")
 	}
 }
+
+// oneIf writes a flag as a figure.
+func oneIf(set bool) int64 {
+	if set {
+		return 1
+	}
+	return 0
+}
--- a/internal/control/server/server_test.go
+++ b/internal/control/server/server_test.go
@@ -1,7 +1,9 @@
 package server
 
 import (
+	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -87,6 +89,30 @@
 	}
 }
 
+// TestDivergedMemberStaysOut keeps that a member whose log is contradicted asks to be left out of the chain, serves
+// nobody, and says so once.
+func TestDivergedMemberStaysOut(t *testing.T) {
+	s := resting(t)
+	logs := bytes.Buffer{}
+	s.logger = zerolog.New(&logs)
+	const me, other = 2, 1
+	s.replica = chain.New(me, 1, chain.Snapshot{}, []chain.Entry{{Index: 1, Epoch: 1}}, 1)
+	s.replica.SetView(chain.View{Epoch: 3, Members: []chain.MemberID{other, me}})
+	s.tick()
+	if s.stalled() || logs.Len() > 0 {
+		t.Fatalf("stalled before anything came; logged: %s", logs.String())
+	}
+	s.replica.Receive(other, &chain.Message{Append: &chain.Append{Epoch: 3, PrevIndex: 1, PrevEpoch: 2}})
+	s.tick()
+	s.tick()
+	if !s.stalled() || s.standing() || s.inTouch() {
+		t.Errorf("stalled %v, standing %v, in touch %v", s.stalled(), s.standing(), s.inTouch())
+	}
+	if told := strings.Count(logs.String(), "contradicts"); told != 1 {
+		t.Errorf("said %d times: %s", told, logs.String())
+	}
+}
+
 func TestChangesSince(t *testing.T) {
 	changes := recentChanges{}
 	versions := func(since int64) string {
--- a/internal/control/server/views.go
+++ b/internal/control/server/views.go
@@ -31,7 +31,20 @@
 }
 
 // stalled reports whether the chain had better do without this member.
-func (s *Server) stalled() bool { return s.disk.sick() || s.unreadable }
+func (s *Server) stalled() bool {
+	return s.disk.sick() || s.unreadable || s.replica.Diverged() != nil
+}
+
+// tellDivergence logs once that this member's log is contradicted: an operator has to see to it.
+func (s *Server) tellDivergence() {
+	d := s.replica.Diverged()
+	if d == nil || s.toldDivergence {
+		return
+	}
+	s.toldDivergence = true
+	s.logger.Error().Uint64("index", d.Index).Uint64("own epoch", d.Own).Uint64("other epoch", d.Other).
+		Msg("another member's log contradicts what is committed here; staying out of the chain: a disk has lost what it had synced")
+}
 
 // probeDisk writes to a disk that was slow, to see whether it still is.
 func (s *Server) probeDisk() {
@@ -87,7 +100,7 @@
 // standing reports whether this replica is a member that stands with a majority. Commands may have to wait
 // for a new member, but they come through.
 func (s *Server) standing() bool {
-	return s.replica.IsMember() && s.detector.Majority(s.now(), s.register.View())
+	return s.replica.IsMember() && s.replica.Diverged() == nil && s.detector.Majority(s.now(), s.register.View())
 }
 
 // receivePeer takes in a message of another control machine that arrived at the given time.
