The limit at each worker is looked at once more when the connection is up

What reading found: an attempt is counted in and compared with the limit before it has a connection. A process that stands still in between (the scenario stops one for longer than its lease and the time of settling) sends it when it wakes, by a part that others have been given since. Whether a worker drains was looked at again once the connection is up; the limit was not.

TestLeaseThatEndsBeforeTheSend fails without the second look (tried). Ruled out: jobs of the killed dispatcher (0.15 s of the 3 s of settling), the stand-in's count (it ends before the answer leaves).

--- a/internal/broker/budget.go
+++ b/internal/broker/budget.go
@@ -92,10 +92,20 @@
 // room for it. It is asked at the moment of sending: the module hears of a part that has ended
 // a little later.
 func (b *Broker) enter(p *place) bool {
+	b.mu.Lock()
+	p.open++
+	b.mu.Unlock()
+	return b.hasRoom(p)
+}
+
+// hasRoom tells whether the limit at each worker leaves room now for the attempts that were counted in at one.
+func (b *Broker) hasRoom(p *place) bool {
+	if p == nil {
+		return true
+	}
 	most, limited := b.Rebound()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p.open++
 	return !limited || p.open <= most
 }
 
--- a/internal/broker/job.go
+++ b/internal/broker/job.go
@@ -86,6 +86,7 @@
 	Cell   int
 	s      *session
 	id     linnetlift.WorkerID
+	place  *place // of the worker, where limits of the whole fleet are kept
 }
 
 // Started tells that the worker has begun.
@@ -115,8 +116,11 @@
 // Allowed tells whether the attempt may still be sent. A front asks again once its
 // connection is up: connecting takes time, what the list has told meanwhile counts, and the
 // window in which a repeat is dropped may be over. A worker that is reached elsewhere now
-// may not be sent to: at the old address another may answer.
-func (a *Attempt) Allowed() bool { return a.s.inWindow() && a.s.b.allowed(a.id, a.Addr) }
+// may not be sent to: at the old address another may answer. And the lease of this process's part of what may be out
+// at the worker may be over: a process that stood still meanwhile would send what others have been given since.
+func (a *Attempt) Allowed() bool {
+	return a.s.inWindow() && a.s.b.allowed(a.id, a.Addr) && a.s.b.hasRoom(a.place)
+}
 
 // In tells whether the worker is in a pool now, by its name; the empty one has all.
 func (a *Attempt) In(pool string) bool {
--- a/internal/broker/serve.go
+++ b/internal/broker/serve.go
@@ -123,6 +123,7 @@
 			o = s.try(ctx, a, d, do)
 		} else {
 			began := time.Now()
+			a.place = p
 			if b.enter(p) {
 				o = s.try(ctx, a, d, do)
 			} else {
--- a/internal/broker/verdicts_test.go
+++ b/internal/broker/verdicts_test.go
@@ -68,3 +68,35 @@
 		time.Sleep(time.Second) // its goroutine may be between two rounds
 	})
 }
+
+// TestLeaseThatEndsBeforeTheSend keeps that an attempt which waits for its connection, or whose process stands still,
+// is not sent by a part of the limit at each worker that is over meanwhile.
+func TestLeaseThatEndsBeforeTheSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := open(t)
+		began := time.Now()
+		now := func() time.Duration { return time.Since(began) }
+		desk := quota.NewDesk()
+		b.Limit(desk, now)
+		desk.Set(now(), []quota.Limit{{Name: "each", Kind: quota.AtWorker, Amount: 14 * quota.One, Holders: 7, Settle: time.Second}})
+		desk.Hear(now(), now()+2*time.Second, []quota.Part{{Limit: "each", Amount: 3 * quota.One}})
+		b.List(linnetlift.ListFull, []Worker{{ID: "a", Addr: "a:1", State: linnetlift.Ready, Weight: 1}})
+		attempts := 0
+		b.Serve(t.Context(), Request{Class: 1, Deadline: time.Now().Add(10 * time.Second), Slots: 1}, func(_ context.Context, at *Attempt) Outcome {
+			attempts++
+			if !at.Allowed() {
+				t.Error("not allowed while the lease holds")
+			}
+			time.Sleep(5 * time.Second) // the lease is over, and what it gave may be another's
+			if at.Allowed() {
+				t.Error("allowed when the lease is over")
+			}
+			return Outcome{Code: NeverSent}
+		})
+		if attempts != 1 {
+			t.Errorf("%d attempts", attempts)
+		}
+		b.Close()
+		time.Sleep(time.Second) // its goroutine may be between two rounds
+	})
+}
