--- /dev/null
+++ b/internal/control/cluster/owners_bench_test.go
@@ -0,0 +1,45 @@
+package cluster
+
+import (
+	"fmt"
+	"testing"
+)
+
+// crowd returns a state with so many sessions and workers in three zones.
+func crowd(sessions, workers int) *Cluster {
+	c := New(25)
+	for i := range sessions {
+		c.Apply(&Command{OpenSession: &OpenSession{Node: fmt.Sprint("front-", i), Zone: fmt.Sprint("z", i%3), Life: uint64(i + 1)}})
+	}
+	command := &Instances{Reader: c.Reader(), Reading: 1}
+	for i := range workers {
+		command.Changed = append(command.Changed, Instance{ID: fmt.Sprint("i-", i), Zone: fmt.Sprint("z", i%3),
+			Address: fmt.Sprint("10.0.0.1:", i), Service: "service"})
+	}
+	c.Apply(&Command{Instances: command})
+	c.TakeUpdates()
+	c.TakeNotices()
+	return c
+}
+
+// BenchmarkSessionsComeAndGo measures one session that opens and is over, with 270 others and 3,000 workers, and how
+// many updates it makes, one to all counted for each session.
+func BenchmarkSessionsComeAndGo(b *testing.B) {
+	const sessions, workers = 270, 3000
+	c := crowd(sessions, workers)
+	b.ReportAllocs()
+	b.ResetTimer()
+	told := 0
+	for i := range b.N {
+		id := c.Apply(&Command{OpenSession: &OpenSession{Node: "new", Zone: "z1", Life: uint64(1000 + i), Behind: c.NewestSession("new")}}).Session
+		c.Apply(&Command{CloseSession: &CloseSession{Session: id}})
+		for _, update := range c.TakeUpdates() {
+			if update.To == 0 {
+				told += sessions
+			} else {
+				told++
+			}
+		}
+	}
+	b.ReportMetric(float64(told)/float64(b.N), "updates/op")
+}
--- a/internal/control/cluster/sessions.go
+++ b/internal/control/cluster/sessions.go
@@ -1,11 +1,6 @@
 package cluster
 
-import (
-	"encoding/binary"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "slices"
 
 // openSession opens a session for a life of a node's process, or finds the one that it has. One that is sent
 // behind another session than the node's newest is late, and refused with the newest.
@@ -32,7 +27,7 @@
 	c.Sessions[id] = &Session{ID: id, Node: command.Node, Zone: command.Zone, Life: command.Life}
 	c.LastSessions[command.Node] = &LastSession{id, c.AgeCount}
 	c.tellAll(Update{Sessions: c.sessionIDs()})
-	c.assignAll()
+	c.claimFor(c.Sessions[id])
 	return Result{Session: id}
 }
 
@@ -63,7 +58,7 @@
 		last.Age = c.AgeCount
 	}
 	c.tellAll(Update{Sessions: c.sessionIDs()})
-	c.assignAll()
+	c.passOn(id)
 	return Result{}
 }
 
@@ -86,52 +81,3 @@
 	}
 	return first
 }
-
-// assignAll gives every worker the owner that the present sessions make for, and every job
-// whose owner is gone a new one.
-func (c *Cluster) assignAll() {
-	for _, id := range sortedKeys(c.Workers) {
-		c.assignWorker(c.Workers[id])
-	}
-	for _, id := range sortedKeys(c.Jobs) {
-		owned := c.Jobs[id]
-		if owned.State.Over() || c.Sessions[owned.Owner] != nil {
-			continue
-		}
-		if owned.Owner = c.choose(id, ""); owned.Owner != 0 {
-			c.tell(owned.Owner, Update{Job: owned})
-		}
-	}
-}
-
-// assignWorker makes the session chosen by rendezvous hashing the worker's owner. Sessions in the
-// worker's zone go before others. Each change of owner brings a higher fence token.
-func (c *Cluster) assignWorker(worker *Worker) {
-	owner := c.choose(worker.ID, worker.Zone)
-	if owner == worker.Owner {
-		return
-	}
-	c.NextToken++
-	worker.Owner, worker.Token = owner, c.NextToken
-	c.tellAll(Update{Worker: worker.public()})
-	for _, placement := range c.placementsAt(worker) {
-		c.tell(owner, Update{Placement: placement})
-	}
-}
-
-func (c *Cluster) choose(name, zone string) SessionID {
-	best, bestWeight, bestNear := SessionID(0), uint64(0), false
-	for _, id := range c.sessionIDs() {
-		near := zone != "" && c.Sessions[id].Zone == zone
-		weight := rendezvous(name, id)
-		if best == 0 || near && !bestNear || near == bestNear && weight > bestWeight {
-			best, bestWeight, bestNear = id, weight, near
-		}
-	}
-	return best
-}
-
-func rendezvous(name string, id SessionID) uint64 {
-	buffer := binary.LittleEndian.AppendUint64([]byte(name), id)
-	return xxhash.Sum64(buffer)
-}
--- a/internal/control/cluster/workers.go
+++ b/internal/control/cluster/workers.go
@@ -33,9 +33,6 @@
 		c.Workers[instance.ID] = worker
 		c.notice(Notice{Kind: WorkerJoined, Worker: instance.ID, Address: instance.Address, Reader: c.ReadBy, Reading: c.Reading})
 		c.assignWorker(worker)
-		if worker.Owner != 0 {
-			return
-		}
 	}
 	worker.Draining = worker.Draining || instance.Draining
 	worker.Leaves = instance.Leaves
