What a dispatcher is told waits for its acknowledgements, and configurations overtake it

Bounds in buffers alone would not do: the kernel's or a link's may hold a megabyte, so the dispatcher tells how many bytes it has taken in. Dispatchers of former versions, which do not, are told all at once as before.

TestStormWaitsForAcknowledgements, TestNewerFiguresReplaceOlderOnes, TestOutcomesFollowTheirUpdates, TestFormerDispatcherIsToldAllAtOnce, TestReceivedBytesAreAcknowledged.

--- a/internal/control/link/link.go
+++ b/internal/control/link/link.go
@@ -23,6 +23,8 @@
 	Life uint64 `cbor:"3,keyasint"`
 	// Config is the version of the configuration that the dispatcher has, so that it need not be sent again.
 	Config int64 `cbor:"4,keyasint,omitempty"`
+	// Acknowledges says that the dispatcher tells how much it has received, so that what is not urgent may wait for that.
+	Acknowledges bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Tagged is a command with the dispatcher's name for it.
@@ -38,6 +40,8 @@
 	Goodbye  bool     `cbor:"3,keyasint,omitempty"` // the process ends in order
 	// Config acknowledges the configuration that is in force at the dispatcher.
 	Config int64 `cbor:"4,keyasint,omitempty"`
+	// Received is how many bytes of messages the dispatcher has taken in on this connection.
+	Received uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Outcome answers a Tagged.
--- a/internal/control/server/dispatchers.go
+++ b/internal/control/server/dispatchers.go
@@ -27,7 +27,8 @@
 	session  cluster.SessionID
 	snapshot bool  // its session is open, and the snapshot is due
 	config   int64 // version that it has acknowledged
-	down     link.Down
+	outbox   outbox
+	outcomes []link.Outcome // of commands that were just applied; they follow the updates of the same commands
 	quiet    int
 }
 
@@ -83,6 +84,7 @@
 		return
 	}
 	d.config = max(d.config, up.Config)
+	d.outbox.noteAcknowledged(up.Received)
 	for i := range up.Commands {
 		s.receiveCommand(d, &up.Commands[i])
 	}
@@ -90,6 +92,7 @@
 
 func (s *Server) attach(d *dispatcher, hello *link.Hello) {
 	d.hello = *hello
+	d.outbox.acknowledges = hello.Acknowledges
 	if !s.inTouch() {
 		s.waiting[d] = s.now()
 		return
@@ -131,12 +134,12 @@
 func (s *Server) receiveCommand(d *dispatcher, tagged *link.Tagged) {
 	command := &cluster.Command{}
 	if !link.Decode(tagged.Command, command) {
-		d.down.Outcomes = append(d.down.Outcomes, link.Outcome{Tag: tagged.Tag, Result: cluster.Result{Code: cluster.Invalid}})
+		d.outcomes = append(d.outcomes, link.Outcome{Tag: tagged.Tag, Result: cluster.Result{Code: cluster.Invalid}})
 		return
 	}
 	tag := tagged.Tag
 	s.submitFor(d, command, tagged.Command, func(result cluster.Result) {
-		d.down.Outcomes = append(d.down.Outcomes, link.Outcome{Tag: tag, Result: result})
+		d.outcomes = append(d.outcomes, link.Outcome{Tag: tag, Result: result})
 	})
 }
 
@@ -183,45 +186,43 @@
 	var shared sharedSnapshot
 	for d := range s.dispatchers {
 		if d.snapshot {
-			s.addSnapshot(d, &shared)
+			s.sendSnapshot(d, &shared)
 		}
-		if len(d.down.Updates) == 0 && len(d.down.Outcomes) == 0 && d.down.Session == 0 {
-			continue
+		for _, outcome := range d.outcomes {
+			d.outbox.addOutcome(outcome)
+		}
+		d.outcomes = nil
+		for down, due := d.outbox.next(); due; down, due = d.outbox.next() {
+			s.sendDown(d, down)
+		}
+		if d.outbox.overflows() {
+			d.conn.Close() // it attaches again, and a snapshot stands for all that waits
 		}
-		s.sendDown(d)
 	}
 }
 
-func (s *Server) sendDown(d *dispatcher) {
-	d.conn.Send(link.Encode(d.down))
-	d.down, d.quiet = link.Down{}, 0
+func (s *Server) sendDown(d *dispatcher, down link.Down) {
+	message := link.Encode(down)
+	d.conn.Send(message)
+	d.outbox.noteSent(len(message))
+	d.quiet = 0
 }
 
 func (s *Server) addUpdates() {
-	if len(s.bySession) == 0 {
-		s.updates = nil
-		return
-	}
-	last := map[string]int{} // the newest figure of a worker's use stands for those before it
-	for i, addressed := range s.updates {
-		if used := addressed.Update.Used; used != nil {
-			last[used.Worker] = i
-		}
-	}
-	for i, addressed := range s.updates {
-		if used := addressed.Update.Used; used != nil && last[used.Worker] != i {
-			continue
-		}
+	for _, addressed := range s.updates {
 		if addressed.To != 0 {
 			if d := s.bySession[addressed.To]; d != nil && !d.snapshot {
-				d.down.Updates = append(d.down.Updates, link.Encode(addressed.Update))
+				d.outbox.addUpdate(&addressed.Update, link.Encode(addressed.Update))
 			}
 			continue
 		}
-		data := link.Pack([]cbor.RawMessage{link.Encode(addressed.Update)})
+		if len(s.bySession) == 0 {
+			continue
+		}
+		encoded := link.Pack([]cbor.RawMessage{link.Encode(addressed.Update)})
 		for d := range s.dispatchers {
 			if d.session != 0 && !d.snapshot {
-				d.down.Updates = append(d.down.Updates, data)
+				d.outbox.addUpdate(&addressed.Update, encoded)
 			}
 		}
 	}
@@ -235,16 +236,15 @@
 	config cbor.RawMessage
 }
 
-func (s *Server) addSnapshot(d *dispatcher, shared *sharedSnapshot) {
+// sendSnapshot tells a dispatcher whose session is open the whole state that concerns it.
+func (s *Server) sendSnapshot(d *dispatcher, shared *sharedSnapshot) {
 	if shared.state == nil {
 		shared.state = link.Pack(encodeAll(s.cluster.SharedSnapshot()))
 	}
 	d.snapshot = false
-	d.down.Session = d.session
-	d.down.Controls = s.controls()
-	d.down.Updates = s.configFor(d, shared)
-	d.down.Updates = append(d.down.Updates, shared.state)
-	d.down.Updates = append(d.down.Updates, encodeAll(s.cluster.OwnSnapshot(d.session))...)
+	updates := append(s.configFor(d, shared), shared.state)
+	updates = append(updates, encodeAll(s.cluster.OwnSnapshot(d.session))...)
+	s.sendDown(d, link.Down{Session: d.session, Controls: s.controls(), Updates: updates})
 }
 
 // configFor returns what brings a dispatcher from the configuration that it has to the one in force: nothing, the
@@ -274,8 +274,7 @@
 func (s *Server) dispatcherTick() {
 	for d := range s.dispatchers {
 		if d.quiet++; d.quiet >= heartbeatTicks {
-			d.down.Controls = s.controls()
-			s.sendDown(d)
+			s.sendDown(d, link.Down{Controls: s.controls()})
 		}
 	}
 }
--- /dev/null
+++ b/internal/control/server/outbox_test.go
@@ -0,0 +1,175 @@
+package server
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"linnetlift/internal/control/cluster"
+	"linnetlift/internal/control/link"
+	"linnetlift/scheduling/job"
+)
+
+func enter(o *outbox, update cluster.Update) { o.addUpdate(&update, link.Encode(update)) }
+
+// gone returns an update of about so many bytes.
+func gone(name string, size int) cluster.Update {
+	return cluster.Update{JobGone: name + strings.Repeat("x", size)}
+}
+
+func used(worker string, amount int64) cluster.Update {
+	return cluster.Update{Used: &cluster.Used{Worker: worker, Amount: job.Resources{MemMb: amount}}}
+}
+
+// send hands out all that may go out now, and returns it with the bytes of each message.
+func send(o *outbox) (updates []cluster.Update, outcomes []link.Outcome, sizes []int) {
+	for down, due := o.next(); due; down, due = o.next() {
+		message := link.Encode(down)
+		o.noteSent(len(message))
+		sizes = append(sizes, len(message))
+		for _, raw := range link.Unpack(down.Updates) {
+			update := cluster.Update{}
+			if cbor.Unmarshal(raw, &update) == nil {
+				updates = append(updates, update)
+			}
+		}
+		outcomes = append(outcomes, down.Outcomes...)
+	}
+	return updates, outcomes, sizes
+}
+
+func TestLittleGoesOutWhole(t *testing.T) {
+	o := outbox{acknowledges: true}
+	enter(&o, gone("a", 0))
+	enter(&o, used("w", 1))
+	o.addOutcome(link.Outcome{Tag: 7})
+	updates, outcomes, sizes := send(&o)
+	if len(updates) != 2 || len(outcomes) != 1 || len(sizes) != 1 {
+		t.Errorf("%d updates and %d outcomes in %d messages", len(updates), len(outcomes), len(sizes))
+	}
+	if _, _, more := send(&o); len(more) > 0 {
+		t.Errorf("%d messages more", len(more))
+	}
+}
+
+// TestStormWaitsForAcknowledgements keeps that a storm of updates fills no slow link: it waits at the control machine,
+// in bounded messages and in order, and a configuration overtakes it.
+func TestStormWaitsForAcknowledgements(t *testing.T) {
+	const storm, size = 2000, 500
+	o := outbox{acknowledges: true}
+	for i := range storm {
+		enter(&o, gone(fmt.Sprintf("%04d-", i), size))
+	}
+	var all []cluster.Update
+	for sent := uint64(0); ; {
+		updates, _, sizes := send(&o)
+		if len(updates) == 0 {
+			break
+		}
+		for _, bytes := range sizes {
+			sent += uint64(bytes)
+			if bytes > pieceBytes+pieceBytes/8 {
+				t.Fatalf("a message of %d bytes", bytes)
+			}
+		}
+		if o.underWay() > windowBytes+pieceBytes+pieceBytes/8 {
+			t.Fatalf("%d bytes under way", o.underWay())
+		}
+		all = append(all, updates...)
+		enter(&o, cluster.Update{Config: &cluster.ConfigUpdate{Version: int64(len(all))}})
+		if updates, _, _ := send(&o); len(updates) != 1 || updates[0].Config == nil {
+			t.Fatalf("behind %d updates a configuration waits", len(all))
+		}
+		o.noteAcknowledged(o.sent)
+	}
+	if len(all) != storm {
+		t.Fatalf("%d updates went out, want %d", len(all), storm)
+	}
+	for i, update := range all {
+		if !strings.HasPrefix(update.JobGone, fmt.Sprintf("%04d-", i)) {
+			t.Fatalf("update %d is %.6s", i, update.JobGone)
+		}
+	}
+	if o.bytes != 0 {
+		t.Errorf("%d bytes are counted as waiting", o.bytes)
+	}
+}
+
+// TestNewerFiguresReplaceOlderOnes keeps that what waits does not grow by figures that something newer stands for.
+func TestNewerFiguresReplaceOlderOnes(t *testing.T) {
+	o := outbox{acknowledges: true}
+	o.noteSent(windowBytes)
+	for i := range 1000 {
+		enter(&o, used(fmt.Sprint("w", i%10), int64(i)))
+		enter(&o, cluster.Update{Sessions: []cluster.SessionID{1, cluster.SessionID(i)}})
+	}
+	if o.bytes > 2000 {
+		t.Errorf("%d bytes wait", o.bytes)
+	}
+	o.noteAcknowledged(o.sent)
+	updates, _, _ := send(&o)
+	if len(updates) != 11 {
+		t.Fatalf("%d updates, want the newest of ten workers and of the sessions", len(updates))
+	}
+	for _, update := range updates {
+		switch {
+		case update.Used != nil && update.Used.Amount.MemMb < 990:
+			t.Errorf("%s uses %d, an older figure", update.Used.Worker, update.Used.Amount.MemMb)
+		case update.Sessions != nil && update.Sessions[1] != 999:
+			t.Errorf("sessions of step %d", update.Sessions[1])
+		}
+	}
+	enter(&o, used("w1", 5000))
+	if updates, _, _ := send(&o); len(updates) != 1 {
+		t.Errorf("%d updates behind it, want one", len(updates))
+	}
+}
+
+// TestOutcomesFollowTheirUpdates keeps that a dispatcher knows what a command has changed before its outcome.
+func TestOutcomesFollowTheirUpdates(t *testing.T) {
+	o := outbox{acknowledges: true}
+	for i := range 400 {
+		enter(&o, gone(fmt.Sprint(i, "-"), 300))
+		o.addOutcome(link.Outcome{Tag: uint64(i + 1)})
+	}
+	seen := 0
+	for {
+		down, due := o.next()
+		if !due {
+			break
+		}
+		seen += len(down.Updates)
+		for _, outcome := range down.Outcomes {
+			if outcome.Tag > uint64(seen) {
+				t.Fatalf("outcome %d before its update", outcome.Tag)
+			}
+		}
+	}
+	if seen != 400 {
+		t.Errorf("%d updates", seen)
+	}
+}
+
+// TestFormerDispatcherIsToldAllAtOnce keeps that a dispatcher of a version that acknowledges nothing is not waited for.
+func TestFormerDispatcherIsToldAllAtOnce(t *testing.T) {
+	o := outbox{}
+	for i := range 2000 {
+		enter(&o, gone(fmt.Sprint(i), 500))
+	}
+	if updates, _, _ := send(&o); len(updates) != 2000 {
+		t.Errorf("%d updates went out", len(updates))
+	}
+}
+
+func TestOverflow(t *testing.T) {
+	o := outbox{acknowledges: true}
+	o.noteSent(windowBytes)
+	for range backlogBytes / (1 << 20) {
+		enter(&o, gone("", 1<<20))
+	}
+	if !o.overflows() {
+		t.Errorf("%d bytes wait", o.bytes)
+	}
+}
--- a/internal/dataplane/uplink.go
+++ b/internal/dataplane/uplink.go
@@ -21,6 +21,9 @@
 	attachWithin = 900 * time.Millisecond
 )
 
+// acknowledgeEvery is after how many bytes the control machine is told that they have come, beside heartbeats.
+const acknowledgeEvery = 24 << 10
+
 // pendingCommand is a command without an outcome. It goes out again on each new connection.
 type pendingCommand struct {
 	command *cluster.Command
@@ -44,11 +47,14 @@
 	pending  map[uint64]*pendingCommand
 	order    []uint64 // tags of pending, in order
 	outgoing []uint64 // tags of commands to be sent
+
+	received     uint64 // bytes of messages taken in on the connection
+	acknowledged uint64 // of these, bytes of which the control machine was told
 }
 
 func newUplink(d *Dispatcher, life uint64) *uplink {
 	return &uplink{dispatcher: d, settings: d.settings, logger: d.logger, pending: map[uint64]*pendingCommand{},
-		hello: link.Hello{Node: d.settings.Node, Zone: d.settings.Zone, Life: life}}
+		hello: link.Hello{Node: d.settings.Node, Zone: d.settings.Zone, Life: life, Acknowledges: true}}
 }
 
 // submit sends a command; done is called by the engine with its outcome. Every command is one
@@ -90,11 +96,12 @@
 		u.outgoing = nil // they go out with the next connection
 		return
 	}
-	if len(u.outgoing) == 0 && now-u.sentAt < heartbeat {
+	owesAcknowledgement := u.received-u.acknowledged >= acknowledgeEvery
+	if len(u.outgoing) == 0 && !owesAcknowledgement && now-u.sentAt < heartbeat {
 		return
 	}
-	u.sentAt = now
-	up := link.Up{Config: u.dispatcher.configInForce()}
+	u.sentAt, u.acknowledged = now, u.received
+	up := link.Up{Config: u.dispatcher.configInForce(), Received: u.received}
 	settled := u.settled()
 	for _, tag := range u.outgoing {
 		if waiting := u.pending[tag]; waiting != nil {
@@ -140,7 +147,7 @@
 		case <-stop:
 		}
 	}()
-	within, useful := attachWithin, false
+	within, useful, received := attachWithin, false, uint64(0)
 	for {
 		data, err := conn.Receive(within)
 		if err != nil {
@@ -157,7 +164,8 @@
 		if down.Session != 0 {
 			useful, within = true, downSilence
 		}
-		u.dispatcher.do(func() { u.receive(conn, down) })
+		received += uint64(len(data))
+		u.dispatcher.do(func() { u.receive(conn, down, received) })
 	}
 	u.dispatcher.do(func() { u.lost(conn) })
 	return useful
@@ -178,7 +186,8 @@
 	}
 }
 
-func (u *uplink) receive(conn *frame.Conn, down *link.Down) {
+// receive takes in a message, with which so many bytes have come on its connection.
+func (u *uplink) receive(conn *frame.Conn, down *link.Down, received uint64) {
 	u.learnControls(down.Controls)
 	if down.Session != 0 {
 		u.attach(conn, down.Session)
@@ -186,6 +195,7 @@
 	if u.conn != conn {
 		return
 	}
+	u.received = received
 	u.dispatcher.receiveUpdates(down)
 	for _, outcome := range down.Outcomes {
 		u.receiveOutcome(outcome)
@@ -209,6 +219,7 @@
 		u.logger.Info().Uint64("session", session).Msg("session open")
 	}
 	u.conn, u.attached, u.session = conn, true, session
+	u.received, u.acknowledged = 0, 0
 	u.outgoing = nil
 	order := u.order[:0]
 	for _, tag := range u.order {
--- a/internal/dataplane/uplink_test.go
+++ b/internal/dataplane/uplink_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -64,11 +65,11 @@
 	answered := false
 	tag := u.submit(cancel("a"), func(cluster.Result) { answered = true })
 	u.attach(present, 7)
-	u.receive(former, &link.Down{Outcomes: []link.Outcome{{Tag: tag, Result: cluster.Result{Code: cluster.NotFound}}}})
+	u.receive(former, &link.Down{Outcomes: []link.Outcome{{Tag: tag, Result: cluster.Result{Code: cluster.NotFound}}}}, 0)
 	if answered || u.pending[tag] == nil {
 		t.Error("an answer of a former connection is taken")
 	}
-	u.receive(present, &link.Down{Outcomes: []link.Outcome{{Tag: tag}, {Tag: tag + 1}, {Tag: tag}}})
+	u.receive(present, &link.Down{Outcomes: []link.Outcome{{Tag: tag}, {Tag: tag + 1}, {Tag: tag}}}, 0)
 	if !answered {
 		t.Error("the answer is not taken")
 	}
@@ -108,3 +109,34 @@
 		t.Errorf("sent again: %+v", sent)
 	}
 }
+
+// TestReceivedBytesAreAcknowledged keeps that the control machine is told at once when much has come, since it waits for
+// that, and that a new connection counts anew.
+func TestReceivedBytesAreAcknowledged(t *testing.T) {
+	u := idle().uplink
+	first, second := &frame.Conn{}, &frame.Conn{}
+	now := time.Duration(0)
+	due := func() bool {
+		before := u.acknowledged
+		u.flush(now)
+		return u.acknowledged > before
+	}
+	u.receive(first, &link.Down{Session: 7}, 1000)
+	u.flush(now)
+	u.receive(first, &link.Down{}, acknowledgeEvery/2)
+	if due() {
+		t.Error("little is acknowledged by a message of its own")
+	}
+	u.receive(first, &link.Down{}, acknowledgeEvery+1000)
+	if !due() || u.acknowledged != acknowledgeEvery+1000 {
+		t.Errorf("%d bytes are acknowledged", u.acknowledged)
+	}
+	u.receive(first, &link.Down{}, acknowledgeEvery+2000)
+	if now += heartbeat; !due() {
+		t.Error("a heartbeat does not acknowledge what has come")
+	}
+	u.receive(second, &link.Down{Session: 7}, 500)
+	if u.received != 500 || u.acknowledged != 0 {
+		t.Errorf("on a new connection %d bytes have come, %d are acknowledged", u.received, u.acknowledged)
+	}
+}
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -28,12 +28,33 @@
 	streams   map[*stream]bool
 	cuts      map[[2]string]bool // machines, from and to
 	dark      map[string]bool    // machines without power
+	speeds    map[string]int     // machines on links of their own, bytes a second
 }
 
 // NewNetwork returns a network without machines.
 func NewNetwork() *Network {
 	return &Network{listeners: map[string]*listener{}, streams: map[*stream]bool{}, cuts: map[[2]string]bool{},
-		dark: map[string]bool{}}
+		dark: map[string]bool{}, speeds: map[string]int{}}
+}
+
+// SetSpeed gives a machine a link that carries so many bytes a second on each connection.
+func (n *Network) SetSpeed(machine string, speed int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.speeds[machine] = speed
+}
+
+// speed returns what a connection between two machines carries, in bytes a second.
+func (n *Network) speed(from, to string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	slowest := bytesPerSecond
+	for _, machine := range []string{from, to} {
+		if speed, set := n.speeds[machine]; set {
+			slowest = min(slowest, speed)
+		}
+	}
+	return slowest
 }
 
 // Machine returns the network as one machine sees it.
--- a/internal/emulator/stream.go
+++ b/internal/emulator/stream.go
@@ -126,6 +126,7 @@
 	if closed {
 		return 0, net.ErrClosed
 	}
+	speed := c.out.network.speed(c.out.from, c.out.to)
 	c.out.mu.Lock()
 	if c.out.broken != nil {
 		c.out.mu.Unlock()
@@ -135,7 +136,7 @@
 	if c.out.freeAt.After(begins) {
 		begins = c.out.freeAt
 	}
-	c.out.freeAt = begins.Add(time.Duration(len(p)) * time.Second / bytesPerSecond)
+	c.out.freeAt = begins.Add(time.Duration(len(p)) * time.Second / time.Duration(speed))
 	c.out.chunks = append(c.out.chunks, chunk{c.out.freeAt.Add(latency), append([]byte(nil), p...)})
 	c.out.mu.Unlock()
 	c.out.wake()
