--- a/internal/control/server/notices.go
+++ b/internal/control/server/notices.go
@@ -13,7 +13,11 @@
 		return
 	}
 	for i := range notices {
-		logNotice(s.logger.Info(), &notices[i])
+		line := s.logger.Info()
+		if notices[i].Kind == cluster.EndPassedOver {
+			line = s.logger.Debug() // owners tell ends again until they have an outcome: there may be a thousand a day
+		}
+		logNotice(line, &notices[i])
 	}
 }
 
--- a/lab/rig/stage/scenarios_test.go
+++ b/lab/rig/stage/scenarios_test.go
@@ -8,6 +8,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 	"testing"
 )
 
@@ -42,7 +44,34 @@
 			if !s.Alone {
 				t.Parallel()
 			}
-			s.Run(t, s.Config(bin, t.TempDir(), settings, 1))
+			c := s.Config(bin, t.TempDir(), settings, 1)
+			c.Over = func(r *Rig) { keepLogs(t, r) }
+			s.Run(t, c)
 		})
 	}
 }
+
+// linesKept is how many of the last lines of each process a test that fails prints.
+const linesKept = 60
+
+// keepLogs has a test that fails print what its processes wrote last, and leave all of it in a file: what fails once
+// may not show again.
+func keepLogs(t *testing.T, r *Rig) {
+	if !t.Failed() {
+		return
+	}
+	file, err := os.CreateTemp("", "rig-"+strings.ReplaceAll(t.Name(), "/", "-")+"-*.log")
+	if err != nil {
+		t.Logf("no file for the logs: %v", err)
+	} else {
+		r.History(file)
+		file.Close()
+		t.Logf("all logs are in %s", file.Name())
+	}
+	for _, p := range slices.Concat(r.Keeper, r.Dispatcher) {
+		p.mu.Lock()
+		last := p.log[max(0, len(p.log)-linesKept):]
+		t.Logf("%s, its last %d lines of %d:\n%s", p.Name, len(last), len(p.log), strings.Join(last, "\n"))
+		p.mu.Unlock()
+	}
+}
