--- /dev/null
+++ b/lab/rig/stage/folders.go
@@ -0,0 +1,214 @@
+package stage
+
+// This file owns the scenarios of keepers' folders: lost, damaged, full, older, or the only one that is left.
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"linnetlift/internal/keeper"
+	"linnetlift/internal/link"
+)
+
+// A folder that is lost, another's or damaged is refused by name, and nothing is made anew.
+func folders(t T, r *Rig) {
+	check(t, r.Propose("one", second, 0, false))
+	changed(t, r, "one", keeper.InForce)
+	k := r.Keeper[2]
+	dir := filepath.Join(r.Dir, k.Name)
+	file := filepath.Join(dir, "keeper.db")
+	// In force is what a majority has: this keeper may get it later.
+	check(t, Until("the last keeper has the policy in its folder", func() bool {
+		text, err := os.ReadFile(file)
+		return err == nil && strings.Contains(string(text), "attempts = 3")
+	}))
+	k.Kill()
+	whole, err := os.ReadFile(file)
+	check(t, err)
+	refuses := func(what, want string) {
+		t.Helper()
+		mark := k.Mark()
+		if err := k.Start(); err == nil {
+			t.Errorf("%s: it starts", what)
+			k.Kill()
+			return
+		}
+		if _, err := k.Await(mark, want); err != nil {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	check(t, os.Rename(dir, dir+".away"))
+	refuses("lost", "holds no keeper")
+	check(t, os.Rename(dir+".away", dir))
+	other, err := os.ReadFile(filepath.Join(r.Dir, "k1", "keeper.db"))
+	check(t, err)
+	check(t, os.WriteFile(file, other, 0o600))
+	refuses("another's", "the folder is another's")
+	spoilt := append([]byte(nil), whole...)
+	at := strings.Index(string(whole), "attempts = 3")
+	if at < 0 {
+		t.Fatal("the policy's text is not found in the folder")
+	}
+	for i := 0; i < len(spoilt)-12; i++ { // wherever it stands: pages of before hold it too
+		if string(spoilt[i:i+12]) == "attempts = 3" {
+			spoilt[i+11] = '9'
+		}
+	}
+	check(t, os.WriteFile(file, spoilt, 0o600))
+	refuses("damaged", "the folder is damaged")
+	check(t, os.WriteFile(file, whole, 0o600))
+	check(t, k.Start())
+	check(t, r.Propose("two", third, 1, false))
+	changed(t, r, "two", keeper.InForce)
+}
+
+// A keeper whose folder is full stops and says so; the others go on, and with room again it is
+// back, knowing all.
+func folderFull(t T, r *Rig) {
+	full := r.Keeper[2]
+	full.Kill()
+	full.Limit(64 << 10)
+	mark := full.Mark()
+	if err := full.Start(); err == nil {
+		stop := r.Load()
+		_, err = full.Await(mark, "can't be written")
+		stop()
+		check(t, err)
+	}
+	check(t, r.Propose("one", second, 0, false))
+	changed(t, r, "one", keeper.InForce)
+	full.Limit(0)
+	full.Kill()
+	check(t, full.Start())
+	only := link.NewClient(fleet, []string{full.Addr})
+	defer only.Close()
+	check(t, Until("it knows version 1", func() bool {
+		ctx, end := context.WithTimeout(context.Background(), time.Second)
+		defer end()
+		s, _, err := only.State(ctx)
+		return err == nil && s.InForce().Version == 1
+	}))
+}
+
+// A keeper that is started on an older copy of its folder is refused while another knows better:
+// it would go back on what it has acknowledged.
+func olderFolder(t T, r *Rig) {
+	check(t, r.Propose("one", second, 0, false))
+	changed(t, r, "one", keeper.InForce)
+	k := r.Keeper[2]
+	file := filepath.Join(r.Dir, k.Name, "keeper.db")
+	k.Kill()
+	old, err := os.ReadFile(file)
+	check(t, err)
+	check(t, k.Start())
+	// What follows is taken in by all three: by the two others alone it would not be k3's.
+	check(t, r.Propose("two", third, 1, false))
+	changed(t, r, "two", keeper.InForce)
+	only := link.NewClient(fleet, []string{k.Addr})
+	defer only.Close()
+	check(t, Until("it knows version 2", func() bool {
+		ctx, end := context.WithTimeout(context.Background(), time.Second)
+		defer end()
+		s, _, err := only.State(ctx)
+		return err == nil && s.InForce().Version == 2
+	}))
+	k.Kill()
+	whole, err := os.ReadFile(file)
+	check(t, err)
+	check(t, os.WriteFile(file, old, 0o600))
+	mark := k.Mark()
+	if err := k.Start(); err == nil {
+		t.Error("it starts on an older copy")
+	}
+	_, err = k.Await(mark, "an older copy")
+	check(t, err)
+	check(t, os.WriteFile(file, whole, 0o600))
+	check(t, k.Start())
+	check(t, r.Propose("three", second, 2, false))
+	changed(t, r, "three", keeper.InForce)
+	under(t, r, r.Dispatcher[0], 3)
+}
+
+// Two of three keepers are lost for good with their folders. One is made anew of the third's: it
+// says what may be lost, is alone, gives no lease before all that were given are over, uses no
+// version twice, and takes others in.
+func restore(t T, r *Rig) {
+	stop := r.Load()
+	defer stop()
+	check(t, r.Propose("one", second, 0, false))
+	changed(t, r, "one", keeper.InForce)
+	for _, d := range r.Dispatcher {
+		under(t, r, d, 1)
+	}
+	before := r.Keeper
+	for _, k := range before {
+		k.Kill()
+	}
+	left := before[2]
+	next, err := r.keeper("k9", 9, nil)
+	check(t, err)
+	words := []string{"restore", "--config", filepath.Join(r.Dir, "k9.toml"), "--from", filepath.Join(r.Dir, left.Name)}
+	if out := staff(t, r, 1, words...); !strings.Contains(out, "version 1 was in force by it, and is version 1001") || !strings.Contains(out, "nothing was done") {
+		t.Errorf("restore without --accept-loss: %s", out)
+	}
+	staff(t, r, 0, append(words, "--accept-loss")...)
+	if out := staff(t, r, 1, append(words, "--accept-loss")...); !strings.Contains(out, "holds a keeper already") {
+		t.Errorf("restored twice: %s", out)
+	}
+	r.Keeper = []*Process{next}
+	check(t, next.Start())
+	check(t, r.Reach())
+	for ends, l := range r.relays { // operators lead k1's name to the new one
+		if ends[1] == "k1" {
+			l.Target(next.Addr)
+		}
+	}
+	for _, d := range r.Dispatcher {
+		under(t, r, d, 1001)
+	}
+	tenth, addr, err := r.Join("k10", 10)
+	check(t, err)
+	staff(t, r, 0, "members", "add", "10", addr)
+	check(t, r.Propose("two", third, 1001, false))
+	changed(t, r, "two", keeper.InForce)
+	for _, d := range r.Dispatcher {
+		under(t, r, d, 1002)
+	}
+	if tenth.Addr == "" {
+		t.Error("k10 does not serve")
+	}
+	// Those of before come back, two of three, and lead: no dispatcher goes back to them.
+	var marks []int
+	for _, d := range r.Dispatcher {
+		marks = append(marks, d.Mark())
+	}
+	for _, k := range before[1:] {
+		check(t, k.Start())
+	}
+	only := link.NewClient(fleet, []string{before[1].Addr, before[2].Addr})
+	defer only.Close()
+	check(t, Until("those of before lead", func() bool {
+		ctx, end := context.WithTimeout(context.Background(), time.Second)
+		defer end()
+		s, _, err := only.State(ctx)
+		return err == nil && s.InForce().Version == 1
+	}))
+	for i, d := range r.Dispatcher {
+		r.Link(d.Name, "k1").Cut(true)
+		_, err := d.Await(marks[i], "from before they were restored")
+		check(t, err)
+		r.Link(d.Name, "k1").Cut(false)
+	}
+	check(t, r.Propose("three", second, 1002, false))
+	changed(t, r, "three", keeper.InForce)
+	for _, d := range r.Dispatcher {
+		under(t, r, d, 1003)
+	}
+	alone(t, r)
+	for _, k := range before {
+		k.Kill()
+	}
+}
