--- /dev/null
+++ b/internal/platform/relayed_test.go
@@ -0,0 +1,68 @@
+package platform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"linnetlift/internal/config"
+	"linnetlift/internal/membership"
+)
+
+// transport is discovery as a function.
+type transport func(r *http.Request) (*http.Response, error)
+
+func (f transport) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// TestRelayedListEndsNoCalls keeps that a dispatcher whose calls at the list service fail goes on calling when it has
+// taken in what another one was told: it may be the one that reads for all next. Before, the module took the relayed list
+// for the answer to its own call, and never asked again.
+func TestRelayedListEndsNoCalls(t *testing.T) {
+	const (
+		dispatchers = 80               // more than a few: past some failures the module says when to ask
+		back        = 40 * time.Second // the list service fails until then
+		within      = 60 * time.Second // of which it is asked again, since pauses grow to some 30 s
+	)
+	defer func(f func() http.RoundTripper) { discoveryTransport = f }(discoveryTransport)
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		failed, told := atomic.Int32{}, atomic.Int32{}
+		discoveryTransport = func() http.RoundTripper {
+			return transport(func(r *http.Request) (*http.Response, error) {
+				if time.Since(began) < back {
+					failed.Add(1)
+					return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody}, nil
+				}
+				told.Add(1)
+				select {
+				case <-time.After(time.Second):
+				case <-r.Context().Done():
+					return nil, r.Context().Err()
+				}
+				text := strings.ReplaceAll(oneWorker, `"generation":1`, `"generation":9`)
+				return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(text))}, nil
+			})
+		}
+		cfg := testConfig()
+		cfg.Discovery, cfg.Known, cfg.Membership = "d:1", json.RawMessage(oneWorker), config.DefaultMembership()
+		cfg.Module.Dispatchers, cfg.Module.MustSubscribe = dispatchers, true
+		table, b := testTable(t, cfg, func(string) {})
+		table.Share(open{}, func(Told) {})
+		go table.Run(t.Context())
+		list := []membership.Worker{{ID: "s1", Addr: "h:1", Zone: "a", Kind: "m1", Weight: 1}}
+		for generation := uint64(2); time.Since(began) < back; generation++ {
+			time.Sleep(20 * time.Millisecond)
+			table.Relayed(min(generation, 8), true, list)
+		}
+		time.Sleep(within)
+		if failed.Load() == 0 || told.Load() == 0 {
+			t.Errorf("%d calls that failed, %d in the %v behind that", failed.Load(), told.Load(), within)
+		}
+		b.Close()
+	})
+}
--- a/internal/platform/shared.go
+++ b/internal/platform/shared.go
@@ -63,6 +63,22 @@
 	return true
 }
 
+// awaitAsk waits until the module wants to hear from discovery, or ctx ends; false: the broker is closed. A relayed list
+// ends the wait as well: the module takes it for the answer that it waits for, and asks no more. Whether and when the next
+// call is made is then for its turn to say.
+func (t *Table) awaitAsk(ctx context.Context) bool {
+	wait, stop := context.WithCancel(ctx)
+	defer stop()
+	go func() {
+		select {
+		case <-t.followed:
+			stop()
+		case <-wait.Done():
+		}
+	}()
+	return t.broker.AwaitAsk(wait) == nil || wait.Err() != nil
+}
+
 // believeAfter is how long a list service may go on with lists older than the one that the fleet
 // shares before it is believed: one that was set back, and not an old copy that answers for a while.
 const believeAfter = time.Minute
@@ -124,6 +140,10 @@
 	}
 	t.note(reply, whole)
 	t.tell(form, list)
+	select {
+	case t.followed <- struct{}{}:
+	default:
+	}
 	if whole { // whatever a silent call missed here, the one that reads for all was told
 		t.mu.Lock()
 		if t.stale.end() {
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -53,6 +53,8 @@
 	latest tableReply    // the whole list as last told, for the process that takes over
 	named  sync.Map      // ids of workers that discovery has named, ever
 	heard  chan struct{} // closed at the first word of discovery
+
+	followed chan struct{} // one waits in it where a relayed list was taken in since the last call
 }
 
 // source is one address of discovery, with its own connections. Its context
@@ -123,7 +125,8 @@
 // ask; tell takes what the roster says, in the form in which it said it.
 func NewTable(live *config.Live, b *broker.Broker, tell func(linnetlift.ListForm, []membership.Worker), log func(string)) (*Table, error) {
 	cfg := live.Get()
-	t := &Table{live: live, broker: b, tell: tell, log: log, by: "kept", draw: rand.Float64, now: newSource(cfg.Discovery), heard: make(chan struct{})}
+	t := &Table{live: live, broker: b, tell: tell, log: log, by: "kept", draw: rand.Float64, now: newSource(cfg.Discovery), heard: make(chan struct{}),
+		followed: make(chan struct{}, 1)}
 	var known tableReply
 	if len(cfg.Known) > 0 {
 		if err := json.Unmarshal(cfg.Known, &known); err != nil {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -64,7 +64,7 @@
 	for ask := true; ctx.Err() == nil; {
 		if on.addr == "" { // no list service: it may get one by a reload
 			<-on.ctx.Done()
-		} else if ask && !t.pushed() && t.broker.AwaitAsk(on.ctx) != nil && on.ctx.Err() == nil {
+		} else if ask && !t.pushed() && !t.awaitAsk(on.ctx) {
 			return // the broker is closed
 		}
 		if now := t.source(); now != on {
@@ -170,6 +170,10 @@
 		t.silent++ // broken, and begun anew: the module has no part in it
 		return false, cadence.Anew(t.dispatchers(), t.left(), t.draw())
 	}
+	select {
+	case <-t.followed: // what was relayed before says nothing of this failure
+	default:
+	}
 	t.failed++
 	if t.waited <= listWait { // a watch was open until it failed
 		t.failTime = time.Since(began)
