quorum's store and the keeper's commands in files of one job each

Records and the restore, the process, members, policies and limits are files of their own; declarations moved whole, none is changed.

--- /dev/null
+++ b/cmd/keeper/limits.go
@@ -0,0 +1,111 @@
+package main
+
+// This file owns the staff's calls on limits and verdicts of the whole fleet.
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"linnetlift/internal/keeper"
+	"linnetlift/internal/policy"
+	"linnetlift/internal/quota"
+	"linnetlift/internal/verdict"
+)
+
+func (c *calls) limitsCommand() *cobra.Command {
+	l := &cobra.Command{Use: "limits", Short: "limits of the whole fleet"}
+	l.AddCommand(&cobra.Command{Use: "show", Short: "each limit, what is out of it, and by how much it may be exceeded", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+		return c.look(func(s *keeper.State, _ uint64) error {
+			if c.json {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(s.Quota)
+			}
+			if s.Quota == nil {
+				return notDone("no limits: the policies in force had none yet")
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%d dispatchers hold parts; moments at which more was out than may be: %d\n", len(s.Quota.Parties), s.Quota.Over)
+			return limitsTable(cmd.OutOrStdout(), s.InForce().Limits, s.Quota, int64(len(s.Quota.Parties)), s.Config.Lease)
+		})
+	}}, &cobra.Command{Use: "plan FILE", Short: "what bounds a policy's limits would have", Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
+		text, err := os.ReadFile(args[0])
+		if err != nil {
+			return &coded{exitUsage, err}
+		}
+		doc, err := policy.Parse(text)
+		if err != nil {
+			return &coded{exitUsage, fmt.Errorf("%s: %w", args[0], err)}
+		}
+		limits, err := doc.Limits()
+		if err != nil {
+			return &coded{exitUsage, fmt.Errorf("%s: %w", args[0], err)}
+		}
+		return c.look(func(s *keeper.State, _ uint64) error {
+			return limitsTable(cmd.OutOrStdout(), limits, nil, int64(len(s.Living())), s.Config.Lease)
+		})
+	}})
+	return l
+}
+
+func (c *calls) verdictsCommand() *cobra.Command {
+	return &cobra.Command{Use: "verdicts", Short: "the workers condemned, and those accused", Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+		return c.look(func(s *keeper.State, _ uint64) error {
+			out := cmd.OutOrStdout()
+			l := s.Verdicts
+			switch {
+			case c.json:
+				return json.NewEncoder(out).Encode(l)
+			case l == nil || l.Settings == nil:
+				return notDone("%v", verdict.ErrOff)
+			}
+			w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+			fmt.Fprintln(w, "worker\tsince\twitnesses against it\tin\ttrials passed\tnext trial in")
+			for _, v := range l.Sentences {
+				in := "all zones"
+				if v.Zone != verdict.Everywhere {
+					in = fmt.Sprint("zone ", v.Zone)
+				}
+				next := max(v.Next-s.Now, 0).Round(time.Millisecond).String()
+				if v.Tried != "" {
+					next = "now, by " + v.Tried
+				}
+				fmt.Fprintf(w, "%s\t%v\t%d\t%s\t%d\t%s\n", v.Of.Worker, (s.Now - v.Since).Round(time.Millisecond), v.Against, in, v.Passed, next)
+			}
+			for _, e := range l.Cases {
+				if e.Case.Since > 0 {
+					fmt.Fprintf(w, "%s\taccused for %v, heard %d\n", e.Of.Worker, (s.Now - e.Case.Since).Round(time.Millisecond), len(e.Case.By))
+				}
+			}
+			return w.Flush()
+		})
+	}}
+}
+
+// limitsTable prints limits with their bounds, for so many dispatchers that live.
+func limitsTable(out io.Writer, limits []quota.Limit, b *quota.Book, living int64, lease time.Duration) error {
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "limit\tkind\tamount\tburst\tstatic share of each\tout beyond those\tover by at most")
+	unit := func(v int64) string { return strconv.FormatFloat(float64(v)/quota.One, 'f', -1, 64) }
+	for _, l := range limits {
+		held := "-"
+		if b != nil && b.Accounts[l.Name] != nil {
+			held = unit(b.Accounts[l.Name].Out)
+		}
+		over, why := l.Bound(living)
+		bound := unit(over)
+		if why != "" {
+			bound += ": " + why
+		}
+		fmt.Fprintf(w, "%s\t%v\t%s\t%s\t%s\t%s\t%s\n", l.Name, l.Kind, unit(l.Amount), unit(l.Burst), unit(l.Own()), held, bound)
+	}
+	if err := w.Flush(); err != nil || len(limits) == 0 {
+		return err
+	}
+	_, err := fmt.Fprintf(out, "a part that is lowered, or whose holder is lost, counts until its lease of %v has ended; what a lost one had open, for %v more\n", lease, limits[0].Settle)
+	return err
+}
