A jump of a dispatcher's time of day must last before due times go by it

Due times went by each single reading of the time of day: the class of the incident, an observation that proves nothing.

--- a/internal/dataplane/dispatcher.go
+++ b/internal/dataplane/dispatcher.go
@@ -16,6 +16,7 @@
 	"linnetlift/internal/settings"
 	"linnetlift/scheduling/job"
 	"linnetlift/scheduling/placement"
+	"linnetlift/scheduling/wallclock"
 )
 
 // tickEvery is the pace at which timers are looked at.
@@ -31,6 +32,7 @@
 	logger   zerolog.Logger
 	network  frame.Network
 	began    time.Time
+	clock    wallclock.Clock // the time of day
 	inbox    chan func()
 
 	uplink   *uplink
@@ -147,7 +149,7 @@
 	for _, worker := range d.owned {
 		worker.agent.Tick(now, mayRenew)
 	}
-	d.dueJobs()
+	d.dueJobs(now)
 	d.tellBegun(now)
 	d.explain(now)
 }
--- a/internal/dataplane/jobs.go
+++ b/internal/dataplane/jobs.go
@@ -146,7 +146,7 @@
 }
 
 func (d *Dispatcher) enqueueJob(now time.Duration, known *ownedJob) {
-	wall := time.Now().UnixMilli()
+	wall := d.wallMs(now)
 	known.nextDue = 0
 	for run := range known.Request.Runs() {
 		if due := known.Request.DueMs(run); due > wall {
@@ -186,7 +186,7 @@
 
 func (d *Dispatcher) enqueue(now time.Duration, known *ownedJob, key job.StepKey, indices []int) {
 	longest := chains(&known.Request, d.placer(known.Service).Waves)
-	begin := known.begin(now, time.Now().UnixMilli(), key.Time)
+	begin := known.begin(now, d.wallMs(now), key.Time)
 	unit := &placement.Unit{Job: known.Job, Key: key, Indices: indices, Since: now,
 		Deadline: known.objective(begin, longest), Remaining: longest[key.Step]}
 	for _, index := range indices {
@@ -203,9 +203,12 @@
 		Str("requires", step.Requires).Bool("gang", step.Gang).Dur("left", unit.Deadline-now).Msg("queued")
 }
 
+// wallMs returns the time of day, in ms since 1970.
+func (d *Dispatcher) wallMs(now time.Duration) int64 { return d.clock.Now(now, time.Now()).UnixMilli() }
+
 // dueJobs looks at jobs whose next time has fallen due.
-func (d *Dispatcher) dueJobs() {
-	wall := time.Now().UnixMilli()
+func (d *Dispatcher) dueJobs(now time.Duration) {
+	wall := d.wallMs(now)
 	for id, known := range d.jobs {
 		if known.nextDue > 0 && known.nextDue <= wall {
 			d.dirty[id] = true
