--- a/internal/dataplane/uplink.go
+++ b/internal/dataplane/uplink.go
@@ -165,7 +165,8 @@
 			useful, within = true, downSilence
 		}
 		received += uint64(len(data))
-		u.dispatcher.do(func() { u.receive(conn, down, received) })
+		sofar := received // the engine reads it while this goroutine counts on
+		u.dispatcher.do(func() { u.receive(conn, down, sofar) })
 	}
 	u.dispatcher.do(func() { u.lost(conn) })
 	return useful
--- a/internal/emulator/list.go
+++ b/internal/emulator/list.go
@@ -61,7 +61,9 @@
 		panic(err) // an emulated machine can always listen, and a real one's address belongs to the yard
 	}
 	server := &http.Server{Handler: handler}
+	l.mu.Lock()
 	l.servers = append(l.servers, server)
+	l.mu.Unlock()
 	go server.Serve(listener)
 }
 
