--- a/scheduling/worker/bench_test.go
+++ b/scheduling/worker/bench_test.go
@@ -31,6 +31,21 @@
 	return b
 }
 
+// afterOrder returns a bench at whose worker task a was ordered, and no answer has come.
+func afterOrder(t *testing.T) *bench {
+	b := newBench(t)
+	b.contact()
+	b.place(taskA, 1, true)
+	return b
+}
+
+// afterAnswer returns a bench at which the order to start task a was answered so.
+func afterAnswer(t *testing.T, answer Answer) *bench {
+	b := afterOrder(t)
+	b.answerStart(answer)
+	return b
+}
+
 func (b *bench) note(column int, format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
 	if column == 1 {
--- a/scheduling/worker/over_test.go
+++ b/scheduling/worker/over_test.go
@@ -19,10 +19,7 @@
 // TestOtherLifeProvesTheEnd: orders never go to another life. Its second answer in a row proves that this one is over,
 // and that is told once.
 func TestOtherLifeProvesTheEnd(t *testing.T) {
-	b := newBench(t)
-	b.contact()
-	b.place(taskA, 1, true)
-	b.answerStart(OtherLife)
+	b := afterAnswer(t, OtherLife)
 	if b.overs != 0 || len(b.starts) != 0 {
 		t.Fatalf("after one answer of another life: told %d times, %d starts", b.overs, len(b.starts))
 	}
@@ -40,10 +37,7 @@
 
 // TestOneAnswerOfAnotherLifeProvesNothing: the life that is meant answers the next look, and the order goes out again.
 func TestOneAnswerOfAnotherLifeProvesNothing(t *testing.T) {
-	b := newBench(t)
-	b.contact()
-	b.place(taskA, 1, true)
-	b.answerStart(OtherLife)
+	b := afterAnswer(t, OtherLife)
 	for len(b.starts) == 0 && len(b.holds) > 0 {
 		b.answerHold(Lists{})
 	}
@@ -54,10 +48,7 @@
 
 // TestUnlistedWorkerThatAnswersGoesOn: the platform's list lacks the worker, which lives; what runs there stays.
 func TestUnlistedWorkerThatAnswersGoesOn(t *testing.T) {
-	b := newBench(t)
-	b.contact()
-	b.place(taskA, 1, true)
-	b.answerStart(Done)
+	b := afterAnswer(t, Done)
 	b.agent.Listed(b.now, false)
 	b.take()
 	for range 12 {
@@ -72,10 +63,7 @@
 // TestFullListProvesNoEnd: a worker tells 500 ends at once, so a full list does not show what it lacks.
 func TestFullListProvesNoEnd(t *testing.T) {
 	for _, told := range []int{endsAtOnce - 1, endsAtOnce} {
-		b := newBench(t)
-		b.contact()
-		b.place(taskA, 1, true)
-		b.answerStart(Done)
+		b := afterAnswer(t, Done)
 		ends := make([]End, told)
 		for i := range ends {
 			ends[i] = End{Number: uint64(i + 1), Task: taskB, Command: uint64(i + 1), How: cluster.RunFailed}
@@ -146,10 +134,7 @@
 // TestUnlistedWorkerThatIsCutOffHoldsOn: what runs at a worker goes on until its hold is over, also where nobody sees it
 // any more. An order without an answer lengthens the wait only as long as the worker is listed.
 func TestUnlistedWorkerThatIsCutOffHoldsOn(t *testing.T) {
-	b := newBench(t)
-	b.contact()
-	b.place(taskA, 1, true)
-	b.answerStart(Done)
+	b := afterAnswer(t, Done)
 	b.place(taskB, 1, true)
 	b.answerStart(Unanswered)
 	b.agent.Listed(b.now, false)
--- a/scheduling/worker/worker_test.go
+++ b/scheduling/worker/worker_test.go
@@ -31,9 +31,7 @@
 
 // TestUnansweredStartIsSettled: the list under a higher token shows that the order never arrived.
 func TestUnansweredStartIsSettled(t *testing.T) {
-	b := newBench(t)
-	b.contact()
-	b.place(taskA, 1, true)
+	b := afterOrder(t)
 	first := b.answerStart(Unanswered)
 	b.tick(500 * time.Millisecond)
 	for range 3 {
@@ -51,10 +49,7 @@
 
 // TestUnansweredStartThatArrived: the same, but the list shows the run.
 func TestUnansweredStartThatArrived(t *testing.T) {
-	b := newBench(t)
-	b.contact()
-	b.place(taskA, 1, true)
-	b.answerStart(Unanswered)
+	b := afterAnswer(t, Unanswered)
 	for range 4 {
 		b.answerHold(Lists{Running: []Running{{Task: taskA, Command: 1}}})
 	}
@@ -67,9 +62,7 @@
 // TestLookUnderWayProvesNothing keeps a fault of the first sitting: a look that was sent before the run was
 // known, and answered behind one that showed it, made the run count as lost.
 func TestLookUnderWayProvesNothing(t *testing.T) {
-	b := newBench(t)
-	b.contact()
-	b.place(taskA, 1, true) // started, and not answered yet
+	b := afterOrder(t) // started, and not answered yet
 	b.tick(time.Second)
 	if len(b.holds) < 1 {
 		t.Fatal("no look is under way")
@@ -85,10 +78,7 @@
 }
 
 func TestEndsAreNotedOnlyOnceTheyAreDurable(t *testing.T) {
-	b := newBench(t)
-	b.contact()
-	b.place(taskA, 1, true)
-	b.answerStart(Done)
+	b := afterAnswer(t, Done)
 	for range 3 {
 		b.answerHold(Lists{Ended: []End{{Number: 4, Task: taskA, Command: 1, How: cluster.Done}}})
 		b.tick(600 * time.Millisecond)
@@ -139,10 +129,7 @@
 }
 
 func TestSilentWorkerIsGivenUpWhenTheHoldIsOverForCertain(t *testing.T) {
-	b := newBench(t)
-	b.contact()
-	b.place(taskA, 1, true)
-	b.answerStart(Done)
+	b := afterAnswer(t, Done)
 	b.silence(5900 * time.Millisecond) // a former owner may have given 6 s
 	b.wantReports()
 	b.silence(700 * time.Millisecond)
@@ -151,10 +138,7 @@
 
 // TestLateOrderLengthensTheHold: an unanswered start may be carried out 12 s later, and its time count from then.
 func TestLateOrderLengthensTheHold(t *testing.T) {
-	b := newBench(t)
-	b.contact()
-	b.place(taskA, 1, true)
-	b.answerStart(Done)
+	b := afterAnswer(t, Done)
 	b.place(taskB, 1, true)
 	b.answerStart(Unanswered)
 	b.silence(15 * time.Second)
@@ -178,10 +162,7 @@
 
 // TestRefusedConnectionsMakeNoLoop: a call that fails at once is not made again at once.
 func TestRefusedConnectionsMakeNoLoop(t *testing.T) {
-	b := newBench(t)
-	b.contact()
-	b.place(taskA, 1, true)
-	b.answerStart(Done)
+	b := afterAnswer(t, Done)
 	calls := 0
 	for end := b.now + time.Second; b.now < end; b.tick(20 * time.Millisecond) {
 		for count := len(b.holds); count > 0; count-- {
@@ -205,19 +186,13 @@
 
 func TestRejections(t *testing.T) {
 	for answer, want := range map[Answer]string{NoRoom: "aa not-started", Unhealthy: "aa not-started", Unreached: "aa not-started"} {
-		b := newBench(t)
-		b.contact()
-		b.place(taskA, 1, true)
-		b.answerStart(answer)
+		b := afterAnswer(t, answer)
 		b.wantReports(want)
 	}
 }
 
 func TestOutdatedRunIsGivenBack(t *testing.T) {
-	b := newBench(t)
-	b.contact()
-	b.place(taskA, 1, true)
-	b.answerStart(Old)
+	b := afterAnswer(t, Old)
 	b.tick(time.Second)
 	for range 3 {
 		if len(b.reports) == 0 {
@@ -231,10 +206,7 @@
 }
 
 func TestStuckRunIsStopped(t *testing.T) {
-	b := newBench(t)
-	b.contact()
-	b.place(taskA, 1, true)
-	b.answerStart(Done)
+	b := afterAnswer(t, Done)
 	for range 8 {
 		b.tick(600 * time.Millisecond)
 		for count := len(b.holds); count > 0; count-- {
@@ -248,9 +220,7 @@
 
 // An owner whose orders a higher token rejects again and again pauses, and goes on where it still is the owner.
 func TestFencedOrdersPauseAndGoOn(t *testing.T) {
-	b := newBench(t)
-	b.contact()
-	b.place(taskA, 1, true)
+	b := afterOrder(t)
 	answerUntilStart := func() {
 		for range 4 {
 			if len(b.starts) == 0 {
