--- a/internal/platform/relayed_test.go
+++ b/internal/platform/relayed_test.go
@@ -23,10 +23,14 @@
 // taken in what another one was told: it may be the one that reads for all next. Before, the module took the relayed list
 // for the answer to its own call, and never asked again.
 func TestRelayedListEndsNoCalls(t *testing.T) {
+	t.Run("many dispatchers, calls that fail", func(t *testing.T) { callsGoOn(t, 80, false) })
+	t.Run("a few, calls that are silent", func(t *testing.T) { callsGoOn(t, 6, true) })
+}
+
+func callsGoOn(t *testing.T, dispatchers int, silent bool) {
 	const (
-		dispatchers = 80               // more than a few: past some failures the module says when to ask
-		back        = 40 * time.Second // the list service fails until then
-		within      = 60 * time.Second // of which it is asked again, since pauses grow to some 30 s
+		back   = 40 * time.Second // the list service fails until then
+		within = 60 * time.Second // of which it is asked again, since pauses grow to some 30 s
 	)
 	defer func(f func() http.RoundTripper) { discoveryTransport = f }(discoveryTransport)
 	synctest.Test(t, func(t *testing.T) {
@@ -36,6 +40,10 @@
 			return transport(func(r *http.Request) (*http.Response, error) {
 				if time.Since(began) < back {
 					failed.Add(1)
+					if silent {
+						<-r.Context().Done()
+						return nil, r.Context().Err()
+					}
 					return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody}, nil
 				}
 				told.Add(1)
@@ -57,7 +65,7 @@
 		list := []membership.Worker{{ID: "s1", Addr: "h:1", Zone: "a", Kind: "m1", Weight: 1}}
 		for generation := uint64(2); time.Since(began) < back; generation++ {
 			time.Sleep(20 * time.Millisecond)
-			table.Relayed(min(generation, 8), true, list)
+			table.Relayed(min(generation, 8), !silent, list)
 		}
 		time.Sleep(within)
 		if failed.Load() == 0 || told.Load() == 0 {
