The first members of the chain commit; the others follow

Ruled out: fewer control machines. Change: a view says how many members at its front must have an entry durable (f + 1, and so many that each majority of the electors has one of them): 5 of 9, 3 of 5, 2 of 3. The last of these commits. Members behind them get entries and commits by the chain, serve dispatchers, and nothing waits for them. Only a writer that was one without a break may head the next view. On the way: an Append that came twice was changed by the first receipt.

--- a/coordination/chain/chain.go
+++ b/coordination/chain/chain.go
@@ -1,8 +1,11 @@
 // Package chain replicates an ordered log along a chain of replicas. The head
 // gives entries their order and passes them on at once; every member writes them
-// in parallel, and an entry is committed when the tail knows that all members
-// have it synced. Reads pass the whole chain too, so that a replica that was
-// replaced can't answer one from an old state.
+// in parallel. The first members of the chain, as many as the view asks for, are
+// its writers; the last of them is the chain's tail in the sense of the design:
+// an entry is committed once it knows that all writers have it synced. Reads pass
+// all writers too, so that a replica that was replaced can't answer one from an
+// old state. The members behind the writers are followers: they learn of each
+// entry and of each commit by the chain, and nothing waits for them.
 //
 // A Replica has no I/O, clock or randomness: the host hands it views, messages
 // and finished writes, and carries out what Take returns.
@@ -46,6 +49,8 @@
 	Synced    uint64  `cbor:"5,keyasint"` // all members before the receiver have it durable up to here
 	Start     uint64  `cbor:"6,keyasint"` // the head's last entry when the view began
 	Reads     []Read  `cbor:"7,keyasint,omitempty"`
+	Committed uint64  `cbor:"8,keyasint,omitempty"` // to followers
+	Confirmed []Read  `cbor:"9,keyasint,omitempty"` // reads of followers that have passed all writers
 }
 
 // Ack goes from a member to its predecessor.
@@ -78,6 +83,7 @@
 type View struct {
 	Epoch   uint64
 	Members []MemberID
+	Writers int // members at the front that must have an entry durable before it is committed; 0: all
 }
 
 // Send is a message for another member.
@@ -140,7 +146,8 @@
 	rewoundTo uint64
 	toldSync  uint64
 	pending   []Read // reads to pass on
-	held      []Read // reads at the tail that wait for their entry
+	held      []Read // reads that have passed all writers and wait for their entry
+	confirmed []Read // of these, reads to pass on to followers
 	out       Output
 	wantsSend bool
 	ackDue    bool
@@ -188,10 +195,22 @@
 	return r.view.Members[0]
 }
 
-func (r *Replica) isTail() bool { return r.position >= 0 && r.position == len(r.view.Members)-1 }
+// writers returns how many members at the front must have an entry durable before it is committed.
+func (r *Replica) writers() int {
+	if r.view.Writers == 0 {
+		return len(r.view.Members)
+	}
+	return min(r.view.Writers, len(r.view.Members))
+}
+
+// isTail reports whether this replica is the last of the writers, which commits.
+func (r *Replica) isTail() bool { return r.position >= 0 && r.position == r.writers()-1 }
+
+// isFollower reports whether nothing waits for this member.
+func (r *Replica) isFollower() bool { return r.position >= r.writers() }
 
 func (r *Replica) successor() MemberID {
-	if r.position < 0 || r.isTail() {
+	if r.position < 0 || r.position == len(r.view.Members)-1 {
 		return 0
 	}
 	return r.view.Members[r.position+1]
@@ -220,13 +239,13 @@
 	if view.Epoch <= r.view.Epoch {
 		return
 	}
-	r.view = View{view.Epoch, slices.Clone(view.Members)}
+	r.view = View{view.Epoch, slices.Clone(view.Members), view.Writers}
 	r.position = slices.Index(view.Members, r.me)
 	r.received, r.before, r.acked, r.toldSync, r.ackedAt = 0, 0, 0, 0, 0
 	r.started, r.complete, r.completing, r.start = false, false, false, 0
 	r.rewound, r.refused = false, false
 	r.flight = flight{}
-	r.pending, r.held, r.ackReads = nil, nil, nil
+	r.pending, r.held, r.confirmed, r.ackReads = nil, nil, nil, nil
 	r.next = r.Last() + 1
 	if r.IsHead() {
 		r.received, r.start, r.started = r.Last(), r.Last(), true
@@ -296,16 +315,16 @@
 	if r.isTail() {
 		r.held = append(r.held, r.pending...)
 		r.pending = nil
-		r.releaseReads()
 	}
-	if r.durable() > r.toldSync {
+	r.releaseReads()
+	if r.durable() > r.toldSync && r.position < r.writers()-1 {
 		r.wantsSend = true
 	}
 }
 
-// releaseReads lets go the reads whose entry is committed, at the tail.
+// releaseReads lets go the reads whose entry is committed, at the tail and behind it.
 func (r *Replica) releaseReads() {
-	if !r.Serves() {
+	if len(r.held) == 0 || !r.Serves() {
 		return
 	}
 	done := 0
@@ -317,11 +336,16 @@
 	r.finishReads(reads)
 }
 
+// finishReads answers the reads of this member, and passes the others on to where they came in.
 func (r *Replica) finishReads(reads []Read) {
 	for _, read := range reads {
-		if read.Origin == r.me {
+		switch {
+		case read.Origin == r.me:
 			r.out.Reads = append(r.out.Reads, read)
-		} else if r.predecessor() != 0 {
+		case slices.Index(r.view.Members, read.Origin) > r.position:
+			r.confirmed = append(r.confirmed, read)
+			r.wantsSend = true
+		case r.predecessor() != 0 && !r.isFollower():
 			r.ackReads = append(r.ackReads, read)
 			r.ackDue = true
 		}
@@ -334,7 +358,12 @@
 	}
 	r.out.Committed = append(r.out.Committed, r.log[r.committed-r.base:index-r.base]...)
 	r.committed = index
-	r.ackDue = true
+	if r.isTail() || r.isFollower() {
+		r.wantsSend = true // its successor learns of commits by this member alone
+	}
+	if !r.isFollower() {
+		r.ackDue = true
+	}
 }
 
 // Compact tells that a snapshot of the state after an entry is durable here. It
--- a/coordination/chain/receive.go
+++ b/coordination/chain/receive.go
@@ -29,9 +29,11 @@
 	r.ackDue = true
 	known := m.PrevIndex >= r.base && m.PrevIndex <= r.Last() && r.epochOf(m.PrevIndex) == m.PrevEpoch
 	if m.PrevIndex < r.base && m.PrevIndex+uint64(len(m.Entries)) >= r.base {
-		// What the snapshot covers is committed, so it can't differ.
-		m.Entries = m.Entries[r.base-m.PrevIndex:]
-		m.PrevIndex, known = r.base, true
+		// What the snapshot covers is committed, so it can't differ. The message stays as it is: it may come twice.
+		rest := *m
+		rest.Entries = m.Entries[r.base-m.PrevIndex:]
+		rest.PrevIndex, rest.PrevEpoch = r.base, r.baseEpoch
+		m, known = &rest, true
 	}
 	if !known {
 		r.out.Sends = append(r.out.Sends, Send{r.predecessor(), Message{Ack: &Ack{
@@ -48,6 +50,10 @@
 	if len(m.Entries) > 0 || len(m.Reads) > 0 {
 		r.wantsSend = true
 	}
+	if r.isFollower() {
+		r.commit(min(m.Committed, r.received))
+		r.held = append(r.held, m.Confirmed...)
+	}
 	r.advance()
 }
 
--- a/coordination/chain/send.go
+++ b/coordination/chain/send.go
@@ -62,8 +62,11 @@
 
 func (r *Replica) nextAppend() *Append {
 	message := &Append{Epoch: r.view.Epoch, PrevIndex: r.next - 1, PrevEpoch: r.epochOf(r.next - 1),
-		Synced: r.durable(), Start: r.start, Reads: r.pending}
-	r.pending, r.toldSync = nil, message.Synced
+		Synced: r.durable(), Start: r.start, Reads: r.pending, Confirmed: r.confirmed}
+	if r.isTail() || r.isFollower() {
+		message.Committed = r.committed
+	}
+	r.pending, r.confirmed, r.toldSync = nil, nil, message.Synced
 	size := 0
 	for r.next <= r.received && size < maxBatch && r.inFlight() <= maxFlight {
 		entry := r.log[r.next-r.base-1]
--- a/coordination/view/view.go
+++ b/coordination/view/view.go
@@ -18,7 +18,7 @@
 	Node    string   `cbor:"2,keyasint"`
 	Address string   `cbor:"3,keyasint"`
 	Zone    string   `cbor:"4,keyasint"`
-	Joined  uint64   `cbor:"5,keyasint,omitempty"` // epoch since which it has been in the chain without a break
+	Joined  uint64   `cbor:"5,keyasint,omitempty"` // epoch since which it has been among the chain's writers without a break
 }
 
 // View is one membership view.
@@ -26,8 +26,29 @@
 	Epoch    uint64   `cbor:"1,keyasint"`
 	Chain    []Member `cbor:"2,keyasint,omitempty"` // head first
 	Electors []Member `cbor:"3,keyasint,omitempty"` // those who agree on the next view
+	// Copies is how many members at the front of the chain must have an entry durable before it is committed. Those
+	// behind them follow: they take part in everything else. 0 stands for all.
+	Copies int `cbor:"4,keyasint,omitempty"`
 }
 
+// writers returns how many members at the front of the chain must have an entry before it is committed.
+func (v *View) writers() int {
+	if v.Copies == 0 {
+		return len(v.Chain)
+	}
+	return min(v.Copies, len(v.Chain))
+}
+
+// IsWriter reports whether each entry that is committed in this view must be durable at the member.
+func (v *View) IsWriter(id MemberID) bool {
+	at := v.InChain(id)
+	return at >= 0 && at < v.writers()
+}
+
+// copies returns how many copies of each entry there have to be: as many as a chain needs at least, and so many that
+// every majority of the electors has one of them.
+func copies(least, electors int) int { return max(least, electors-electors/2) }
+
 // InChain returns the member's place in the chain, or -1.
 func (v *View) InChain(id MemberID) int {
 	return slices.IndexFunc(v.Chain, func(m Member) bool { return m.ID == id })
@@ -150,8 +171,9 @@
 
 // Valid reports whether this member has everything that was ever acknowledged.
 func (r *Register) Valid() bool {
-	at := r.durable.View.InChain(r.durable.Me.ID)
-	return at >= 0 && r.durable.Complete >= r.durable.View.Chain[at].Joined
+	view := &r.durable.View
+	at := view.InChain(r.durable.Me.ID)
+	return at >= 0 && at < view.writers() && r.durable.Complete >= view.Chain[at].Joined
 }
 
 // MarkComplete enters that this member has the whole log of the view in force.
@@ -332,19 +354,15 @@
 		return newest.Accepted
 	}
 	base := &r.durable.View
-	next := &View{Epoch: base.Epoch + 1, Electors: p.wish.Electors}
+	next := &View{Epoch: base.Epoch + 1, Electors: p.wish.Electors, Copies: copies(p.least, len(p.wish.Electors))}
 	for _, member := range p.wish.Chain {
-		place := base.InChain(member.ID)
-		if place >= 0 && p.promises[member.ID] == nil {
+		if base.InChain(member.ID) >= 0 && p.promises[member.ID] == nil {
 			continue
 		}
-		member.Joined = next.Epoch
-		if place >= 0 {
-			member.Joined = base.Chain[place].Joined
-		}
 		next.Chain = append(next.Chain, member)
 	}
 	if base.Epoch == 0 {
+		next.enterJoined(base)
 		return next
 	}
 	for _, member := range base.Chain {
@@ -360,9 +378,21 @@
 	}
 	first := next.Chain[head]
 	next.Chain = slices.Insert(slices.Delete(next.Chain, head, head+1), 0, first)
+	next.enterJoined(base)
 	return next
 }
 
+// enterJoined enters for each member since when it has been a writer without a break, which the view before tells.
+func (v *View) enterJoined(base *View) {
+	for i := range v.Chain {
+		member := &v.Chain[i]
+		member.Joined = v.Epoch
+		if before := base.InChain(member.ID); before >= 0 && before < base.writers() && i < v.writers() {
+			member.Joined = base.Chain[before].Joined
+		}
+	}
+}
+
 func sortedIDs[V any](m map[MemberID]V) []MemberID {
 	ids := make([]MemberID, 0, len(m))
 	for id := range m {
--- a/internal/control/server/views.go
+++ b/internal/control/server/views.go
@@ -17,9 +17,9 @@
 	for i, member := range v.Chain {
 		members[i], names[i] = member.ID, member.Node
 	}
-	s.logger.Info().Uint64("epoch", v.Epoch).Strs("chain", names).Int("electors", len(v.Electors)).Msg("view")
+	s.logger.Info().Uint64("epoch", v.Epoch).Strs("chain", names).Int("electors", len(v.Electors)).Int("copies", v.Copies).Msg("view")
 	s.viewSince = s.now()
-	s.replica.SetView(chain.View{Epoch: v.Epoch, Members: members})
+	s.replica.SetView(chain.View{Epoch: v.Epoch, Members: members, Writers: v.Copies})
 	addresses := []string{}
 	for _, list := range [][]view.Member{v.Chain, v.Electors} {
 		for _, member := range list {
