The placements of a job's first tasks follow its Submit in the same message

Ruled out: placements inside the Submit command. It takes another form of the command, and a refusal of one placement would have to be told beside the job; commands that follow each other in one message share the commit as they are. Change: a job whose Submit goes out is taken up at once as an expected one; its units are decided in the same event. A placement is checked when it is applied, so one whose job is not there, or is another dispatcher's, is refused.

--- a/internal/dataplane/intake.go
+++ b/internal/dataplane/intake.go
@@ -96,6 +96,11 @@
 
 // ask sends a command to the control machines and waits for its outcome.
 func (d *Dispatcher) ask(r *http.Request, wait time.Duration, command func() *cluster.Command) (cluster.Result, outcome) {
+	return d.askThen(r, wait, command, func() {})
+}
+
+// askThen does so too; the engine calls over once the outcome is known or nobody waits for it any more.
+func (d *Dispatcher) askThen(r *http.Request, wait time.Duration, command func() *cluster.Command, over func()) (cluster.Result, outcome) {
 	type reply struct {
 		result cluster.Result
 		sent   bool
@@ -107,7 +112,10 @@
 			answers <- reply{}
 			return
 		}
-		tag = d.uplink.submit(command(), func(result cluster.Result) { answers <- reply{result, true} })
+		tag = d.uplink.submit(command(), func(result cluster.Result) {
+			over()
+			answers <- reply{result, true}
+		})
 	})
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -123,7 +131,10 @@
 	}
 	// The client is told nothing, or that the outcome is unknown, and sends the same again: a copy that went out
 	// again much later could find the job forgotten, and start it anew.
-	d.do(func() { d.uplink.forget(tag) })
+	d.do(func() {
+		d.uplink.forget(tag)
+		over()
+	})
 	return cluster.Result{}, unknown
 }
 
@@ -150,10 +161,11 @@
 	}
 	submitted := job.Job{ID: id, Route: route.Key(), Service: route.Service, Priority: route.Priority,
 		MaxAttempts: route.MaxAttempts, Stretch: route.Stretch, TargetMs: route.TargetLatencyMs, Request: request}
-	result, how := d.ask(r, patience(r, route), func() *cluster.Command {
+	result, how := d.askThen(r, patience(r, route), func() *cluster.Command {
 		submitted.Owner = d.uplink.session
+		d.expectJob(d.now(), submitted)
 		return &cluster.Command{Submit: &cluster.Submit{Job: submitted}}
-	})
+	}, func() { d.dropExpected(id) })
 	switch {
 	case how == unsent:
 		refuse(w, "the control machines are out of reach")
@@ -170,7 +182,7 @@
 func (d *Dispatcher) state(w http.ResponseWriter, r *http.Request, route *configuration.Route, id string) {
 	local := make(chan job.State, 1)
 	d.do(func() {
-		if known := d.jobs[id]; known != nil && d.uplink.attached {
+		if known := d.jobs[id]; known != nil && !known.expected && d.uplink.attached {
 			local <- known.State
 		} else if final, known := d.finals[id]; known {
 			local <- final
--- a/internal/dataplane/jobs.go
+++ b/internal/dataplane/jobs.go
@@ -17,6 +17,8 @@
 	queued  map[job.Key]bool // in a placer's queue, or on the way to the control machines
 	running map[job.Key]started
 	nextDue int64 // when the next time falls due, ms since 1970; 0: none does
+	// expected says that the control machines have not told of the job yet: its Submit is on the way.
+	expected bool
 }
 
 type started struct {
@@ -24,10 +26,59 @@
 	at     time.Duration
 }
 
+// expectJob takes a job up whose Submit is about to be sent, so that the placements of its first tasks follow in the
+// same message: one commit carries both. A placement that the state refuses, since the Submit has not come through or
+// the job is another dispatcher's, changes nothing.
+func (d *Dispatcher) expectJob(now time.Duration, submitted job.Job) {
+	if d.jobs[submitted.ID] != nil {
+		return
+	}
+	submitted.Tasks, submitted.Done = map[job.Key]*job.Task{}, map[job.StepKey]int{}
+	d.jobs[submitted.ID] = newOwnedJob(now, &submitted)
+	d.jobs[submitted.ID].expected = true
+	d.dirty[submitted.ID] = true
+}
+
+// dropExpected forgets a job that the control machines have not told of: it was refused, or is another dispatcher's,
+// or nobody waits for its Submit any more.
+func (d *Dispatcher) dropExpected(id string) {
+	if known := d.jobs[id]; known != nil && known.expected {
+		d.removeJob(id)
+	}
+}
+
+// confirm takes in that an expected job is known to the control machines, and reports whether that is all there is to
+// take in: a job on which other dispatchers have worked before is set as told.
+func (d *Dispatcher) confirm(now time.Duration, known *ownedJob, told *job.Job) bool {
+	if !known.expected {
+		return false
+	}
+	known.expected = false
+	for _, task := range told.Tasks {
+		if task.Run > 1 || task.Done {
+			return false
+		}
+	}
+	known.Number, known.State = told.Number, told.State
+	for key, task := range told.Tasks {
+		*known.Task(key) = *task
+		d.follow(now, known, key, task, cluster.Stopped)
+	}
+	d.dirty[told.ID] = true
+	return true
+}
+
+func newOwnedJob(now time.Duration, told *job.Job) *ownedJob {
+	return &ownedJob{Job: told, since: now, queued: map[job.Key]bool{}, running: map[job.Key]started{}}
+}
+
 func (d *Dispatcher) setJob(now time.Duration, told *job.Job) {
 	known := d.jobs[told.ID]
+	if known != nil && d.confirm(now, known, told) {
+		return
+	}
 	if known == nil {
-		known = &ownedJob{since: now, queued: map[job.Key]bool{}, running: map[job.Key]started{}}
+		known = newOwnedJob(now, nil)
 		d.jobs[told.ID] = known
 	}
 	before := known.Job
