--- a/coordination/chain/chain.go
+++ b/coordination/chain/chain.go
@@ -138,6 +138,8 @@
 	diverged   *Divergence // this replica takes no part any more
 	refused    bool        // the successor takes no part in the view
 
+	compaction *compaction // that waits for the successor
+
 	flight    flight
 	next      uint64 // first entry not yet sent to the successor
 	acked     uint64
@@ -366,9 +368,25 @@
 	}
 }
 
-// Compact tells that a snapshot of the state after an entry is durable here. It
-// keeps the entries that the successor may still need behind an older one.
+// compaction is a durable snapshot that is to take the place of entries here.
+type compaction struct {
+	index uint64
+	data  []byte
+}
+
+// Compact tells that a snapshot of the state after an entry is durable here. The entries that it covers are dropped
+// once the successor has them: a follower may lack some that are committed, and these are less than a snapshot.
 func (r *Replica) Compact(index uint64, data []byte) {
+	r.compaction = &compaction{index, data}
+	r.compact()
+}
+
+func (r *Replica) compact() {
+	if r.compaction == nil || r.successor() != 0 && r.acked < r.compaction.index {
+		return
+	}
+	index, data := r.compaction.index, r.compaction.data
+	r.compaction = nil
 	if index <= r.base || index > r.committed {
 		return
 	}
--- a/coordination/chain/receive.go
+++ b/coordination/chain/receive.go
@@ -90,6 +90,7 @@
 		r.rewound = r.rewound && m.Received < r.rewoundTo
 		r.next = max(r.next, r.acked+1)
 		r.wantsSend = true
+		r.compact()
 	}
 	if m.Committed > r.committed {
 		r.commit(min(m.Committed, r.received))
--- a/internal/control/server/engine.go
+++ b/internal/control/server/engine.go
@@ -47,13 +47,15 @@
 	replica  *chain.Replica
 	cluster  *cluster.Cluster
 
-	leaving      bool   // the process is to stop, and hands its place in the chain over
-	restartedIn  uint64 // epoch in whose view this life has no part
-	pace         fetchPace
-	applied      uint64
-	freeSegments int
-	compacting   bool
-	unreadable   bool // the last snapshot of another member could not be read
+	leaving       bool   // the process is to stop, and hands its place in the chain over
+	restartedIn   uint64 // epoch in whose view this life has no part
+	pace          fetchPace
+	applied       uint64
+	freeSegments  int
+	compacting    bool
+	logBytes      int  // applied since the newest snapshot
+	snapshotBytes int  // of the newest snapshot
+	unreadable    bool // the last snapshot of another member could not be read
 
 	toldDivergence bool // that another member's log contradicts this one's is in the log
 
@@ -112,7 +114,7 @@
 	if recovered.Snapshot.Index > 0 && !server.restoreState(recovered.Snapshot.Data) {
 		return nil, errors.Errorf("%s: the snapshot can't be read; replace this disk, or empty the folder so that this machine joins anew", s.DataDir)
 	}
-	server.applied = recovered.Snapshot.Index
+	server.applied, server.snapshotBytes = recovered.Snapshot.Index, len(recovered.Snapshot.Data)
 	entries := make([]chain.Entry, len(recovered.Records))
 	for i, record := range recovered.Records {
 		entries[i] = chain.Entry{Index: record.Index, Epoch: record.Epoch, Data: record.Data}
@@ -302,6 +304,7 @@
 		return
 	}
 	s.unreadable = false
+	s.logBytes, s.snapshotBytes = 0, len(snapshot.Data)
 	s.disk.add(diskJob{reset: true,
 		snapshot: &segment.Snapshot{Index: index, Epoch: snapshot.IndexEpoch, Data: snapshot.Data},
 		done:     func() { s.replica.Restored(index) }})
@@ -323,6 +326,7 @@
 func (s *Server) apply(entry *chain.Entry) {
 	command := &cluster.Command{}
 	s.applied = entry.Index
+	s.logBytes += len(entry.Data)
 	if !link.Decode(entry.Data, command) {
 		return
 	}
--- a/internal/control/server/head.go
+++ b/internal/control/server/head.go
@@ -40,14 +40,28 @@
 	}
 }
 
-// compact saves a snapshot once few segments are left.
+// Bounds of the log behind the newest snapshot. A restart reads and applies that log before the process takes part,
+// so it is kept short: to a few times what a snapshot takes, below which snapshots would cost more than they save.
+const (
+	logLeast     = 2 << 20 // bytes
+	logSnapshots = 3       // times the size of the newest snapshot
+	freeLeast    = 4       // segments of the ring that are left, whatever the log's length
+)
+
+// snapshotDue reports whether the log behind the newest snapshot has grown long.
+func (s *Server) snapshotDue() bool {
+	return s.logBytes > max(logLeast, logSnapshots*s.snapshotBytes) || s.freeSegments <= freeLeast
+}
+
+// compact saves a snapshot once the log behind the last one is long.
 func (s *Server) compact() {
-	if s.compacting || s.freeSegments > 4 || s.replica.Committed() != s.applied {
+	if s.compacting || !s.snapshotDue() || s.replica.Committed() != s.applied {
 		return
 	}
 	s.compacting = true
 	data := link.Encode(&s.cluster.State)
 	index := s.applied
+	s.logBytes, s.snapshotBytes = 0, len(data)
 	snapshot := &segment.Snapshot{Index: index, Epoch: s.replica.EpochAt(index), Data: data}
 	s.disk.add(diskJob{snapshot: snapshot, done: func() {
 		s.compacting = false
--- /dev/null
+++ b/internal/control/server/head_test.go
@@ -0,0 +1,24 @@
+package server
+
+import "testing"
+
+// The log behind the newest snapshot stays short, whatever room the ring has; small ones are not worth a snapshot.
+func TestSnapshotIsDue(t *testing.T) {
+	const manySegments = 7
+	for name, c := range map[string]struct {
+		log, snapshot, segments int
+		due                     bool
+	}{
+		"a short log":                         {logLeast - 1, 0, manySegments, false},
+		"a long log":                          {logLeast + 1, 0, manySegments, true},
+		"a log that is short for the state":   {2 * logLeast, logLeast, manySegments, false},
+		"a log that is long for the state":    {logSnapshots*logLeast + 1, logLeast, manySegments, true},
+		"a short log where the ring is full":  {0, 0, freeLeast, true},
+		"a short log where the ring has room": {0, 0, freeLeast + 1, false},
+	} {
+		s := &Server{logBytes: c.log, snapshotBytes: c.snapshot, freeSegments: c.segments}
+		if got := s.snapshotDue(); got != c.due {
+			t.Errorf("%s: due %v", name, got)
+		}
+	}
+}
