--- a/internal/dataplane/intake.go
+++ b/internal/dataplane/intake.go
@@ -94,6 +94,11 @@
 	unknown          // it may be carried out
 )
 
+// String names an outcome in logs.
+func (o outcome) String() string {
+	return [...]string{"answered", "unsent", "unknown"}[o]
+}
+
 // ask sends a command to the control machines and waits for its outcome.
 func (d *Dispatcher) ask(r *http.Request, wait time.Duration, command func() *cluster.Command) (cluster.Result, outcome) {
 	return d.askThen(r, wait, command, func() {})
@@ -159,6 +164,7 @@
 		http.Error(w, "no job that can be carried out", http.StatusBadRequest)
 		return
 	}
+	began := d.now()
 	submitted := job.Job{ID: id, Route: route.Key(), Service: route.Service, Priority: route.Priority,
 		MaxAttempts: route.MaxAttempts, Stretch: route.Stretch, TargetMs: route.TargetLatencyMs, Request: request}
 	result, how := d.askThen(r, patience(r, route), func() *cluster.Command {
@@ -166,6 +172,8 @@
 		d.expectJob(d.now(), submitted)
 		return &cluster.Command{Submit: &cluster.Submit{Job: submitted}}
 	}, func() { d.dropExpected(id) })
+	d.logger.Debug().Str("job", id).Int("priority", route.Priority).Int64("work", request.Work()).Int("times", request.Repeat).
+		Bool("lasting", request.Steps[0].LongRunning).Float64("stretch", route.Stretch).Int64("target", route.TargetLatencyMs).Stringer("outcome", how).Dur("took", d.now()-began).Msg("submit")
 	switch {
 	case how == unsent:
 		refuse(w, "the control machines are out of reach")
--- a/internal/dataplane/jobs.go
+++ b/internal/dataplane/jobs.go
@@ -249,7 +249,7 @@
 	}
 	d.placer(known.Service).Add(unit)
 	step := unit.Step()
-	d.logger.Debug().Str("job", known.ID).Int("step", key.Step).Ints("tasks", indices).Int("priority", known.Priority).
+	d.logger.Debug().Str("job", known.ID).Int("repeat", key.Time).Int("step", key.Step).Ints("tasks", indices).Int("priority", known.Priority).
 		Int64("cpu", step.Cpu).Int64("mem", step.MemMb).Int64("estimate", step.EstimateMs).Str("near", step.Affinity).
 		Str("requires", step.Requires).Bool("gang", step.Gang).Dur("left", unit.Deadline-now).Msg("queued")
 }
@@ -304,6 +304,7 @@
 			known.Task(key).Worker = decision.Workers[i] // so that tasks decided upon next are kept apart from it
 		}
 	}
+	d.logger.Debug().Str("job", unit.Job.ID).Int("repeat", unit.Key.Time).Int("step", unit.Key.Step).Ints("tasks", unit.Indices).Msg("decided")
 	asks := unit.Step().Asks()
 	d.uplink.submit(&cluster.Command{Place: command}, func(result cluster.Result) {
 		for _, target := range command.Targets {
--- a/internal/dataplane/workers.go
+++ b/internal/dataplane/workers.go
@@ -92,6 +92,8 @@
 		w.dispatcher.logger.Info().Str("worker", w.id).Str("task", ended.Task.Name(ended.Job)).Uint64("run", ended.Run).
 			Uint64("token", ended.Token).Stringer("evidence", report.Evidence).Msg("run given up")
 	}
+	w.dispatcher.logger.Debug().Str("worker", w.id).Str("task", ended.Task.Name(ended.Job)).Uint64("run", ended.Run).
+		Stringer("how", ended.How).Msg("end told")
 	if ended.How < cluster.NotStarted {
 		delete(w.dispatcher.begun, ended.Job) // the end tells that it has begun
 	}
@@ -148,8 +150,11 @@
 }
 
 func (w *ownedWorker) start(start worker.Start) {
+	sentAt := w.dispatcher.now()
 	answer, body := w.call("/-/run-start", startBody{start.Task, start.Command, start.Spec, start.UntilMs,
 		start.Fence, start.Saved}, orderWithin)
+	w.dispatcher.logger.Debug().Str("task", start.Task).Uint64("run", start.Command).Str("worker", w.id).
+		Stringer("answer", answer).Dur("took", w.dispatcher.now()-sentAt).Msg("order")
 	w.dispatcher.do(func() {
 		if !w.closed {
 			w.agent.StartAnswered(w.dispatcher.now(), start.Task, start.Command, answer, body.ClockMs)
--- a/scheduling/job/job.go
+++ b/scheduling/job/job.go
@@ -100,6 +100,15 @@
 // Runs returns how many times the steps are run.
 func (r *Request) Runs() int { return max(r.Repeat, 1) }
 
+// Work returns how much the client expects all tasks of one time to take, in thousandths of cores times ms.
+func (r *Request) Work() int64 {
+	work := int64(0)
+	for i := range r.Steps {
+		work += int64(r.Steps[i].Count) * r.Steps[i].Cpu * r.Steps[i].EstimateMs
+	}
+	return work
+}
+
 // DueMs returns when the given time of a repeated job falls due, in
 // milliseconds since 1970, and 0 where the job has no times.
 func (r *Request) DueMs(time int) int64 {
--- a/scheduling/worker/messages.go
+++ b/scheduling/worker/messages.go
@@ -69,6 +69,15 @@
 	Unreached // nothing was sent
 )
 
+// String names an answer in logs.
+func (a Answer) String() string {
+	names := [...]string{"done", "unanswered", "fenced", "old", "late", "no room", "unhealthy", "invalid", "other life", "unreached"}
+	if int(a) >= len(names) {
+		return "unknown"
+	}
+	return names[a]
+}
+
 // Evidence is why an owner counts a run as over that its worker has not told the end of.
 type Evidence uint8
 
