Dispatchers are sent away at once by machines that can't serve them, and told of the chain

Those that met a machine outside the chain, which nine control machines of which two lost their disks have four of, waited there for half a second to be refused, and were told of all nine. Ruled out: shorter patience for all. A member that was just started has its place in some milliseconds. Change: a machine that its newest view has not in the chain refuses at once; dispatchers are told of the chain, not of all electors (the settings' seeds stay for the case that none of it is left).

--- a/internal/control/link/pack.go
+++ b/internal/control/link/pack.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"sync"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -14,6 +15,15 @@
 	maxUnpacked = 64 << 20 // bytes
 )
 
+// writers keeps deflaters: each has tables of half a megabyte.
+var writers = sync.Pool{New: func() any {
+	writer, err := flate.NewWriter(nil, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is a constant of this program
+	}
+	return writer
+}}
+
 // Pack makes one item of a list of updates: the list deflated, as a CBOR byte string. A short list with a single
 // update stays as it is. A configuration of 1,500 routes packs to a quarter, and so takes a quarter of the time on
 // a dispatcher's link.
@@ -22,10 +32,9 @@
 		return updates[0]
 	}
 	packed := &bytes.Buffer{}
-	writer, err := flate.NewWriter(packed, flate.BestSpeed)
-	if err != nil {
-		panic(err) // the level is a constant of this program
-	}
+	writer := writers.Get().(*flate.Writer)
+	defer writers.Put(writer)
+	writer.Reset(packed)
 	writer.Write(Encode(updates)) // a buffer takes everything
 	writer.Close()
 	return Encode(packed.Bytes())
--- a/internal/control/server/dispatchers.go
+++ b/internal/control/server/dispatchers.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"linnetlift/coordination/frame"
+	"linnetlift/coordination/view"
 	"linnetlift/internal/control/cluster"
 	"linnetlift/internal/control/link"
 )
@@ -93,7 +94,11 @@
 func (s *Server) attach(d *dispatcher, hello *link.Hello) {
 	d.hello = *hello
 	d.outbox.acknowledges = hello.Acknowledges
-	if !s.inTouch() {
+	switch {
+	case s.isOutside():
+		s.sendAway(d)
+		return
+	case !s.inTouch():
 		s.waiting[d] = s.now()
 		return
 	}
@@ -124,13 +129,25 @@
 		switch {
 		case s.inTouch():
 			s.attach(d, &d.hello)
-		case s.now()-since > attachPatience:
-			delete(s.waiting, d)
-			d.conn.Send(link.Encode(link.Down{Refused: true, Controls: s.controls()}))
+		case s.isOutside() || s.now()-since > attachPatience:
+			s.sendAway(d)
 		}
 	}
 }
 
+// sendAway tells a dispatcher to try another control machine.
+func (s *Server) sendAway(d *dispatcher) {
+	delete(s.waiting, d)
+	d.conn.Send(link.Encode(link.Down{Refused: true, Controls: s.controls()}))
+}
+
+// isOutside reports whether the newest view known here has this machine not in its chain, so that no dispatcher can be
+// served before another view. One that has its place, but has no part in the view since it was started, is not outside:
+// a view may follow at once.
+func (s *Server) isOutside() bool {
+	return !s.register.First() && s.register.View().InChain(s.register.Me().ID) < 0
+}
+
 func (s *Server) receiveCommand(d *dispatcher, tagged *link.Tagged) {
 	command := &cluster.Command{}
 	if !link.Decode(tagged.Command, command) {
@@ -163,10 +180,21 @@
 	}
 }
 
+// controls returns the addresses at which dispatchers are served: those of the chain, and before the first view those
+// of the electors.
 func (s *Server) controls() []string {
-	addresses := []string{}
-	for _, member := range s.register.View().Electors {
-		addresses = append(addresses, member.Address)
+	v := s.register.View()
+	members := v.Chain
+	if len(members) == 0 {
+		members = v.Electors
+	}
+	return addressesOf(members)
+}
+
+func addressesOf(members []view.Member) []string {
+	addresses := make([]string, len(members))
+	for i, member := range members {
+		addresses[i] = member.Address
 	}
 	return addresses
 }
@@ -243,7 +271,9 @@
 	}
 	d.snapshot = false
 	updates := append(s.configFor(d, shared), shared.state)
-	updates = append(updates, encodeAll(s.cluster.OwnSnapshot(d.session))...)
+	if own := s.cluster.OwnSnapshot(d.session); len(own) > 0 {
+		updates = append(updates, link.Pack(encodeAll(own)))
+	}
 	s.sendDown(d, link.Down{Session: d.session, Controls: s.controls(), Updates: updates})
 }
 
--- a/internal/control/server/engine.go
+++ b/internal/control/server/engine.go
@@ -178,7 +178,7 @@
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	s.peers.meet(s.settings.Seeds)
-	s.peers.meet(s.controls())
+	s.peers.meet(addressesOf(s.register.View().Electors))
 	s.peers.tick()
 	go s.heartbeats.run(s.now, s.ended)
 	for {
--- a/internal/control/server/views.go
+++ b/internal/control/server/views.go
@@ -20,13 +20,8 @@
 	s.logger.Info().Uint64("epoch", v.Epoch).Strs("chain", names).Int("electors", len(v.Electors)).Int("copies", v.Copies).Msg("view")
 	s.viewSince = s.now()
 	s.replica.SetView(chain.View{Epoch: v.Epoch, Members: members, Writers: v.Copies})
-	addresses := []string{}
-	for _, list := range [][]view.Member{v.Chain, v.Electors} {
-		for _, member := range list {
-			addresses = append(addresses, member.Address)
-		}
-	}
-	s.peers.meet(addresses)
+	s.peers.meet(addressesOf(v.Chain))
+	s.peers.meet(addressesOf(v.Electors))
 	s.resend(0)
 }
 
