--- a/coordination/view/view.go
+++ b/coordination/view/view.go
@@ -31,8 +31,8 @@
 	Copies int `cbor:"4,keyasint,omitempty"`
 }
 
-// writers returns how many members at the front of the chain must have an entry before it is committed.
-func (v *View) writers() int {
+// Writers returns how many members at the front of the chain must have an entry before it is committed.
+func (v *View) Writers() int {
 	if v.Copies == 0 {
 		return len(v.Chain)
 	}
@@ -42,7 +42,7 @@
 // IsWriter reports whether each entry that is committed in this view must be durable at the member.
 func (v *View) IsWriter(id MemberID) bool {
 	at := v.InChain(id)
-	return at >= 0 && at < v.writers()
+	return at >= 0 && at < v.Writers()
 }
 
 // copies returns how many copies of each entry there have to be: as many as a chain needs at least, and so many that
@@ -173,7 +173,7 @@
 func (r *Register) Valid() bool {
 	view := &r.durable.View
 	at := view.InChain(r.durable.Me.ID)
-	return at >= 0 && at < view.writers() && r.durable.Complete >= view.Chain[at].Joined
+	return at >= 0 && at < view.Writers() && r.durable.Complete >= view.Chain[at].Joined
 }
 
 // MarkComplete enters that this member has the whole log of the view in force.
@@ -387,7 +387,7 @@
 	for i := range v.Chain {
 		member := &v.Chain[i]
 		member.Joined = v.Epoch
-		if before := base.InChain(member.ID); before >= 0 && before < base.writers() && i < v.writers() {
+		if before := base.InChain(member.ID); before >= 0 && before < base.Writers() && i < v.Writers() {
 			member.Joined = base.Chain[before].Joined
 		}
 	}
--- a/internal/control/server/operator.go
+++ b/internal/control/server/operator.go
@@ -108,6 +108,7 @@
 	Waiting    string `json:",omitempty"` // why the process has not read its disk yet
 	Epoch      uint64
 	Chain      []string
+	Copies     int // of each committed entry: the first members of Chain, as many as this, have it
 	Electors   []string
 	Serves     bool
 	Last       uint64 // newest entry here
@@ -129,7 +130,7 @@
 	answer := make(chan Status, 1)
 	s.do(func() {
 		v := s.register.View()
-		status := Status{Node: s.settings.Node, Epoch: v.Epoch, Serves: s.inTouch(), Last: s.replica.Last(),
+		status := Status{Node: s.settings.Node, Epoch: v.Epoch, Copies: v.Writers(), Serves: s.inTouch(), Last: s.replica.Last(),
 			Committed: s.replica.Committed(), Pending: len(s.pending), Version: s.cluster.ConfigVersion,
 			Sessions: len(s.cluster.Sessions), Workers: len(s.cluster.Workers), Jobs: len(s.cluster.Jobs),
 			StalledMs: s.disk.stalledFor().Milliseconds(), Dispatched: len(s.dispatchers),
