A start is no missing word of discovery, whichever of its two steps comes first

A start awaits a first call with a timer that runs at once, and ends the list's use in its next step. Where the timer's goroutine came first, it ended the use itself and logged that a word is missing. Ruled out: a slow call of discovery; the line was the first one, before any call. Change: for a start nothing is logged, in whichever order. The test calls the timer's function by itself, and fails without this.

--- a/internal/platform/staleness.go
+++ b/internal/platform/staleness.go
@@ -133,11 +133,12 @@
 	return t.stale.at.IsZero() || t.stale.cause != justStarted
 }
 
-// expire ends the use of a list that counts as out of date.
+// expire ends the use of a list that counts as out of date. At a start no word is missing yet: nothing is logged then,
+// whether this runs before or after the start itself has ended the list's use.
 func (t *Table) expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.stale.over() && t.broker.ListStale(true) {
+	if t.stale.over() && t.broker.ListStale(true) && t.stale.cause != justStarted {
 		t.log(fmt.Sprintf("server table: no word from discovery at %s though it counts as told; nothing new is sent until it comes", t.now.addr))
 	}
 }
--- /dev/null
+++ b/internal/platform/staleness_test.go
@@ -0,0 +1,37 @@
+package platform
+
+import (
+	"testing"
+	"time"
+
+	"linnetlift/internal/config"
+)
+
+// The timer of a start may run before the start itself has ended the list's use, as it did once beside other work: no word
+// is missing then, and none is said to be.
+func TestAStartIsNoMissingWord(t *testing.T) {
+	cfg := testConfig()
+	cfg.Discovery = "127.0.0.1:1"
+	cfg.Membership = config.DefaultMembership()
+	var said []string
+	table, b := testTable(t, cfg, func(line string) { said = append(said, line) })
+	table.mu.Lock()
+	table.stale.end()
+	table.stale.await(time.Now().Add(-time.Second), time.Hour, justStarted, func() {})
+	table.mu.Unlock()
+	b.ListStale(false)
+	table.expire()
+	if len(said) > 0 {
+		t.Errorf("logged %q", said)
+	}
+	if b.ListStale(true) {
+		t.Error("the list of before the start is still in use")
+	}
+	b.ListStale(false)
+	table.mu.Lock()
+	table.stale.cause = callSilent
+	table.mu.Unlock()
+	if table.expire(); len(said) != 1 {
+		t.Errorf("a word that is missing is told of %d times", len(said))
+	}
+}
