Nine faults seen on the way are mended, each with a test that fails without the mend

Change: a record longer than a segment is a RecordTooLongError before anything is written, and no such command is proposed or ordered (413 or 400); completeness carries out all of its Ready; operators' and clients' requests end with the engine or loop; a removal of a coordinator counts once it shows; on_unknown is reported under its key; importer: no panic, a backend's name once, times below 1 ms rounded up (fuzzed); a passed trial resets the backoff; the last entry of a worker counts in a publication; learned values are restored in order.

--- a/coordination/segment/errors.go
+++ b/coordination/segment/errors.go
@@ -26,3 +26,21 @@
 func (e *CorruptionError) Advice() string {
 	return "replace this machine's disk, or empty its folder so that it joins anew"
 }
+
+// RecordTooLongError says that a record's data is longer than Layout.MaxDataBytes: Open could not read it back. Append
+// returns it before it has written anything.
+type RecordTooLongError struct {
+	Index uint64
+	Bytes int64 // of the record's data
+	Max   int64 // bytes that the layout bears
+}
+
+// Error names the record and both lengths, and what to do.
+func (e *RecordTooLongError) Error() string {
+	return fmt.Sprintf("record %d has %d bytes, %d is the most that this disk's segments take; %s", e.Index, e.Bytes, e.Max, e.Advice())
+}
+
+// Advice says what an operator can do now.
+func (e *RecordTooLongError) Advice() string {
+	return "give this machine a larger disk (setting Limits.DiskMb), and an empty folder so that it joins anew"
+}
--- a/coordination/segment/ring.go
+++ b/coordination/segment/ring.go
@@ -86,6 +86,8 @@
 	return errors.Trace(file.Sync())
 }
 
+func (r *ring) layout() Layout { return Layout{len(r.segments), r.segmentBytes} }
+
 // hasRoom reports whether so many bytes fit into the active segment.
 func (r *ring) hasRoom(bytes int) bool {
 	return r.active != nil && r.offset+int64(bytes) <= r.segmentBytes
--- a/coordination/segment/segment.go
+++ b/coordination/segment/segment.go
@@ -60,6 +60,11 @@
 	SegmentBytes int64
 }
 
+// MaxDataBytes returns how long a record's data may be: what fits into an empty segment, and is no longer than Open reads.
+func (l Layout) MaxDataBytes() int64 {
+	return min(l.SegmentBytes-segmentHeaderBytes, maxRecordBytes) - recordHeaderBytes
+}
+
 // LayoutFor returns the layout for a disk of so many MiB: half of it is the ring, the rest stays for two snapshots.
 // Less than 16 MiB counts as 16.
 func LayoutFor(diskMb int64) Layout {
--- a/coordination/segment/store.go
+++ b/coordination/segment/store.go
@@ -55,8 +55,12 @@
 }
 
 // Append writes records after what is there, without syncing them. After an error the same records may be written
-// again. It fails with ErrFull where no segment is free.
+// again. It fails with ErrFull where no segment is free, and with a RecordTooLongError, before it has written anything,
+// where a record would not fit into an empty one.
 func (s *Store) Append(records []Record) error {
+	if err := s.checkLengths(records); err != nil {
+		return errors.Trace(err)
+	}
 	s.buffer, s.bufferedLast = s.buffer[:0], 0
 	for i := range records {
 		if length := recordHeaderBytes + len(records[i].Data); !s.ring.hasRoom(len(s.buffer) + length) {
@@ -73,6 +77,17 @@
 	return errors.Trace(s.flush())
 }
 
+// checkLengths returns a RecordTooLongError for the first record that no segment takes.
+func (s *Store) checkLengths(records []Record) error {
+	maxBytes := s.ring.layout().MaxDataBytes()
+	for i := range records {
+		if length := int64(len(records[i].Data)); length > maxBytes {
+			return &RecordTooLongError{Index: records[i].Index, Bytes: length, Max: maxBytes}
+		}
+	}
+	return nil
+}
+
 // flush writes the buffered records to the active segment.
 func (s *Store) flush() error {
 	if len(s.buffer) == 0 {
--- a/coordination/segment/store_test.go
+++ b/coordination/segment/store_test.go
@@ -215,3 +215,27 @@
 		}
 	}
 }
+
+// A record that no segment takes is refused before anything of its batch is written, and what was there stays readable.
+func TestRecordLongerThanASegmentIsRefused(t *testing.T) {
+	folder := newMemoryFolder()
+	store, _ := open(t, folder)
+	if err := store.Append([]Record{record(1, "a")}); err != nil {
+		t.Fatal(err)
+	}
+	longest := make([]byte, layout.MaxDataBytes())
+	var tooLong *RecordTooLongError
+	err := store.Append([]Record{record(2, "b"), {Index: 3, Epoch: 1, Data: append(longest, 0)}})
+	if !errors.As(err, &tooLong) || tooLong.Index != 3 || tooLong.Max != int64(len(longest)) || tooLong.Advice() == "" {
+		t.Fatalf("a record that is one byte too long: %v", err)
+	}
+	if err := store.Append([]Record{{Index: 2, Epoch: 1, Data: longest}}); err != nil {
+		t.Fatalf("the longest record: %v", err)
+	}
+	if err := store.Sync(); err != nil {
+		t.Fatal(err)
+	}
+	if _, recovered := open(t, folder); len(recovered.Records) != 2 || len(recovered.Records[1].Data) != len(longest) {
+		t.Errorf("recovered %d records", len(recovered.Records))
+	}
+}
--- a/internal/control/server/commands.go
+++ b/internal/control/server/commands.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -30,6 +31,7 @@
 type commandTable struct {
 	origin    chain.MemberID
 	now       func() time.Duration
+	maxBytes  int64 // of an encoded command: what the log on disk takes as one record
 	pending   map[uint64]*pendingCommand
 	lastTag   uint64
 	proposals []chain.Proposal // not handed to the head yet
@@ -37,25 +39,45 @@
 
 // newCommandTable returns an empty table for proposals of a member. Tags begin at a random number, so that an outcome
 // for a former incarnation, which had the same member ID, meets no command of this one. The upper 8 bits are 0: counting up never overflows.
-func newCommandTable(origin chain.MemberID, now func() time.Duration) *commandTable {
-	return &commandTable{origin: origin, now: now, pending: map[uint64]*pendingCommand{}, lastTag: rand.Uint64() >> 8}
+func newCommandTable(origin chain.MemberID, maxBytes int64, now func() time.Duration) *commandTable {
+	return &commandTable{origin: origin, now: now, maxBytes: maxBytes, pending: map[uint64]*pendingCommand{}, lastTag: rand.Uint64() >> 8}
 }
 
 // submit proposes a command of this machine or an operator. It is proposed again until it has an outcome, so every
-// command must be idempotent.
-func (t *commandTable) submit(command *statemachine.Command, onResult func(statemachine.Result)) {
-	t.submitFor(nil, command, protocol.Encode(command), onResult)
+// command must be idempotent. One that is too long gets a CommandTooLongError and no outcome.
+func (t *commandTable) submit(command *statemachine.Command, onResult func(statemachine.Result)) error {
+	return t.submitFor(nil, command, protocol.Encode(command), onResult)
 }
 
 // submitFor proposes a dispatcher's command. Once its connection has ended the command is forgotten here: the dispatcher
 // submits it again itself, over another connection.
 func (t *commandTable) submitFor(issuer *dispatcher, command *statemachine.Command, encoded []byte,
-	onResult func(statemachine.Result)) {
+	onResult func(statemachine.Result)) error {
+	if length := int64(len(encoded)); length > t.maxBytes {
+		return &CommandTooLongError{Bytes: length, Max: t.maxBytes}
+	}
 	t.lastTag++
 	submitted := &pendingCommand{command: command, encoded: encoded, isRead: command.IsRead(),
 		issuer: issuer, onResult: onResult}
 	t.pending[t.lastTag] = submitted
 	t.propose(t.lastTag, submitted)
+	return nil
+}
+
+// CommandTooLongError says that a command is longer than a record of the log may be.
+type CommandTooLongError struct {
+	Bytes int64 // of the command, encoded
+	Max   int64 // bytes that the log on disk takes as one record
+}
+
+// Error names both lengths, with the advice.
+func (e *CommandTooLongError) Error() string {
+	return fmt.Sprintf("too large: %d bytes in the log, %d is the most that the control machines' disks take at once; %s", e.Bytes, e.Max, e.Advice())
+}
+
+// Advice says what an operator can do.
+func (e *CommandTooLongError) Advice() string {
+	return "send less at once, or give the control machines larger disks (Limits.DiskMb)"
 }
 
 // propose appends a proposal to those for the head. A read travels without data: it is answered here.
--- a/internal/control/server/commands_test.go
+++ b/internal/control/server/commands_test.go
@@ -1,8 +1,11 @@
 package server
 
 import (
+	"errors"
 	"fmt"
 	"testing"
+	"yardflow/internal/control/protocol"
+	"yardflow/scheduling/job"
 
 	"github.com/rs/zerolog"
 
@@ -103,3 +106,25 @@
 		t.Error("the planted fault, tags that two incarnations share, was not found")
 	}
 }
+
+// A command that is longer than a record of the log may be gets no outcome and is not proposed; its error says what to do.
+func TestTooLongCommandIsNotProposed(t *testing.T) {
+	s := newIdleServer(t)
+	body := make([]byte, s.commands.maxBytes)
+	err := s.commands.submit(&statemachine.Command{Configure: &statemachine.Configure{Version: 1, Body: body}}, func(statemachine.Result) {
+		t.Error("it gets an outcome")
+	})
+	var tooLong *CommandTooLongError
+	if !errors.As(err, &tooLong) || tooLong.Max != s.commands.maxBytes || tooLong.Bytes <= tooLong.Max || tooLong.Advice() == "" {
+		t.Errorf("error %v", err)
+	}
+	if len(s.commands.pending)+len(s.commands.proposals) != 0 {
+		t.Error("it is proposed")
+	}
+	d := &dispatcher{}
+	encoded := protocol.Encode(&statemachine.Command{SubmitJob: &statemachine.SubmitJob{Job: job.Job{ID: string(body)}}})
+	s.receiveCommand(d, &protocol.TaggedCommand{Tag: 7, Command: encoded})
+	if len(d.outcomes) != 1 || d.outcomes[0].Tag != 7 || d.outcomes[0].Result.Code != statemachine.Invalid {
+		t.Errorf("a dispatcher's outcomes: %+v", d.outcomes)
+	}
+}
--- a/internal/control/server/dispatchers.go
+++ b/internal/control/server/dispatchers.go
@@ -140,7 +140,7 @@
 		s.attach(d, message.SessionRequest)
 	}
 	if message.ShuttingDown && d.session != 0 {
-		s.commands.submit(&statemachine.Command{CloseSession: &statemachine.CloseSession{Session: d.session}}, func(statemachine.Result) {})
+		_ = s.commands.submit(&statemachine.Command{CloseSession: &statemachine.CloseSession{Session: d.session}}, func(statemachine.Result) {})
 	}
 	if !s.dispatchers.attached[d] {
 		return
@@ -160,9 +160,13 @@
 		d.outcomes = append(d.outcomes, protocol.Outcome{Tag: tag, Result: statemachine.Result{Code: statemachine.Invalid}})
 		return
 	}
-	s.commands.submitFor(d, command, tagged.Command, func(result statemachine.Result) {
+	err := s.commands.submitFor(d, command, tagged.Command, func(result statemachine.Result) {
 		d.outcomes = append(d.outcomes, protocol.Outcome{Tag: tag, Result: result})
 	})
+	if err != nil {
+		s.logger.Error().Err(err).Str("node", d.request.Node).Msg("a dispatcher's command is refused")
+		d.outcomes = append(d.outcomes, protocol.Outcome{Tag: tag, Result: statemachine.Result{Code: statemachine.Invalid}})
+	}
 }
 
 // attach opens a dispatcher's session, or lets the dispatcher wait until this replica serves, or redirects it to another
@@ -186,7 +190,7 @@
 	request := &d.request
 	open := &statemachine.Command{OpenSession: &statemachine.OpenSession{Node: request.Node, Zone: request.Zone,
 		Incarnation: request.Incarnation, ExpectedLatest: expectedLatest}}
-	s.commands.submitFor(d, open, protocol.Encode(open), func(result statemachine.Result) {
+	_ = s.commands.submitFor(d, open, protocol.Encode(open), func(result statemachine.Result) {
 		switch {
 		case !s.dispatchers.attached[d]:
 		case result.Code == statemachine.Conflict:
--- a/internal/control/server/operator_config.go
+++ b/internal/control/server/operator_config.go
@@ -23,25 +23,41 @@
 // operatorAPI answers the operators' requests. Its methods run in goroutines of the HTTP server.
 type operatorAPI struct{ server *Server }
 
-// execute sends a command through the chain and waits for its outcome, which is Unknown where none comes in time or this
-// replica does not serve. The engine calls the function that makes the command, which may read the state.
-func (a *operatorAPI) execute(command func() *statemachine.Command) statemachine.Result {
+// commandOutcome is what became of an operator's command: its result, or the reason why it was not proposed.
+type commandOutcome struct {
+	result statemachine.Result
+	err    error // a CommandTooLongError; nil: there is none
+}
+
+// execute sends a command through the chain and waits for its outcome, which is Unknown where none comes in time, this
+// replica does not serve, or the engine ends. The engine calls the function that makes the command, which may read the
+// state.
+func (a *operatorAPI) execute(command func() *statemachine.Command) (statemachine.Result, error) {
 	s := a.server
-	outcome := make(chan statemachine.Result, 1)
+	outcomes := make(chan commandOutcome, 1)
 	s.do(func() {
-		if s.canServe() {
-			s.commands.submit(command(), func(result statemachine.Result) { outcome <- result })
-		} else {
-			outcome <- statemachine.Result{Code: statemachine.Unknown}
+		if !s.canServe() {
+			outcomes <- commandOutcome{result: statemachine.Result{Code: statemachine.Unknown}}
+			return
+		}
+		err := s.commands.submit(command(), func(result statemachine.Result) { outcomes <- commandOutcome{result: result} })
+		if err != nil {
+			outcomes <- commandOutcome{err: err}
 		}
 	})
 	timer := time.NewTimer(operatorTimeout)
 	defer timer.Stop()
 	select {
-	case result := <-outcome:
-		return result
+	case outcome := <-outcomes:
+		return outcome.result, outcome.err
 	case <-timer.C:
-		return statemachine.Result{Code: statemachine.Unknown}
+	case <-s.ended:
+	}
+	select {
+	case outcome := <-outcomes: // it came in the same instant
+		return outcome.result, outcome.err
+	default:
+		return statemachine.Result{Code: statemachine.Unknown}, nil
 	}
 }
 
@@ -86,9 +102,13 @@
 		return
 	}
 	s := a.server
-	result := a.execute(func() *statemachine.Command {
+	result, err := a.execute(func() *statemachine.Command {
 		return &statemachine.Command{Configure: s.state.fsm.NewConfigure(change.version, change.baseVersion, change.body)}
 	})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
 	switch result.Code {
 	case statemachine.Unknown:
 		http.Error(w, "no outcome yet; send the same again", http.StatusServiceUnavailable)
@@ -108,7 +128,7 @@
 // getConfig answers the configuration in force, with its version as ETag. The read passes the chain, so the answer is not
 // older than the request.
 func (a *operatorAPI) getConfig(w http.ResponseWriter, _ *http.Request) {
-	result := a.execute(func() *statemachine.Command {
+	result, _ := a.execute(func() *statemachine.Command { // a read is never too long
 		return &statemachine.Command{ReadConfig: &statemachine.ReadConfig{}}
 	})
 	switch result.Code {
--- /dev/null
+++ b/internal/control/server/operator_test.go
@@ -0,0 +1,76 @@
+package server
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"yardflow/coordination/chain"
+	"yardflow/coordination/view"
+)
+
+const testConfig = `{"Version":1,"Routes":[{"Host":"h.example","PathPrefix":"/q/","Service":"s","TimeoutMs":3000}],"Services":[{"Name":"s"}],"Limits":{"MaxBodyBytes":2000}}`
+
+// serveOperator sends a request to an operator's path, and returns the answer and how long it took.
+func serveOperator(s *Server, method, path, ifMatch, body string) (*httptest.ResponseRecorder, time.Duration) {
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	request.Header.Set("If-Match", ifMatch)
+	answer := httptest.NewRecorder()
+	began := time.Now()
+	s.Handler().ServeHTTP(answer, request)
+	return answer, time.Since(began)
+}
+
+// An operator's request that meets the end of the engine is answered at once, not after operatorTimeout.
+func TestOperatorRequestEndsWithTheEngine(t *testing.T) {
+	s := newIdleServer(t)
+	go func() {
+		time.Sleep(20 * time.Millisecond) // the request's function waits in the inbox by then
+		close(s.ended)
+	}()
+	for _, c := range []struct {
+		method, path string
+		status       int
+	}{
+		{http.MethodGet, "/-/config", http.StatusServiceUnavailable},
+		{http.MethodPut, "/-/config", http.StatusServiceUnavailable},
+		{http.MethodGet, statusPath, http.StatusOK},
+	} {
+		answer, took := serveOperator(s, c.method, c.path, "0", testConfig)
+		if answer.Code != c.status || took > operatorTimeout/2 {
+			t.Errorf("%s %s: answered %d after %v, want %d at once", c.method, c.path, answer.Code, took, c.status)
+		}
+	}
+}
+
+// A configuration that the log can't hold as one record is answered 413 with what to do, and is not proposed.
+func TestConfigurationThatNoDiskTakesIsTooLarge(t *testing.T) {
+	s := newIdleServer(t)
+	self := s.membership.self()
+	s.membership.consensus = view.NewConsensus(view.HardState{Self: self,
+		View: view.View{Epoch: 1, Chain: []view.Member{self}, Electors: []view.Member{self}}, CompleteEpoch: 1})
+	s.replica = chain.New(self.ID, 1, chain.Snapshot{}, nil, 0)
+	s.replica.SetView(chain.View{Epoch: 1, Members: []chain.MemberID{self.ID}})
+	s.replica.CompletenessPersisted(1)
+	go func() {
+		for {
+			select {
+			case f := <-s.inbox:
+				f()
+			case <-s.ended:
+				return
+			}
+		}
+	}()
+	defer close(s.ended)
+	if !s.canServe() {
+		t.Fatal("the machine does not serve")
+	}
+	padding := strings.Repeat(" ", int(s.commands.maxBytes))
+	answer, _ := serveOperator(s, http.MethodPut, "/-/config", "0", testConfig+padding)
+	if answer.Code != http.StatusRequestEntityTooLarge || !strings.Contains(answer.Body.String(), "Limits.DiskMb") {
+		t.Errorf("answered %d: %s", answer.Code, answer.Body)
+	}
+}
--- a/internal/control/server/peer_messages.go
+++ b/internal/control/server/peer_messages.go
@@ -27,7 +27,7 @@
 	case message.CatchUpResponse != nil:
 		s.receiveCatchUp(from.ID, message.CatchUpResponse)
 	case message.ForwardedProposals != nil:
-		s.replica.Propose(message.ForwardedProposals)
+		s.orderProposals(message.ForwardedProposals)
 	}
 }
 
--- a/internal/control/server/replication.go
+++ b/internal/control/server/replication.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"slices"
+
 	"yardflow/coordination/chain"
 	"yardflow/coordination/view"
 	"yardflow/internal/control/protocol"
@@ -13,6 +15,13 @@
 	if ready.HardState == nil && len(ready.Messages) == 0 {
 		return false
 	}
+	s.carryOut(ready, func() {})
+	return true
+}
+
+// carryOut makes the hard state durable where it has changed, then sends the messages, installs a decided view, and calls
+// then.
+func (s *Server) carryOut(ready view.Ready, then func()) {
 	act := func() {
 		for _, envelope := range ready.Messages {
 			s.sendConsensus(envelope)
@@ -20,13 +29,13 @@
 		if ready.Decided {
 			s.installView(ready.HardState.View)
 		}
+		then()
 	}
 	if ready.HardState == nil {
 		act()
-		return true
+		return
 	}
 	s.disk.enqueue(diskWrite{metadata: protocol.Encode(ready.HardState), onDurable: act})
-	return true
 }
 
 // sendConsensus sends a message of the agreement on views to a peer, or hands it to this member's own part in it.
@@ -87,13 +96,7 @@
 func (s *Server) persistCompleteness() {
 	epoch := s.replica.Epoch()
 	s.membership.consensus.MarkComplete(epoch)
-	ready := s.membership.consensus.Ready()
-	persisted := func() { s.replica.CompletenessPersisted(epoch) }
-	if ready.HardState == nil {
-		persisted()
-		return
-	}
-	s.disk.enqueue(diskWrite{metadata: protocol.Encode(ready.HardState), onDurable: persisted})
+	s.carryOut(s.membership.consensus.Ready(), func() { s.replica.CompletenessPersisted(epoch) })
 }
 
 // apply applies a committed entry, and completes its command if it was proposed here.
@@ -116,7 +119,7 @@
 // the way is proposed again after resubmitAfter.
 func (s *Server) forwardProposals() {
 	proposals := s.commands.takeProposals()
-	if len(proposals) == 0 || s.replica.Propose(proposals) {
+	if len(proposals) == 0 || s.orderProposals(proposals) {
 		return
 	}
 	if head := s.replica.Head(); head != 0 {
@@ -124,6 +127,17 @@
 	}
 }
 
+// orderProposals has the replica order proposals, and reports whether it is the head. One that no disk of this size could
+// hold is left out: an earlier version of the program may forward it, and would stop the chain for good.
+func (s *Server) orderProposals(proposals []chain.Proposal) bool {
+	tooLong := func(p chain.Proposal) bool { return int64(len(p.Data)) > s.commands.maxBytes }
+	if slices.ContainsFunc(proposals, tooLong) {
+		proposals = slices.DeleteFunc(slices.Clone(proposals), tooLong)
+		s.logger.Error().Int64("max_bytes", s.commands.maxBytes).Msg("a command is longer than a disk's segment and is not ordered; give the control machines larger disks (Limits.DiskMb)")
+	}
+	return s.replica.Propose(proposals)
+}
+
 // logDivergence logs once that another member's log contradicts what is committed here: an operator has to see to it.
 func (s *Server) logDivergence() {
 	divergence := s.replica.Divergence()
--- a/internal/control/server/replication_test.go
+++ b/internal/control/server/replication_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strings"
 	"testing"
+	"yardflow/coordination/view"
 
 	"github.com/rs/zerolog"
 
@@ -33,3 +34,31 @@
 		t.Errorf("logged %d times: %s", count, logs.String())
 	}
 }
+
+// What agreement on views wants done when this member asks for its completeness to be persisted is done, and none of it
+// before the disk has synced.
+func TestMessagesBesideCompletenessLeaveOnceItIsDurable(t *testing.T) {
+	s := newIdleServer(t)
+	self := s.membership.self()
+	s.membership.consensus = view.NewConsensus(view.HardState{Self: self,
+		View: view.View{Epoch: 4, Chain: []view.Member{self}, Electors: []view.Member{self}}, CompleteEpoch: 4})
+	s.membership.consensus.Propose(view.View{Chain: []view.Member{self}, Electors: []view.Member{self}}, nil, 1)
+	s.persistCompleteness()
+	if promised := s.membership.consensus.HardState().PromisedBallot; promised.Round != 0 {
+		t.Fatalf("a message left before the disk had synced: promised %v", promised)
+	}
+	(<-s.inbox)() // the disk's goroutine says that the write is durable
+	if promised := s.membership.consensus.HardState().PromisedBallot; promised.Round == 0 {
+		t.Error("the message of the agreement on views was dropped")
+	}
+}
+
+// A head leaves a forwarded command out that no disk could hold, and orders the rest.
+func TestTooLongProposalIsNotOrdered(t *testing.T) {
+	s := newIdleServer(t)
+	s.replica.SetView(chain.View{Epoch: 1, Members: []chain.MemberID{s.membership.self().ID}})
+	s.orderProposals([]chain.Proposal{{Tag: 1, Data: make([]byte, s.commands.maxBytes+1)}, {Tag: 2, Data: make([]byte, s.commands.maxBytes)}})
+	if last := s.replica.LastIndex(); last != 1 {
+		t.Errorf("%d entries are ordered, want the shorter one alone", last)
+	}
+}
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -114,7 +114,7 @@
 		dispatchers: newDispatcherTable(),
 		sessions:    newSessionMonitor(),
 	}
-	server.commands = newCommandTable(hardState.Self.ID, server.now)
+	server.commands = newCommandTable(hardState.Self.ID, segment.LayoutFor(s.Limits.DiskMb).MaxDataBytes(), server.now)
 	return server
 }
 
--- a/internal/control/server/sessions.go
+++ b/internal/control/server/sessions.go
@@ -89,7 +89,7 @@
 		delete(m.disconnectedAt, id)
 		m.lastSeen[id] = now // so that it is closed again only after another sessionTimeout
 		s.logger.Info().Uint64("session", id).Str("dispatcher", session.Node).Msg("session expired: dispatcher silent")
-		s.commands.submit(&statemachine.Command{CloseSession: &statemachine.CloseSession{Session: id}}, func(statemachine.Result) {})
+		_ = s.commands.submit(&statemachine.Command{CloseSession: &statemachine.CloseSession{Session: id}}, func(statemachine.Result) {})
 	}
 }
 
@@ -100,5 +100,5 @@
 	}
 	s.sessions.clockAdvancedAt = now
 	advance := &statemachine.AdvanceClock{Tick: s.state.fsm.ClockTicks + 1}
-	s.commands.submit(&statemachine.Command{AdvanceClock: advance}, func(statemachine.Result) {})
+	_ = s.commands.submit(&statemachine.Command{AdvanceClock: advance}, func(statemachine.Result) {})
 }
--- a/internal/dispatcher/clients.go
+++ b/internal/dispatcher/clients.go
@@ -173,7 +173,10 @@
 			close(answer)
 		}
 	})
-	state, known = <-answer
+	select {
+	case state, known = <-answer:
+	case <-d.loopEnded: // the function may wait in the loop's buffer for ever
+	}
 	return state, known
 }
 
--- a/internal/dispatcher/clients_test.go
+++ b/internal/dispatcher/clients_test.go
@@ -5,6 +5,8 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
+	"yardflow/internal/control/statemachine"
 )
 
 func serve(d *Dispatcher, method, path, body string) *httptest.ResponseRecorder {
@@ -56,3 +58,25 @@
 		t.Error("ready without a configuration")
 	}
 }
+
+// A request for a state that meets the end of the event loop is answered: its function may wait in the loop's buffer when
+// the loop ends.
+func TestStateRequestEndsWithTheLoop(t *testing.T) {
+	d := newStopped()
+	d.receiveConfig(&statemachine.ConfigUpdate{Version: 3, Body: []byte(testConfiguration)})
+	d.applyConfig()
+	go func() {
+		time.Sleep(20 * time.Millisecond) // the request's function waits in the buffer by then
+		close(d.loopEnded)
+	}()
+	answered := make(chan int, 1)
+	go func() { answered <- serve(d, "GET", "/q/0123456789abcdef", "").Code }()
+	select {
+	case code := <-answered:
+		if code != http.StatusServiceUnavailable {
+			t.Errorf("answered %d", code)
+		}
+	case <-time.After(2 * time.Second): // the client would wait for 3 s
+		t.Error("not answered though the loop has ended")
+	}
+}
--- a/internal/dispatcher/execute.go
+++ b/internal/dispatcher/execute.go
@@ -57,6 +57,7 @@
 		return got.result, answered
 	case <-timer.C:
 	case <-d.answerNow:
+	case <-d.loopEnded:
 	case <-r.Context().Done():
 	}
 	// The client gets no answer, or that the outcome is unknown, and sends the same again. The command must not be sent
--- a/internal/fleet/coldstart/relay/list.go
+++ b/internal/fleet/coldstart/relay/list.go
@@ -71,8 +71,7 @@
 
 // apply changes the entries by a publication, and returns those that have changed.
 func (l *List) apply(p Publication) (changed []Entry) {
-	published := slices.Clone(p.Entries)
-	slices.SortStableFunc(published, func(a, b Entry) int { return strings.Compare(a.ID, b.ID) })
+	published := latestByID(p.Entries)
 	if p.Complete {
 		for _, e := range l.Entries {
 			if _, ok := find(published, e.ID); !ok {
@@ -102,6 +101,21 @@
 	return changed
 }
 
+// latestByID returns the entries sorted by ID; of several with one ID the last counts.
+func latestByID(entries []Entry) []Entry {
+	sorted := slices.Clone(entries)
+	slices.SortStableFunc(sorted, func(a, b Entry) int { return strings.Compare(a.ID, b.ID) })
+	latest := sorted[:0]
+	for _, e := range sorted {
+		if n := len(latest); n > 0 && latest[n-1].ID == e.ID {
+			latest[n-1] = e
+		} else {
+			latest = append(latest, e)
+		}
+	}
+	return latest
+}
+
 func (l *List) addChange(entries []Entry) {
 	l.Seq++
 	l.RecentChanges = append(l.RecentChanges, Change{l.Seq, entries})
--- a/internal/fleet/coldstart/relay/relay_test.go
+++ b/internal/fleet/coldstart/relay/relay_test.go
@@ -123,3 +123,33 @@
 		t.Errorf("%v, %+v", err, list)
 	}
 }
+
+// Of several entries of one worker in one publication the last counts, whether it removes the worker or brings it back.
+func TestLastEntryOfAWorkerCounts(t *testing.T) {
+	present, removed := Entry{ID: "s-1", Addr: "a"}, Entry{ID: "s-1", Removed: true}
+	for name, c := range map[string]struct {
+		entries []Entry
+		want    int // entries in the list
+	}{
+		"removed, then present": {[]Entry{removed, present}, 1},
+		"present, then removed": {[]Entry{present, removed}, 0},
+		"present twice":         {[]Entry{present, present}, 1},
+	} {
+		for _, complete := range []bool{true, false} {
+			list := &List{}
+			list.Appoint("r")
+			for _, p := range []Publication{{Generation: 1, Complete: true, Entries: []Entry{present}}, {Generation: 2, Complete: complete, Entries: c.entries}} {
+				if err := list.Publish("r", list.FencingToken, p); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if len(list.Entries) != c.want {
+				t.Errorf("%s, complete %v: the list has %v", name, complete, list.Entries)
+			}
+			d := dispatcher{entries: map[string]Entry{"s-1": present}, watermark: Watermark{Seq: 1}}
+			if d.update(list); len(d.entries) != c.want {
+				t.Errorf("%s, complete %v: a dispatcher has %v", name, complete, d.entries)
+			}
+		}
+	}
+}
--- a/internal/fleet/coldstart/speeds/speeds.go
+++ b/internal/fleet/coldstart/speeds/speeds.go
@@ -66,8 +66,8 @@
 		return nil
 	}
 	e := &Estimates{Version: m.Version, MeanLogRunTime: m.MeanRun, Kinds: m.Kinds, Classes: m.Classes}
-	for _, c := range m.Classes {
-		e.JobCount += c.jobCount()
+	for _, name := range slices.Sorted(maps.Keys(m.Classes)) { // in one order, so that the sum has the same last bits
+		e.JobCount += m.Classes[name].jobCount()
 	}
 	if !e.valid() || e.JobCount == 0 {
 		return nil
--- a/internal/fleet/coldstart/speeds/speeds_test.go
+++ b/internal/fleet/coldstart/speeds/speeds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
 	"testing"
 )
@@ -34,3 +35,21 @@
 		}
 	}
 }
+
+// The same memory gives the same figures to the last bit: the coordinators' states have to be equal.
+func TestDecodeGivesTheSameFiguresEachTime(t *testing.T) {
+	classes := map[string][2]float64{}
+	for i := range 40 {
+		classes[fmt.Sprint("class-", i)] = [2]float64{0, 0.1 + 1e-9*math.Pow(3, float64(i%17))}
+	}
+	memory, err := json.Marshal(map[string]any{"Version": 1, "MeanRun": -1, "Classes": classes})
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := Decode(memory)
+	for range 50 {
+		if again := Decode(memory); again.JobCount != first.JobCount {
+			t.Fatalf("%v jobs, then %v", first.JobCount, again.JobCount)
+		}
+	}
+}
--- a/internal/fleet/consensus/membership.go
+++ b/internal/fleet/consensus/membership.go
@@ -169,11 +169,15 @@
 	}
 }
 
-// isApplied reports whether a change counts as applied by what the leader shows of its member. A removal counts while a
-// voter is still shown: it is then proposed, and not yet applied.
+// isApplied reports whether a change counts as applied by what the leader shows of its member: a removed one is shown no
+// more, an added one is shown with or without its vote.
 func isApplied(kind raftpb.ConfChangeType, member statemachine.Member, exists bool) bool {
-	if !exists {
-		return kind == raftpb.ConfChangeType_ConfChangeRemoveNode
+	switch kind {
+	case raftpb.ConfChangeType_ConfChangeRemoveNode:
+		return !exists
+	case raftpb.ConfChangeType_ConfChangeAddLearnerNode:
+		return exists && member.Learner
+	default:
+		return exists && !member.Learner
 	}
-	return member.Learner == (kind == raftpb.ConfChangeType_ConfChangeAddLearnerNode)
 }
--- a/internal/fleet/consensus/node_test.go
+++ b/internal/fleet/consensus/node_test.go
@@ -313,3 +313,28 @@
 	})
 	assertRestarts(t, dir)
 }
+
+// A change of the members counts as applied once the leader shows what it asked for, and a removal not while its member is
+// still shown: whoever asked would start the next step too soon.
+func TestMemberChangeIsAppliedOnceItShows(t *testing.T) {
+	voter, learner := statemachine.Member{ID: 2}, statemachine.Member{ID: 2, Learner: true}
+	for _, c := range []struct {
+		name   string
+		kind   raftpb.ConfChangeType
+		member statemachine.Member
+		exists bool
+		want   bool
+	}{
+		{"a removal, the voter is shown", raftpb.ConfChangeType_ConfChangeRemoveNode, voter, true, false},
+		{"a removal, the learner is shown", raftpb.ConfChangeType_ConfChangeRemoveNode, learner, true, false},
+		{"a removal, nobody is shown", raftpb.ConfChangeType_ConfChangeRemoveNode, statemachine.Member{}, false, true},
+		{"a learner to be added, nobody is shown", raftpb.ConfChangeType_ConfChangeAddLearnerNode, statemachine.Member{}, false, false},
+		{"a learner to be added, it is shown", raftpb.ConfChangeType_ConfChangeAddLearnerNode, learner, true, true},
+		{"a learner to be promoted, it still learns", raftpb.ConfChangeType_ConfChangeAddNode, learner, true, false},
+		{"a learner to be promoted, it votes", raftpb.ConfChangeType_ConfChangeAddNode, voter, true, true},
+	} {
+		if got := isApplied(c.kind, c.member, c.exists); got != c.want {
+			t.Errorf("%s: applied %v", c.name, got)
+		}
+	}
+}
--- a/internal/fleet/outlier/detector_test.go
+++ b/internal/fleet/outlier/detector_test.go
@@ -99,3 +99,26 @@
 		}
 	}
 }
+
+// A failed trial doubles the backoff, and a passed one begins it anew.
+func TestPassedTrialResetsTheBackoff(t *testing.T) {
+	detector := NewDetector()
+	settings := DefaultSettings()
+	settings.TrialsToReinstate = 3
+	detector.Configure(&settings)
+	subject := Incarnation{"s1", 1}
+	interval := settings.TrialInterval
+	detector.Ejections = []*Ejection{{Subject: subject, Zone: AllZones, NextTrial: 0, TrialBackoff: interval}}
+	now, sequence := time.Duration(0), uint64(0)
+	for _, step := range []struct {
+		failures int64
+		next     time.Duration // until the next trial, in trial intervals
+	}{{1, 2}, {1, 4}, {0, 1}, {1, 2}, {0, 1}, {0, 1}} {
+		now, sequence = detector.Ejections[0].NextTrial, sequence+1
+		notices, _ := detector.NoticesFor(now, "d1", 0)
+		detector.AddReports(now, "d1", 0, 10, []Report{{Subject: subject, Sequence: sequence, Failures: step.failures, Successes: 1 - step.failures, Trial: notices[0].Trial}})
+		if got := detector.Ejections[0].NextTrial - now; got != step.next*interval {
+			t.Errorf("trial %d, with %d failures: the next one comes after %v, want %v", sequence, step.failures, got, step.next*interval)
+		}
+	}
+}
--- a/internal/fleet/outlier/ejection.go
+++ b/internal/fleet/outlier/ejection.go
@@ -13,7 +13,7 @@
 	Since         time.Duration // the ejection
 	Reporters     int           `cbor:"Against" json:"Against"` // that have seen it fail then
 	NextTrial     time.Duration `cbor:"Next" json:"Next"`       // not before then
-	TrialBackoff  time.Duration `cbor:"Wait" json:"Wait"`       // after a failed trial; doubles with each
+	TrialBackoff  time.Duration `cbor:"Wait" json:"Wait"`       // after a failed trial; doubles with each in a row
 	TrialReporter string        `cbor:"Tried" json:"Tried"`     // that has the trial in flight; empty: there is none
 	TrialNumber   uint64        `cbor:"Trial" json:"Trial"`     // of the latest trial
 	TrialStarted  time.Duration `cbor:"TriedAt" json:"TriedAt"` // the latest
@@ -102,6 +102,7 @@
 		e.NextTrial = now + e.TrialBackoff
 		return
 	}
+	e.TrialBackoff = d.Settings.TrialInterval // a later failure begins the backoff anew
 	e.NextTrial = now + d.Settings.TrialInterval
 	e.TrialsPassed++
 	if e.TrialsPassed >= d.Settings.TrialsToReinstate {
--- a/internal/fleet/workflow/graph/compile.go
+++ b/internal/fleet/workflow/graph/compile.go
@@ -217,12 +217,15 @@
 func (c *compiler) checkHandlers() error {
 	for i := range c.Nodes {
 		n := &c.Nodes[i]
-		for _, handler := range []int{n.FailedHandler, n.UnknownHandler} {
-			if handler < 0 {
+		for _, reaction := range []struct {
+			key     string
+			handler int
+		}{{"on_failed", n.FailedHandler}, {"on_unknown", n.UnknownHandler}} {
+			if reaction.handler < 0 {
 				continue
 			}
-			if h := &c.Nodes[handler]; len(h.Dependencies) > 0 || h.Scope != n.Scope {
-				return c.stepError(i, "on_failed", "a step without needs of the same fan-out", "%q is not", h.Name)
+			if h := &c.Nodes[reaction.handler]; len(h.Dependencies) > 0 || h.Scope != n.Scope {
+				return c.stepError(i, reaction.key, "a step without needs of the same fan-out", "%q is not", h.Name)
 			}
 		}
 	}
--- a/internal/fleet/workflow/graph/compile_test.go
+++ b/internal/fleet/workflow/graph/compile_test.go
@@ -39,6 +39,8 @@
 	hurried.TargetMakespan = time.Second
 	alternative := step("a")
 	alternative.OnFailed = template.Reaction{Action: template.RunAlternative, Step: "b"}
+	settled := step("a")
+	settled.OnUnknown = template.Reaction{Action: template.RunAlternative, Step: "b"}
 	for _, c := range []struct {
 		name string
 		tmpl template.Template
@@ -51,6 +53,7 @@
 		{"four nested fan-outs", newTemplate(over("in", step("a")), over("a", step("b")), over("b", step("c")), over("c", step("d"))),
 			template.Error{StepIndex: 3, StepName: "d", Key: "each", Problem: `"c"`, Expected: "3 fan-outs within each other at the most"}},
 		{"a handler with needs", newTemplate(alternative, step("b", "c"), step("c")), template.Error{StepName: "a", Key: "on_failed", Problem: `"b" is not`, Expected: "a step without needs of the same fan-out"}},
+		{"a handler of an unknown outcome with needs", newTemplate(settled, step("b", "c"), step("c")), template.Error{StepName: "a", Key: "on_unknown", Problem: `"b" is not`, Expected: "a step without needs of the same fan-out"}},
 		{"too many items that wait for each other", unwindowed, template.Error{StepIndex: 2, StepName: "b", Key: "needs", Problem: `"sum", with fan 10001`, Expected: "fan 10000 at most where items wait for a step that waits for all of them"}},
 		{"a target below the critical path", hurried, template.Error{StepIndex: -1, Key: "wanted", Problem: "1s", Expected: "2s at least, its critical path"}},
 	} {
--- a/internal/platform/haproxy/build.go
+++ b/internal/platform/haproxy/build.go
@@ -60,9 +60,13 @@
 			return fmt.Errorf("line %d: %s %s: unknown default_backend %q", p.line, p.kind, p.name, p.defaultBackend)
 		}
 	}
-	if p.kind != "frontend" {
-		im.addBackend(out, p)
+	if p.kind == "frontend" {
+		return nil
 	}
+	if slices.Contains(out.kinds, p.name) {
+		return fmt.Errorf("line %d: %s %s: another backend has this name", p.line, p.kind, p.name)
+	}
+	im.addBackend(out, p)
 	return nil
 }
 
@@ -97,8 +101,8 @@
 	if p.retriesAfterSend {
 		semantics = "retryable"
 	}
-	out.classes = append(out.classes, object{"Name": p.name, "Semantics": semantics, "DeadlineMs": deadline.Milliseconds(),
-		"AimMs": deadline.Milliseconds(), "Worth": 1, "LateShare": 0})
+	out.classes = append(out.classes, object{"Name": p.name, "Semantics": semantics, "DeadlineMs": wholeMs(deadline),
+		"AimMs": wholeMs(deadline), "Worth": 1, "LateShare": 0})
 	out.classKind, out.classStretch, out.classPriority = append(out.classKind, len(out.kinds)), append(out.classStretch, 0), append(out.classPriority, 0)
 	out.kinds = append(out.kinds, p.name)
 	out.addServers(p)
@@ -126,6 +130,11 @@
 	}
 }
 
+// wholeMs returns a time in whole milliseconds, rounded up: a shorter one than 1 ms is none to the dispatcher.
+func wholeMs(t time.Duration) int64 {
+	return int64((t + time.Millisecond - 1) / time.Millisecond)
+}
+
 func (o *output) marshal() ([]byte, error) {
 	machine := object{}
 	if o.sockets > 0 { // a client's socket, one to a worker, and the reserve
@@ -133,7 +142,7 @@
 	}
 	limits := object{"MaxAttempts": o.attempts, "Cancelling": true, "RetryAfter": true, "MaxRetryAfterMs": 2000}
 	if o.connectTimeout > 0 {
-		limits["ConnectTimeoutMs"] = o.connectTimeout.Milliseconds()
+		limits["ConnectTimeoutMs"] = wholeMs(o.connectTimeout)
 	}
 	return json.MarshalIndent(object{"name": "imported", "listen": o.listen, "limits": machine,
 		"known": object{"generation": 0, "reset": true, "instances": o.instances},
--- a/internal/platform/haproxy/haproxy.go
+++ b/internal/platform/haproxy/haproxy.go
@@ -87,6 +87,9 @@
 	p := newProxy()
 	p.section = s
 	if d, ok := s.headDirective(); ok && d.words[0] == "from" {
+		if len(d.words) < 2 {
+			return fmt.Errorf("line %d: from: a name is missing", s.line)
+		}
 		var err error
 		if p, err = im.proxyFrom(s, d.words[1]); err != nil {
 			return err
--- a/internal/platform/haproxy/haproxy_test.go
+++ b/internal/platform/haproxy/haproxy_test.go
@@ -102,3 +102,24 @@
 		}
 	}
 }
+
+// What the fuzz of the importer found: each is named by its line, or carries over as what the program takes.
+func TestInputsThatTheFuzzFound(t *testing.T) {
+	const backend = "frontend f\n bind :7070\nbackend b\n timeout connect 250us\n timeout server 900us\n server s 127.0.0.1:1\n"
+	for name, c := range map[string]struct{ text, want string }{
+		"from without a name":        {"defaults x from\n", "line 1: from: a name is missing"},
+		"a backend that comes twice": {backend + "listen b\n bind :7071\n server s 127.0.0.1:2\n", "line 7: listen b: another backend has this name"},
+		"times below a millisecond":  {backend, ""},
+	} {
+		text, _, err := Import(strings.NewReader(c.text))
+		if c.want != "" {
+			if err == nil || err.Error() != c.want {
+				t.Errorf("%s: %v", name, err)
+			}
+			continue
+		}
+		if err != nil || !strings.Contains(string(text), `"ConnectTimeoutMs": 1`) || !strings.Contains(string(text), `"DeadlineMs": 1`) {
+			t.Errorf("%s: %v, %s", name, err, text)
+		}
+	}
+}
--- a/scheduling/dispatch/snapshot.go
+++ b/scheduling/dispatch/snapshot.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -115,16 +117,16 @@
 		kind := workerKind{logSlowness: k.LogSlowness, evidence: k.Evidence, slots: kindSlots{seen: k.Slots}}
 		d.fleet.kinds = append(d.fleet.kinds, kind)
 	}
-	for name, c := range s.Classes {
-		own := d.speeds.classOf(&Class{Name: name})
+	for _, name := range slices.Sorted(maps.Keys(s.Classes)) {
+		own, c := d.speeds.classOf(&Class{Name: name}), s.Classes[name]
 		own.logWork, own.evidence = c[0], c[1]
 	}
 	l := &d.learner
 	l.meanStep, l.averageCost, l.queueWeight = s.MeanStep, s.AverageCost, s.QueueWeight
 	l.squaredLength = l.queueWeight * l.queueWeight
-	for id, known := range s.Workers {
+	for _, id := range slices.Sorted(maps.Keys(s.Workers)) { // in one order, so that the sum has the same last bits
 		w := d.fleet.workerOf(id, d.DispatcherIndex)
-		w.restore(known)
+		w.restore(s.Workers[id])
 		l.squaredLength += w.threshold.omega * w.threshold.omega
 	}
 }
@@ -147,7 +149,8 @@
 			own.slots.seen = max(own.slots.seen, k.Slots)
 		}
 	}
-	for name, c := range s.Classes {
+	for _, name := range slices.Sorted(maps.Keys(s.Classes)) {
+		c := s.Classes[name]
 		if own := d.speeds.classOf(&Class{Name: name}); own.evidence < c[1] {
 			own.logWork, own.evidence = c[0], c[1]
 		}
--- a/scheduling/dispatch/snapshot_test.go
+++ b/scheduling/dispatch/snapshot_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -56,3 +57,26 @@
 		t.Errorf("%d kinds of %d, delays %v of %v, typical run %v of %v", len(d.fleet.kinds), kinds, d.speeds.startDelay, delay, d.speeds.logMeanRun, was.speeds.logMeanRun)
 	}
 }
+
+// A memory is restored to the same figures to the last bit each time.
+func TestRestoreGivesTheSameFiguresEachTime(t *testing.T) {
+	s, out := testSettings(), &recorder{}
+	var list []Worker
+	for id := range 40 {
+		list = append(list, Worker{ID: WorkerID(id + 1)})
+	}
+	old := newDispatcher(s, 1)
+	old.UpdateWorkers(time.Hour, ListFull, list, out)
+	for id, w := range old.fleet.workers {
+		w.threshold.omega = 0.1 + math.Pow(3, float64(id%17))*1e-9
+	}
+	memory, sums := old.Snapshot(), map[float64]bool{}
+	for range 50 {
+		next := newDispatcher(s, 2)
+		next.Restore(memory)
+		sums[next.learner.squaredLength] = true
+	}
+	if len(sums) != 1 {
+		t.Errorf("%d different sums of one memory: %v", len(sums), sums)
+	}
+}
