Two planted faults of views and chain that nothing found are found

Cause: a Prepare that left before LastRound was durable, and a member that said it was complete one entry short, passed all tests: the explorer restarted members from their memory in place of what Ready had asked to make durable, and no schedule had a member lose power between its completeness and its last write.

--- a/coordination/chain/incarnations_test.go
+++ b/coordination/chain/incarnations_test.go
@@ -26,6 +26,7 @@
 	fault              plantedFault
 	frozen             map[MemberID]bool
 	knownEpoch         map[MemberID]uint64 // epoch of the newest view that the member knows
+	completeEpoch      map[MemberID]uint64 // as the disk keeps it: the last view in which the member was complete
 	eligible           map[MemberID]bool   // members of the newest view that have its complete log
 	committedWhenAsked map[uint64]int      // by the tag of a read: entries that were committed when it was asked
 	answeredReads      int
@@ -34,7 +35,7 @@
 func newIncarnationSimulation(seed uint64, planted plantedFault) *incarnationSimulation {
 	count := []int{3, 5, 9}[seed%3]
 	s := &incarnationSimulation{cluster: newCluster(count, 2+count/5), random: rand.New(rand.NewPCG(seed, 8)), fault: planted,
-		frozen: map[MemberID]bool{}, knownEpoch: map[MemberID]uint64{}, eligible: map[MemberID]bool{},
+		frozen: map[MemberID]bool{}, knownEpoch: map[MemberID]uint64{}, completeEpoch: map[MemberID]uint64{}, eligible: map[MemberID]bool{},
 		committedWhenAsked: map[uint64]int{}}
 	s.intercept = s.inspect
 	if seed/3%2 == 1 {
@@ -56,6 +57,9 @@
 			}
 		}
 	}
+	if ready.PersistCompleteness {
+		s.completeEpoch[h.id] = h.replica.Epoch()
+	}
 	for _, read := range ready.ConfirmedReads {
 		s.answeredReads++
 		if read.Origin == h.id {
@@ -100,7 +104,7 @@
 // complete log, with whoever is up behind it.
 func (s *incarnationSimulation) nextView() {
 	for _, id := range s.view.Members {
-		if h := s.hosts[id]; s.knownEpoch[id] == s.view.Epoch && h.replica.Epoch() == s.view.Epoch && h.replica.IsComplete() {
+		if s.completeEpoch[id] == s.view.Epoch { // also one that has lost power since: its disk says so
 			s.eligible[id] = s.isWriter(id)
 		}
 	}
--- a/coordination/view/explore_test.go
+++ b/coordination/view/explore_test.go
@@ -13,6 +13,7 @@
 // incarnations of their senders, and may never arrive.
 type state struct {
 	members       map[MemberID]*Consensus
+	disks         map[MemberID]HardState // what Ready has asked to make durable
 	inFlight      []namedDelivery
 	decided       map[uint64]string
 	proposalsLeft int // still to be made
@@ -32,23 +33,24 @@
 type bounds struct {
 	proposals, restarts int
 	maxStates           int
-	reuseBallots        bool
-	forgetPromises      bool
+	reuseBallots        bool // the round of an own ballot is not on the disk
+	forgetPromises      bool // promises and accepted views are not on the disk
+	prepareBeforeSync   bool // a Prepare leaves before the round of its ballot is durable
 }
 
 func newState(b *bounds) *state {
 	members, _ := threeMembers()
-	s := &state{members: map[MemberID]*Consensus{}, decided: map[uint64]string{}, proposalsLeft: b.proposals, restartsLeft: b.restarts,
+	s := &state{members: map[MemberID]*Consensus{}, disks: map[MemberID]HardState{}, decided: map[uint64]string{}, proposalsLeft: b.proposals, restartsLeft: b.restarts,
 		askedToAccept: map[string]string{}}
 	for _, member := range members {
-		s.members[member.ID] = NewConsensus(HardState{Self: member, View: View{Epoch: 4, Chain: members, Electors: members},
-			CompleteEpoch: 4})
+		s.disks[member.ID] = HardState{Self: member, View: View{Epoch: 4, Chain: members, Electors: members}, CompleteEpoch: 4}
+		s.members[member.ID] = NewConsensus(s.disks[member.ID])
 	}
 	return s
 }
 
 func (s *state) clone() *state {
-	copied := &state{members: map[MemberID]*Consensus{}, inFlight: slices.Clone(s.inFlight), decided: maps.Clone(s.decided),
+	copied := &state{members: map[MemberID]*Consensus{}, disks: maps.Clone(s.disks), inFlight: slices.Clone(s.inFlight), decided: maps.Clone(s.decided),
 		proposalsLeft: s.proposalsLeft, restartsLeft: s.restartsLeft, askedToAccept: maps.Clone(s.askedToAccept), ballotReused: s.ballotReused}
 	for id, member := range s.members {
 		consensus := *member
@@ -67,8 +69,10 @@
 	sum := fnv.New64a()
 	for id := MemberID(1); id <= 3; id++ {
 		member := s.members[id]
-		d := member.hardState
-		fmt.Fprint(sum, id, d.View.Epoch, viewText(&d.View), d.PromisedBallot, d.AcceptedBallot, viewText(d.AcceptedView), d.LastRound, member.rejectedRound)
+		for _, d := range []HardState{member.hardState, s.disks[id]} {
+			fmt.Fprint(sum, id, d.View.Epoch, viewText(&d.View), d.PromisedBallot, d.AcceptedBallot, viewText(d.AcceptedView), d.LastRound)
+		}
+		fmt.Fprint(sum, member.rejectedRound)
 		if p := member.proposal; p != nil {
 			fmt.Fprint(sum, "P", p.ballot, viewText(&p.desired), viewText(p.view), sortedIDs(p.accepted))
 			for _, from := range sortedIDs(p.promises) {
@@ -115,6 +119,9 @@
 // machine ends before is the same as that its messages never arrive.
 func (s *state) handleReady(id MemberID) {
 	ready := s.members[id].Ready()
+	if ready.HardState != nil {
+		s.disks[id] = *ready.HardState
+	}
 	for _, envelope := range ready.Messages {
 		s.recordAccept(envelope.Message.Accept)
 		d := delivery{id, envelope.To, envelope.Message}
@@ -198,13 +205,16 @@
 		}
 	}
 	member.Propose(desired, nil, 2)
+	if b.prepareBeforeSync {
+		member.changed = false
+	}
 	s.handleReady(proposer)
 }
 
 // restart begins another incarnation of a member with what is on its disk, less what is planted to be forgotten.
 func (s *state) restart(id MemberID, b *bounds) {
 	s.restartsLeft--
-	durable := s.members[id].hardState
+	durable := s.disks[id]
 	if b.reuseBallots {
 		durable.LastRound = durable.PromisedBallot.Round
 	}
@@ -287,12 +297,12 @@
 	}
 }
 
-// TestPlantedBallotFaults shows that the walks find a ballot that two incarnations use, and promises that are
-// forgotten.
+// TestPlantedBallotFaults shows that the walks find a ballot that two incarnations use, promises that are forgotten, and a
+// Prepare that leaves before the round of its ballot is durable.
 func TestPlantedBallotFaults(t *testing.T) {
-	reused, forgotten := threeIncarnations, threeIncarnations
-	reused.reuseBallots, forgotten.forgetPromises, forgotten.restarts = true, true, 6
-	for name, b := range map[string]*bounds{"reused ballot": &reused, "forgotten votes": &forgotten} {
+	reused, forgotten, early := threeIncarnations, threeIncarnations, threeIncarnations
+	reused.reuseBallots, forgotten.forgetPromises, forgotten.restarts, early.prepareBeforeSync = true, true, 6, true
+	for name, b := range map[string]*bounds{"reused ballot": &reused, "forgotten votes": &forgotten, "prepare before its sync": &early} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(randomWalks) {
 				if !randomWalk(b, seed) {
