--- a/Makefile
+++ b/Makefile
@@ -66,10 +66,13 @@
 demo-system:
 	go run ./lab/demo-system
 
-# Seeded schedules of faults for the whole scheduler in virtual time; no rule may be broken.
+# Seeded schedules of faults for the whole scheduler in virtual time; no rule may be broken. One again, with its logs:
+# PROVE_LOGS=1 PROVE_SCHEDULES=1 PROVE_FIRST=SEED go test -run TestSchedules ./internal/testing/emulator
+SEEDS = $(SCHEDULES)
 SCHEDULES = 2000
+FIRST = 1
 prove-system:
-	PROVE_SCHEDULES=$(SCHEDULES) go test -timeout 60m -run TestSchedules ./internal/testing/emulator
+	go run ./lab/prove-system -seeds $(SEEDS) -first $(FIRST)
 
 # Deployments of real processes on loopback under overlapping signals, restarts and changes. By hand, 50 seeds or more:
 # make soak SOAK_SEEDS=50 SOAK_AT_ONCE=8, and one of all that the machine bears:
--- a/internal/testing/emulator/addresses_test.go
+++ b/internal/testing/emulator/addresses_test.go
@@ -29,11 +29,11 @@
 	for seed := uint64(1); seed <= addressesInTest; seed++ {
 		shape := Shape{Cores: 3, Tolerate: 1, Dispatchers: 3, Workers: 6, Guards: true}
 		result := play(t, shape, seed, reuseAddresses, logs)
-		for _, broken := range result.broken {
+		for _, broken := range result.Broken {
 			t.Errorf("seed %d: %s", seed, broken)
 		}
-		if result.completed < 20 {
-			t.Errorf("seed %d: %d jobs completed: the schedule shows little", seed, result.completed)
+		if result.Completed < 20 {
+			t.Errorf("seed %d: %d jobs completed: the schedule shows little", seed, result.Completed)
 		}
 	}
 }
--- a/internal/testing/emulator/cluster.go
+++ b/internal/testing/emulator/cluster.go
@@ -46,7 +46,9 @@
 	// Address returns where a machine serves. It may be set before the start.
 	Address     func(machine string) string
 	seed        uint64
-	hurry       atomic.Bool // operators change the configuration in quick succession
+	startedAt   time.Time
+	disruptions []DisruptionRecord // that were played; whoever plays them owns it until the end
+	hurry       atomic.Bool        // operators change the configuration in quick succession
 	random      *rand.Rand
 	logger      zerolog.Logger
 	coresMu     sync.Mutex
@@ -88,7 +90,7 @@
 
 // NewCluster returns a cluster whose machines are not started.
 func NewCluster(shape Shape, network Transport, seed uint64, logs io.Writer) *Cluster {
-	y := &Cluster{seed: seed, Shape: shape, Network: network, Checker: NewChecker(), Address: emulatedAddress, random: rand.New(rand.NewPCG(seed, 1)),
+	y := &Cluster{seed: seed, startedAt: time.Now(), Shape: shape, Network: network, Checker: NewChecker(), Address: emulatedAddress, random: rand.New(rand.NewPCG(seed, 1)),
 		lateRandom: rand.New(rand.NewPCG(seed, 2)), logger: zerolog.New(logs).With().Logger()}
 	y.client = &http.Client{Transport: &http.Transport{DisableCompression: true,
 		DialContext: func(_ context.Context, _, address string) (net.Conn, error) {
--- a/internal/testing/emulator/disk.go
+++ b/internal/testing/emulator/disk.go
@@ -17,6 +17,7 @@
 	random   *rand.Rand
 	lies     bool // planted: what is synced is lost with the power all the same
 	full     bool
+	gate     gate // closed while the process is frozen
 }
 
 // NewDisk returns an empty disk on which a sync takes so long.
@@ -118,6 +119,7 @@
 }
 
 func (f handle) WriteAt(p []byte, offset int64) (int, error) {
+	f.disk.gate.pass()
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
 	if f.disk.full {
@@ -134,6 +136,7 @@
 	covered, size := len(f.pending), len(f.content)
 	f.disk.mu.Unlock()
 	time.Sleep(f.disk.syncTime)
+	f.disk.gate.pass()
 	f.disk.mu.Lock()
 	defer f.disk.mu.Unlock()
 	if !f.disk.lies {
--- a/internal/testing/emulator/disruptions_test.go
+++ b/internal/testing/emulator/disruptions_test.go
@@ -166,6 +166,27 @@
 		time.Sleep(span)
 		core.disk.Fill(false)
 	}},
+	{"core frozen", func(y *Cluster, random *rand.Rand, span time.Duration) {
+		thaw := anyOf(random, y.Cores()).Freeze()
+		time.Sleep(span)
+		thaw()
+	}},
+	{"dispatcher frozen", func(y *Cluster, random *rand.Rand, span time.Duration) {
+		thaw := anyOf(random, y.dispatchers).Freeze()
+		time.Sleep(span)
+		thaw()
+	}},
+	{"dispatcher frozen beyond the holds of its workers", func(y *Cluster, random *rand.Rand, _ time.Duration) {
+		thaw := anyOf(random, y.dispatchers).Freeze()
+		time.Sleep(longCut)
+		thaw()
+	}},
+	{"all cores frozen", func(y *Cluster, _ *rand.Rand, span time.Duration) {
+		for _, core := range y.Cores() {
+			defer core.Freeze()()
+		}
+		time.Sleep(span / 2)
+	}},
 	{"every connection reset", func(y *Cluster, random *rand.Rand, span time.Duration) {
 		for range 1 + random.IntN(4) {
 			y.Network.Reset()
@@ -281,8 +302,10 @@
 			kind = disruptions[next%len(disruptions)]
 			next++
 		}
+		began := time.Since(y.startedAt)
 		kind.play(y, random, span)
 		played.add(kind.name)
+		y.disruptions = append(y.disruptions, DisruptionRecord{Name: kind.name, Began: began, Ended: time.Since(y.startedAt)})
 		// A machine counts as lost a while after it is back; with two to be borne the next may be lost before.
 		time.Sleep(catchUp / time.Duration(y.Shape.Tolerate))
 	}
--- a/internal/testing/emulator/history_test.go
+++ b/internal/testing/emulator/history_test.go
@@ -106,7 +106,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			result := play(t, shapeOf(seed), seed, coreFaults, io.Discard)
-			for _, broken := range result.broken {
+			for _, broken := range result.Broken {
 				t.Error(broken)
 			}
 			history := operations(result.calls)
--- a/internal/testing/emulator/network.go
+++ b/internal/testing/emulator/network.go
@@ -29,12 +29,13 @@
 	cuts      map[[2]string]bool // machines, from and to
 	dark      map[string]bool    // machines without power
 	speeds    map[string]int     // machines on links of their own, bytes a second
+	gates     map[string]*gate   // of machines whose processes may be frozen
 }
 
 // NewNetwork returns a network without machines.
 func NewNetwork() *Network {
 	return &Network{listeners: map[string]*listener{}, streams: map[*stream]bool{}, cuts: map[[2]string]bool{},
-		dark: map[string]bool{}, speeds: map[string]int{}}
+		dark: map[string]bool{}, speeds: map[string]int{}, gates: map[string]*gate{}}
 }
 
 // SetSpeed gives a machine a link that carries so many bytes a second on each connection.
@@ -156,6 +157,7 @@
 
 // Dial opens a connection to an address of another machine.
 func (m *Machine) Dial(address string, within time.Duration) (net.Conn, error) {
+	m.network.gate(m.name).pass()
 	to := machineOf(address)
 	if m.network.blocked(m.name, to) || m.network.blocked(to, m.name) {
 		time.Sleep(within)
@@ -170,11 +172,11 @@
 	}
 	there, back := m.network.stream(m.name, to), m.network.stream(to, m.name)
 	select {
-	case l.queue <- &conn{in: there, out: back, local: address, remote: m.name + ":0"}:
+	case l.queue <- newConn(there, back, address, m.name+":0"):
 	case <-l.closed:
 		return nil, refused(syscall.ECONNREFUSED)
 	}
-	return &conn{in: back, out: there, local: m.name + ":0", remote: address}, nil
+	return newConn(back, there, m.name+":0", address), nil
 }
 
 // Listen listens at an address of this machine.
--- a/internal/testing/emulator/schedule_test.go
+++ b/internal/testing/emulator/schedule_test.go
@@ -24,10 +24,8 @@
 
 // outcome is what a schedule has shown.
 type outcome struct {
-	broken              []string
-	accepted, completed int
-	configurations      int
-	calls               []ConfigCall
+	ScheduleReport
+	calls []ConfigCall
 }
 
 // provoke plays what the planted faults show in: orders without an answer at half of the workers, which are cut
@@ -97,14 +95,15 @@
 			time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
 		}
 		<-done
-		result.configurations = <-operators
+		result.Configurations = <-operators
 		for range clients {
 			<-ended
 		}
 		y.Operator.ReadBack()
 		result.calls = y.Operator.History.Calls()
-		result.accepted, result.completed = y.Checker.Finish()
-		result.broken = y.Checker.Violations()
+		result.Accepted, result.Completed = y.Checker.Finish()
+		result.Broken = y.Checker.Violations()
+		result.Seed, result.Disruptions = seed, y.disruptions
 		y.Stop()
 		time.Sleep(20 * time.Second) // orders under way and timers run out
 	})
@@ -178,12 +177,15 @@
 				logs = os.Stderr
 			}
 			result := play(t, shapeOf(seed), seed, faults, logs)
-			for _, broken := range result.broken {
+			if result.Accepted == 0 || result.Configurations == 0 {
+				result.Broken = append(result.Broken, "nothing was served: the schedule shows nothing")
+			}
+			for _, broken := range result.Broken {
 				t.Error(broken)
 			}
-			t.Logf("%d accepted, %d completed, %d configurations", result.accepted, result.completed, result.configurations)
-			if result.accepted == 0 || result.configurations == 0 {
-				t.Error("nothing was served: the schedule shows nothing")
+			t.Logf("%d accepted, %d completed, %d configurations", result.Accepted, result.Completed, result.Configurations)
+			if os.Getenv("PROVE_REPORT") != "" {
+				fmt.Println(result.Line())
 			}
 		})
 	}
@@ -220,7 +222,7 @@
 			t.Parallel()
 			if c.planted == NoFault {
 				for seed := uint64(1); seed <= sound; seed++ {
-					for _, broken := range play(t, shapeOf(seed), seed, provoke, io.Discard).broken {
+					for _, broken := range play(t, shapeOf(seed), seed, provoke, io.Discard).Broken {
 						t.Errorf("schedule %d: %s", seed, broken)
 					}
 				}
@@ -229,7 +231,7 @@
 			for seed := uint64(1); seed <= most; seed++ {
 				shape := shapeOf(seed)
 				shape.Planted = c.planted
-				for _, broken := range play(t, shape, seed, provoke, io.Discard).broken {
+				for _, broken := range play(t, shape, seed, provoke, io.Discard).Broken {
 					rule, _, _ := strings.Cut(broken, " ")
 					if slices.Contains(c.rules, rule) {
 						t.Logf("schedule %d: %s", seed, broken)
--- a/internal/testing/emulator/stream.go
+++ b/internal/testing/emulator/stream.go
@@ -95,10 +95,17 @@
 	deadline      time.Time
 	closed        bool
 	timer         *time.Timer // of the reader, made when it is first needed
+	gate          *gate       // closed while the process at this end is frozen
+}
+
+// newConn returns the end of a connection at the machine to which in leads.
+func newConn(in, out *stream, local, remote string) *conn {
+	return &conn{in: in, out: out, local: local, remote: remote, gate: in.network.gate(in.to)}
 }
 
 func (c *conn) Read(p []byte) (int, error) {
 	for {
+		c.gate.pass()
 		n, wait, err := c.in.take(p)
 		if n > 0 || err != nil {
 			return n, err
@@ -141,6 +148,7 @@
 }
 
 func (c *conn) Write(p []byte) (int, error) {
+	c.gate.pass()
 	c.mu.Lock()
 	closed := c.closed
 	c.mu.Unlock()
@@ -165,6 +173,7 @@
 }
 
 func (c *conn) Close() error {
+	c.gate.pass()
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
