A head that was frozen no longer ends all sessions for good

Cause: a head that was stopped, and woke as if no time had passed, closed the sessions of all dispatchers as silent; these judgements outlived its view and were proposed to the next head. Once no session was open, the list of sessions in the update was empty, which its encoding leaves out: no dispatcher heard that its session was over, nobody owned workers or jobs, and nothing went on, for good.

Change: judgements of a head end with its view; an engine that was held up counts silence anew; dispatchers whose session is over are disconnected where no session is open at all, so that they open new ones.

--- a/internal/control/server/commands.go
+++ b/internal/control/server/commands.go
@@ -22,6 +22,7 @@
 	encoded    []byte // the command as CBOR
 	isRead     bool
 	issuer     *dispatcher // nil: this machine itself or an operator
+	headEpoch  uint64      // of the view as whose head this machine made the command; 0: it is no judgement of a head's
 	onResult   func(statemachine.Result)
 	proposedAt time.Duration
 }
@@ -49,6 +50,20 @@
 	return t.submitFor(nil, command, protocol.Encode(command), onResult)
 }
 
+// submitAsHead proposes what this machine has judged as the head of a view, and has no outcome for anybody. It is given up
+// with the view: a head that was held up and replaced meanwhile has judged by what it had not heard.
+func (t *commandTable) submitAsHead(epoch uint64, command *statemachine.Command) {
+	_ = t.submit(command, func(statemachine.Result) {}) // a judgement is never too long
+	t.pending[t.lastTag].headEpoch = epoch
+}
+
+// giveUpJudgements forgets what was judged as the head of another view than that of an epoch.
+func (t *commandTable) giveUpJudgements(epoch uint64) {
+	maps.DeleteFunc(t.pending, func(_ uint64, command *pendingCommand) bool {
+		return command.headEpoch != 0 && command.headEpoch != epoch
+	})
+}
+
 // submitFor proposes a dispatcher's command. Once its connection has ended the command is forgotten here: the dispatcher
 // submits it again itself, over another connection.
 func (t *commandTable) submitFor(issuer *dispatcher, command *statemachine.Command, encoded []byte,
--- a/internal/control/server/dispatchers.go
+++ b/internal/control/server/dispatchers.go
@@ -35,6 +35,7 @@
 	outbox      outbox
 	outcomes    []protocol.Outcome // of commands that were just applied; they follow the updates of the same commands
 	idleTicks   int                // since it was last sent something
+	isLeaving   bool               // it has said that it shuts down
 }
 
 // dispatcherTable knows the dispatchers that are connected to this machine. It belongs to the engine.
@@ -140,6 +141,7 @@
 		s.attach(d, message.SessionRequest)
 	}
 	if message.ShuttingDown && d.session != 0 {
+		d.isLeaving = true
 		_ = s.commands.submit(&statemachine.Command{CloseSession: &statemachine.CloseSession{Session: d.session}}, func(statemachine.Result) {})
 	}
 	if !s.dispatchers.attached[d] {
@@ -228,6 +230,23 @@
 	}
 }
 
+// disconnectWithoutSessions closes the connections of dispatchers whose sessions are over while no session is open at all:
+// an empty list of sessions leaves no trace in an update, so they would not hear of it, and nobody would own anything for
+// good. They open new sessions over other connections.
+func (s *Server) disconnectWithoutSessions() {
+	if len(s.state.fsm.Sessions) > 0 {
+		return
+	}
+	for d := range s.dispatchers.attached {
+		if d.session == 0 || d.snapshotDue || d.isLeaving {
+			continue
+		}
+		s.logger.Warn().Uint64("session", d.session).Str("dispatcher", d.request.Node).Msg("no session is open any more: the dispatcher has to open another one")
+		d.conn.Close()
+		s.removeDispatcher(d)
+	}
+}
+
 // disconnectDispatchers closes all connections to dispatchers: they look for a control machine that serves.
 func (s *Server) disconnectDispatchers() {
 	for d := range s.dispatchers.attached {
--- a/internal/control/server/engine.go
+++ b/internal/control/server/engine.go
@@ -67,6 +67,7 @@
 	s.forwardProposals()
 	for s.flushConsensus() || s.flushReplica() {
 	}
+	s.disconnectWithoutSessions()
 	s.deliver()
 }
 
@@ -74,6 +75,7 @@
 // commands before anything is sent to them.
 func (s *Server) tick() {
 	now := s.now()
+	s.sessions.ticked(now)
 	s.membership.consensus.Tick()
 	s.replica.Tick(retransmitTicks)
 	s.peers.redial()
--- a/internal/control/server/membership.go
+++ b/internal/control/server/membership.go
@@ -108,6 +108,7 @@
 	s.replica.SetView(chain.View{Epoch: v.Epoch, Members: members, WriterCount: v.ReplicationFactor})
 	s.peers.add(addressesOf(v.Chain))
 	s.peers.add(addressesOf(v.Electors))
+	s.commands.giveUpJudgements(v.Epoch)
 	s.commands.repropose(0)
 }
 
--- a/internal/control/server/sessions.go
+++ b/internal/control/server/sessions.go
@@ -17,6 +17,9 @@
 	// viewChangeGrace is how long dispatchers have to come back after a change of view, which may have taken their control
 	// machine away from them.
 	viewChangeGrace = 3 * time.Second
+	// heldUpThreshold is by how much a tick comes late when the engine counts as held up: the process was stopped, or its
+	// machine was. The head then judges as after a change of view, since it has heard nobody meanwhile.
+	heldUpThreshold = 300 * time.Millisecond
 )
 
 // sessionMonitor is what the head knows of the dispatchers' connections, from its own and from heartbeats of its peers.
@@ -25,12 +28,22 @@
 	lastSeen        map[statemachine.SessionID]time.Duration // when the session was last known to be connected somewhere
 	disconnectedAt  map[statemachine.SessionID]time.Duration // when its connection was closed
 	clockAdvancedAt time.Duration
+	tickedAt        time.Duration // the last tick
+	heldUpAt        time.Duration // when the engine last went on after it was held up
 }
 
 func newSessionMonitor() *sessionMonitor {
 	return &sessionMonitor{lastSeen: map[statemachine.SessionID]time.Duration{}, disconnectedAt: map[statemachine.SessionID]time.Duration{}}
 }
 
+// ticked notes a tick, and whether the engine was held up before it.
+func (m *sessionMonitor) ticked(now time.Duration) {
+	if now-m.tickedAt > tickInterval+heldUpThreshold {
+		m.heldUpAt = now
+	}
+	m.tickedAt = now
+}
+
 // connected notes that sessions were connected to a peer at a time.
 func (m *sessionMonitor) connected(at time.Duration, ids []statemachine.SessionID) {
 	for _, id := range ids {
@@ -46,14 +59,15 @@
 }
 
 // isExpired reports whether a session that was not seen lately is to be closed. For viewChangeGrace after a view was
-// installed none is for being silent, and for sessionTimeout none for having been disconnected.
+// installed, or the engine was held up, none is for being silent, and for sessionTimeout none for having been disconnected.
 func (m *sessionMonitor) isExpired(id statemachine.SessionID, now, viewInstalledAt time.Duration) bool {
+	hearsSince := max(viewInstalledAt, m.heldUpAt)
 	lastSeen := m.lastSeen[id]
 	closedAt, isClosed := m.disconnectedAt[id]
-	if isClosed && lastSeen <= closedAt && now-closedAt > disconnectTimeout && now-viewInstalledAt > sessionTimeout {
+	if isClosed && lastSeen <= closedAt && now-closedAt > disconnectTimeout && now-hearsSince > sessionTimeout {
 		return true
 	}
-	return now-max(lastSeen, viewInstalledAt+viewChangeGrace-sessionTimeout) > sessionTimeout
+	return now-max(lastSeen, hearsSince+viewChangeGrace-sessionTimeout) > sessionTimeout
 }
 
 // forgetClosed drops what is known of sessions that are not open any more.
@@ -89,7 +103,7 @@
 		delete(m.disconnectedAt, id)
 		m.lastSeen[id] = now // so that it is closed again only after another sessionTimeout
 		s.logger.Info().Uint64("session", id).Str("dispatcher", session.Node).Msg("session expired: dispatcher silent")
-		_ = s.commands.submit(&statemachine.Command{CloseSession: &statemachine.CloseSession{Session: id}}, func(statemachine.Result) {})
+		s.commands.submitAsHead(s.replica.Epoch(), &statemachine.Command{CloseSession: &statemachine.CloseSession{Session: id}})
 	}
 }
 
@@ -100,5 +114,5 @@
 	}
 	s.sessions.clockAdvancedAt = now
 	advance := &statemachine.AdvanceClock{Tick: s.state.fsm.ClockTicks + 1}
-	_ = s.commands.submit(&statemachine.Command{AdvanceClock: advance}, func(statemachine.Result) {})
+	s.commands.submitAsHead(s.replica.Epoch(), &statemachine.Command{AdvanceClock: advance})
 }
