--- a/internal/testing/emulator/schedule_test.go
+++ b/internal/testing/emulator/schedule_test.go
@@ -243,3 +243,37 @@
 		})
 	}
 }
+
+// freezeHeads freezes all control machines for a moment, and then each of them in turn for longer than a session may be
+// silent, so that one of them is the head.
+func freezeHeads(y *Cluster, _ *rand.Rand, end time.Time) {
+	const longerThanASession, pause = 2300 * time.Millisecond, 5 * time.Second
+	var thaws []func()
+	for _, core := range y.Cores() {
+		thaws = append(thaws, core.Freeze())
+	}
+	time.Sleep(longerThanASession)
+	for _, thaw := range thaws {
+		thaw()
+	}
+	for time.Now().Before(end) {
+		for _, core := range y.Cores() {
+			time.Sleep(pause)
+			thaw := core.Freeze()
+			time.Sleep(longerThanASession)
+			thaw()
+		}
+	}
+}
+
+// A regression test: a head that was frozen, and woke as if no time had passed, ended all sessions, of which no dispatcher
+// heard; no job went on any more.
+func TestFrozenHeadsKeepJobsGoing(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(1); seed <= 3; seed++ {
+		result := play(t, shapeOf(seed), seed, freezeHeads, io.Discard)
+		for _, broken := range result.Broken {
+			t.Errorf("schedule %d: %s", seed, broken)
+		}
+	}
+}
