--- a/internal/testing/standin/worker/worker.go
+++ b/internal/testing/standin/worker/worker.go
@@ -134,6 +134,7 @@
 	return n, err
 }
 
+// serve takes a job in, and streams what becomes of it.
 func (w *Worker) serve(out http.ResponseWriter, q *http.Request) {
 	c := q.Context().Value(connKey{}).(*conn)
 	id, class := q.Header.Get("X-Request-Id"), q.Header.Get("X-Priority-Class")
@@ -143,24 +144,14 @@
 		out.WriteHeader(http.StatusNotFound)
 		return
 	}
-	w.mu.Lock()
-	place := len(w.arrivals)
-	w.arrivals = append(w.arrivals, Arrival{ID: id, Class: class, First: first})
-	w.open++
-	w.peak = max(w.peak, w.open)
-	w.mu.Unlock()
-	defer func() {
-		w.mu.Lock()
-		w.open--
-		w.mu.Unlock()
-	}()
+	place := w.arrive(Arrival{ID: id, Class: class, First: first})
+	defer w.leave()
 	if w.fails.Load() {
 		out.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	flush := http.NewResponseController(out).Flush
 	out.WriteHeader(http.StatusOK)
-	_ = flush()
+	_ = http.NewResponseController(out).Flush()
 	slots, err := strconv.Atoi(q.Header.Get("X-Slots"))
 	if err != nil {
 		slots = 1
@@ -175,11 +166,16 @@
 		w.renew()
 		stop()
 	}
-	number, news := w.Engine.Submit(slots, w.Work(class))
+	if spoilt == Alien {
+		id = "another's"
+	}
+	number, events := w.Engine.Submit(slots, w.Work(class))
 	for {
-		var e machine.Event
 		select {
-		case e = <-news:
+		case e := <-events:
+			if w.report(out, e, place, id, class); e.Kind != machine.Started {
+				return
+			}
 		case <-q.Context().Done():
 			w.Engine.Cancel(number)
 			return
@@ -187,23 +183,41 @@
 			w.Engine.Cancel(number)
 			panic(http.ErrAbortHandler)
 		}
-		if spoilt == Alien {
-			id = "another's"
-		}
-		state := [...]string{"started", "done", "returned", "lost"}[e.Kind]
-		if e.Kind == machine.Done {
-			w.mu.Lock()
-			if place < len(w.arrivals) { // else cleared meanwhile
-				w.arrivals[place].Done = true
-			}
-			w.mu.Unlock()
-		}
-		free := w.Engine.Free()
-		fmt.Fprintf(out, "{\"id\":%q,\"from\":%q,\"state\":%q,\"result\":\"%s by %s\",\"load\":{\"util\":%.2f,\"eps\":0,\"x0\":%d}}\n",
-			id, w.ID, state, class, w.ID, float64(w.slots-free)/float64(w.slots), free)
-		if e.Kind != machine.Started {
-			return
+	}
+}
+
+// arrive notes that a job has come, and returns its place among the arrivals.
+func (w *Worker) arrive(arrival Arrival) (place int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	place = len(w.arrivals)
+	w.arrivals = append(w.arrivals, arrival)
+	w.open++
+	w.peak = max(w.peak, w.open)
+	return place
+}
+
+// leave notes that a job is over.
+func (w *Worker) leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.open--
+}
+
+// report writes an event of a job's as a line.
+func (w *Worker) report(out http.ResponseWriter, e machine.Event, place int, id, class string) {
+	if e.Kind == machine.Done {
+		w.mu.Lock()
+		if place < len(w.arrivals) { // else cleared meanwhile
+			w.arrivals[place].Done = true
 		}
-		_ = flush()
+		w.mu.Unlock()
+	}
+	state := [...]string{"started", "done", "returned", "lost"}[e.Kind]
+	free := w.Engine.Free()
+	fmt.Fprintf(out, "{\"id\":%q,\"from\":%q,\"state\":%q,\"result\":\"%s by %s\",\"load\":{\"util\":%.2f,\"eps\":0,\"x0\":%d}}\n",
+		id, w.ID, state, class, w.ID, float64(w.slots-free)/float64(w.slots), free)
+	if e.Kind == machine.Started {
+		_ = http.NewResponseController(out).Flush()
 	}
 }
