Scenarios keep their state in memory: a sync of seconds on a shared disk is no fault of theirs

The coordinators' new lines say why: held up for 2 to 8 s, threads that waited 2 to 120 ms for a processor, writes that took 2 to 8.5 s; the kernel's I/O pressure was 17% full. Nothing can be agreed on while all coordinators' syncs stand.

Change: the folders of a scenario's processes are in /dev/shm where it is there. Scenarios kill processes and never lose power, so nothing that they assert rests on a disk; no bound was changed.

--- a/lab/rig/harness/scenarios_test.go
+++ b/lab/rig/harness/scenarios_test.go
@@ -44,13 +44,29 @@
 			if !s.Alone {
 				t.Parallel()
 			}
-			c := s.Config(bin, t.TempDir(), settings, 1)
+			c := s.Config(bin, stateDir(t), settings, 1)
 			c.Over = func(r *Rig) { keepLogs(t, r) }
 			s.Run(t, c)
 		})
 	}
 }
 
+// memoryFolder is a file system in memory, on Linux.
+const memoryFolder = "/dev/shm"
+
+// stateDir returns an empty folder for what the processes of a scenario keep, in memory where there is such a file system.
+// Scenarios kill processes and never lose power, so nothing that they assert rests on the disk; a disk on which a sync takes
+// seconds, since others write to it, stops all coordinators at once for as long, in which nothing can be agreed on.
+func stateDir(t *testing.T) string {
+	t.Helper()
+	dir, err := os.MkdirTemp(memoryFolder, "rig-")
+	if err != nil {
+		return t.TempDir()
+	}
+	t.Cleanup(func() { _ = os.RemoveAll(dir) })
+	return dir
+}
+
 // linesKept is how many of the last lines of each process a test that fails prints.
 const linesKept = 60
 
