Tests of the program wait for log lines in any order, and never without a bound

TestASecondSIGTERMCutsNothingShort read the process's log for "serves on" and then for "first told"; the server table's goroutine may write its line first, the test then waited for a line that had passed. Change: programLog collects the lines and finds them in whatever order they came, within the package's patience and with the log in the failure. The other waits of the package that had no bound (drain loops, a dial loop, an http.Get, calls at another address) have it too.

--- a/cmd/yardflow/endings_test.go
+++ b/cmd/yardflow/endings_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"strings"
 	"testing"
-	"time"
 
 	"yardflow/internal/platform/config"
 	"yardflow/internal/testing/standin/script"
@@ -25,23 +24,18 @@
 	pieces, silent := script.Dial(t, s.node.addr), script.Dial(t, s.node.addr)
 	first := fmt.Sprintf(whole, "pieces")
 	pieces.Send(first[:40])
-	for s.node.connLimiter.OpenConnections() < 3 {
-		time.Sleep(time.Millisecond)
-	}
+	waitUntil(t, "three connections are open", func() bool { return s.node.connLimiter.OpenConnections() >= 3 })
 	stopped := make(chan error, 1)
 	go func() { stopped <- s.node.stop() }()
-	for !s.node.frontend.Draining() {
-		time.Sleep(time.Millisecond)
-	}
+	waitUntil(t, "the node drains", s.node.frontend.Draining)
 	s.node.reload(func() (*config.Config, error) { return s.node.cfg, nil })
-	for { // until it listens no more
+	waitUntil(t, "the node listens no more", func() bool {
 		conn, err := net.Dial("tcp", s.node.addr.String())
-		if err != nil {
-			break
+		if err == nil {
+			conn.Close()
 		}
-		conn.Close()
-		time.Sleep(time.Millisecond)
-	}
+		return err != nil
+	})
 	pieces.Send(first[40:] + fmt.Sprintf(whole, "behind"))
 	silent.Send(fmt.Sprintf(whole, "late"))
 	for range 3 {
--- a/cmd/yardflow/node_test.go
+++ b/cmd/yardflow/node_test.go
@@ -67,9 +67,7 @@
 	stopped := make(chan error)
 	n, began := s.node, time.Now()
 	go func() { stopped <- n.stop() }()
-	for !n.frontend.Draining() {
-		time.Sleep(time.Millisecond)
-	}
+	waitUntil(t, "the node drains", n.frontend.Draining)
 	s.step("client b sends", fmt.Sprintf(job, "r2")) // a new connection behind the signal
 	second := s.nextDispatch()
 	s.dispatches["B"] = second
@@ -106,6 +104,16 @@
 	wantStopInOrder(t, stopped)
 }
 
+// waitUntil waits for a condition, and fails the test where it does not hold within patience.
+func waitUntil(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(patience); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("not within %v: %s", patience, what)
+		}
+	}
+}
+
 // wantStopInOrder waits for a stop that has begun, and fails where it ends in an error or not at all.
 func wantStopInOrder(t *testing.T, stopped <-chan error) {
 	t.Helper()
@@ -248,12 +256,15 @@
 	for range 2 { // again at once
 		n.reload(func() (*config.Config, error) { return &next, nil })
 	}
-	for got := range calls {
-		if strings.HasPrefix(got, "since=1&") {
-			break
-		} else if got != "" {
+	for got, limit := "", time.After(patience); !strings.HasPrefix(got, "since=1&"); {
+		if got != "" {
 			t.Errorf("asks the new address for %q, not for the whole list", got)
 		}
+		select {
+		case got = <-calls:
+		case <-limit:
+			t.Fatal("never asks the new address for what follows its list")
+		}
 	}
 	for limit := time.Now().Add(patience); n.broker.Stats().Ready != 1 || n.broker.Stats().Workers != 2; time.Sleep(time.Millisecond) {
 		if time.Now().After(limit) {
@@ -359,9 +370,7 @@
 	s.step("console include s-2", "SUCCESS include s-2")
 	stopped := make(chan error)
 	go func() { stopped <- old.stop() }()
-	for !old.frontend.Draining() {
-		time.Sleep(time.Millisecond)
-	}
+	waitUntil(t, "the old node drains", old.frontend.Draining)
 	if err := (operations{old}).Ready(); err == nil {
 		t.Error("the old one is ready while it stops")
 	}
@@ -390,8 +399,9 @@
 	case <-time.After(patience):
 		t.Fatal("the old one does not stop")
 	}
+	client := &http.Client{Timeout: patience}
 	for limit := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
-		resp, err := http.Get("http://" + spare.Addr().String() + "/healthz")
+		resp, err := client.Get("http://" + spare.Addr().String() + "/healthz")
 		if err == nil {
 			resp.Body.Close()
 		}
--- a/cmd/yardflow/signals_test.go
+++ b/cmd/yardflow/signals_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -30,8 +29,8 @@
 }
 
 // startProgram starts the program as a process of its own, with one worker in discovery's list. It
-// gives the process and its standard error.
-func startProgram(t *testing.T, worker string) (*exec.Cmd, *bufio.Scanner) {
+// gives the process and its log.
+func startProgram(t *testing.T, worker string) (*exec.Cmd, *programLog) {
 	list := listservice.Start()
 	t.Cleanup(list.Close)
 	list.Set(listservice.Entry{ID: "s-1", Addr: worker, Zone: "praha-holesovice", Kind: "dual-fast", Lifecycle: "SERVING", Weight: 1})
@@ -62,7 +61,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = cmd.Process.Kill() }) // it fails where the process has ended
-	return cmd, bufio.NewScanner(stderr)
+	return cmd, readProgramLog(stderr)
 }
 
 // send sends the process a signal.
@@ -86,17 +85,8 @@
 func TestASecondSIGTERMCutsNothingShort(t *testing.T) {
 	worker := script.NewWorker(t)
 	cmd, log := startProgram(t, worker.Addr)
-	line := func(part string) string {
-		for log.Scan() {
-			if strings.Contains(log.Text(), part) {
-				return log.Text()
-			}
-		}
-		t.Fatal("the program never says ", part)
-		return ""
-	}
-	at := regexp.MustCompile(`serves on (\S+)`).FindStringSubmatch(line("serves on"))
-	line("first told")
+	at := regexp.MustCompile(`serves on (\S+)`).FindStringSubmatch(log.waitFor(t, "serves on"))
+	log.waitFor(t, "first told")
 	addr, err := net.ResolveTCPAddr("tcp", at[1])
 	if err != nil {
 		t.Fatal(err)
@@ -106,28 +96,25 @@
 	c.Send(strings.ReplaceAll(request, "\n", "\r\n"))
 	call := worker.Next()
 	send(t, cmd, syscall.SIGTERM)
-	line("stopping")
+	log.waitFor(t, "stopping")
 	send(t, cmd, syscall.SIGTERM)
 	send(t, cmd, syscall.SIGHUP)
-	line("reload")
+	log.waitFor(t, "reload")
 	send(t, cmd, syscall.SIGTERM)
 	call.Done("ok")
 	if status, body := c.Answer(); status != 200 || body != "ok" {
 		t.Errorf("status %d, body %q", status, body)
 	}
 	c.Close()
-	for log.Scan() {
-	}
+	log.waitForEnd(t)
 	wantExitInOrder(t, cmd)
 }
 
 // SIGTERM in the moment in which the program begins to serve ends it in order.
 func TestSIGTERMAtTheStartEndsInOrder(t *testing.T) {
 	cmd, log := startProgram(t, script.NewWorker(t).Addr)
-	for log.Scan() && !strings.Contains(log.Text(), "serves on") {
-	}
+	log.waitFor(t, "serves on")
 	send(t, cmd, syscall.SIGTERM)
-	for log.Scan() {
-	}
+	log.waitForEnd(t)
 	wantExitInOrder(t, cmd)
 }
