--- a/lab/demo/main.go
+++ b/lab/demo/main.go
@@ -9,6 +9,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"slices"
@@ -155,10 +156,36 @@
 	}
 }
 
+// report prints what became of the jobs, and returns an error that names the broken rules.
 func report(s *deployment.Shop, all []deployment.Result, at stops) error {
 	out := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
+	broken := slices.Concat(reportClasses(out, all), reportWorkers(out, s, at))
+	_ = out.Flush()
+	if twice := s.Twice("issue-loan"); len(twice) > 0 {
+		broken = append(broken, fmt.Sprintf("issue-loan was sent twice: %v", twice))
+	}
+	if served := slices.ContainsFunc(all, func(r deployment.Result) bool { return r.Status == 200 }); !served {
+		broken = append(broken, "nothing was served")
+	}
+	text, err := s.Call("sources")
+	if err != nil {
+		return err
+	}
+	fmt.Printf("\nsources: %s\n", text)
+	if text, err = s.Call("worker w1"); err != nil {
+		return err
+	}
+	fmt.Printf("worker w1: %s\n", text)
+	if len(broken) > 0 {
+		return fmt.Errorf("broken rules:\n  %s", strings.Join(broken, "\n  "))
+	}
+	fmt.Println("\nno rule was broken")
+	return nil
+}
+
+// reportClasses writes a line for each class, and returns the rules that its answers break.
+func reportClasses(out io.Writer, all []deployment.Result) (broken []string) {
 	fmt.Fprintln(out, "\nclass\tjobs\tserved\trefused\tlate or failed\tslowest")
-	var broken []string
 	for _, class := range []string{"issue-loan", "package-file"} {
 		jobs, served, refused, other, slowest := 0, 0, 0, 0, time.Duration(0)
 		for _, r := range all {
@@ -180,6 +207,11 @@
 		}
 		fmt.Fprintf(out, "%s\t%d\t%d\t%d\t%d\t%v\n", class, jobs, served, refused, other, slowest.Round(time.Millisecond))
 	}
+	return broken
+}
+
+// reportWorkers writes a line for each worker, and returns the rules that were broken at one that was taken out.
+func reportWorkers(out io.Writer, s *deployment.Shop, at stops) (broken []string) {
 	fmt.Fprintln(out, "\nworker\tjobs\tdone\tlatest first byte after it was taken out\taim")
 	for _, id := range sorted(s) {
 		jobs, done := 0, 0
@@ -209,27 +241,7 @@
 		}
 		fmt.Fprintf(out, "%s\t%d\t%d\t%s\t%s\n", id, jobs, done, latest, aim)
 	}
-	_ = out.Flush()
-	if twice := s.Twice("issue-loan"); len(twice) > 0 {
-		broken = append(broken, fmt.Sprintf("issue-loan was sent twice: %v", twice))
-	}
-	if served := slices.ContainsFunc(all, func(r deployment.Result) bool { return r.Status == 200 }); !served {
-		broken = append(broken, "nothing was served")
-	}
-	text, err := s.Call("sources")
-	if err != nil {
-		return err
-	}
-	fmt.Printf("\nsources: %s\n", text)
-	if text, err = s.Call("worker w1"); err != nil {
-		return err
-	}
-	fmt.Printf("worker w1: %s\n", text)
-	if len(broken) > 0 {
-		return fmt.Errorf("broken rules:\n  %s", strings.Join(broken, "\n  "))
-	}
-	fmt.Println("\nno rule was broken")
-	return nil
+	return broken
 }
 
 func sorted(s *deployment.Shop) (ids []string) {
--- a/lab/fleet/main.go
+++ b/lab/fleet/main.go
@@ -10,314 +10,180 @@
 package main
 
 import (
-	"bufio"
 	"cmp"
 	"flag"
 	"fmt"
+	"io"
 	"maps"
 	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
-	"strings"
-	"time"
 )
 
-// try is one attempt as its dispatcher saw it; times are seconds of the day, 0: never.
-type try struct {
-	worker                         string
-	sent, conn, wrote, started, at float64
-	reused                         bool
-	code                           int
-	age                            float64 // of the worker when it was sent, as the list told; below 0: not cold
+func main() {
+	rowSeconds := flag.Float64("every", 1, "length of a row, in seconds")
+	listedWorkers := flag.Int("workers", 12, "how many workers to list, most waited for first")
+	slack := flag.Float64("aim", 0.2, "slack of an in-time answer, in seconds, beside the stretch")
+	flag.Parse()
+	if err := run(os.Stdout, flag.Arg(0), *rowSeconds, *listedWorkers, *slack); err != nil {
+		fmt.Fprintln(os.Stderr, "fleet:", err)
+		os.Exit(1)
+	}
 }
 
-type job struct {
-	file    string
-	class   int
-	arrived float64
-	done    float64
-	verdict int
-	tries   []*try
+func run(out io.Writer, folder string, rowSeconds float64, listedWorkers int, slack float64) error {
+	files, _ := filepath.Glob(filepath.Join(folder, "*.log"))
+	if len(files) == 0 {
+		return fmt.Errorf("no logs in %s", folder)
+	}
+	c := newCounts(rowSeconds)
+	var requests []*request
+	for _, path := range files {
+		ofFile, err := readFile(path, c)
+		if err != nil {
+			return err
+		}
+		requests = append(requests, ofFile...)
+	}
+	fmt.Fprintf(out, "%d dispatchers, %d requests, %d workers\n\n", len(files), len(requests), len(c.workers))
+	c.printRows(out)
+	printCauses(out, requests, slack, causeRows*rowSeconds)
+	c.printWorkers(out, listedWorkers)
+	return nil
 }
 
-type worker struct {
-	id                 string
-	kind, zone         string
-	sends, ok, started int
-	wait, run          float64
-	codes              map[int]int
+func readFile(path string, c *counts) ([]*request, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return readLog(path, f, c)
 }
 
-var codes = []string{"ok", "failed", "full", "timeout", "connect", "broken", "cancelled", "neversent", "unknown", "dropped"}
+// unknownAge is the age of a worker whose start the list has not named.
+const unknownAge = -1
+
+// outcome is how an attempt ended, by the code in the log.
+type outcome int
+
+const (
+	outcomeOK      outcome = 0
+	outcomeTimeout outcome = 3
+)
+
+// outcomeNames are the outcomes' names, by code.
+var outcomeNames = []string{"ok", "failed", "full", "timeout", "connect", "broken", "cancelled", "neversent", "unknown", "dropped"}
 
-func word(code int) string {
-	if code >= 0 && code < len(codes) {
-		return codes[code]
+func (o outcome) String() string {
+	if o >= 0 && int(o) < len(outcomeNames) {
+		return outcomeNames[o]
 	}
-	return strconv.Itoa(code)
+	return strconv.Itoa(int(o))
+}
+
+// attempt is one attempt as its dispatcher saw it; times are seconds of the day, 0: never.
+type attempt struct {
+	worker                                   string
+	sent, connected, written, started, ended float64
+	reused                                   bool // its connection
+	outcome                                  outcome
+	workerAge                                float64 // seconds since the worker's start when it was sent, as listed; or unknownAge
+}
+
+// request is one request as its dispatcher saw it; times are seconds of the day, 0: never.
+type request struct {
+	file          string
+	class         int
+	arrived, done float64
+	verdict       int
+	attempts      []*attempt
+}
+
+// lastAttempt returns the newest attempt, nil where there is none.
+func (q *request) lastAttempt() *attempt {
+	if len(q.attempts) == 0 {
+		return nil
+	}
+	return q.attempts[len(q.attempts)-1]
 }
 
 // row is what happened in one stretch of the day.
 type row struct {
-	arrived, sent, fresh, asks, askFails, lists int
-	codes                                       map[int]int
-	waits                                       []float64
+	arrived, sent, freshConnections, asks, askFails, lists int
+	outcomes                                               map[outcome]int
+	waits                                                  []float64
 }
 
-func main() {
-	every := flag.Float64("every", 1, "length of a row, in seconds")
-	top := flag.Int("workers", 12, "how many workers to list, most waited for first")
-	aim := flag.Float64("aim", 0.2, "slack of an in-time answer, in seconds, beside the stretch")
-	flag.Parse()
-	files, _ := filepath.Glob(filepath.Join(flag.Arg(0), "*.log"))
-	if len(files) == 0 {
-		fmt.Fprintln(os.Stderr, "fleet: no logs in", flag.Arg(0))
-		os.Exit(1)
-	}
-	rows, workers := map[int]*row{}, map[string]*worker{}
-	at := func(t float64) *row {
-		i := int(t / *every)
-		if rows[i] == nil {
-			rows[i] = &row{codes: map[int]int{}}
-		}
-		return rows[i]
-	}
-	var jobs []*job
-	for _, f := range files {
-		jobs = append(jobs, read(f, at, workers)...)
-	}
-	fmt.Printf("%d dispatchers, %d requests, %d workers\n\n", len(files), len(jobs), len(workers))
-	fmt.Println("   from  arrive   send  fresh   asks fails  told  wait50  wait90  outcomes")
-	for _, i := range slices.Sorted(maps.Keys(rows)) {
-		r := rows[i]
-		slices.Sort(r.waits)
-		fmt.Printf("%7.1f %7d %6d %6d %6d %5d %5d %7.3f %7.3f ", float64(i)**every, r.arrived, r.sent, r.fresh, r.asks, r.askFails, r.lists,
-			quantile(r.waits, 0.5), quantile(r.waits, 0.9))
-		for _, c := range slices.Sorted(maps.Keys(r.codes)) {
-			if c != 0 {
-				fmt.Printf(" %s=%d", word(c), r.codes[c])
-			}
-		}
-		fmt.Println()
-	}
-	causes(jobs, *aim, *every)
-	list := slices.SortedFunc(maps.Values(workers), func(a, b *worker) int {
-		return cmp.Compare(b.wait/float64(max(b.started, 1)), a.wait/float64(max(a.started, 1)))
-	})
-	fmt.Println("\nworker        kind zone  sends  started  wait(s)   run(s)  outcomes")
-	for _, w := range list[:min(*top, len(list))] {
-		fmt.Printf("%-12s %5s %4s %6d %8d %8.3f %8.3f  ", w.id, w.kind, w.zone, w.sends, w.started, w.wait/float64(max(w.started, 1)), w.run/float64(max(w.ok, 1)))
-		for _, c := range slices.Sorted(maps.Keys(w.codes)) {
-			fmt.Printf(" %s=%d", word(c), w.codes[c])
-		}
-		fmt.Println()
-	}
+// worker is what happened at one worker; times are summed seconds.
+type worker struct {
+	id                        string
+	kind, zone                string
+	sends, completed, started int
+	waited, ran               float64
+	outcomes                  map[outcome]int
 }
 
-// causes splits the requests that did not end well by what took their time.
-func causes(jobs []*job, aim, every float64) {
-	type cell struct{ n int }
-	total := map[string]*cell{}
-	by := map[int]map[string]int{}
-	add := func(j *job, cause string) {
-		if total[cause] == nil {
-			total[cause] = &cell{}
-		}
-		total[cause].n++
-		i := int(j.arrived / (5 * every))
-		if by[i] == nil {
-			by[i] = map[string]int{}
-		}
-		by[i][cause]++
-	}
-	for _, j := range jobs {
-		add(j, why(j, aim))
-	}
-	fmt.Println("\ncause (all requests), and by the time of arrival")
-	names := slices.SortedFunc(maps.Keys(total), func(a, b string) int { return total[b].n - total[a].n })
-	fmt.Printf("%-34s %6s", "", "all")
-	spans := slices.Sorted(maps.Keys(by))
-	for _, i := range spans {
-		fmt.Printf(" %6.0f", float64(i)*5*every)
-	}
-	fmt.Println()
-	for _, n := range names {
-		fmt.Printf("%-34s %6d", n, total[n].n)
-		for _, i := range spans {
-			fmt.Printf(" %6d", by[i][n])
-		}
-		fmt.Println()
-	}
+func (w *worker) meanWait() float64 { return w.waited / float64(max(w.started, 1)) }
+
+// counts are the sums over all logs.
+type counts struct {
+	rowSeconds float64
+	rows       map[int]*row
+	workers    map[string]*worker
 }
 
-// why words what became of a request: in time by the run it had, or what made it late.
-func why(j *job, aim float64) string {
-	if len(j.tries) == 0 {
-		if j.done == 0 {
-			return "never answered (killed?)"
-		}
-		return "given up, never sent"
-	}
-	last := j.tries[len(j.tries)-1]
-	if last.code != 0 || last.at == 0 {
-		switch {
-		case last.at == 0:
-			return "out when the log ends"
-		case last.code == 3 && last.started == 0 && last.conn == 0:
-			return "time-out connecting"
-		case last.code == 3 && last.started == 0:
-			return "time-out, not started" + cold(last)
-		case last.code == 3:
-			return "time-out, started" + cold(last)
-		}
-		return "ended " + word(last.code) + fmt.Sprintf(", %d tries", len(j.tries))
-	}
-	run, before := last.at-last.started, last.sent-j.arrived
-	if last.started == 0 {
-		run = last.at - last.wrote
-	}
-	slack := aim + run // twice its own running time, at about speed 1
-	if j.class > 0 {
-		slack = 2.5*aim + 1.5*run
+func newCounts(rowSeconds float64) *counts {
+	return &counts{rowSeconds: rowSeconds, rows: map[int]*row{}, workers: map[string]*worker{}}
+}
+
+// row returns the row of a second of the day.
+func (c *counts) row(second float64) *row {
+	i := int(second / c.rowSeconds)
+	if c.rows[i] == nil {
+		c.rows[i] = &row{outcomes: map[outcome]int{}}
 	}
-	switch {
-	case last.at-j.arrived <= slack+run:
-		return "in time, about"
-	case before > slack/2 && len(j.tries) > 1:
-		return "late: tries before"
-	case before > slack/2:
-		return "late: held"
-	case last.wrote-last.sent > slack/2:
-		return "late: connecting"
+	return c.rows[i]
+}
+
+func (c *counts) worker(id string) *worker {
+	if c.workers[id] == nil {
+		c.workers[id] = &worker{id: id, outcomes: map[outcome]int{}}
 	}
-	return "late: waited at the worker" + cold(last)
+	return c.workers[id]
 }
 
-func cold(t *try) string {
-	if t.age >= 0 && t.age < 8.3 {
-		return " (cold)"
+func (c *counts) printRows(out io.Writer) {
+	fmt.Fprintln(out, "   from  arrive   send  fresh   asks fails  told  wait50  wait90  outcomes")
+	for _, i := range slices.Sorted(maps.Keys(c.rows)) {
+		r := c.rows[i]
+		slices.Sort(r.waits)
+		fmt.Fprintf(out, "%7.1f %7d %6d %6d %6d %5d %5d %7.3f %7.3f ", float64(i)*c.rowSeconds, r.arrived, r.sent, r.freshConnections,
+			r.asks, r.askFails, r.lists, quantile(r.waits, 0.5), quantile(r.waits, 0.9))
+		printOutcomes(out, r.outcomes, func(o outcome) bool { return o != outcomeOK })
 	}
-	return ""
 }
 
-// read takes in one dispatcher's log, which may hold several lives of it.
-func read(path string, at func(float64) *row, workers map[string]*worker) (all []*job) {
-	f, err := os.Open(path)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "fleet:", err)
-		os.Exit(1)
+func (c *counts) printWorkers(out io.Writer, most int) {
+	list := slices.SortedFunc(maps.Values(c.workers), func(a, b *worker) int {
+		return cmp.Or(cmp.Compare(b.meanWait(), a.meanWait()), cmp.Compare(a.id, b.id))
+	})
+	fmt.Fprintln(out, "\nworker        kind zone  sends  started  wait(s)   run(s)  outcomes")
+	for _, w := range list[:min(most, len(list))] {
+		fmt.Fprintf(out, "%-12s %5s %4s %6d %8d %8.3f %8.3f  ", w.id, w.kind, w.zone, w.sends, w.started, w.meanWait(), w.ran/float64(max(w.completed, 1)))
+		printOutcomes(out, w.outcomes, func(outcome) bool { return true })
 	}
-	defer f.Close()
-	open := map[string]*job{}
-	started := map[string]float64{} // of workers, Unix ms
-	var first time.Time             // the dispatcher's clock at the day's second 0
-	base := 0.0                     // Unix ms at the day's second 0, roughly: unknown until told
-	in := bufio.NewScanner(f)
-	in.Buffer(nil, 1<<20)
-	for in.Scan() {
-		p := strings.Fields(in.Text())
-		if len(p) < 3 {
-			continue
-		}
-		t, err := strconv.ParseFloat(strings.Trim(p[0], "[]"), 64)
-		if err != nil {
-			continue
-		}
-		if clock, err := time.Parse("15:04:05", p[1]); err == nil {
-			// The second is rounded; the dispatcher's own clock is not.
-			if first.IsZero() {
-				first = clock.Add(-time.Duration(t * 1e9))
-			}
-			t = clock.Sub(first).Seconds()
-		}
-		p = p[2:]
-		key := func(name string) string {
-			for _, s := range p {
-				if v, ok := strings.CutPrefix(s, name+"="); ok {
-					return v
-				}
-			}
-			return ""
-		}
-		num := func(name string) float64 { v, _ := strconv.ParseFloat(key(name), 64); return v }
-		w := func() *worker {
-			id := key("to")
-			if workers[id] == nil {
-				workers[id] = &worker{id: id, codes: map[int]int{}}
-			}
-			return workers[id]
-		}
-		var j *job
-		var last *try
-		if len(p) > 1 {
-			if j = open[p[1]]; j != nil && len(j.tries) > 0 {
-				last = j.tries[len(j.tries)-1]
-			}
-		}
-		switch {
-		case p[0] == "arrive":
-			j := &job{file: path, class: int(num("class")), arrived: t}
-			open[p[1]], all = j, append(all, j)
-			at(t).arrived++
-		case p[0] == "send" && j != nil:
-			s := &try{worker: key("to"), sent: t, age: -1}
-			if b := started[s.worker]; b > 0 && base > 0 {
-				s.age = t - (b-base)/1000
-			}
-			j.tries = append(j.tries, s)
-			at(t).sent++
-			w().sends++
-		case p[0] == "try" && last != nil && slices.Contains(p, "conn"):
-			last.conn, last.reused = t, key("reused") == "true"
-			if !last.reused {
-				at(t).fresh++
-			}
-		case p[0] == "try" && last != nil && slices.Contains(p, "wrote"):
-			last.wrote = t
-		case p[0] == "note" && last != nil && key("kind") == "1":
-			if last.started == 0 {
-				last.started = t
-				at(last.sent).waits = append(at(last.sent).waits, t-last.sent)
-				w().started++
-				w().wait += t - last.sent
-			}
-		case p[0] == "end" && last != nil:
-			last.at, last.code = t, int(num("code"))
-			at(t).codes[last.code]++
-			w().codes[last.code]++
-			if last.code == 0 {
-				j.done = t
-				if last.started > 0 {
-					w().ok++
-					w().run += t - last.started
-				}
-			}
-		case p[0] == "answer" && j != nil:
-			j.done, j.verdict = t, int(num("verdict"))
-		case p[0] == "ask":
-			at(t).asks++
-		case p[0] == "asked":
-			if key("err") != "<nil>" {
-				at(t).askFails++
-			} else {
-				at(t).lists++
-			}
-		case p[0] == "list" && len(p) > 2:
-			if b := num("started"); b > 0 {
-				// The newest start told is a little in the past: good enough to tell cold from warm.
-				started[p[2]] = b
-				base = max(base, b-1000*t)
-			}
-			if k := key("kind"); k != "" {
-				if workers[p[2]] == nil {
-					workers[p[2]] = &worker{id: p[2], codes: map[int]int{}}
-				}
-				workers[p[2]].kind, workers[p[2]].zone = k, key("zone")
-			}
+}
+
+// printOutcomes ends a line with the number of each outcome that is shown.
+func printOutcomes(out io.Writer, outcomes map[outcome]int, shown func(outcome) bool) {
+	for _, o := range slices.Sorted(maps.Keys(outcomes)) {
+		if shown(o) {
+			fmt.Fprintf(out, " %v=%d", o, outcomes[o])
 		}
 	}
-	return all
+	fmt.Fprintln(out)
 }
 
 func quantile(sorted []float64, q float64) float64 {
