--- a/cmd/adapter/host.go
+++ b/cmd/adapter/host.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
+	"yardflow/internal/gateway/config"
 	"yardflow/internal/gateway/simwire"
-	"yardflow/internal/platform/config"
 	"yardflow/scheduling/dispatch"
 )
 
--- a/cmd/coordinator/config.go
+++ b/cmd/coordinator/config.go
@@ -13,21 +13,21 @@
 
 	"yardflow/internal/fleet/consensus"
 	"yardflow/internal/fleet/statemachine"
-	"yardflow/internal/platform/config"
+	"yardflow/internal/platform/tomlfile"
 )
 
 // fileConfig is a coordinator's file.
 type fileConfig struct {
-	Fleet           string          `toml:"fleet"`
-	Member          uint64          `toml:"member"`
-	Listen          string          `toml:"listen"`
-	Folder          string          `toml:"folder"`
-	Lease           config.Duration `toml:"lease"`
-	VoteTimeout     config.Duration `toml:"answer"`
-	OnLeaseLoss     string          `toml:"fence"`
-	PolicyHistory   int             `toml:"keep"`
-	Tick            config.Duration `toml:"tick"`
-	SnapshotEntries int             `toml:"snapshot"`
+	Fleet           string            `toml:"fleet"`
+	Member          uint64            `toml:"member"`
+	Listen          string            `toml:"listen"`
+	Folder          string            `toml:"folder"`
+	Lease           tomlfile.Duration `toml:"lease"`
+	VoteTimeout     tomlfile.Duration `toml:"answer"`
+	OnLeaseLoss     string            `toml:"fence"`
+	PolicyHistory   int               `toml:"keep"`
+	Tick            tomlfile.Duration `toml:"tick"`
+	SnapshotEntries int               `toml:"snapshot"`
 	Members         []struct {
 		ID   uint64 `toml:"id"`
 		Addr string `toml:"addr"`
@@ -38,11 +38,11 @@
 
 func defaultConfig() *fileConfig {
 	return &fileConfig{
-		Lease:           config.Duration{Duration: 3 * time.Second},
-		VoteTimeout:     config.Duration{Duration: 10 * time.Second},
+		Lease:           tomlfile.Duration{Duration: 3 * time.Second},
+		VoteTimeout:     tomlfile.Duration{Duration: 10 * time.Second},
 		OnLeaseLoss:     "refuse",
 		PolicyHistory:   50,
-		Tick:            config.Duration{Duration: 100 * time.Millisecond},
+		Tick:            tomlfile.Duration{Duration: 100 * time.Millisecond},
 		SnapshotEntries: 2000,
 	}
 }
@@ -75,7 +75,7 @@
 		v.addDecodeError(err)
 		return nil, errors.Join(v.errs...)
 	}
-	v.keys = config.IndexKeys(text)
+	v.keys = tomlfile.IndexKeys(text)
 	c.validate(v)
 	if len(v.errs) > 0 {
 		return nil, errors.Join(v.errs...)
@@ -134,7 +134,7 @@
 // validator collects the faults of a file.
 type validator struct {
 	file string
-	keys config.KeyIndex
+	keys tomlfile.KeyIndex
 	errs []error
 }
 
@@ -156,7 +156,7 @@
 	v.addAt(line, "%s: %s", key, fmt.Sprintf(format, args...))
 }
 
-func (v *validator) checkRange(key string, d config.Duration, least, most time.Duration) {
+func (v *validator) checkRange(key string, d tomlfile.Duration, least, most time.Duration) {
 	if d.Duration < least || d.Duration > most {
 		v.add(key, "%v; expected %v to %v", d, least, most)
 	}
--- a/cmd/coordinator/workflows.go
+++ b/cmd/coordinator/workflows.go
@@ -15,8 +15,8 @@
 
 	"yardflow/internal/fleet/statemachine"
 	"yardflow/internal/fleet/transport"
-	"yardflow/internal/fleet/workflow/claims"
-	"yardflow/internal/fleet/workflow/expansion"
+	"yardflow/internal/workflow/claims"
+	"yardflow/internal/workflow/expansion"
 )
 
 func newFlowCommand(c *cli) *cobra.Command {
--- a/cmd/yardflow/fleet.go
+++ b/cmd/yardflow/fleet.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"yardflow/internal/discovery/backoff"
-	"yardflow/internal/discovery/relayedlist"
 	"yardflow/internal/fleet/coldstart"
 	"yardflow/internal/fleet/coldstart/relay"
 	"yardflow/internal/fleet/coldstart/speeds"
@@ -21,6 +20,7 @@
 	"yardflow/internal/fleet/statemachine"
 	"yardflow/internal/fleet/transport"
 	"yardflow/internal/gateway/hotrestart"
+	"yardflow/internal/gateway/relayedlist"
 	"yardflow/internal/gateway/workflowsteps"
 	"yardflow/internal/platform/timers"
 )
@@ -83,9 +83,9 @@
 	// coordinators are waited for as long as a list may be old.
 	wait := coordinatorWait
 	if onLeaseLoss == statemachine.RefuseWork {
-		wait = max(cfg.Dispatch.ListRefreshInterval, wait)
+		wait = max(cfg.Dispatch.List.RefreshInterval, wait)
 	}
-	f.coldStart = coldstart.NewClient(f.now, wait+backoff.BeforeFirstCall(cfg.Dispatch.DispatcherCount, rand.Float64()))
+	f.coldStart = coldstart.NewClient(f.now, wait+backoff.BeforeFirstCall(cfg.Dispatch.Fleet.Count, rand.Float64()))
 	applyPolicy := f.applyPolicy
 	if kept := hotrestart.OpenPolicyFile(dir, cfg.Name); onLeaseLoss == statemachine.KeepLastPolicy {
 		if p, ok := f.restorePolicy(kept); ok {
@@ -96,7 +96,7 @@
 	}
 	client := transport.NewClient(cfg.Coordinators.Fleet, cfg.Coordinators.Addresses)
 	f.session = transport.NewLeaseSession(client, lease, f.began, f.hooks(applyPolicy))
-	f.relay = relayedlist.New(cfg.Name, cfg.Dispatch.Zone, f.coldStart, n.table, f.session, logLine)
+	f.relay = relayedlist.New(cfg.Name, cfg.Dispatch.Fleet.Zone, f.coldStart, n.table, f.session, logLine)
 	n.table.EnableSharing(f.coldStart, f.relay.Publish)
 	n.requestReader.SetAdmissionGate(f.admission)
 	f.run()
@@ -127,7 +127,7 @@
 func (f *fleetMember) hooks(applyPolicy func(statemachine.Policy) error) transport.Hooks {
 	return transport.Hooks{
 		Log:         logLine,
-		Zone:        f.node.cfg.Dispatch.Zone,
+		Zone:        f.node.cfg.Dispatch.Fleet.Zone,
 		CheckPolicy: func(p statemachine.Policy) error { _, err := f.checkPolicy(p); return err },
 		ApplyPolicy: applyPolicy,
 
@@ -187,7 +187,7 @@
 		return
 	}
 	own := slices.DeleteFunc(slices.Clone(all), func(e outlier.EjectionNotice) bool {
-		return e.Zone != outlier.AllZones && e.Zone != f.node.cfg.Dispatch.Zone
+		return e.Zone != outlier.AllZones && e.Zone != f.node.cfg.Dispatch.Fleet.Zone
 	})
 	f.reporter.Reinstated(f.ejections, own)
 	f.ejections = own
--- a/cmd/yardflow/listeners.go
+++ b/cmd/yardflow/listeners.go
@@ -10,8 +10,8 @@
 	"syscall"
 	"time"
 
+	"yardflow/internal/gateway/config"
 	"yardflow/internal/gateway/ssefront"
-	"yardflow/internal/platform/config"
 )
 
 // listen opens the fronts.
--- a/cmd/yardflow/main.go
+++ b/cmd/yardflow/main.go
@@ -16,15 +16,16 @@
 	"runtime/debug"
 	"syscall"
 
-	"yardflow/internal/platform/config"
-	"yardflow/internal/platform/haproxy"
+	"yardflow/internal/gateway/config"
+	"yardflow/internal/gateway/haproxy"
+	"yardflow/internal/platform/fault"
 	"yardflow/internal/platform/invariant"
 )
 
 func main() {
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
 	if err := run(os.Args[1:]); err != nil {
-		fmt.Fprintln(os.Stderr, "yardflow:", err)
+		fmt.Fprintln(os.Stderr, "yardflow:", fault.Text(err))
 		os.Exit(1)
 	}
 }
--- a/cmd/yardflow/node.go
+++ b/cmd/yardflow/node.go
@@ -11,13 +11,13 @@
 	"sync/atomic"
 	"time"
 
-	"yardflow/internal/discovery/sources"
 	"yardflow/internal/fleet/policy"
 	"yardflow/internal/gateway/broker"
+	"yardflow/internal/gateway/config"
 	"yardflow/internal/gateway/datagram"
 	"yardflow/internal/gateway/hotrestart"
 	"yardflow/internal/gateway/httpfront"
-	"yardflow/internal/platform/config"
+	"yardflow/internal/gateway/sources"
 	"yardflow/internal/platform/console"
 )
 
--- a/cmd/yardflow/policy.go
+++ b/cmd/yardflow/policy.go
@@ -8,17 +8,17 @@
 
 	"yardflow/internal/fleet/policy"
 	"yardflow/internal/fleet/statemachine"
-	"yardflow/internal/fleet/workflow/pool"
 	"yardflow/internal/gateway/broker"
+	"yardflow/internal/gateway/config"
 	"yardflow/internal/gateway/hotrestart"
-	"yardflow/internal/platform/config"
+	"yardflow/internal/workflow/pool"
 )
 
 // withPolicy returns a configuration with what a policy overrides in it.
 func withPolicy(base *config.Config, doc policy.Document) (*config.Config, error) {
 	own := *base
 	if doc.MaxAttempts > 0 {
-		own.Dispatch.MaxAttempts = min(own.Dispatch.MaxAttempts, doc.MaxAttempts)
+		own.Dispatch.Attempts.Max = min(own.Dispatch.Attempts.Max, doc.MaxAttempts)
 	}
 	if doc.MergeRule != "" {
 		own.Membership.Rule = doc.MergeRule
--- a/cmd/yardflow/reload.go
+++ b/cmd/yardflow/reload.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"yardflow/internal/platform/config"
+	"yardflow/internal/gateway/config"
 )
 
 // reload takes over a configuration that was replaced while the node runs. One that is
@@ -43,7 +43,7 @@
 	if next.Discovery != "" { // a fixed list of workers has none
 		n.table.SwitchSource(next.Discovery)
 	}
-	log.Printf("reload: discovery at %s; classes %v, %d attempts", next.Discovery, next.Classes, next.Dispatch.MaxAttempts)
+	log.Printf("reload: discovery at %s; classes %v, %d attempts", next.Discovery, next.Classes, next.Dispatch.Attempts.Max)
 }
 
 // longestDeadline is the longest deadline of a configuration's classes.
--- a/cmd/yardflow/workflows.go
+++ b/cmd/yardflow/workflows.go
@@ -8,10 +8,10 @@
 
 	"yardflow/internal/fleet/policy"
 	"yardflow/internal/fleet/statemachine"
-	"yardflow/internal/fleet/workflow/pool"
-	"yardflow/internal/fleet/workflow/template"
+	"yardflow/internal/gateway/config"
 	"yardflow/internal/gateway/workflowsteps"
-	"yardflow/internal/platform/config"
+	"yardflow/internal/workflow/pool"
+	"yardflow/internal/workflow/template"
 )
 
 // checkWorkflows reports whether a policy's workflows could run under a configuration.
--- a/deploy/check.sh
+++ b/deploy/check.sh
@@ -20,7 +20,7 @@
 ( cd deploy/example && mkdir "$dir/example" && cp config.json "$dir/example/" && mkdir "$dir/example/deploy" && cp yardflow.toml "$dir/example/deploy/" )
 ( bin=$PWD/bin; cd "$dir/example" && NODE_CONFIG=config.json "$bin/yardflow" check )
 NODE_CONFIG=deploy/example/quiz-room.json bin/yardflow check
-bin/yardflow import internal/platform/haproxy/testdata/loans.cfg > "$dir/imported.json" 2> /dev/null
+bin/yardflow import internal/gateway/haproxy/testdata/loans.cfg > "$dir/imported.json" 2> /dev/null
 NODE_CONFIG="$dir/imported.json" bin/yardflow check
 # The start itself has the second front on, as deploy/yardflow.toml would set it.
 mkdir -p "$dir/deploy"
--- a/internal/fleet/policy/policy.go
+++ b/internal/fleet/policy/policy.go
@@ -17,7 +17,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"yardflow/internal/fleet/workflow/pool"
+	"yardflow/internal/workflow/pool"
 )
 
 // Document is one policy. What it leaves out stays as the dispatchers' own files have it.
--- a/internal/fleet/policy/workflow.go
+++ b/internal/fleet/policy/workflow.go
@@ -7,9 +7,9 @@
 	"strings"
 	"time"
 
-	"yardflow/internal/fleet/workflow/graph"
-	"yardflow/internal/fleet/workflow/pool"
-	"yardflow/internal/fleet/workflow/template"
+	"yardflow/internal/workflow/graph"
+	"yardflow/internal/workflow/pool"
+	"yardflow/internal/workflow/template"
 )
 
 // Workflow is a template of workflows. Whether its classes are those of the settings is for the dispatchers to say, which
--- a/internal/fleet/policylease/holder.go
+++ b/internal/fleet/policylease/holder.go
@@ -19,7 +19,7 @@
 import (
 	"time"
 
-	"yardflow/internal/fleet/lease"
+	"yardflow/coordination/lease"
 	"yardflow/internal/fleet/statemachine"
 )
 
--- a/internal/fleet/quota/allocator.go
+++ b/internal/fleet/quota/allocator.go
@@ -4,7 +4,7 @@
 	"maps"
 	"slices"
 
-	"yardflow/internal/fleet/lease"
+	"yardflow/coordination/lease"
 )
 
 // Request is what a holder asks for of one limit, and what it uses.
--- a/internal/fleet/statemachine/change.go
+++ b/internal/fleet/statemachine/change.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"yardflow/internal/fleet/workflow/graph"
 	"yardflow/internal/platform/fault"
+	"yardflow/internal/workflow/graph"
 )
 
 // Stage is how far a change of policy has come.
--- a/internal/fleet/statemachine/command.go
+++ b/internal/fleet/statemachine/command.go
@@ -7,8 +7,8 @@
 	"yardflow/internal/fleet/coldstart/relay"
 	"yardflow/internal/fleet/outlier"
 	"yardflow/internal/fleet/quota"
-	"yardflow/internal/fleet/workflow/claims"
-	"yardflow/internal/fleet/workflow/template"
+	"yardflow/internal/workflow/claims"
+	"yardflow/internal/workflow/template"
 )
 
 // Command is one entry of the log. Exactly one field is set; a command whose field this version does not know is
--- a/internal/fleet/statemachine/policy.go
+++ b/internal/fleet/statemachine/policy.go
@@ -8,7 +8,7 @@
 	"yardflow/internal/fleet/coldstart"
 	"yardflow/internal/fleet/outlier"
 	"yardflow/internal/fleet/quota"
-	"yardflow/internal/fleet/workflow/template"
+	"yardflow/internal/workflow/template"
 )
 
 // LeaseLossMode is what a dispatcher does while it holds no lease. In settings files it is the key "fence".
--- a/internal/fleet/statemachine/result.go
+++ b/internal/fleet/statemachine/result.go
@@ -6,8 +6,8 @@
 	"yardflow/internal/fleet/coldstart"
 	"yardflow/internal/fleet/outlier"
 	"yardflow/internal/fleet/quota"
-	"yardflow/internal/fleet/workflow/claims"
 	"yardflow/internal/platform/fault"
+	"yardflow/internal/workflow/claims"
 )
 
 // Result is what came of a command. Err to Generation and CurrentVersion are set for every command, Workflow for one on
--- a/internal/fleet/statemachine/state.go
+++ b/internal/fleet/statemachine/state.go
@@ -33,7 +33,7 @@
 	"yardflow/internal/fleet/coldstart"
 	"yardflow/internal/fleet/outlier"
 	"yardflow/internal/fleet/quota"
-	"yardflow/internal/fleet/workflow/claims"
+	"yardflow/internal/workflow/claims"
 )
 
 // Config is what all coordinators of a fleet are started with alike: each value decides what commands do.
--- a/internal/fleet/statemachine/workflow.go
+++ b/internal/fleet/statemachine/workflow.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"yardflow/internal/fleet/coldstart/relay"
-	"yardflow/internal/fleet/workflow/claims"
+	"yardflow/internal/workflow/claims"
 )
 
 // workflowComponent keeps workflows (package claims has their rules), and how long a dispatcher's claims on steps stay
--- a/internal/fleet/transport/handler.go
+++ b/internal/fleet/transport/handler.go
@@ -11,8 +11,8 @@
 
 	"yardflow/internal/fleet/coldstart/relay"
 	"yardflow/internal/fleet/statemachine"
-	"yardflow/internal/fleet/workflow/claims"
 	"yardflow/internal/platform/timers"
+	"yardflow/internal/workflow/claims"
 )
 
 // Coordinator is what a handler serves; consensus.Node implements it.
--- a/internal/gateway/broker/actions.go
+++ b/internal/gateway/broker/actions.go
@@ -34,7 +34,7 @@
 }
 
 func (m moduleActions) Send(id dispatch.RequestID, worker dispatch.WorkerID, timeout time.Duration) {
-	m.decide(id, decision{send: true, worker: worker, timeout: timeout, maxAttempts: m.b.loop.settings.MaxAttempts})
+	m.decide(id, decision{send: true, worker: worker, timeout: timeout, maxAttempts: m.b.loop.settings.Attempts.Max})
 }
 
 func (m moduleActions) Reject(id dispatch.RequestID, retryAfter time.Duration) {
--- a/internal/gateway/broker/session.go
+++ b/internal/gateway/broker/session.go
@@ -244,7 +244,7 @@
 func (s *session) runAttempt(ctx context.Context, a *Attempt, d decision, do AttemptFunc) Outcome {
 	s.attempts++
 	ok := invariant.Check(s.attempts <= d.maxAttempts, "more attempts than allowed")
-	ok = ok && s.attempts <= s.b.settings.Load().MaxAttempts // a reload since may allow fewer
+	ok = ok && s.attempts <= s.b.settings.Load().Attempts.Max // a reload since may allow fewer
 	ok = invariant.Check(!s.mayRun || s.class.Semantics != dispatch.AtMostOnce, "a fragile request that may have run is sent again") && ok
 	if !ok || a.Addr == "" || ctx.Err() != nil {
 		return Outcome{Code: NotSent}
@@ -296,7 +296,7 @@
 		if answered {
 			s.ended.Store(true)
 		}
-		if !slices.Equal(s.settings.LoadFields, s.b.loop.settings.LoadFields) {
+		if !slices.Equal(s.settings.Workers.LoadFields, s.b.loop.settings.Workers.LoadFields) {
 			outcome.Load = nil // its columns are those of former settings
 		}
 		s.b.loop.module.AttemptEnded(now, outcome, out)
--- a/internal/gateway/broker/workers.go
+++ b/internal/gateway/broker/workers.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"yardflow/internal/fleet/outlier"
-	"yardflow/internal/fleet/workflow/pool"
 	"yardflow/internal/platform/invariant"
+	"yardflow/internal/workflow/pool"
 	"yardflow/scheduling/dispatch"
 )
 
--- a/internal/gateway/config/config.go
+++ b/internal/gateway/config/config.go
@@ -71,15 +71,6 @@
 	Sockets  int     `json:"sockets"` // descriptors of all kinds
 }
 
-// Duration is a time span written as text, such as "5s".
-type Duration struct{ time.Duration }
-
-// UnmarshalText reads a Duration in the form of time.ParseDuration.
-func (d *Duration) UnmarshalText(text []byte) (err error) {
-	d.Duration, err = time.ParseDuration(string(text))
-	return err
-}
-
 // Load reads the platform's variables through env, the file that they name, and the
 // operator's file. Without the latter everything in it is off.
 func Load(env func(string) string, operatorFile string) (*Config, error) {
@@ -94,11 +85,11 @@
 		return nil, err
 	}
 	// A fixed list of workers, or one in DNS, needs no discovery.
-	if c.Discovery == "" && c.Dispatch.MustSubscribe {
+	if c.Discovery == "" && c.Dispatch.List.MustSubscribe {
 		if len(c.SRV) == 0 {
 			return nil, errors.New("NODE_DISCOVERY: missing")
 		}
-		c.Dispatch.MustSubscribe = false
+		c.Dispatch.List.MustSubscribe = false
 	}
 	return c, nil
 }
--- a/internal/gateway/config/membership.go
+++ b/internal/gateway/config/membership.go
@@ -12,35 +12,36 @@
 
 	"yardflow/internal/discovery/membership"
 	"yardflow/internal/discovery/srv"
+	"yardflow/internal/platform/tomlfile"
 )
 
 // Membership is how the sources of loan workers are merged.
 type Membership struct {
-	Rule             string   `toml:"rule"`
-	FailureThreshold int      `toml:"fail_after"`
-	FailbackDelay    Duration `toml:"backup_settle"`
-	PublishInterval  Duration `toml:"tell_every"`
+	Rule             string            `toml:"rule"`
+	FailureThreshold int               `toml:"fail_after"`
+	FailbackDelay    tomlfile.Duration `toml:"backup_settle"`
+	PublishInterval  tomlfile.Duration `toml:"tell_every"`
 }
 
 // SRV is one list of loan workers in DNS.
 type SRV struct {
-	Name            string   `toml:"name"`
-	Service         string   `toml:"service"`
-	Servers         []string `toml:"servers"`
-	Zone            string   `toml:"zone"`
-	Kind            string   `toml:"kind"`
-	Cell            int      `toml:"cell"`
-	Identity        string   `toml:"identity"`
-	Addresses       string   `toml:"addresses"`
-	Timeout         Duration `toml:"timeout"`
-	MinTTL          Duration `toml:"floor"`
-	MaxTTL          Duration `toml:"ceiling"`
-	StaleTTL        Duration `toml:"stale"`
-	AfterStale      string   `toml:"after_stale"`
-	ShrinkThreshold *float64 `toml:"shrink_part"`
-	ShrinkHoldTime  Duration `toml:"shrink_hold"`
-	InferStart      *bool    `toml:"cold_names"`
-	MaxRecords      int      `toml:"max_records"`
+	Name            string            `toml:"name"`
+	Service         string            `toml:"service"`
+	Servers         []string          `toml:"servers"`
+	Zone            string            `toml:"zone"`
+	Kind            string            `toml:"kind"`
+	Cell            int               `toml:"cell"`
+	Identity        string            `toml:"identity"`
+	Addresses       string            `toml:"addresses"`
+	Timeout         tomlfile.Duration `toml:"timeout"`
+	MinTTL          tomlfile.Duration `toml:"floor"`
+	MaxTTL          tomlfile.Duration `toml:"ceiling"`
+	StaleTTL        tomlfile.Duration `toml:"stale"`
+	AfterStale      string            `toml:"after_stale"`
+	ShrinkThreshold *float64          `toml:"shrink_part"`
+	ShrinkHoldTime  tomlfile.Duration `toml:"shrink_hold"`
+	InferStart      *bool             `toml:"cold_names"`
+	MaxRecords      int               `toml:"max_records"`
 }
 
 // addressTypes are the DNS types by the values of the key addresses.
@@ -49,7 +50,7 @@
 // DefaultMembership is how sources are merged where the file says nothing.
 func DefaultMembership() Membership {
 	return Membership{Rule: string(membership.RuleRosterVetoes), FailureThreshold: 3,
-		FailbackDelay: Duration{10 * time.Second}, PublishInterval: Duration{200 * time.Millisecond}}
+		FailbackDelay: tomlfile.Duration{Duration: 10 * time.Second}, PublishInterval: tomlfile.Duration{Duration: 200 * time.Millisecond}}
 }
 
 // maxPublishInterval leaves 100 ms for a drain that DNS reports to take effect within
@@ -61,13 +62,13 @@
 	m := &c.Membership
 	switch r := membership.MergeRule(m.Rule); {
 	case r != membership.RuleRosterVetoes && r != membership.RuleAny && r != membership.RuleAll:
-		return keyErrorf("membership.rule", "%q; expected %q, %q or %q", m.Rule, membership.RuleRosterVetoes, membership.RuleAny, membership.RuleAll)
+		return tomlfile.KeyErrorf("membership.rule", "%q; expected %q, %q or %q", m.Rule, membership.RuleRosterVetoes, membership.RuleAny, membership.RuleAll)
 	case m.FailureThreshold < 1 || m.FailureThreshold > 100:
-		return keyErrorf("membership.fail_after", "%d; expected 1 to 100 connects", m.FailureThreshold)
+		return tomlfile.KeyErrorf("membership.fail_after", "%d; expected 1 to 100 connects", m.FailureThreshold)
 	case m.FailbackDelay.Duration < 0 || m.FailbackDelay.Duration > time.Hour:
-		return keyErrorf("membership.backup_settle", "%v; expected 0s to 1h", m.FailbackDelay)
+		return tomlfile.KeyErrorf("membership.backup_settle", "%v; expected 0s to 1h", m.FailbackDelay)
 	case m.PublishInterval.Duration < 10*time.Millisecond || m.PublishInterval.Duration > maxPublishInterval:
-		return keyErrorf("membership.tell_every", "%v; expected 10ms to 400ms", m.PublishInterval)
+		return tomlfile.KeyErrorf("membership.tell_every", "%v; expected 10ms to 400ms", m.PublishInterval)
 	}
 	seen := map[string]bool{membership.RosterSource: true}
 	for i := range c.SRV {
@@ -120,27 +121,27 @@
 	labels, valid := dns.IsDomainName(s.Service)
 	switch {
 	case !validSourceName(s.Name):
-		return keyErrorf(prefix+"name", "%q; expected letters, digits, '.', '_' or '-', 63 at most", s.Name)
+		return tomlfile.KeyErrorf(prefix+"name", "%q; expected letters, digits, '.', '_' or '-', 63 at most", s.Name)
 	case seen[s.Name]:
-		return keyErrorf(prefix+"name", "%q is another source's name already", s.Name)
+		return tomlfile.KeyErrorf(prefix+"name", "%q is another source's name already", s.Name)
 	case !valid || labels < 2 || !strings.HasPrefix(s.Service, "_"):
-		return keyErrorf(prefix+"service", "%q; expected a full name such as _loans._tcp.example.cz", s.Service)
+		return tomlfile.KeyErrorf(prefix+"service", "%q; expected a full name such as _loans._tcp.example.cz", s.Service)
 	case len(s.Servers) == 0:
-		return keyErrorf(prefix+"servers", "missing; expected at least one address such as 10.0.0.53:53")
+		return tomlfile.KeyErrorf(prefix+"servers", "missing; expected at least one address such as 10.0.0.53:53")
 	case len(c.Zones) > 0 && !slices.Contains(c.Zones, s.Zone):
-		return keyErrorf(prefix+"zone", "%q; expected one of %q", s.Zone, c.Zones)
+		return tomlfile.KeyErrorf(prefix+"zone", "%q; expected one of %q", s.Zone, c.Zones)
 	case len(c.Kinds) > 0 && !slices.Contains(c.Kinds, s.Kind):
-		return keyErrorf(prefix+"kind", "%q; expected one of %q", s.Kind, c.Kinds)
+		return tomlfile.KeyErrorf(prefix+"kind", "%q; expected one of %q", s.Kind, c.Kinds)
 	case s.Identity != string(membership.ByHostPort) && s.Identity != string(membership.ByLabel):
-		return keyErrorf(prefix+"identity", "%q; expected %q or %q", s.Identity, membership.ByHostPort, membership.ByLabel)
+		return tomlfile.KeyErrorf(prefix+"identity", "%q; expected %q or %q", s.Identity, membership.ByHostPort, membership.ByLabel)
 	case addressTypes[s.Addresses] == nil:
-		return keyErrorf(prefix+"addresses", "%q; expected \"any\", \"ipv4\" or \"ipv6\"", s.Addresses)
+		return tomlfile.KeyErrorf(prefix+"addresses", "%q; expected \"any\", \"ipv4\" or \"ipv6\"", s.Addresses)
 	case s.AfterStale != "drain" && s.AfterStale != "keep":
-		return keyErrorf(prefix+"after_stale", "%q; expected \"drain\" or \"keep\"", s.AfterStale)
+		return tomlfile.KeyErrorf(prefix+"after_stale", "%q; expected \"drain\" or \"keep\"", s.AfterStale)
 	case *s.ShrinkThreshold <= 0 || *s.ShrinkThreshold > 1:
-		return keyErrorf(prefix+"shrink_part", "%v; expected over 0 and up to 1", *s.ShrinkThreshold)
+		return tomlfile.KeyErrorf(prefix+"shrink_part", "%v; expected over 0 and up to 1", *s.ShrinkThreshold)
 	case s.MaxRecords < 1 || s.MaxRecords > 1<<16:
-		return keyErrorf(prefix+"max_records", "%d; expected 1 to 65536", s.MaxRecords)
+		return tomlfile.KeyErrorf(prefix+"max_records", "%d; expected 1 to 65536", s.MaxRecords)
 	}
 	return nil
 }
@@ -148,12 +149,12 @@
 func (s *SRV) checkServersAndTimes(prefix string) error {
 	for i, text := range s.Servers {
 		if a, err := netip.ParseAddrPort(text); err != nil || a.Port() == 0 {
-			return keyErrorf(prefix+"servers", "[%d] is %q; expected an IP address and a port such as 10.0.0.53:53", i, text)
+			return tomlfile.KeyErrorf(prefix+"servers", "[%d] is %q; expected an IP address and a port such as 10.0.0.53:53", i, text)
 		}
 	}
-	checkRange := func(key string, d Duration, least, most time.Duration) error {
+	checkRange := func(key string, d tomlfile.Duration, least, most time.Duration) error {
 		if d.Duration < least || d.Duration > most {
-			return keyErrorf(prefix+key, "%v; expected %v to %v", d, least, most)
+			return tomlfile.KeyErrorf(prefix+key, "%v; expected %v to %v", d, least, most)
 		}
 		return nil
 	}
--- a/internal/gateway/config/operator.go
+++ b/internal/gateway/config/operator.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"yardflow/internal/platform/tomlfile"
 	"yardflow/scheduling/backfill"
 )
 
@@ -29,14 +30,14 @@
 
 // Backfill is how slots are reserved for large jobs.
 type Backfill struct {
-	Enabled   bool     `toml:"enabled"`
-	Mode      string   `toml:"mode"`
-	Quantile  float64  `toml:"quantile"`
-	Most      int      `toml:"most"`
-	Longest   Duration `toml:"longest"`
-	Budget    float64  `toml:"budget"`
-	SmallWait Duration `toml:"small_wait"`
-	Large     float64  `toml:"large"`
+	Enabled   bool              `toml:"enabled"`
+	Mode      string            `toml:"mode"`
+	Quantile  float64           `toml:"quantile"`
+	Most      int               `toml:"most"`
+	Longest   tomlfile.Duration `toml:"longest"`
+	Budget    float64           `toml:"budget"`
+	SmallWait tomlfile.Duration `toml:"small_wait"`
+	Large     float64           `toml:"large"`
 }
 
 // Coordinators says where a fleet agrees on its policies; without addresses, nowhere.
@@ -57,7 +58,7 @@
 	in := operatorFile{SSE: &sse, Membership: &c.Membership, Backfill: defaultBackfill()}
 	text, err := os.ReadFile(path)
 	if err == nil {
-		err = decodeTOML(text, &in, func() error {
+		err = tomlfile.Decode(text, &in, func() error {
 			c.SSE, c.SRV, c.Trace, c.Coordinators = *in.SSE, in.Source.SRV, in.Log.Trace, in.Coordinators
 			return c.checkOperator(in.Backfill)
 		})
@@ -67,7 +68,7 @@
 	if err != nil {
 		return fmt.Errorf("%s:%w", path, err)
 	}
-	return c.loadLegacySSE(filepath.Join(filepath.Dir(path), legacySSEFile), IndexKeys(text).hasSection("sse"))
+	return c.loadLegacySSE(filepath.Join(filepath.Dir(path), legacySSEFile), tomlfile.IndexKeys(text).HasSection("sse"))
 }
 
 // checkOperator checks the whole file, and fills in what is left out.
@@ -89,18 +90,18 @@
 		return nil
 	}
 	if k.Fleet == "" {
-		return keyErrorf("keepers.fleet", "missing; expected the name in the keepers' files")
+		return tomlfile.KeyErrorf("keepers.fleet", "missing; expected the name in the keepers' files")
 	}
 	for i, a := range k.Addresses {
 		if err := checkAddress("address", a); err != nil {
-			return keyErrorf(fmt.Sprintf("keepers.addresses[%d]", i), "%q; expected host:port", a)
+			return tomlfile.KeyErrorf(fmt.Sprintf("keepers.addresses[%d]", i), "%q; expected host:port", a)
 		}
 	}
 	if k.OnLeaseLoss == "" {
 		k.OnLeaseLoss = "refuse"
 	}
 	if k.OnLeaseLoss != "refuse" && k.OnLeaseLoss != "last" {
-		return keyErrorf("keepers.fence", "%q; expected \"refuse\" or \"last\", as in the keepers' files", k.OnLeaseLoss)
+		return tomlfile.KeyErrorf("keepers.fence", "%q; expected \"refuse\" or \"last\", as in the keepers' files", k.OnLeaseLoss)
 	}
 	return nil
 }
@@ -119,7 +120,7 @@
 		return nil
 	}
 	s := defaultSSE()
-	err = decodeTOML(text, &s, func() error {
+	err = tomlfile.Decode(text, &s, func() error {
 		c.SSE = s
 		return c.ValidateSSE("")
 	})
@@ -132,8 +133,8 @@
 
 func defaultBackfill() Backfill {
 	d := backfill.DefaultSettings()
-	return Backfill{Mode: string(d.Mode), Quantile: d.Quantile, Most: d.MaxReservations, Longest: Duration{d.ReservationTTL},
-		Budget: d.IdleBudget, SmallWait: Duration{d.MaxJobDelay}, Large: d.LargeRuns}
+	return Backfill{Mode: string(d.Mode), Quantile: d.Quantile, Most: d.MaxReservations, Longest: tomlfile.Duration{Duration: d.ReservationTTL},
+		Budget: d.IdleBudget, SmallWait: tomlfile.Duration{Duration: d.MaxJobDelay}, Large: d.LargeRuns}
 }
 
 // applyBackfill checks [room], on or off, and gives it to the decision module where it
@@ -143,7 +144,7 @@
 		IdleBudget: in.Budget, MaxJobDelay: in.SmallWait.Duration, LargeRuns: in.Large}
 	if err := s.Validate(); err != nil {
 		key, problem, _ := strings.Cut(err.Error(), ": ")
-		return keyErrorf("room."+key, "%s", problem)
+		return tomlfile.KeyErrorf("room."+key, "%s", problem)
 	}
 	if in.Enabled {
 		c.Dispatch.Backfill = &s
@@ -151,7 +152,7 @@
 	return nil
 }
 
-func setDefault(d *Duration, v time.Duration) {
+func setDefault(d *tomlfile.Duration, v time.Duration) {
 	if d.Duration == 0 {
 		d.Duration = v
 	}
--- a/internal/gateway/config/platformfile.go
+++ b/internal/gateway/config/platformfile.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strconv"
 	"time"
+
+	"yardflow/internal/platform/tomlfile"
 )
 
 // Defaults of the machine's limits, and the least under which a dispatcher can run.
@@ -75,7 +77,7 @@
 	}
 	// Allowed but without a way to talk, dispatchers would take each other's silence
 	// for absence.
-	c.Dispatch.Peers = c.Dispatch.Peers && c.PeersEnabled()
+	c.Dispatch.Fleet.Peers = c.Dispatch.Fleet.Peers && c.PeersEnabled()
 	return nil
 }
 
@@ -154,7 +156,7 @@
 	}
 	for i, t := range in.Tenants {
 		if t.Name == "" {
-			return keyErrorf(fmt.Sprintf("Tenants[%d].Name", i), "missing")
+			return tomlfile.KeyErrorf(fmt.Sprintf("Tenants[%d].Name", i), "missing")
 		}
 		c.Tenants = append(c.Tenants, t.Name)
 	}
@@ -176,16 +178,16 @@
 	for i, class := range c.Dispatch.Classes {
 		switch {
 		case class.Name == "":
-			return keyErrorf(fmt.Sprintf("Classes[%d].Name", i), "missing")
+			return tomlfile.KeyErrorf(fmt.Sprintf("Classes[%d].Name", i), "missing")
 		case slices.Contains(c.Classes, class.Name):
-			return keyErrorf(fmt.Sprintf("Classes[%d].Name", i), "%q comes twice", class.Name)
+			return tomlfile.KeyErrorf(fmt.Sprintf("Classes[%d].Name", i), "%q comes twice", class.Name)
 		case class.Deadline <= 0:
-			return keyErrorf(fmt.Sprintf("Classes[%d].DeadlineMs", i), "must be over 0")
+			return tomlfile.KeyErrorf(fmt.Sprintf("Classes[%d].DeadlineMs", i), "must be over 0")
 		}
 		c.Classes = append(c.Classes, class.Name)
 	}
 	if len(c.Classes) == 0 {
-		return keyErrorf("Classes", "missing")
+		return tomlfile.KeyErrorf("Classes", "missing")
 	}
 	return nil
 }
@@ -193,17 +195,17 @@
 func (c *Config) checkSettings() error {
 	switch m := &c.Dispatch; {
 	case c.ConnectTimeout <= 0:
-		return keyErrorf("Limits.ConnectTimeoutMs", "must be over 0")
+		return tomlfile.KeyErrorf("Limits.ConnectTimeoutMs", "must be over 0")
 	case c.IdleTimeout <= 0:
-		return keyErrorf("Limits.IdleCloseMs", "must be over 0")
-	case m.MaxAttempts < 1:
-		return keyErrorf("Limits.MaxAttempts", "must be 1 or more")
-	case m.DispatcherCount < 1:
-		return keyErrorf("Balancers", "must be 1 or more")
-	case m.DispatcherIndex < 0 || m.DispatcherIndex >= m.DispatcherCount:
-		return keyErrorf("MyNumber", "%d of %d Balancers", m.DispatcherIndex, m.DispatcherCount)
+		return tomlfile.KeyErrorf("Limits.IdleCloseMs", "must be over 0")
+	case m.Attempts.Max < 1:
+		return tomlfile.KeyErrorf("Limits.MaxAttempts", "must be 1 or more")
+	case m.Fleet.Count < 1:
+		return tomlfile.KeyErrorf("Balancers", "must be 1 or more")
+	case m.Fleet.Index < 0 || m.Fleet.Index >= m.Fleet.Count:
+		return tomlfile.KeyErrorf("MyNumber", "%d of %d Balancers", m.Fleet.Index, m.Fleet.Count)
 	case m.MinEventGap < 0:
-		return keyErrorf("RoundMs", "must not be negative")
+		return tomlfile.KeyErrorf("RoundMs", "must not be negative")
 	}
 	return nil
 }
--- a/internal/gateway/config/reload.go
+++ b/internal/gateway/config/reload.go
@@ -31,7 +31,7 @@
 	own.raw, own.Discovery = next.raw, next.Discovery
 	own.Membership, own.SRV, own.Notices = next.Membership, next.SRV, next.Notices
 	own.Dispatch, own.ConnectTimeout, own.IdleTimeout = next.Dispatch, next.ConnectTimeout, next.IdleTimeout
-	own.Dispatch.Peers = own.Dispatch.Peers && c.PeersEnabled() // the socket is opened at a start
+	own.Dispatch.Fleet.Peers = own.Dispatch.Fleet.Peers && c.PeersEnabled() // the socket is opened at a start
 	own.Classes, own.Tenants, own.Zones, own.Kinds, own.LoadColumns = next.Classes, next.Tenants, next.Zones, next.Kinds, next.LoadColumns
 	return &own, nil
 }
--- a/internal/gateway/config/settings.go
+++ b/internal/gateway/config/settings.go
@@ -9,7 +9,8 @@
 )
 
 // settingsFile has the keys of the settings object that bear on decisions, under the
-// names of the platform's page. A Go name here is a key: it stays.
+// names of the platform's page. A Go name here is a key: it stays. Keys by which nothing is
+// decided, such as Probes or Stream, are left out and may be in the file.
 type settingsFile struct {
 	Balancers, MyNumber, Zone int
 	CountedBy, RegistryMode   string
@@ -18,25 +19,24 @@
 		Name, Semantics, DedupScope                   string
 		AimMs, DeadlineMs, LateShare, WindowMs, Worth float64
 		AimStretch                                    float64
-		Stream                                        bool
 	}
 	Extra struct {
-		ClassKind, ClassPriority []int
-		ClassStretch             []float64
-		ProgressMs               float64
-		QueueOrder               string
-		TellsStart               bool
+		ClassKind    []int
+		ClassStretch []float64
+		ProgressMs   float64
+		QueueOrder   string
+		TellsStart   bool
 	}
 	Limits struct {
-		Cancelling, Peers, Probes, RetryAfter, SecondCopies bool
-		MaxAttempts                                         int
-		MaxRetryAfterMs                                     float64
+		Cancelling, Peers, RetryAfter, SecondCopies bool
+		MaxAttempts                                 int
+		MaxRetryAfterMs                             float64
 	}
 	LoadInfo struct {
 		Columns []string
 		Via     string
 	}
-	Prices struct{ CrossZone, LateFail, Peer, Waste float64 }
+	Prices struct{ CrossZone, Peer float64 }
 	Rules  struct {
 		AnswerSlackMs, AskWithinMs, ColdFrom, FallMs, FallMultiple, RampTimeMs, StopSendingWithinMs float64
 	}
@@ -61,19 +61,19 @@
 		return dispatch.Settings{}, err
 	}
 	out := dispatch.Settings{
-		DispatcherIndex: in.MyNumber, DispatcherCount: in.Balancers, Zone: in.Zone,
-		OverQuotaValueShare: in.OverShareWorth, ValuePerWork: in.CountedBy == "work",
-		MinEventGap: Milliseconds(in.RoundMs), StartNotifications: in.Extra.TellsStart, ProgressInterval: Milliseconds(in.Extra.ProgressMs),
-		FIFOWorkers: in.Extra.QueueOrder == "fifo", MustSubscribe: in.RegistryMode == "subscribe",
-		MaxAttempts: in.Limits.MaxAttempts, Hedging: in.Limits.SecondCopies,
-		Cancellation: in.Limits.Cancelling, Probes: in.Limits.Probes, Peers: in.Limits.Peers,
-		AnswerSlack: Milliseconds(in.Rules.AnswerSlackMs), DrainGrace: Milliseconds(in.Rules.StopSendingWithinMs),
-		ListRefreshInterval: Milliseconds(in.Rules.AskWithinMs), SlowStartShare: in.Rules.ColdFrom, SlowStartTime: Milliseconds(in.Rules.RampTimeMs),
-		CrashLoadFactor: in.Rules.FallMultiple, CrashLoadTime: Milliseconds(in.Rules.FallMs),
-		CrossZoneCost: in.Prices.CrossZone, WastedWorkCost: in.Prices.Waste, PeerMessageCost: in.Prices.Peer, LateCost: in.Prices.LateFail,
+		MinEventGap: Milliseconds(in.RoundMs),
+		Values:      dispatch.ValueSettings{OverQuotaShare: in.OverShareWorth, PerWork: in.CountedBy == "work", CrossZoneCost: in.Prices.CrossZone},
+		Fleet:       dispatch.FleetSettings{Index: in.MyNumber, Count: in.Balancers, Zone: in.Zone, Peers: in.Limits.Peers, PeerMessageCost: in.Prices.Peer},
+		Workers: dispatch.WorkerSettings{FIFO: in.Extra.QueueOrder == "fifo", StartNotifications: in.Extra.TellsStart,
+			ProgressInterval: Milliseconds(in.Extra.ProgressMs), DrainGrace: Milliseconds(in.Rules.StopSendingWithinMs)},
+		List: dispatch.ListSettings{MustSubscribe: in.RegistryMode == "subscribe", RefreshInterval: Milliseconds(in.Rules.AskWithinMs)},
+		Attempts: dispatch.AttemptSettings{Max: in.Limits.MaxAttempts, Hedging: in.Limits.SecondCopies, Cancellation: in.Limits.Cancelling,
+			AnswerSlack: Milliseconds(in.Rules.AnswerSlackMs)},
+		SlowStart: dispatch.SlowStartSettings{Share: in.Rules.ColdFrom, Time: Milliseconds(in.Rules.RampTimeMs),
+			CrashLoadFactor: in.Rules.FallMultiple, CrashLoadTime: Milliseconds(in.Rules.FallMs)},
 	}
 	if in.Limits.RetryAfter {
-		out.MaxRetryAfter = Milliseconds(in.Limits.MaxRetryAfterMs)
+		out.Attempts.MaxRetryAfter = Milliseconds(in.Limits.MaxRetryAfterMs)
 	}
 	for i := range in.Classes {
 		class, err := in.class(i)
@@ -87,7 +87,7 @@
 	}
 	if in.LoadInfo.Via != "off" {
 		for _, name := range in.LoadInfo.Columns {
-			out.LoadFields = append(out.LoadFields, loadFields[name]) // LoadOther for a column that is not known
+			out.Workers.LoadFields = append(out.Workers.LoadFields, loadFields[name]) // LoadOther for a column that is not known
 		}
 	}
 	return out, nil
@@ -97,13 +97,10 @@
 func (in *settingsFile) class(i int) (dispatch.Class, error) {
 	c := in.Classes[i]
 	class := dispatch.Class{Name: c.Name, LatencyTarget: Milliseconds(c.AimMs), Stretch: c.AimStretch, Deadline: Milliseconds(c.DeadlineMs),
-		Value: c.Worth, LateValueShare: c.LateShare, DedupWindow: Milliseconds(c.WindowMs), WorkerKind: -1, Stream: c.Stream}
+		Value: c.Worth, LateValueShare: c.LateShare, DedupWindow: Milliseconds(c.WindowMs), WorkerKind: -1}
 	if i < len(in.Extra.ClassKind) {
 		class.WorkerKind = in.Extra.ClassKind[i]
 	}
-	if i < len(in.Extra.ClassPriority) {
-		class.Priority = in.Extra.ClassPriority[i]
-	}
 	if i < len(in.Extra.ClassStretch) {
 		class.Stretch = in.Extra.ClassStretch[i]
 	}
--- a/internal/gateway/config/sse.go
+++ b/internal/gateway/config/sse.go
@@ -5,17 +5,19 @@
 	"slices"
 	"strings"
 	"time"
+
+	"yardflow/internal/platform/tomlfile"
 )
 
 // SSE is the second front: where it listens and who may use it.
 type SSE struct {
-	Enabled       bool       `toml:"enabled"`
-	Listen        string     `toml:"listen"`
-	MaxEventBytes int        `toml:"max_event_bytes"`
-	BufferEvents  int        `toml:"buffer_events"`
-	WriteTimeout  Duration   `toml:"write_timeout"`
-	Heartbeat     Duration   `toml:"heartbeat"`
-	Contracts     []Contract `toml:"contract"`
+	Enabled       bool              `toml:"enabled"`
+	Listen        string            `toml:"listen"`
+	MaxEventBytes int               `toml:"max_event_bytes"`
+	BufferEvents  int               `toml:"buffer_events"`
+	WriteTimeout  tomlfile.Duration `toml:"write_timeout"`
+	Heartbeat     tomlfile.Duration `toml:"heartbeat"`
+	Contracts     []Contract        `toml:"contract"`
 }
 
 // Contract is what one team may request.
@@ -30,7 +32,7 @@
 
 func defaultSSE() SSE {
 	return SSE{MaxEventBytes: 64 << 10, BufferEvents: 32,
-		WriteTimeout: Duration{2 * time.Second}, Heartbeat: Duration{10 * time.Second}}
+		WriteTimeout: tomlfile.Duration{Duration: 2 * time.Second}, Heartbeat: tomlfile.Duration{Duration: 10 * time.Second}}
 }
 
 // ValidateSSE checks the second front against the settings; keys are named with prefix
@@ -40,24 +42,24 @@
 	s := &c.SSE
 	switch {
 	case s.MaxEventBytes < 256 || s.MaxEventBytes > 1<<20:
-		return keyErrorf(prefix+"max_event_bytes", "%d is not in 256 to 1048576", s.MaxEventBytes)
+		return tomlfile.KeyErrorf(prefix+"max_event_bytes", "%d is not in 256 to 1048576", s.MaxEventBytes)
 	case s.BufferEvents < 1 || s.BufferEvents > 1024:
-		return keyErrorf(prefix+"buffer_events", "%d is not in 1 to 1024", s.BufferEvents)
+		return tomlfile.KeyErrorf(prefix+"buffer_events", "%d is not in 1 to 1024", s.BufferEvents)
 	case s.WriteTimeout.Duration <= 0:
-		return keyErrorf(prefix+"write_timeout", "must be over 0")
+		return tomlfile.KeyErrorf(prefix+"write_timeout", "must be over 0")
 	case s.Heartbeat.Duration <= 0:
-		return keyErrorf(prefix+"heartbeat", "must be over 0")
+		return tomlfile.KeyErrorf(prefix+"heartbeat", "must be over 0")
 	case !s.Enabled:
 		return nil
 	}
 	if err := checkAddress("listen", s.Listen); err != nil {
-		return keyErrorf(prefix+"listen", "%s", strings.TrimPrefix(err.Error(), "listen: "))
+		return tomlfile.KeyErrorf(prefix+"listen", "%s", strings.TrimPrefix(err.Error(), "listen: "))
 	}
 	if err := c.ValidateContracts(prefix, s.Contracts); err != nil {
 		return err
 	}
 	if len(s.Contracts) == 0 {
-		return keyErrorf(prefix+"contract", "at least one is needed")
+		return tomlfile.KeyErrorf(prefix+"contract", "at least one is needed")
 	}
 	return nil
 }
@@ -70,23 +72,23 @@
 		key := func(name string) string { return fmt.Sprintf("%scontract[%d].%s", prefix, i, name) }
 		switch {
 		case k.Team == "":
-			return keyErrorf(key("team"), "missing")
+			return tomlfile.KeyErrorf(key("team"), "missing")
 		case seen[k.Team]:
-			return keyErrorf(key("team"), "%q comes twice", k.Team)
+			return tomlfile.KeyErrorf(key("team"), "%q comes twice", k.Team)
 		case len(c.Tenants) > 0 && !slices.Contains(c.Tenants, k.Tenant):
-			return keyErrorf(key("tenant"), "unknown tenant %q", k.Tenant)
+			return tomlfile.KeyErrorf(key("tenant"), "unknown tenant %q", k.Tenant)
 		case len(k.Classes) == 0:
-			return keyErrorf(key("classes"), "missing")
+			return tomlfile.KeyErrorf(key("classes"), "missing")
 		case k.Rate <= 0:
-			return keyErrorf(key("rate"), "must be over 0")
+			return tomlfile.KeyErrorf(key("rate"), "must be over 0")
 		case k.Burst < 1:
-			return keyErrorf(key("burst"), "must be 1 or more")
+			return tomlfile.KeyErrorf(key("burst"), "must be 1 or more")
 		case k.MaxOpen < 1:
-			return keyErrorf(key("max_open"), "must be 1 or more")
+			return tomlfile.KeyErrorf(key("max_open"), "must be 1 or more")
 		}
 		for _, name := range k.Classes {
 			if !slices.Contains(c.Classes, name) {
-				return keyErrorf(key("classes"), "unknown class %q", name)
+				return tomlfile.KeyErrorf(key("classes"), "unknown class %q", name)
 			}
 		}
 		seen[k.Team] = true
--- a/internal/gateway/httpfront/exchange.go
+++ b/internal/gateway/httpfront/exchange.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"yardflow/internal/gateway/broker"
-	"yardflow/internal/platform/config"
+	"yardflow/internal/gateway/config"
 	"yardflow/internal/platform/invariant"
 )
 
--- a/internal/gateway/httpfront/freshness.go
+++ b/internal/gateway/httpfront/freshness.go
@@ -91,7 +91,7 @@
 
 // staleGrace is how long past its time a missing update is without effect: half of what the settings allow between a
 // worker's drain and the last request sent to it.
-func (t *ServerTable) staleGrace() time.Duration { return t.live.Get().Dispatch.DrainGrace / 2 }
+func (t *ServerTable) staleGrace() time.Duration { return t.live.Get().Dispatch.Workers.DrainGrace / 2 }
 
 // requireAtStartup has nothing sent under an inherited list until the first call has ended: what changed while this
 // process was not there may count as known already, and for how long is not known. A call that fails shows that the list
--- a/internal/gateway/httpfront/internalrequest.go
+++ b/internal/gateway/httpfront/internalrequest.go
@@ -8,7 +8,7 @@
 	"net/url"
 
 	"yardflow/internal/gateway/broker"
-	"yardflow/internal/platform/config"
+	"yardflow/internal/gateway/config"
 )
 
 // InternalJob is a job that no client has asked for.
--- a/internal/gateway/httpfront/rejection.go
+++ b/internal/gateway/httpfront/rejection.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"yardflow/internal/gateway/broker"
-	"yardflow/internal/platform/config"
+	"yardflow/internal/gateway/config"
 )
 
 // responseWriteTimeout bounds the write of an answer: a client that does not read must not keep its socket for good.
@@ -65,7 +65,7 @@
 
 // noPolicyInForce is the rejection where there is no policy to serve under. The request has not run.
 func noPolicyInForce(cfg *config.Config) *Rejection {
-	return &Rejection{http.StatusServiceUnavailable, "no policy is in force here", min(cfg.Dispatch.MaxRetryAfter, maxPolicyRetryAfter)}
+	return &Rejection{http.StatusServiceUnavailable, "no policy is in force here", min(cfg.Dispatch.Attempts.MaxRetryAfter, maxPolicyRetryAfter)}
 }
 
 // RejectionOf returns the rejection of a final answer; nil for one with a result, and where the client has gone.
--- a/internal/gateway/httpfront/requestreader.go
+++ b/internal/gateway/httpfront/requestreader.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"yardflow/internal/gateway/broker"
-	"yardflow/internal/platform/config"
+	"yardflow/internal/gateway/config"
 )
 
 const (
--- a/internal/gateway/httpfront/watch.go
+++ b/internal/gateway/httpfront/watch.go
@@ -57,9 +57,9 @@
 }
 
 // pushed reports whether lists come unasked, from an agent on this machine that none need spare.
-func (t *ServerTable) pushed() bool { return !t.live.Get().Dispatch.MustSubscribe }
+func (t *ServerTable) pushed() bool { return !t.live.Get().Dispatch.List.MustSubscribe }
 
-func (t *ServerTable) dispatchers() int { return t.live.Get().Dispatch.DispatcherCount }
+func (t *ServerTable) dispatchers() int { return t.live.Get().Dispatch.Fleet.Count }
 
 // jitter returns a pause drawn from half of mean to one and a half of it.
 func (t *ServerTable) jitter(mean time.Duration) time.Duration {
--- a/internal/gateway/httpfront/workerconns.go
+++ b/internal/gateway/httpfront/workerconns.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"yardflow/internal/platform/config"
+	"yardflow/internal/gateway/config"
 	"yardflow/scheduling/dispatch"
 )
 
--- a/internal/gateway/sources/resolvers.go
+++ b/internal/gateway/sources/resolvers.go
@@ -8,7 +8,7 @@
 
 	"yardflow/internal/discovery/membership"
 	"yardflow/internal/discovery/srv"
-	"yardflow/internal/platform/config"
+	"yardflow/internal/gateway/config"
 )
 
 // resolverRun is one running resolver of a DNS list.
--- a/internal/gateway/ssefront/front.go
+++ b/internal/gateway/ssefront/front.go
@@ -13,8 +13,8 @@
 	"slices"
 
 	"yardflow/internal/gateway/broker"
+	"yardflow/internal/gateway/config"
 	"yardflow/internal/gateway/httpfront"
-	"yardflow/internal/platform/config"
 )
 
 // Types of events that this front makes itself; a worker's event goes on under its own type.
--- a/internal/gateway/ssefront/stream.go
+++ b/internal/gateway/ssefront/stream.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"yardflow/internal/platform/config"
+	"yardflow/internal/gateway/config"
 	"yardflow/internal/platform/invariant"
 )
 
--- a/internal/gateway/workflowsteps/claim.go
+++ b/internal/gateway/workflowsteps/claim.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"yardflow/internal/fleet/workflow/claimant"
-	"yardflow/internal/fleet/workflow/claims"
+	"yardflow/internal/workflow/claimant"
+	"yardflow/internal/workflow/claims"
 )
 
 const (
--- a/internal/gateway/workflowsteps/errors.go
+++ b/internal/gateway/workflowsteps/errors.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"yardflow/internal/fleet/workflow/claims"
+	"yardflow/internal/workflow/claims"
 )
 
 // SettingsError says that this dispatcher's settings lack a step's class or tenant.
--- a/internal/gateway/workflowsteps/report.go
+++ b/internal/gateway/workflowsteps/report.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"yardflow/internal/fleet/statemachine"
-	"yardflow/internal/fleet/workflow/claims"
+	"yardflow/internal/workflow/claims"
 )
 
 const (
--- a/internal/gateway/workflowsteps/runner.go
+++ b/internal/gateway/workflowsteps/runner.go
@@ -18,12 +18,12 @@
 	"time"
 
 	"yardflow/internal/fleet/statemachine"
-	"yardflow/internal/fleet/workflow/claimant"
-	"yardflow/internal/fleet/workflow/pool"
 	"yardflow/internal/gateway/broker"
+	"yardflow/internal/gateway/config"
 	"yardflow/internal/gateway/httpfront"
-	"yardflow/internal/platform/config"
 	"yardflow/internal/platform/timers"
+	"yardflow/internal/workflow/claimant"
+	"yardflow/internal/workflow/pool"
 )
 
 // notifySpread is the time over which dispatchers spread their claim requests after the coordinators have told all of
--- a/internal/gateway/workflowsteps/step.go
+++ b/internal/gateway/workflowsteps/step.go
@@ -7,13 +7,13 @@
 	"slices"
 	"time"
 
-	"yardflow/internal/fleet/workflow/claims"
-	"yardflow/internal/fleet/workflow/expansion"
-	"yardflow/internal/fleet/workflow/template"
 	"yardflow/internal/gateway/broker"
+	"yardflow/internal/gateway/config"
 	"yardflow/internal/gateway/httpfront"
-	"yardflow/internal/platform/config"
 	"yardflow/internal/platform/fault"
+	"yardflow/internal/workflow/claims"
+	"yardflow/internal/workflow/expansion"
+	"yardflow/internal/workflow/template"
 	"yardflow/scheduling/dispatch"
 )
 
--- a/internal/testing/workflowsim/clock.go
+++ b/internal/testing/workflowsim/clock.go
@@ -1,4 +1,4 @@
-package simulation
+package workflowsim
 
 import (
 	"container/heap"
--- a/internal/testing/workflowsim/coordinators.go
+++ b/internal/testing/workflowsim/coordinators.go
@@ -1,12 +1,12 @@
-package simulation
+package workflowsim
 
 import (
 	"bytes"
 	"time"
 
 	"yardflow/internal/fleet/statemachine"
-	"yardflow/internal/fleet/workflow/claims"
-	"yardflow/internal/fleet/workflow/expansion"
+	"yardflow/internal/workflow/claims"
+	"yardflow/internal/workflow/expansion"
 )
 
 // coordinators are the simulated coordinators: what they have agreed on, and their leader.
--- a/internal/testing/workflowsim/dispatcher.go
+++ b/internal/testing/workflowsim/dispatcher.go
@@ -1,4 +1,4 @@
-package simulation
+package workflowsim
 
 import (
 	"fmt"
@@ -7,8 +7,8 @@
 	"time"
 
 	"yardflow/internal/fleet/statemachine"
-	"yardflow/internal/fleet/workflow/claimant"
-	"yardflow/internal/fleet/workflow/claims"
+	"yardflow/internal/workflow/claimant"
+	"yardflow/internal/workflow/claims"
 )
 
 const (
--- a/internal/testing/workflowsim/faults.go
+++ b/internal/testing/workflowsim/faults.go
@@ -1,4 +1,4 @@
-package simulation
+package workflowsim
 
 import (
 	"maps"
@@ -6,8 +6,8 @@
 	"time"
 
 	"yardflow/internal/fleet/statemachine"
-	"yardflow/internal/fleet/workflow/claims"
-	"yardflow/internal/fleet/workflow/expansion"
+	"yardflow/internal/workflow/claims"
+	"yardflow/internal/workflow/expansion"
 )
 
 // faultCases is of how many equally likely cases injectFault draws one; most of them are none.
--- a/internal/testing/workflowsim/judge.go
+++ b/internal/testing/workflowsim/judge.go
@@ -1,11 +1,11 @@
-package simulation
+package workflowsim
 
 import (
 	"fmt"
 	"strings"
 
-	"yardflow/internal/fleet/workflow/claims"
-	"yardflow/internal/fleet/workflow/expansion"
+	"yardflow/internal/workflow/claims"
+	"yardflow/internal/workflow/expansion"
 )
 
 // checkSend judges a send at the moment it is made.
--- a/internal/testing/workflowsim/planted_test.go
+++ b/internal/testing/workflowsim/planted_test.go
@@ -1,6 +1,6 @@
 //go:build !race
 
-package simulation
+package workflowsim
 
 import "testing"
 
--- a/internal/testing/workflowsim/race_test.go
+++ b/internal/testing/workflowsim/race_test.go
@@ -1,5 +1,5 @@
 //go:build race
 
-package simulation
+package workflowsim
 
 const seedCount = uint64(8) // see planted_test.go
--- a/internal/testing/workflowsim/simulation.go
+++ b/internal/testing/workflowsim/simulation.go
@@ -1,4 +1,4 @@
-// Package simulation runs workflows under faults in virtual time, from a seed: the coordinators' state and the claimants
+// Package workflowsim runs workflows under faults in virtual time, from a seed: the coordinators' state and the claimants
 // of some dispatchers as they are in service, and between them messages that are lost, late or duplicated, dispatchers
 // that are killed, freeze or are partitioned, workers whose answers are lost, leaders that are lost, and coordinators
 // that go on from a snapshot. It judges what workers were sent and how workflows ended by the invariants of packages
@@ -9,7 +9,7 @@
 //
 // Everything is drawn from the seed alone, in a fixed order: the same seed gives the same run. It serves tests and
 // measurements only.
-package simulation
+package workflowsim
 
 import (
 	"fmt"
@@ -17,7 +17,7 @@
 	"time"
 
 	"yardflow/internal/fleet/statemachine"
-	"yardflow/internal/fleet/workflow/template"
+	"yardflow/internal/workflow/template"
 )
 
 // PlantedFault is a fault of the protocol that a run has on purpose.
--- a/internal/workflow/claimant/claim.go
+++ b/internal/workflow/claimant/claim.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"yardflow/internal/fleet/workflow/claims"
+	"yardflow/internal/workflow/claims"
 )
 
 // PendingClaim identifies a claim request whose answer is awaited.
--- a/internal/workflow/claimant/claimant.go
+++ b/internal/workflow/claimant/claimant.go
@@ -15,8 +15,8 @@
 import (
 	"time"
 
-	"yardflow/internal/fleet/lease"
-	"yardflow/internal/fleet/workflow/claims"
+	"yardflow/coordination/lease"
+	"yardflow/internal/workflow/claims"
 )
 
 // stage is how far a claimed step has come at this dispatcher.
--- a/internal/workflow/claimant/report.go
+++ b/internal/workflow/claimant/report.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"yardflow/internal/fleet/workflow/claims"
+	"yardflow/internal/workflow/claims"
 )
 
 // RequestIntent has the intent to dispatch a step recorded. One that differs from the step's last intent gets the next
--- a/internal/workflow/claims/claim.go
+++ b/internal/workflow/claims/claim.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"yardflow/internal/fleet/workflow/aging"
-	"yardflow/internal/fleet/workflow/expansion"
+	"yardflow/internal/workflow/aging"
+	"yardflow/internal/workflow/expansion"
 )
 
 // DispatcherKey names one incarnation of a dispatcher, the holder of claims.
--- a/internal/workflow/claims/claims.go
+++ b/internal/workflow/claims/claims.go
@@ -27,10 +27,10 @@
 	"slices"
 	"time"
 
-	"yardflow/internal/fleet/workflow/aging"
-	"yardflow/internal/fleet/workflow/expansion"
-	"yardflow/internal/fleet/workflow/graph"
-	"yardflow/internal/fleet/workflow/template"
+	"yardflow/internal/workflow/aging"
+	"yardflow/internal/workflow/expansion"
+	"yardflow/internal/workflow/graph"
+	"yardflow/internal/workflow/template"
 )
 
 // Limits of the table. They bound the memory and the snapshot of each coordinator.
--- a/internal/workflow/claims/command.go
+++ b/internal/workflow/claims/command.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"yardflow/internal/fleet/workflow/expansion"
+	"yardflow/internal/workflow/expansion"
 )
 
 // Command is a command on workflows in the coordinators' log; exactly one of its fields is set.
--- a/internal/workflow/claims/end.go
+++ b/internal/workflow/claims/end.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"yardflow/internal/fleet/workflow/expansion"
-	"yardflow/internal/fleet/workflow/graph"
-	"yardflow/internal/fleet/workflow/template"
+	"yardflow/internal/workflow/expansion"
+	"yardflow/internal/workflow/graph"
+	"yardflow/internal/workflow/template"
 )
 
 // Reasons that the table itself gives for the end of a step. They are stored in the replicated state, which must be the
--- a/internal/workflow/claims/intent.go
+++ b/internal/workflow/claims/intent.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"yardflow/internal/fleet/workflow/expansion"
+	"yardflow/internal/workflow/expansion"
 )
 
 // forever is the RepeatableUntil of steps whose class may be repeated at any time.
--- a/internal/workflow/claims/operator.go
+++ b/internal/workflow/claims/operator.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"yardflow/internal/fleet/workflow/expansion"
+	"yardflow/internal/workflow/expansion"
 )
 
 // maxExisting is how many of the existing keys an error names that a workflow is not among.
--- a/internal/workflow/claims/ready.go
+++ b/internal/workflow/claims/ready.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"yardflow/internal/fleet/workflow/aging"
-	"yardflow/internal/fleet/workflow/expansion"
+	"yardflow/internal/workflow/aging"
+	"yardflow/internal/workflow/expansion"
 )
 
 // readyStep is an entry of the queues of ready steps. An entry is not removed when its step stops being ready; it is
--- a/internal/workflow/claims/reclaim.go
+++ b/internal/workflow/claims/reclaim.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"yardflow/internal/fleet/workflow/expansion"
+	"yardflow/internal/workflow/expansion"
 )
 
 // Holders returns the DispatcherKeys that hold claims, in order.
--- a/internal/workflow/claims/status.go
+++ b/internal/workflow/claims/status.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"yardflow/internal/fleet/workflow/expansion"
+	"yardflow/internal/workflow/expansion"
 )
 
 // maxShown is how many workflows, or live steps of one workflow, a query shows.
--- a/internal/workflow/claims/submit.go
+++ b/internal/workflow/claims/submit.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
-	"yardflow/internal/fleet/workflow/expansion"
-	"yardflow/internal/fleet/workflow/graph"
-	"yardflow/internal/fleet/workflow/template"
+	"yardflow/internal/workflow/expansion"
+	"yardflow/internal/workflow/graph"
+	"yardflow/internal/workflow/template"
 )
 
 // submit adds a workflow and makes its first steps ready. A second submission under the same key changes nothing.
--- a/internal/workflow/expansion/cursor.go
+++ b/internal/workflow/expansion/cursor.go
@@ -3,8 +3,8 @@
 import (
 	"slices"
 
-	"yardflow/internal/fleet/workflow/graph"
-	"yardflow/internal/fleet/workflow/template"
+	"yardflow/internal/workflow/graph"
+	"yardflow/internal/workflow/template"
 )
 
 // cursor is a position in a tree: the path of items from the root to one live item, by depth. It is a value; child and
--- a/internal/workflow/expansion/end.go
+++ b/internal/workflow/expansion/end.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"yardflow/internal/fleet/workflow/graph"
+	"yardflow/internal/workflow/graph"
 )
 
 // Start makes the first steps ready. It is called once.
--- a/internal/workflow/expansion/schedule.go
+++ b/internal/workflow/expansion/schedule.go
@@ -5,8 +5,8 @@
 	"strconv"
 	"time"
 
-	"yardflow/internal/fleet/workflow/graph"
-	"yardflow/internal/fleet/workflow/template"
+	"yardflow/internal/workflow/graph"
+	"yardflow/internal/workflow/template"
 )
 
 // evaluate decides on all waiting steps of the cursor's item, again until nothing changes: a step that is skipped may
--- a/internal/workflow/expansion/tree.go
+++ b/internal/workflow/expansion/tree.go
@@ -14,8 +14,8 @@
 	"slices"
 	"time"
 
-	"yardflow/internal/fleet/workflow/graph"
-	"yardflow/internal/fleet/workflow/template"
+	"yardflow/internal/workflow/graph"
+	"yardflow/internal/workflow/template"
 )
 
 // StepState is how far one step of a workflow has come.
--- a/internal/workflow/graph/compile.go
+++ b/internal/workflow/graph/compile.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strings"
 
-	"yardflow/internal/fleet/workflow/template"
+	"yardflow/internal/workflow/template"
 )
 
 // maxLiveItems is the largest window a template may ask for. Each live item is held in the coordinators' memory.
--- a/internal/workflow/graph/graph.go
+++ b/internal/workflow/graph/graph.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"yardflow/internal/fleet/workflow/template"
+	"yardflow/internal/workflow/template"
 )
 
 // Root is the index of the scope that is the workflow itself: its steps run once.
--- a/lab/rig/harness/flows.go
+++ b/lab/rig/harness/flows.go
@@ -12,8 +12,8 @@
 
 	"yardflow/internal/fleet/statemachine"
 	"yardflow/internal/fleet/transport"
-	"yardflow/internal/fleet/workflow/claims"
-	"yardflow/internal/fleet/workflow/expansion"
+	"yardflow/internal/workflow/claims"
+	"yardflow/internal/workflow/expansion"
 )
 
 // course is a reading list: a loan a title, never twice; then its package; then one collection.
--- a/scheduling/dispatch/attempts.go
+++ b/scheduling/dispatch/attempts.go
@@ -49,7 +49,7 @@
 	if r.mayHaveRun.worker == nil {
 		return true
 	}
-	if len(r.outstanding) > 0 && !d.Hedging || r.class.Semantics == AtMostOnce {
+	if len(r.outstanding) > 0 && !d.Attempts.Hedging || r.class.Semantics == AtMostOnce {
 		return false
 	}
 	if r.class.Semantics == Retryable {
@@ -74,7 +74,7 @@
 // nothing that attemptAllowed forbids, only to workers that are listed as ready, and nothing
 // beyond the slow-start budget.
 func (d *dispatcher) send(r *request, w *worker, out Actions) bool {
-	if r.ended || r.attemptCount >= d.MaxAttempts || !w.listed || d.now >= r.deadline ||
+	if r.ended || r.attemptCount >= d.Attempts.Max || !w.listed || d.now >= r.deadline ||
 		!d.attemptAllowed(r, w) || !d.slowStartAllows(w, r) {
 		return false
 	}
@@ -202,7 +202,7 @@
 	case o.Answered || r.ended:
 		d.endRequest(r)
 	case len(r.outstanding) > 0: // one of them may still succeed
-	case r.attemptCount >= d.MaxAttempts || o.FinalAttempt || d.nearDeadline(r) ||
+	case r.attemptCount >= d.Attempts.Max || o.FinalAttempt || d.nearDeadline(r) ||
 		r.mayHaveRun.worker != nil && !d.retryUseful(r):
 		d.answerUnserved(r, out)
 	default:
@@ -243,7 +243,7 @@
 	if d.now >= until {
 		until = r.deadline
 	}
-	r.holdUntil = d.now + (until-d.now)/time.Duration(1+max(d.MaxAttempts-r.attemptCount, 0))
+	r.holdUntil = d.now + (until-d.now)/time.Duration(1+max(d.Attempts.Max-r.attemptCount, 0))
 }
 
 // unmarkRun notes that a did not run: where it was the first that might have, the next one outstanding is.
--- a/scheduling/dispatch/dispatcher.go
+++ b/scheduling/dispatch/dispatcher.go
@@ -113,7 +113,7 @@
 	d.assignHomeShares()
 	d.refreshEstimates()
 	for _, r := range slices.Clone(d.queue) {
-		if r.attemptCount >= d.MaxAttempts { // more than are allowed now
+		if r.attemptCount >= d.Attempts.Max { // more than are allowed now
 			d.answerUnserved(r, out)
 		}
 	}
--- a/scheduling/dispatch/events.go
+++ b/scheduling/dispatch/events.go
@@ -98,7 +98,7 @@
 	Latency      time.Duration
 	Answered     bool      // the request has its final answer
 	FinalAttempt bool      // no further attempt of it may be made
-	Load         []float64 // load report, as in Settings.LoadFields; may be empty
+	Load         []float64 // load report, as in Settings.Workers.LoadFields; may be empty
 }
 
 // NotificationKind is the kind of a Notification.
--- a/scheduling/dispatch/fleet.go
+++ b/scheduling/dispatch/fleet.go
@@ -128,7 +128,7 @@
 // Backoff between calls of the list service that fail.
 const (
 	// listBackoffSeconds doubles with each failure in a row: the mean pause is 0.4 s after the first. It
-	// never is over half of Settings.ListRefreshInterval, so that the next call still keeps that promise.
+	// never is over half of Settings.List.RefreshInterval, so that the next call still keeps that promise.
 	listBackoffSeconds = 0.2
 	// listBackoffDoublings is the number of failures from which the pause grows no more, at a mean of 6.4 s.
 	listBackoffDoublings = 5
@@ -158,7 +158,7 @@
 	case form == ListOverride: // whatever is due from the list service stays due
 	case form != ListCached:
 		d.list.askAt, d.list.failures = 0, 0
-	case d.MustSubscribe:
+	case d.List.MustSubscribe:
 		d.subscribe(out)
 	}
 	d.decide(out)
@@ -170,7 +170,7 @@
 	l.failures++
 	doublings := float64(min(l.failures, listBackoffDoublings))
 	pause := listBackoffSeconds * math.Exp2(doublings) * (0.5 + d.random.Float64())
-	l.askAt = d.now + min(seconds(pause), max(d.ListRefreshInterval/2, tickInterval))
+	l.askAt = d.now + min(seconds(pause), max(d.List.RefreshInterval/2, tickInterval))
 	if l.failures == listFailuresLogged {
 		d.log(out, "list", "list service fails; going on with the last list")
 	}
@@ -200,7 +200,7 @@
 
 // updateWorker takes in one entry and tells whether it changes the fleet.
 func (d *dispatcher) updateWorker(entry Worker) bool {
-	w := d.fleet.workerOf(entry.ID, d.DispatcherIndex)
+	w := d.fleet.workerOf(entry.ID, d.Fleet.Index)
 	restarted := w.Launched != entry.Launched
 	if restarted { // what its former incarnation was blamed for, and what waited there
 		w.speed, w.errorShare, w.limit, w.report.at = workerSpeed{}, 0, slotLimit{}, 0
@@ -212,7 +212,7 @@
 	if w.listVersion, w.Kind = d.list.version, max(w.Kind, 0); w.Weight <= 0 {
 		w.Weight = 1
 	}
-	w.crossZone = w.Zone != d.Zone
+	w.crossZone = w.Zone != d.Fleet.Zone
 	was := w.listed
 	w.listed = w.State == Ready
 	if ranked := w.rankIndex < len(d.fleet.ranked) && d.fleet.ranked[w.rankIndex] == w; w.listed && !ranked {
--- a/scheduling/dispatch/health.go
+++ b/scheduling/dispatch/health.go
@@ -95,12 +95,13 @@
 // while later ones succeed, is a stream that stopped.
 func (d *dispatcher) presumedLost(a *attempt) bool {
 	if a.startedAt == 0 {
-		return d.FIFOWorkers && d.StartNotifications && (a.worker.startedSentAt > a.sentAt+overtakeSlack ||
-			d.sparse() && d.now-a.sentAt > reclaimAfter && d.reclaims.available() && d.reclaimable(a.request))
+		return d.Workers.FIFO && d.Workers.StartNotifications &&
+			(a.worker.startedSentAt > a.sentAt+overtakeSlack ||
+				d.sparse() && d.now-a.sentAt > reclaimAfter && d.reclaims.available() && d.reclaimable(a.request))
 	}
 	return a.worker.succeededSentAt > a.sentAt &&
 		(d.now-a.startedAt).Seconds() > lostRuns*overdueRuns*d.expectedRun(a.request, a.worker) &&
-		(d.ProgressInterval == 0 || d.now-a.heardAt > 2*d.ProgressInterval)
+		(d.Workers.ProgressInterval == 0 || d.now-a.heardAt > 2*d.Workers.ProgressInterval)
 }
 
 // markLost frees what a holds at its worker, and reclaims it where it may be retried.
@@ -122,7 +123,7 @@
 func (d *dispatcher) checkStart(a *attempt) {
 	w, r := a.worker, a.request
 	allowed := lateStartFactor**d.typicalStartDelay(w) + (2 * d.MinEventGap).Seconds() + lateStartSlackSeconds
-	if !d.StartNotifications || a.startLate || (d.now-a.sentAt).Seconds() <= allowed {
+	if !d.Workers.StartNotifications || a.startLate || (d.now-a.sentAt).Seconds() <= allowed {
 		return
 	}
 	a.startLate = true
@@ -143,7 +144,8 @@
 		a.overdue = true
 		w.limit.slots = min(w.limit.slots, max(w.usage.busy(), 1))
 	}
-	if a.startedAt != 0 && d.ProgressInterval > 0 && d.now-a.heardAt < d.ProgressInterval*3/2 {
+	interval := d.Workers.ProgressInterval
+	if a.startedAt != 0 && interval > 0 && d.now-a.heardAt < interval*3/2 {
 		return // a long job that still notifies of its progress
 	}
 	if lateness := math.Log(age / due); lateness > w.speed.logLateness+latenessStep {
--- a/scheduling/dispatch/loadreport.go
+++ b/scheduling/dispatch/loadreport.go
@@ -73,7 +73,7 @@
 // states nothing.
 func (d *dispatcher) parseLoad(load []float64) loadFigures {
 	f := loadFigures{freeSlots: -1, freeMemory: -1}
-	if len(load) != len(d.LoadFields) {
+	if len(load) != len(d.Workers.LoadFields) {
 		return f
 	}
 	for _, v := range load {
@@ -81,7 +81,7 @@
 			return f
 		}
 	}
-	for i, field := range d.LoadFields {
+	for i, field := range d.Workers.LoadFields {
 		switch field {
 		case LoadFreeSlots:
 			f.freeSlots = load[i]
--- a/scheduling/dispatch/lottery.go
+++ b/scheduling/dispatch/lottery.go
@@ -25,7 +25,7 @@
 // sparse tells whether this dispatcher's share of the fleet is less than one worker. Too few of its jobs
 // pass there to know who has capacity, so workers are drawn instead of counted.
 func (d *dispatcher) sparse() bool {
-	return d.DispatcherCount > len(d.fleet.ranked) && !d.usageKnown()
+	return d.Fleet.Count > len(d.fleet.ranked) && !d.usageKnown()
 }
 
 // drawWorker draws the worker for r in a sparse fleet; nil where none is eligible or the wait is hopeless.
--- a/scheduling/dispatch/overload.go
+++ b/scheduling/dispatch/overload.go
@@ -6,11 +6,11 @@
 // free, and spread over the fleet's warm-up while much of it is cold, so that no one wave comes back.
 func (d *dispatcher) retryAfter() time.Duration {
 	at := max(d.speeds.meanRun, seconds(d.overcommit.gapSeconds))
-	spread := min(seconds(d.fleet.warmingShare*d.SlowStartTime.Seconds()), d.MaxRetryAfter-at)
+	spread := min(seconds(d.fleet.warmingShare*d.SlowStart.Time.Seconds()), d.Attempts.MaxRetryAfter-at)
 	if spread > 0 {
 		at += time.Duration(d.random.Float64() * float64(spread))
 	}
-	return min(d.MaxRetryAfter, at)
+	return min(d.Attempts.MaxRetryAfter, at)
 }
 
 // lotteryJoinOdds sheds load past what the fleet can do, where the usual wait is longer than a
--- a/scheduling/dispatch/peers.go
+++ b/scheduling/dispatch/peers.go
@@ -28,9 +28,9 @@
 // usageKnown tells whether what all dispatchers have outstanding is known, a network's delay ago: there is
 // no other, or they broadcast it. One that is silent is taken to be down.
 func (d *dispatcher) usageKnown() bool {
-	messages := float64(d.DispatcherCount-1) * broadcastBytesPerJob / gossip.MaxMessageBytes
-	return d.DispatcherCount == 1 || d.Peers && d.DispatcherCount <= maxBroadcasters &&
-		messages*d.PeerMessageCost <= maxBroadcastCost
+	messages := float64(d.Fleet.Count-1) * broadcastBytesPerJob / gossip.MaxMessageBytes
+	return d.Fleet.Count == 1 || d.Fleet.Peers && d.Fleet.Count <= maxBroadcasters &&
+		messages*d.Fleet.PeerMessageCost <= maxBroadcastCost
 }
 
 func (d *dispatcher) PeerMessage(now time.Duration, _ int, msg []byte, out Actions) {
@@ -53,12 +53,12 @@
 // broadcastUsage broadcasts what is outstanding, where that is due. A dispatcher that is alone does, too:
 // another process of it may receive it.
 func (d *dispatcher) broadcastUsage(out Actions) {
-	if !d.Peers || !d.usageKnown() {
+	if !d.Fleet.Peers || !d.usageKnown() {
 		return
 	}
 	p := d.peers.participant
 	if p == nil {
-		p = gossip.New(d.DispatcherIndex, d.DispatcherCount, uint64(d.now.Milliseconds()/incarnationUnitMs))
+		p = gossip.New(d.Fleet.Index, d.Fleet.Count, uint64(d.now.Milliseconds()/incarnationUnitMs))
 		d.peers.participant = p
 	}
 	if d.now-d.peers.mergedAt > gossip.HeartbeatInterval {
@@ -87,7 +87,7 @@
 
 // stopBroadcasts forgets what peers have broadcast where, by the settings in force, they do not any more.
 func (d *dispatcher) stopBroadcasts() {
-	if d.peers.participant == nil || d.Peers && d.usageKnown() {
+	if d.peers.participant == nil || d.Fleet.Peers && d.usageKnown() {
 		return
 	}
 	d.peers.participant = nil
--- a/scheduling/dispatch/quota.go
+++ b/scheduling/dispatch/quota.go
@@ -18,7 +18,7 @@
 	if tenant < 0 || tenant >= len(d.quotas) || d.Tenants[tenant].Quota <= 0 {
 		return true
 	}
-	b, rate := &d.quotas[tenant], d.Tenants[tenant].Quota/float64(d.DispatcherCount)
+	b, rate := &d.quotas[tenant], d.Tenants[tenant].Quota/float64(d.Fleet.Count)
 	b.tokens = min(b.tokens+rate*(d.now-b.at).Seconds(), max(rate, quotaBurstRequests))
 	b.at = d.now
 	if b.tokens < 1 {
--- a/scheduling/dispatch/ranking.go
+++ b/scheduling/dispatch/ranking.go
@@ -15,8 +15,8 @@
 	// errorSlowness (ln of time) is what a worker whose every attempt fails loses: 20 times, behind any slow
 	// one. With more, a worker that is well again is ranked last for longer.
 	errorSlowness = 3
-	// crossZoneWeight turns Settings.CrossZoneCost into time: so many mean latency targets for a cost of one
-	// value. With less, jobs cross zones for gains that the crossing costs again.
+	// crossZoneWeight turns ValueSettings.CrossZoneCost into time: so many mean latency targets for a cost of
+	// one value. With less, jobs cross zones for gains that the crossing costs again.
 	crossZoneWeight = 4.0
 )
 
@@ -53,7 +53,7 @@
 	d.partitionWorkers()
 	d.fleet.decaySightings()
 	d.speeds.crossZoneSeconds = d.speeds.startDelay[1] +
-		crossZoneWeight*d.CrossZoneCost*d.totalLatencyTarget()/float64(len(d.Classes))
+		crossZoneWeight*d.Values.CrossZoneCost*d.totalLatencyTarget()/float64(len(d.Classes))
 	for _, w := range d.fleet.ranked {
 		w.errorShare *= errorShareDecay
 		w.speed.logLateness *= latenessDecay
@@ -81,7 +81,7 @@
 	for _, w := range d.fleet.ranked {
 		n, mu := d.fleet.kindSlots(w), 1/w.rankTime
 		if w.threshold.updates < learnedThresholdUpdates {
-			w.threshold.theta = min(max(rates/mu-slots, 0)/float64(d.DispatcherCount), queueScale)
+			w.threshold.theta = min(max(rates/mu-slots, 0)/float64(d.Fleet.Count), queueScale)
 		}
 		rates += n * mu
 		slots += n
--- a/scheduling/dispatch/reclaim.go
+++ b/scheduling/dispatch/reclaim.go
@@ -26,6 +26,6 @@
 
 // reclaimable tells whether an attempt of r that stands still is cancelled, to retry elsewhere.
 func (d *dispatcher) reclaimable(r *request) bool {
-	return d.Cancellation && r.attemptCount < d.MaxAttempts && d.now < r.latestStart &&
+	return d.Attempts.Cancellation && r.attemptCount < d.Attempts.Max && d.now < r.latestStart &&
 		d.retryUseful(r) && !r.BestEffort
 }
--- a/scheduling/dispatch/requests.go
+++ b/scheduling/dispatch/requests.go
@@ -89,11 +89,11 @@
 // valueDensity is what a request earns per slot, or per slot-second where value counts per request.
 func (d *dispatcher) valueDensity(r *request, work float64) float64 {
 	density := r.class.Value / r.Slots
-	if !d.ValuePerWork {
+	if !d.Values.PerWork {
 		density /= work
 	}
 	if !d.withinQuota(r.Tenant) {
-		density *= d.OverQuotaValueShare
+		density *= d.Values.OverQuotaShare
 	}
 	return density
 }
--- a/scheduling/dispatch/reservations.go
+++ b/scheduling/dispatch/reservations.go
@@ -166,5 +166,5 @@
 	if w.Launched == 0 {
 		return backfill.SlowStart{}
 	}
-	return backfill.SlowStart{Launched: w.Launched, Share: d.SlowStartShare, Time: d.SlowStartTime}
+	return backfill.SlowStart{Launched: w.Launched, Share: d.SlowStart.Share, Time: d.SlowStart.Time}
 }
--- a/scheduling/dispatch/shares.go
+++ b/scheduling/dispatch/shares.go
@@ -45,9 +45,9 @@
 // the fleet holds. What lies outside is reached by trial, once holding is used up. Where crossing
 // zones is dear the ring is that of the own zone, and arcs may overlap. Each pool has a ring of its own.
 func (d *dispatcher) assignHomeShares() {
-	for _, r := range d.rings(d.CrossZoneCost < cheapCrossZoneCost) {
-		arc := r.allWeight / float64(d.DispatcherCount)
-		start := math.Mod(arc*float64(d.DispatcherIndex), max(r.homeWeight, 1e-9))
+	for _, r := range d.rings(d.Values.CrossZoneCost < cheapCrossZoneCost) {
+		arc := r.allWeight / float64(d.Fleet.Count)
+		start := math.Mod(arc*float64(d.Fleet.Index), max(r.homeWeight, 1e-9))
 		if d.sparse() {
 			arc = min(sparseHomeShares*arc, r.homeWeight)
 		} else if d.usageKnown() {
--- a/scheduling/dispatch/slotlimit.go
+++ b/scheduling/dispatch/slotlimit.go
@@ -47,7 +47,7 @@
 // growLimit raises the limit of w after a clean completion at it that freed so many slots. Not during
 // the backoff after a shrink: at a steady load every raise costs a job that waits.
 func (d *dispatcher) growLimit(w *worker, freed float64) {
-	if !d.StartNotifications && len(d.LoadFields) == 0 {
+	if !d.Workers.StartNotifications && len(d.Workers.LoadFields) == 0 {
 		d.observeSlots(w, w.usage.slots+freed)
 	}
 	k := &d.fleet.kindOf(w).slots
--- a/scheduling/dispatch/slowstart.go
+++ b/scheduling/dispatch/slowstart.go
@@ -3,8 +3,8 @@
 import "time"
 
 // Slow start: a worker that has just started bears a part of its load, which grows over
-// Settings.SlowStartTime. All dispatchers together must stay below Settings.CrashLoadFactor times what
-// it has at the moment, over Settings.CrashLoadTime.
+// SlowStartSettings.Time. All dispatchers together must stay below CrashLoadFactor times what it has at
+// the moment, over CrashLoadTime.
 const (
 	// slowStartSafety is the part of that budget that is used, over all dispatchers: jobs' sizes are
 	// estimates, and a worker that crashes costs all that runs there. With more, long jobs that come together
@@ -33,11 +33,11 @@
 // warmUpShare is the share of its capacity that w has now at the least.
 func (d *dispatcher) warmUpShare(w *worker) float64 {
 	age := d.now - w.Launched
-	if w.Launched == 0 || age >= d.SlowStartTime {
+	if w.Launched == 0 || age >= d.SlowStart.Time {
 		return 1
 	}
-	grown := (1 - d.SlowStartShare) * float64(max(age, 0)) / float64(d.SlowStartTime)
-	return max(d.SlowStartShare+grown, leastWarmUpShare)
+	grown := (1 - d.SlowStart.Share) * float64(max(age, 0)) / float64(d.SlowStart.Time)
+	return max(d.SlowStart.Share+grown, leastWarmUpShare)
 }
 
 // slowStartAllows tells whether the budget of w bears r now. The budget is a part of what a warming worker
@@ -48,8 +48,8 @@
 	}
 	share := d.slowStartShare(w)
 	cost := r.Slots * d.expectedRun(r, w)
-	bears := d.CrashLoadFactor * d.warmUpShare(w) * d.fleet.kindSlots(w)
-	if share == 0 || bears*d.CrashLoadTime.Seconds() < 2*cost {
+	bears := d.SlowStart.CrashLoadFactor * d.warmUpShare(w) * d.fleet.kindSlots(w)
+	if share == 0 || bears*d.SlowStart.CrashLoadTime.Seconds() < 2*cost {
 		return false
 	}
 	rate := slowStartSafety * bears * share
@@ -71,9 +71,9 @@
 	case d.sparse():
 		return share * (sparseSlowStartFactor / sparseHomeShares)
 	case d.usageKnown():
-		return share / float64(d.DispatcherCount)
-	case d.DispatcherCount <= fewDispatchers:
-		return max(share, fewDispatchersShare/float64(d.DispatcherCount))
+		return share / float64(d.Fleet.Count)
+	case d.Fleet.Count <= fewDispatchers:
+		return max(share, fewDispatchersShare/float64(d.Fleet.Count))
 	default:
 		return share
 	}
