--- a/coordination/lease/lease.go
+++ b/coordination/lease/lease.go
@@ -1,4 +1,4 @@
-// Package lease is the lease protocol of the fleet, without any input or output: the granter's half, which knows which
+// Package lease is a lease protocol, without any input or output: the granter's half, which knows which
 // leases may still be in use, and the holder's half, which knows whether it may act now.
 //
 // The time of the two halves comes from different clocks, so safety rests on how each of them counts:
