--- a/lab/rig/harness/sim.go
+++ b/lab/rig/harness/sim.go
@@ -72,14 +72,14 @@
 }
 
 type simHolder struct {
-	a       *policylease.Holder
-	name    string
-	still   bool // stopped: it does nothing, and its clock runs on
-	cut     bool
-	at      int
-	calling uint64
-	drift   float64
-	life    uint64
+	a           *policylease.Holder
+	name        string
+	frozen      bool // stopped: it does nothing, and its clock runs on
+	partitioned bool
+	at          int
+	calling     uint64
+	drift       float64
+	life        uint64
 }
 
 type simEvent struct {
@@ -113,7 +113,7 @@
 	holders  []*simHolder
 	out      Outcome
 	record   hash.Hash
-	quiet    bool // no faults any more
+	settling bool // no faults any more
 	proposed map[uint64]time.Duration
 	last     map[uint64]time.Duration // admissions by version: the last, and the first
 	first    map[uint64]time.Duration
@@ -136,7 +136,7 @@
 		proposed: map[uint64]time.Duration{}, last: map[uint64]time.Duration{}, first: map[uint64]time.Duration{}}
 	s.startKeepers()
 	s.startHolders()
-	s.in(time.Second, s.propose)
+	s.in(time.Second, s.changePolicy)
 	if !c.Calm {
 		s.in(time.Second, s.fault)
 	}
@@ -175,9 +175,9 @@
 	for i := range s.Dispatchers {
 		h := &simHolder{name: fmt.Sprintf("d%d", i), at: s.rnd.IntN(s.Keepers), drift: 1 + policylease.MaxClockDrift*(s.rnd.Float64()-0.5)}
 		s.holders = append(s.holders, h)
-		s.rise(h)
-		s.in(s.span(0, simLease/4), func() { s.ask(h, h.life) })
-		s.in(s.span(0, simTick), func() { s.look(h) })
+		s.restartHolder(h)
+		s.in(s.between(0, simLease/4), func() { s.requestLease(h, h.life) })
+		s.in(s.between(0, simTick), func() { s.observe(h) })
 	}
 }
 
@@ -197,14 +197,14 @@
 
 // endFaults brings back everyone: from here on the system comes to rest.
 func (s *sim) endFaults() {
-	s.quiet = true
+	s.settling = true
 	for _, k := range s.keepers {
 		if !k.up {
 			s.boot(k, nil)
 		}
 	}
 	for _, h := range s.holders {
-		h.still, h.cut = false, false
+		h.frozen, h.partitioned = false, false
 	}
 }
 
@@ -223,12 +223,12 @@
 	s.out.InForce = want.Version
 	for _, k := range s.keepers {
 		if got := k.state.CurrentPolicy(); got.Version != want.Version || got.Digest != want.Digest {
-			s.broken("keepers %d and %d are left with versions %d and %d", k.id, newest.id, got.Version, want.Version)
+			s.addViolation("keepers %d and %d are left with versions %d and %d", k.id, newest.id, got.Version, want.Version)
 		}
 	}
 }
 
-func (s *sim) broken(format string, args ...any) {
+func (s *sim) addViolation(format string, args ...any) {
 	if len(s.out.Broken) < 5 {
 		s.out.Broken = append(s.out.Broken, fmt.Sprintf("at %v: ", s.now)+fmt.Sprintf(format, args...))
 	}
@@ -239,22 +239,22 @@
 	heap.Push(&s.events, simEvent{s.now + d, s.n, do})
 }
 
-func (s *sim) span(lo, hi time.Duration) time.Duration {
+func (s *sim) between(lo, hi time.Duration) time.Duration {
 	return lo + time.Duration(s.rnd.Float64()*float64(hi-lo))
 }
 
-// carry brings a message, late, or does not, or brings it twice.
-func (s *sim) carry(do func()) {
-	if !s.quiet && s.rnd.Float64() < s.Lost {
+// deliver delivers a message late, or not at all, or twice.
+func (s *sim) deliver(do func()) {
+	if !s.settling && s.rnd.Float64() < s.Lost {
 		return
 	}
 	slowest := s.Slowest
-	if s.quiet {
+	if s.settling {
 		slowest = min(slowest, 10*time.Millisecond)
 	}
-	s.in(s.span(time.Millisecond, slowest), do)
-	if !s.quiet && s.rnd.Float64() < s.Doubled {
-		s.in(s.span(time.Millisecond, 10*slowest), do)
+	s.in(s.between(time.Millisecond, slowest), do)
+	if !s.settling && s.rnd.Float64() < s.Doubled {
+		s.in(s.between(time.Millisecond, 10*slowest), do)
 	}
 }
 
@@ -263,7 +263,7 @@
 func (s *sim) boot(k *simKeeper, peers []raft.Peer) {
 	k.epoch++
 	k.up, k.waiting = true, map[uint64]func(statemachine.Result){}
-	k.term, k.heard, k.patient = 0, s.now, s.span(10*simTick, 20*simTick)
+	k.term, k.heard, k.patient = 0, s.now, s.between(10*simTick, 20*simTick)
 	k.state = statemachine.New(statemachine.Config{LeaseDuration: simLease, VoteTimeout: 3 * time.Second, OnLeaseLoss: s.Fence, PolicyHistory: 8})
 	node, err := raft.NewRawNode(&raft.Config{ID: k.id, ElectionTick: 1 << 30, HeartbeatTick: 1, Storage: k.store,
 		MaxSizePerMsg: 1 << 20, MaxInflightMsgs: 64, PreVote: true, Logger: consensus.DiscardLogger{}})
@@ -286,27 +286,27 @@
 		st := k.node.BasicStatus()
 		if st.RaftState == raft.StateLeader {
 			k.heard = s.now
-			s.tell(k, st.GetTerm())
+			s.recordTime(k, st.GetTerm())
 		} else if k.term = 0; s.now-k.heard > k.patient {
-			k.heard, k.patient = s.now, s.span(10*simTick, 20*simTick)
+			k.heard, k.patient = s.now, s.between(10*simTick, 20*simTick)
 			_ = k.node.Campaign()
 		}
 		s.ready(k)
 		s.in(simTick, tick)
 	}
-	s.in(s.span(0, simTick), tick)
+	s.in(s.between(0, simTick), tick)
 	s.ready(k)
 }
 
-// tell is quorum's tellTime.
-func (s *sim) tell(k *simKeeper, term uint64) {
+// recordTime has a leader record how much time has passed, as consensus does.
+func (s *sim) recordTime(k *simKeeper, term uint64) {
 	if k.term == term {
-		s.entry(k, statemachine.Command{Tick: &statemachine.Tick{Elapsed: s.now - k.told, GrantsSeen: k.state.GrantCount}}, nil)
+		s.propose(k, statemachine.Command{Tick: &statemachine.Tick{Elapsed: s.now - k.told, GrantsSeen: k.state.GrantCount}}, nil)
 	}
 	k.term, k.told = term, s.now
 }
 
-func (s *sim) entry(k *simKeeper, cmd statemachine.Command, done func(statemachine.Result)) {
+func (s *sim) propose(k *simKeeper, cmd statemachine.Command, done func(statemachine.Result)) {
 	text, err := statemachine.Encode(cmd)
 	if err != nil {
 		panic(err)
@@ -329,7 +329,7 @@
 		}
 		_ = k.store.Append(rd.Entries)
 		for _, m := range rd.Messages {
-			s.post(m)
+			s.send(m)
 		}
 		for _, e := range rd.CommittedEntries {
 			s.apply(k, e)
@@ -338,13 +338,13 @@
 	}
 }
 
-func (s *sim) post(m *raftpb.Message) {
+func (s *sim) send(m *raftpb.Message) {
 	to := s.keepers[m.GetTo()-1]
 	text, err := proto.Marshal(m)
 	if err != nil {
 		panic(err)
 	}
-	s.carry(func() {
+	s.deliver(func() {
 		if !to.up {
 			return
 		}
@@ -385,7 +385,7 @@
 		if err != nil {
 			panic(err)
 		}
-		s.carry(func() {
+		s.deliver(func() {
 			var told statemachine.Result
 			if err := statemachine.Decode(text, &told); err != nil {
 				panic(err)
@@ -397,8 +397,8 @@
 
 // ---- dispatchers
 
-// rise is a new life of a dispatcher.
-func (s *sim) rise(h *simHolder) {
+// restartHolder begins a new life of a dispatcher.
+func (s *sim) restartHolder(h *simHolder) {
 	s.serial++
 	h.life = s.serial
 	h.a = policylease.New(h.name, h.life, "", s.Fence)
@@ -408,12 +408,12 @@
 // clock is the dispatcher's own, which may run a little fast or slow.
 func (s *sim) clock(h *simHolder) time.Duration { return time.Duration(float64(s.now) * h.drift) }
 
-func (s *sim) ask(h *simHolder, life uint64) {
+func (s *sim) requestLease(h *simHolder, life uint64) {
 	if h.life != life {
 		return
 	}
-	again := func(d time.Duration) { s.in(d, func() { s.ask(h, life) }) }
-	if h.still {
+	again := func(d time.Duration) { s.in(d, func() { s.requestLease(h, life) }) }
+	if h.frozen {
 		again(100 * time.Millisecond)
 		return
 	}
@@ -425,7 +425,7 @@
 		}
 		if !ok {
 			h.at = s.rnd.IntN(s.Keepers)
-			again(s.span(50*time.Millisecond, 300*time.Millisecond))
+			again(s.between(50*time.Millisecond, 300*time.Millisecond))
 			return
 		}
 		t := h.a.HandleResult(asked, r)
@@ -447,7 +447,7 @@
 			again(20 * time.Millisecond)
 		default:
 			// The watch wakes it at a change; here it looks a little more often instead.
-			again(s.span(h.a.RenewalInterval()/4, h.a.RenewalInterval()/2))
+			again(s.between(h.a.RenewalInterval()/4, h.a.RenewalInterval()/2))
 		}
 	})
 }
@@ -467,7 +467,7 @@
 	}
 	over := false
 	end := func(r statemachine.Result, ok bool) {
-		if !over && !h.still && (!ok || !h.cut) {
+		if !over && !h.frozen && (!ok || !h.partitioned) {
 			over = true
 			done(r, ok)
 		} else if !over && !ok {
@@ -480,10 +480,10 @@
 		}
 	}
 	k := s.keepers[h.at]
-	if !h.cut {
-		s.carry(func() {
+	if !h.partitioned {
+		s.deliver(func() {
 			if k.up {
-				s.entry(k, cmd, func(r statemachine.Result) { end(r, true) })
+				s.propose(k, cmd, func(r statemachine.Result) { end(r, true) })
 				s.ready(k)
 			}
 		})
@@ -491,10 +491,10 @@
 	s.in(time.Second, func() { end(statemachine.Result{}, false) })
 }
 
-// look is a request that comes to a dispatcher: what must hold is seen there.
-func (s *sim) look(h *simHolder) {
-	s.in(s.span(20*time.Millisecond, 60*time.Millisecond), func() { s.look(h) })
-	if h.still {
+// observe is a request that comes to a dispatcher: what must hold is seen there.
+func (s *sim) observe(h *simHolder) {
+	s.in(s.between(20*time.Millisecond, 60*time.Millisecond), func() { s.observe(h) })
+	if h.frozen {
 		return
 	}
 	held := h.a.Admission(s.clock(h))
@@ -525,13 +525,13 @@
 		if later > v && at < s.now {
 			s.out.Overlap = max(s.out.Overlap, s.now-at)
 			if s.Fence == statemachine.RefuseWork {
-				s.broken("%s admits under %d, %v after another did under %d", h.name, v, s.now-at, later)
+				s.addViolation("%s admits under %d, %v after another did under %d", h.name, v, s.now-at, later)
 			}
 		}
 	}
 	if since, ok := s.proposed[v]; ok {
 		for _, o := range s.holders {
-			if !o.still && !o.cut && o.a.HoldsLease(s.clock(o)) && o.a.Policy().Version < v || !o.a.HoldsLease(s.clock(o)) && !o.still && !o.cut {
+			if !o.frozen && !o.partitioned && o.a.HoldsLease(s.clock(o)) && o.a.Policy().Version < v || !o.a.HoldsLease(s.clock(o)) && !o.frozen && !o.partitioned {
 				return
 			}
 		}
@@ -542,8 +542,9 @@
 
 // ---- what happens to them
 
-func (s *sim) propose() {
-	s.in(s.span(time.Second, 4*time.Second), s.propose)
+// changePolicy is an operator who proposes the next policy.
+func (s *sim) changePolicy() {
+	s.in(s.between(time.Second, 4*time.Second), s.changePolicy)
 	k := s.keepers[s.rnd.IntN(s.Keepers)]
 	if !k.up || s.now > s.Length*9/8 {
 		return
@@ -551,7 +552,7 @@
 	base := k.state.CurrentPolicy().Version
 	s.serial++
 	p := &statemachine.Proposal{ID: fmt.Sprint("c", s.serial), Text: fmt.Appendf(nil, "attempts = %d\n", s.serial), BaseVersion: base, Author: "sim", SkipUnresponsive: s.rnd.IntN(2) == 0}
-	s.entry(k, statemachine.Command{Proposal: p}, func(r statemachine.Result) {
+	s.propose(k, statemachine.Command{Proposal: p}, func(r statemachine.Result) {
 		if r.Err == "" {
 			s.proposed[base+1] = s.now
 		}
@@ -560,10 +561,10 @@
 }
 
 func (s *sim) fault() {
-	if s.quiet {
+	if s.settling {
 		return
 	}
-	s.in(s.span(100*time.Millisecond, 900*time.Millisecond), s.fault)
+	s.in(s.between(100*time.Millisecond, 900*time.Millisecond), s.fault)
 	switch s.rnd.IntN(6) {
 	case 0, 1: // a keeper crashes; more than a minority only seldom
 		down := 0
@@ -577,7 +578,7 @@
 			return
 		}
 		k.up = false
-		s.in(s.span(200*time.Millisecond, 4*time.Second), func() {
+		s.in(s.between(200*time.Millisecond, 4*time.Second), func() {
 			if !k.up {
 				s.boot(k, nil)
 			}
@@ -586,7 +587,7 @@
 		for _, k := range s.keepers {
 			if k.up && k.node.BasicStatus().RaftState == raft.StateLeader {
 				k.up = false
-				s.in(s.span(200*time.Millisecond, 2*time.Second), func() {
+				s.in(s.between(200*time.Millisecond, 2*time.Second), func() {
 					if !k.up {
 						s.boot(k, nil)
 					}
@@ -597,21 +598,21 @@
 	case 3: // some dispatchers stand still
 		for range 1 + len(s.holders)/20 {
 			h := s.holders[s.rnd.IntN(len(s.holders))]
-			h.still = true
-			s.in(s.span(100*time.Millisecond, 4*time.Second), func() { h.still = false })
+			h.frozen = true
+			s.in(s.between(100*time.Millisecond, 4*time.Second), func() { h.frozen = false })
 		}
 	case 4: // or are cut off
 		for range 1 + len(s.holders)/20 {
 			h := s.holders[s.rnd.IntN(len(s.holders))]
-			h.cut = true
-			s.in(s.span(100*time.Millisecond, 4*time.Second), func() { h.cut = false })
+			h.partitioned = true
+			s.in(s.between(100*time.Millisecond, 4*time.Second), func() { h.partitioned = false })
 		}
 	case 5: // or are killed, and come back
 		for range 1 + len(s.holders)/20 {
 			h := s.holders[s.rnd.IntN(len(s.holders))]
-			s.rise(h)
+			s.restartHolder(h)
 			life := h.life
-			s.in(s.span(100*time.Millisecond, 2*time.Second), func() { s.ask(h, life) })
+			s.in(s.between(100*time.Millisecond, 2*time.Second), func() { s.requestLease(h, life) })
 		}
 	}
 }
