--- a/internal/testing/emulator/freeze.go
+++ b/internal/testing/emulator/freeze.go
@@ -35,6 +35,13 @@
 	}
 }
 
+// isClosed reports whether the gate is closed.
+func (g *gate) isClosed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.opened != nil
+}
+
 // gate returns a machine's gate for what it reads, writes and dials.
 func (n *Network) gate(machine string) *gate {
 	n.mu.Lock()
--- a/internal/testing/emulator/stream.go
+++ b/internal/testing/emulator/stream.go
@@ -172,15 +172,28 @@
 	return len(p), nil
 }
 
+// Close closes this end. It never waits, also in a frozen process: net/http closes connections under its locks, and virtual
+// time does not pass while another goroutine waits for one of them. The other end sees it once the process goes on.
 func (c *conn) Close() error {
-	c.gate.pass()
 	c.mu.Lock()
-	if c.closed {
-		c.mu.Unlock()
-		return nil
-	}
+	former := c.closed
 	c.closed = true
 	c.mu.Unlock()
+	switch {
+	case former:
+	case c.gate.isClosed():
+		go func() {
+			c.gate.pass()
+			c.end()
+		}()
+	default:
+		c.end()
+	}
+	return nil
+}
+
+// end ends both streams for the other end, and for readers of this one.
+func (c *conn) end() {
 	c.out.mu.Lock()
 	c.out.fin = true
 	c.out.mu.Unlock()
@@ -189,7 +202,6 @@
 	c.in.network.mu.Lock()
 	delete(c.in.network.streams, c.in)
 	c.in.network.mu.Unlock()
-	return nil
 }
 
 func (c *conn) LocalAddr() net.Addr  { return address(c.local) }
