prove-system: a batch that stands still prints its goroutines, kept whole in a file

Cause: the three schedules that stood still held a third of the slots for ten minutes each, and the last 4,000 bytes of output said nothing of where. Change: after four minutes (ten before) a batch gets SIGQUIT; output beyond the kept end goes to a file that is named; a lint of the emulator's new test.

--- a/internal/testing/emulator/freeze_test.go
+++ b/internal/testing/emulator/freeze_test.go
@@ -1,8 +1,10 @@
 package emulator
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,7 +44,7 @@
 		thaw()
 		<-closed
 		_ = far.SetReadDeadline(time.Now().Add(time.Second))
-		if _, err := far.Read(make([]byte, 1)); err != io.EOF {
+		if _, err := far.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
 			t.Errorf("the other end reads %v after the thaw", err)
 		}
 	})
@@ -53,7 +55,7 @@
 	t.Helper()
 	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
 	_, err := conn.Read(make([]byte, 1))
-	if timeout, ok := err.(net.Error); !ok || !timeout.Timeout() {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("the other end reads %v while the process is frozen", err)
 	}
 }
--- a/lab/prove-system/batch.go
+++ b/lab/prove-system/batch.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -17,8 +18,9 @@
 const (
 	// batchSize is how many schedules a process plays.
 	batchSize = 5
-	// batchTimeout bounds a process. A schedule takes a second or two of processor time.
-	batchTimeout = 10 * time.Minute
+	// batchTimeout bounds a process. A schedule takes a second or two of processor time. A process that stands still is
+	// made to print its goroutines.
+	batchTimeout = 4 * time.Minute
 	// endTimeout is how long a process may take to end once it was interrupted.
 	endTimeout = 2 * time.Second
 	// collectionPercent is GOGC of the processes: they make much garbage and live short.
@@ -80,7 +82,12 @@
 	command := exec.CommandContext(ctx, program, "-test.run", "^TestSchedules$")
 	command.Env = append(os.Environ(), fmt.Sprint("PROVE_SCHEDULES=", b.count), fmt.Sprint("PROVE_FIRST=", b.first), "PROVE_REPORT=1",
 		"GOMAXPROCS=1", fmt.Sprint("GOGC=", collectionPercent))
-	command.Cancel = func() error { return command.Process.Signal(syscall.SIGTERM) }
+	command.Cancel = func() error {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return command.Process.Signal(syscall.SIGQUIT) // it prints its goroutines
+		}
+		return command.Process.Signal(syscall.SIGTERM)
+	}
 	command.WaitDelay = endTimeout
 	output := &bytes.Buffer{}
 	reader, writer, err := os.Pipe()
@@ -113,8 +120,24 @@
 		end.elapsed = state.UserTime() + state.SystemTime()
 	}
 	if end.missing > 0 {
-		text := output.Bytes()
-		end.output = string(text[max(0, len(text)-keptOutput):])
+		end.output = shorten(output.Bytes(), b)
 	}
 	results <- end
 }
+
+// shorten returns the last of a process's output, and where all of it was kept.
+func shorten(output []byte, b batch) string {
+	if len(output) <= keptOutput {
+		return string(output)
+	}
+	last := string(output[len(output)-keptOutput:])
+	file, err := os.CreateTemp("", fmt.Sprintf("prove-system-seed-%d-*.log", b.first))
+	if err != nil {
+		return last
+	}
+	defer file.Close()
+	if _, err := file.Write(output); err != nil {
+		return last
+	}
+	return last + "\nall of its output is in " + file.Name()
+}
--- a/lab/prove-system/summary_test.go
+++ b/lab/prove-system/summary_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -58,3 +59,17 @@
 		}
 	}
 }
+
+// A batch that stands still leaves more than its last lines: the goroutines are what is looked for.
+func TestLongOutputIsKeptInAFile(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	if got := shorten([]byte("short"), batch{}); got != "short" {
+		t.Errorf("short output became %q", got)
+	}
+	text := strings.Repeat("goroutine 1\n", keptOutput)
+	got := shorten([]byte(text), batch{first: 7})
+	last, file, found := strings.Cut(got, "\nall of its output is in ")
+	if kept, err := os.ReadFile(file); !found || err != nil || string(kept) != text || last != text[len(text)-keptOutput:] {
+		t.Errorf("%d bytes shown, %v", len(last), err)
+	}
+}
