--- a/scheduling/dispatch/health.go
+++ b/scheduling/dispatch/health.go
@@ -95,9 +95,11 @@
 // while later ones succeed, is a stream that stopped.
 func (d *dispatcher) presumedLost(a *attempt) bool {
 	if a.startedAt == 0 {
-		return d.Workers.FIFO && d.Workers.StartNotifications &&
-			(a.worker.startedSentAt > a.sentAt+overtakeSlack ||
-				d.sparse() && d.now-a.sentAt > reclaimAfter && d.reclaims.available() && d.reclaimable(a.request))
+		if !d.Workers.FIFO || !d.Workers.StartNotifications {
+			return false
+		}
+		return a.worker.startedSentAt > a.sentAt+overtakeSlack ||
+			d.sparse() && d.now-a.sentAt > reclaimAfter && d.reclaims.available() && d.reclaimable(a.request)
 	}
 	return a.worker.succeededSentAt > a.sentAt &&
 		(d.now-a.startedAt).Seconds() > lostRuns*overdueRuns*d.expectedRun(a.request, a.worker) &&
