Readings of the platform's list that fail or are slow are logged

Now each reading is logged with its pages, entries, duration and error: a warning where it failed or took over a second, debug otherwise. The errors are types with advice. No change of when or what is read.

--- a/internal/dispatcher/instances.go
+++ b/internal/dispatcher/instances.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"maps"
 	"net"
@@ -12,6 +13,8 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"yardflow/internal/control/statemachine"
 	"yardflow/scheduling/job"
 )
@@ -22,6 +25,9 @@
 	pageTimeout  = 900 * time.Millisecond
 	maxPageBytes = 16 << 20
 	maxPages     = 1000
+	// slowReading is how long a reading may take before it is logged: what it brings may be as old, and reaches the owners
+	// of workers only after it.
+	slowReading = time.Second
 )
 
 // instanceReader reads the platform's list of workers, while this dispatcher is the one to do so: the one with the oldest
@@ -87,34 +93,56 @@
 	}
 	r.reading, r.readAt = true, now
 	go func() {
-		entries, complete := r.read()
+		reading := r.read()
 		r.dispatcher.post(func() {
 			r.reading = false
-			if complete && r.isReader() {
-				r.report(entries)
+			r.logReading(reading, r.dispatcher.now()-now)
+			if reading.err == nil && r.isReader() {
+				r.report(reading.entries)
 			}
 		})
 	}()
 }
 
-// read reads all pages; it reports whether all of them came.
-func (r *instanceReader) read() (entries []instanceEntry, complete bool) {
+// reading is what one pass over the list's pages has brought.
+type reading struct {
+	entries []instanceEntry
+	pages   int
+	err     error // set: not all pages came, and the entries don't count
+}
+
+// logReading logs a reading that failed or was slow: until the next one, workers that drain are given tasks.
+func (r *instanceReader) logReading(reading reading, took time.Duration) {
+	line := r.dispatcher.logger.Debug()
+	if reading.err != nil || took > slowReading {
+		line = r.dispatcher.logger.Warn()
+	}
+	line.Int("pages", reading.pages).Int("listed", len(reading.entries)).Dur("took_ms", took).Err(reading.err).
+		Msg("instance list read")
+}
+
+// read reads all pages.
+func (r *instanceReader) read() reading {
+	result := reading{}
 	token := ""
 	for range maxPages {
-		page, ok := r.readPage(token)
-		if !ok {
-			return nil, false
+		page, err := r.readPage(token)
+		if err != nil {
+			result.err = err
+			return result
 		}
-		entries = append(entries, page.Instances...)
+		result.pages++
+		result.entries = append(result.entries, page.Instances...)
 		if page.NextToken == nil || *page.NextToken == "" {
-			return entries, true
+			return result
 		}
 		token = *page.NextToken
 	}
-	return nil, false
+	result.err = &tooManyPagesError{Pages: maxPages}
+	return result
 }
 
-func (r *instanceReader) readPage(token string) (*instancePage, bool) {
+func (r *instanceReader) readPage(token string) (*instancePage, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), pageTimeout)
 	defer cancel()
 	address := "http://" + r.dispatcher.settings.Cloud.Address + "/instances"
@@ -123,20 +151,52 @@
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
-		return nil, false
+		return nil, errors.Trace(err)
 	}
 	response, err := r.client.Do(request)
 	if err != nil {
 		r.client.CloseIdleConnections()
-		return nil, false
+		return nil, errors.Trace(err)
 	}
 	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, &pageStatusError{Status: response.StatusCode}
+	}
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxPageBytes))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	page := &instancePage{}
-	if err != nil || response.StatusCode != http.StatusOK || json.Unmarshal(text, page) != nil {
-		return nil, false
+	return page, errors.Trace(json.Unmarshal(text, page))
+}
+
+// pageStatusError says that the platform refused a page of its list.
+type pageStatusError struct{ Status int }
+
+// Error names the status, with the advice.
+func (e *pageStatusError) Error() string {
+	return fmt.Sprintf("the platform's list answers %d; %s", e.Status, e.Advice())
+}
+
+// Advice says what an operator can do.
+func (e *pageStatusError) Advice() string {
+	if e.Status == http.StatusTooManyRequests {
+		return "others read the list too: see who does, or raise Cloud.RatePerS at the platform"
 	}
-	return page, true
+	return "check Cloud.Address and the platform"
+}
+
+// tooManyPagesError says that the list did not end.
+type tooManyPagesError struct{ Pages int }
+
+// Error names the bound, with the advice.
+func (e *tooManyPagesError) Error() string {
+	return fmt.Sprintf("the platform's list has more than %d pages; %s", e.Pages, e.Advice())
+}
+
+// Advice says what an operator can do.
+func (e *tooManyPagesError) Advice() string {
+	return "check the platform: its last page has to say that no other follows"
 }
 
 // report sends what has changed to the control machines.
