A control machine reads the platform's list on behalf of its reader

Callers saw DRAIN: tasks started at a worker over 4 s after the list had shown that it drains. Cause: one dispatcher read the whole list over its link of 2 Mbit/s.

The dispatcher with the duty stays the one with the oldest session, whose session fences the reports as before. Old dispatchers and old control machines read as before, since they neither ask for it nor say it. Reports of both count up: a control machine by one from the state's, a dispatcher by its milliseconds, so that it is above them if it has to read again. The pace follows Cloud.RatePerS.

Reading (internal/control/instancelist) and comparing (internal/control/instances, pure) are packages that both processes use; the tests of absences moved with their code.

Evidence: the emulator gets drains, a judge of DRAIN, and lists as long as those of 3,000 workers.

--- /dev/null
+++ b/internal/control/instancelist/instancelist.go
@@ -0,0 +1,116 @@
+// Package instancelist reads the platform's list of instances over HTTP, page by page. It decides nothing: what a reading
+// shows is up to internal/control/instances.
+package instancelist
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/juju/errors"
+
+	"yardflow/coordination/frame"
+	"yardflow/internal/control/instances"
+)
+
+// Bounds of a reading.
+const (
+	pageTimeout  = 900 * time.Millisecond
+	maxPageBytes = 16 << 20
+	maxPages     = 1000
+)
+
+// Pace of readings.
+const (
+	// minInterval is the time from the start of one reading to that of the next.
+	minInterval = time.Second
+	// rateShare is the part of the calls that the platform takes (settings key Cloud.RatePerS) that readings use at most:
+	// the rest is for a second reader while the duty passes from one to the other.
+	rateShare = 0.5
+)
+
+// Interval returns the time from the start of a reading that had so many pages to that of the next. The platform takes
+// ratePerS calls a second from all machines together; 0: no rate is known.
+func Interval(pages int, ratePerS float64) time.Duration {
+	if ratePerS <= 0 {
+		return minInterval
+	}
+	return max(minInterval, time.Duration(float64(pages)/(rateShare*ratePerS)*float64(time.Second)))
+}
+
+// Client reads the list. It may be used by one goroutine at a time, but for Close.
+type Client struct {
+	address string // host and port of the platform
+	http    *http.Client
+}
+
+// NewClient returns a client of the platform at an address, host and port, which it dials over the network.
+func NewClient(network frame.Network, address string) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true,
+		DialContext: func(_ context.Context, _, address string) (net.Conn, error) {
+			return network.Dial(address, pageTimeout)
+		}}
+	return &Client{address: address, http: &http.Client{Transport: transport}}
+}
+
+// Close closes the connection that is kept between two readings.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// page is one page of the list, as its JSON names it.
+type page struct {
+	Instances []instances.Entry `json:"Instances"`
+	NextToken *string           `json:"NextToken"`
+}
+
+// Read reads all pages. Each may take pageTimeout.
+func (c *Client) Read() instances.Reading {
+	reading := instances.Reading{}
+	token := ""
+	for range maxPages {
+		page, err := c.readPage(token)
+		if err != nil {
+			reading.Err = errors.Trace(err)
+			return reading
+		}
+		reading.Pages++
+		reading.Entries = append(reading.Entries, page.Instances...)
+		if page.NextToken == nil || *page.NextToken == "" {
+			return reading
+		}
+		token = *page.NextToken
+	}
+	reading.Err = &TooManyPagesError{Pages: maxPages}
+	return reading
+}
+
+func (c *Client) readPage(token string) (*page, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), pageTimeout)
+	defer cancel()
+	address := "http://" + c.address + "/instances"
+	if token != "" {
+		address += "?PageToken=" + url.QueryEscape(token)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		c.http.CloseIdleConnections()
+		return nil, errors.Trace(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, &StatusError{Status: response.StatusCode}
+	}
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxPageBytes))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	read := &page{}
+	return read, errors.Trace(json.Unmarshal(text, read))
+}
--- a/internal/dispatcher/absence.go
+++ b/internal/control/instances/absence.go
@@ -1,4 +1,4 @@
-package dispatcher
+package instances
 
 // Bounds of what readings without a worker show.
 const (
--- a/internal/dispatcher/absence_test.go
+++ b/internal/control/instances/absence_test.go
@@ -1,4 +1,4 @@
-package dispatcher
+package instances
 
 import (
 	"fmt"
--- a/internal/control/protocol/messages.go
+++ b/internal/control/protocol/messages.go
@@ -32,8 +32,21 @@
 	// AcknowledgesBytes says that the dispatcher reports how much it has received, so that what is not urgent may wait
 	// for that.
 	AcknowledgesBytes bool `cbor:"5,keyasint,omitempty"`
+	// DelegatesInstanceList says that the dispatcher leaves reading the platform's list to its control machine, where that
+	// says that it reads.
+	DelegatesInstanceList bool `cbor:"6,keyasint,omitempty"`
 }
 
+// InstanceListDuty says who reads the platform's list of instances while a dispatcher is the InstanceReader.
+type InstanceListDuty uint8
+
+// Duties. A control machine that says nothing leaves the duty as it was; one of a former version never says anything.
+const (
+	DutyUnchanged   InstanceListDuty = iota
+	ControlReads                     // the control machine, on behalf of the dispatcher
+	DispatcherReads                  // the dispatcher itself: the control machine's readings fail
+)
+
 // TaggedCommand is a command with the dispatcher's name for it, which its Outcome repeats.
 type TaggedCommand struct {
 	Tag     uint64          `cbor:"1,keyasint"` // rises for as long as the dispatcher's process runs
@@ -65,6 +78,7 @@
 	Outcomes         []Outcome         `cbor:"3,keyasint,omitempty"`
 	ControlAddresses []string          `cbor:"4,keyasint,omitempty"` // of all control machines
 	Rejected         bool              `cbor:"5,keyasint,omitempty"` // try another control machine
+	InstanceListDuty InstanceListDuty  `cbor:"6,keyasint,omitempty"`
 }
 
 // PeerMessage goes from one control machine to another. It has a heartbeat with its sessions, or one of the others.
--- a/internal/control/server/delivery.go
+++ b/internal/control/server/delivery.go
@@ -78,7 +78,9 @@
 	if own := s.state.fsm.SessionSnapshot(d.session); len(own) > 0 {
 		updates = append(updates, protocol.CompressUpdates(encodeAll(own)))
 	}
-	d.send(protocol.ControlMessage{Session: d.session, ControlAddresses: s.membership.serviceAddresses(), Updates: updates})
+	d.listDuty = s.instanceList.duty()
+	d.send(protocol.ControlMessage{Session: d.session, ControlAddresses: s.membership.serviceAddresses(), Updates: updates,
+		InstanceListDuty: d.listDuty})
 }
 
 // configUpdatesFor returns what brings a dispatcher from the configuration that it has to the one in force: nothing, the
--- a/internal/control/server/dispatchers.go
+++ b/internal/control/server/dispatchers.go
@@ -33,9 +33,10 @@
 	snapshotDue bool                   // the session is open, and the snapshot that it begins with was not sent yet
 	ackedConfig int64                  // newest version of the configuration that the dispatcher has acknowledged
 	outbox      outbox
-	outcomes    []protocol.Outcome // of commands that were just applied; they follow the updates of the same commands
-	idleTicks   int                // since it was last sent something
-	isLeaving   bool               // it has said that it shuts down
+	outcomes    []protocol.Outcome        // of commands that were just applied; they follow the updates of the same commands
+	idleTicks   int                       // since it was last sent something
+	isLeaving   bool                      // it has said that it shuts down
+	listDuty    protocol.InstanceListDuty // as it was last told
 }
 
 // dispatcherTable knows the dispatchers that are connected to this machine. It belongs to the engine.
--- a/internal/control/server/engine.go
+++ b/internal/control/server/engine.go
@@ -28,6 +28,7 @@
 // of the listener and the peers close these.
 func (s *Server) Run(stop <-chan struct{}) {
 	defer s.disk.close()
+	defer s.instanceList.client.Close()
 	defer close(s.ended)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -88,6 +89,7 @@
 		s.disconnectDispatchers()
 		s.commands.abandon()
 	}
+	s.readInstanceList(now)
 	s.sendIdleHeartbeats()
 	if s.replica.IsHead() && s.replica.IsServing() {
 		s.headTick(now)
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -59,6 +59,8 @@
 	commands    *commandTable
 	dispatchers *dispatcherTable
 	sessions    *sessionMonitor
+
+	instanceList *instanceListReader
 }
 
 // Open reads the disk and returns a server that is not running yet. It fails where the disk can't be read, with a
@@ -114,6 +116,7 @@
 		dispatchers: newDispatcherTable(),
 		sessions:    newSessionMonitor(),
 	}
+	server.instanceList = newInstanceListReader(network, s.Cloud)
 	server.commands = newCommandTable(hardState.Self.ID, segment.LayoutFor(s.Limits.DiskMb).MaxDataBytes(), server.now)
 	return server
 }
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -1,6 +1,6 @@
 // Package dispatcher is the data plane process of the system. A dispatcher takes jobs in from clients, schedules the tasks
 // of the jobs that it owns, and owns a share of the workers, to which it sends the runs that are placed there. One of all
-// dispatchers reads the platform's list of instances besides.
+// dispatchers has the duty to read the platform's list of instances; its control machine does so on its behalf.
 //
 // It keeps nothing of its own: whatever it learns goes to the control machines as commands over one connection, the uplink,
 // and what it knows comes back as updates. It never assumes that a command has been carried out before its outcome has
@@ -150,7 +150,7 @@
 	for _, worker := range d.ownedWorkers {
 		worker.close()
 	}
-	d.instances.client.CloseIdleConnections()
+	d.instances.client.Close()
 }
 
 // tick lets time-outs take effect.
--- a/internal/dispatcher/uplink.go
+++ b/internal/dispatcher/uplink.go
@@ -55,7 +55,7 @@
 	return &uplink{dispatcher: d, settings: d.settings, logger: d.logger,
 		commands: commandQueue{pending: map[uint64]*pendingCommand{}},
 		sessionRequest: protocol.SessionRequest{Node: d.settings.Node, Zone: d.settings.Zone, Incarnation: incarnation,
-			AcknowledgesBytes: true}}
+			AcknowledgesBytes: true, DelegatesInstanceList: true}}
 }
 
 // submit sends a command and returns its tag; the event loop calls done with its outcome. The command may be carried out
@@ -213,6 +213,7 @@
 		return
 	}
 	u.receivedBytes = receivedBytes
+	u.dispatcher.instances.receiveDuty(message.InstanceListDuty)
 	u.dispatcher.receiveUpdates(message)
 	for _, outcome := range message.Outcomes {
 		u.receiveOutcome(outcome)
@@ -239,6 +240,7 @@
 	}
 	u.conn, u.attached, u.session = conn, true, session
 	u.receivedBytes, u.acknowledgedBytes = 0, 0
+	u.dispatcher.instances.delegated = false // until this control machine says that it reads
 	u.commands.resendAll()
 }
 
--- a/internal/platform/settings/settings.go
+++ b/internal/platform/settings/settings.go
@@ -62,5 +62,6 @@
 
 // Cloud is the platform's instance list.
 type Cloud struct {
-	Address string // host and port
+	Address  string  // host and port
+	RatePerS float64 // calls a second that the platform takes from all machines together; 0: not known
 }
--- a/internal/testing/emulator/checker.go
+++ b/internal/testing/emulator/checker.go
@@ -20,6 +20,8 @@
 	latest  int64            // newest acknowledged version of the configuration
 	bodies  map[int64]string // what was acknowledged under each version
 	stopped bool
+	drainMs int64                 // within which starts at a draining worker end; 0: not judged
+	drains  map[*Worker]time.Time // since when the list has shown that a worker drains
 }
 
 type taskSeen struct {
@@ -46,9 +48,10 @@
 	done      map[job.StepKey]int
 }
 
-// NewChecker returns a judge who has seen nothing.
-func NewChecker() *Checker {
-	return &Checker{began: time.Now(), tasks: map[string]*taskSeen{}, jobs: map[string]*jobSeen{}, used: map[*Worker]job.Resources{},
+// NewChecker returns a judge who has seen nothing. DrainMs is how long after the list has shown a drain tasks may be started
+// at that worker; 0: any time.
+func NewChecker(drainMs int64) *Checker {
+	return &Checker{drainMs: drainMs, drains: map[*Worker]time.Time{}, began: time.Now(), tasks: map[string]*taskSeen{}, jobs: map[string]*jobSeen{}, used: map[*Worker]job.Resources{},
 		bodies: map[int64]string{}}
 }
 
@@ -116,6 +119,23 @@
 	}
 }
 
+// drainListed takes in that the platform's list shows a worker as draining.
+func (j *Checker) drainListed(w *Worker) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if _, known := j.drains[w]; !known {
+		j.drains[w] = time.Now()
+	}
+}
+
+// checkDrain judges a start by whether the worker was listed as draining for too long.
+func (j *Checker) checkDrain(name string, w *Worker) {
+	since, drains := j.drains[w]
+	if late := time.Since(since) - time.Duration(j.drainMs)*time.Millisecond; drains && j.drainMs > 0 && late > 0 {
+		j.violated("DRAIN", "%s starts on %s, %v after the last moment", name, w, late)
+	}
+}
+
 // started judges a start, and says how long the run takes and whether it fails.
 func (j *Checker) started(w *Worker, o *workerCommand) (takes time.Duration, fails bool) {
 	j.mu.Lock()
@@ -137,6 +157,7 @@
 	if task.doneSeen {
 		j.violated("TWICE", "%s run %d on %s was done", o.Task, o.Command, w)
 	}
+	j.checkDrain(o.Task, w)
 	task.starts = append(task.starts, len(task.failures))
 	j.checkAttempts(o.Task, task)
 	step := &seen.request.Steps[key.Step]
--- a/internal/testing/emulator/cluster.go
+++ b/internal/testing/emulator/cluster.go
@@ -24,6 +24,12 @@
 	Dispatchers int
 	Workers     int
 	Guards      bool
+	// ListPageSize is how many workers a page of the platform's list names, and ListPadding how many bytes each entry has
+	// beside its own, as though others stood there; 0: the emulator's own size, and none.
+	ListPageSize int
+	ListPadding  int
+	// DrainMs is how long after the list has shown a drain tasks may be started at that worker; 0: it is not judged.
+	DrainMs int64
 	// Planted lets a fault into the machines, so that a test sees that the judge finds it.
 	Planted Fault
 }
@@ -90,7 +96,7 @@
 
 // NewCluster returns a cluster whose machines are not started.
 func NewCluster(shape Shape, network Transport, seed uint64, logs io.Writer) *Cluster {
-	y := &Cluster{seed: seed, startedAt: time.Now(), Shape: shape, Network: network, Checker: NewChecker(), Address: emulatedAddress, random: rand.New(rand.NewPCG(seed, 1)),
+	y := &Cluster{seed: seed, startedAt: time.Now(), Shape: shape, Network: network, Checker: NewChecker(shape.DrainMs), Address: emulatedAddress, random: rand.New(rand.NewPCG(seed, 1)),
 		lateRandom: rand.New(rand.NewPCG(seed, 2)), logger: zerolog.New(logs).With().Logger()}
 	y.client = &http.Client{Transport: &http.Transport{DisableCompression: true,
 		DialContext: func(_ context.Context, _, address string) (net.Conn, error) {
@@ -139,6 +145,9 @@
 // RestartWorker crashes the worker in the place; its next incarnation begins after a while.
 func (y *Cluster) RestartWorker(place int, after time.Duration) { y.list.Restart(place, after) }
 
+// DrainWorker lets the worker in the place drain for at least so long.
+func (y *Cluster) DrainWorker(place int, remaining time.Duration) { y.list.Drain(place, remaining) }
+
 // ReuseAddress crashes the worker in the place; another one begins at its address while it is still listed.
 func (y *Cluster) ReuseAddress(place int) { y.list.Reuse(place) }
 
--- a/internal/testing/emulator/instance_list.go
+++ b/internal/testing/emulator/instance_list.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,8 +20,8 @@
 	reuseAfter = 2 * time.Second
 	// lingers is how long a crashed worker that has no successor of its service stays on the list.
 	lingers = 10 * time.Second
-	// pageSize is how many workers a page of the list names.
-	pageSize = 4
+	// defaultPageSize is how many workers a page of the list names where the shape says nothing.
+	defaultPageSize = 4
 )
 
 // instanceList is the platform's list with the workers on it.
@@ -44,6 +45,9 @@
 	State    string
 	Capacity job.Resources
 	Labels   []string
+	// RemainingMs is the least time that a draining worker has from now on.
+	RemainingMs int64  `json:",omitempty"`
+	Padding     string `json:",omitempty"` // what other workers, which are not emulated, would take on the list
 }
 
 func newInstanceList(y *Cluster) *instanceList {
@@ -134,14 +138,40 @@
 	l.Restart(place, reuseAfter)
 }
 
+// Drain lets the worker in the place drain. The list shows it after listLag, and names at least so much time as left.
+func (l *instanceList) Drain(place int, remaining time.Duration) {
+	l.mu.Lock()
+	w := l.workers[place]
+	w.leavesAt = time.Now().Add(remaining)
+	l.mu.Unlock()
+	time.AfterFunc(listLag, func() {
+		l.show()
+		l.cluster.Checker.drainListed(w)
+	})
+}
+
 // show lets the list tell the present state.
 func (l *instanceList) show() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.shown = nil
+	padding := strings.Repeat("-", l.cluster.Shape.ListPadding)
 	for _, w := range slices.Concat(l.crashed, l.workers) {
-		l.shown = append(l.shown, listEntry{w.ID, w.Service, w.Address, w.Zone, "ready", w.Capacity, w.Labels})
+		entry := listEntry{ID: w.ID, Service: w.Service, Address: w.Address, Zone: w.Zone, State: "ready",
+			Capacity: w.Capacity, Labels: w.Labels, Padding: padding}
+		if !w.leavesAt.IsZero() {
+			entry.State, entry.RemainingMs = "draining", max(time.Until(w.leavesAt).Milliseconds(), 1)
+		}
+		l.shown = append(l.shown, entry)
+	}
+}
+
+// pageSize returns how many workers a page names.
+func (l *instanceList) pageSize() int {
+	if size := l.cluster.Shape.ListPageSize; size > 0 {
+		return size
 	}
+	return defaultPageSize
 }
 
 // answer tells one page. A page begins at a place in the list as it is then, so entries that leave between two pages
@@ -151,7 +181,7 @@
 	defer l.mu.Unlock()
 	from, _ := strconv.Atoi(r.URL.Query().Get("PageToken"))
 	from = min(from, len(l.shown))
-	to := min(from+pageSize, len(l.shown))
+	to := min(from+l.pageSize(), len(l.shown))
 	page := map[string]any{"Instances": l.shown[from:to], "NextToken": nil}
 	if to < len(l.shown) {
 		page["NextToken"] = strconv.Itoa(to)
--- a/internal/testing/emulator/worker.go
+++ b/internal/testing/emulator/worker.go
@@ -20,7 +20,7 @@
 	Zone     string
 	Labels   []string
 	Capacity job.Resources
-	Draining bool
+	leavesAt time.Time // it drains until then, by the list's lock; zero: it does not drain
 	began    time.Time
 	fence    uint64
 	untilMs  int64
