An owner dispatches nothing to a worker that drains

Callers could see DRAIN by a second way: a run that was placed before the drain waits at its worker's owner for a fresh contact, or for what became of an order without an answer, and was dispatched whenever the worker answered, however long that had drained. A worker that is cut off for some seconds, or leaves orders unanswered, drains meanwhile and answers again. The state refuses placements at a draining worker, and the owner never looked.

Such a run ends as not started now, and its job's owner places it elsewhere. A drain whose remaining time nobody knows counts too: it was ignored.

--- a/internal/dispatcher/workers.go
+++ b/internal/dispatcher/workers.go
@@ -27,7 +27,7 @@
 		return
 	}
 	owned.owner.SetListed(now, !worker.Unlisted)
-	if worker.Draining && worker.RemainingMs > 0 {
+	if worker.Draining {
 		owned.owner.Drain(now, time.Duration(worker.RemainingMs)*time.Millisecond)
 	}
 }
--- a/scheduling/worker/dispatch.go
+++ b/scheduling/worker/dispatch.go
@@ -56,7 +56,7 @@
 	switch {
 	case r.phase == uncertain:
 		reasons.reconciliation = true
-	case r.phase == pending && (r.Stopping || !o.contact.reachable || o.contact.unlistedAt > 0):
+	case r.phase == pending && (r.Stopping || o.draining || !o.contact.reachable || o.contact.unlistedAt > 0):
 		o.conclude(r, taskrun.NotStarted, NeverDispatched)
 	case r.phase == pending && o.contact.established && o.fresh(now):
 		o.start(now, r)
--- a/scheduling/worker/drain.go
+++ b/scheduling/worker/drain.go
@@ -11,10 +11,11 @@
 	overrunFactor = 1.25
 )
 
-// Drain records that the worker drains, and leaves with all that still runs there once the remaining time has passed. Only
-// the first call counts.
+// Drain records that the worker drains: no run is dispatched there any more, also where it was placed before. It leaves with
+// all that still runs there once the remaining time has passed, 0 where that is not known. Only the first time counts.
 func (o *Owner) Drain(now, remaining time.Duration) {
-	if o.departureAt == 0 {
+	o.draining = true
+	if o.departureAt == 0 && remaining > 0 {
 		o.departureAt = now + remaining
 	}
 	o.act(now)
--- a/scheduling/worker/owner.go
+++ b/scheduling/worker/owner.go
@@ -36,7 +36,8 @@
 	ends    endLog
 
 	fencedUntil time.Duration // no commands before then: a higher token than this owner's overtook them again and again
-	departureAt time.Duration // the worker drains and leaves then; 0: it does not drain
+	draining    bool
+	departureAt time.Duration // the worker drains and leaves then; 0: it does not drain, or nobody knows when
 	actions     Actions
 }
 
