--- a/internal/dispatcher/workers.go
+++ b/internal/dispatcher/workers.go
@@ -10,6 +10,7 @@
 // setWorker takes in a worker's state: it becomes known to its service's scheduler, and is owned or no longer owned here.
 // An owner exists for one token; a new token, also after another dispatcher's ownership, means a new one.
 func (d *Dispatcher) setWorker(now time.Duration, worker *statemachine.Worker) {
+	d.logDrain(d.workers[worker.ID], worker)
 	d.workers[worker.ID] = worker
 	d.scheduler(worker.Service).SetWorker(worker.ID, worker.Labels, worker.Capacity, worker.Used, worker.Unschedulable())
 	owned := d.ownedWorkers[worker.ID]
@@ -32,6 +33,16 @@
 	}
 }
 
+// logDrain logs at debug level that a worker that is owned here has begun to drain, and what is still to be dispatched there.
+func (d *Dispatcher) logDrain(former, worker *statemachine.Worker) {
+	owned := d.ownedWorkers[worker.ID]
+	if owned == nil || !worker.Draining || former != nil && former.Draining {
+		return
+	}
+	d.logger.Debug().Str("worker", worker.ID).Int64("remaining_ms", worker.RemainingMs).
+		Int("undispatched", owned.owner.Undispatched()).Msg("worker drains")
+}
+
 // setUsage takes in how much of a worker is in use.
 func (d *Dispatcher) setUsage(usage *statemachine.UsageUpdate) {
 	if worker := d.workers[usage.Worker]; worker != nil {
--- a/scheduling/worker/drain.go
+++ b/scheduling/worker/drain.go
@@ -21,6 +21,17 @@
 	o.act(now)
 }
 
+// Undispatched returns how many runs are placed at the worker and were not dispatched yet.
+func (o *Owner) Undispatched() int {
+	count := 0
+	for _, r := range o.runs {
+		if r.phase == pending {
+			count++
+		}
+	}
+	return count
+}
+
 // mustMove reports whether a run is to be stopped so that it goes on elsewhere, since the worker leaves before its end. A
 // run with checkpoints or without an end of its own stays as long as it can; another one that cannot end in time loses its
 // work anyway and is moved at once.
