Work of low priority does not rest for headroom while half of the service is free

The headroom that is kept for urgent tasks grows to 0.8 of the service while they have to wait, by placements and not by time: where no urgent task came any more it stayed, and a job of a lower priority rested for half of the time to its deadline.

A unit that has waited for 2 s now leaves at most half of the service free; one of tasks without end leaves nothing. Before that, and over half use, nothing changes.

--- a/scheduling/placement/headroom.go
+++ b/scheduling/placement/headroom.go
@@ -19,6 +19,10 @@
 	promptWithin = 100 * time.Millisecond
 	// pressureStepSize is the weight of one unit in the part that had to wait.
 	pressureStepSize = 0.04
+	// maxRest is how long a unit may wait for headroom alone; beyond it the unit leaves no more than restHeadroom free, and
+	// nothing if its tasks run until they are stopped. No job may rest for 3 s while half of the service is free.
+	maxRest      = 2 * time.Second
+	restHeadroom = 0.5
 	// priorityClasses is how many priorities are told apart; lower ones count as the last.
 	priorityClasses = 3
 )
@@ -64,14 +68,23 @@
 
 // headroomFor returns the part of the service that the unit has to leave free: none for urgent units and gangs, else the
 // urgent part of the work, and more where units of higher priority had to wait. A unit that has waited for half of its
-// time until the deadline makes way for the first part alone.
+// time until the deadline makes way for the first part alone. Pressure follows placements, not time: where nothing urgent
+// comes any more it stays, so it holds a unit up for maxRest at the most while half of the service is free.
 func (s *Scheduler) headroomFor(unit *Unit) float64 {
 	if unit.Job.Priority == 0 || s.urgent.allWork == 0 || unit.Step().Gang {
 		return 0
 	}
 	base := min(s.urgent.urgentWork/s.urgent.allWork, maxUrgentHeadroom)
-	if s.now-unit.EnqueuedAt > (unit.Deadline-unit.EnqueuedAt)/2 {
+	waited := s.now - unit.EnqueuedAt
+	if waited > maxRest && unit.Step().LongRunning {
+		return 0
+	}
+	if waited > (unit.Deadline-unit.EnqueuedAt)/2 {
 		return base
 	}
-	return base + s.urgent.pressure[priorityClass(unit)]*(pressureHeadroom-base)
+	headroom := base + s.urgent.pressure[priorityClass(unit)]*(pressureHeadroom-base)
+	if waited > maxRest {
+		return min(headroom, restHeadroom)
+	}
+	return headroom
 }
