A job with room does not rest: no headroom, far workers, and slower ones

One predicate says now when a unit must not rest: it has waited for 2 s, and its tasks run until stopped, or nothing of its job is placed while less than half of the service is in use. It then leaves nothing free and takes a slower worker. Use is counted over all workers, those that rest after a fault too.

Left: a task whose placement was refused begins to wait anew.

--- a/scheduling/job/job.go
+++ b/scheduling/job/job.go
@@ -53,6 +53,16 @@
 	GangFailedRuns map[StepKey][]uint64 `cbor:"18,keyasint,omitempty"`
 }
 
+// HasPlacedTask reports whether a task of the job is placed at a worker.
+func (j *Job) HasPlacedTask() bool {
+	for _, task := range j.Tasks {
+		if task.Worker != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // CountGangFailure counts a run of a gang that ended failed, once for all members. It returns the number of failed runs so
 // far and whether this run was counted now.
 func (j *Job) CountGangFailure(key StepKey, run uint64) (attempts int, counted bool) {
--- a/scheduling/placement/feasibility.go
+++ b/scheduling/placement/feasibility.go
@@ -11,12 +11,12 @@
 	return !worker.draining && worker.hasLabel(step.RequiredLabel) && worker.capacity.Covers(step.Demand())
 }
 
-// feasible reports whether an eligible worker can take a task of the unit now. Remote says that it is away from the task's
-// data; headroom is the part of the service that the unit has to leave free.
-func (s *Scheduler) feasible(now time.Duration, unit *Unit, worker *workerState, remote bool, headroom float64) bool {
+// feasible reports whether an eligible worker can take a task of the unit now; headroom is the part of the service that the
+// unit has to leave free.
+func (s *Scheduler) feasible(now time.Duration, unit *Unit, worker *workerState, headroom float64) bool {
 	step := unit.Step()
 	if now < worker.backoffUntil || worker.id == unit.avoid && now-unit.EnqueuedAt < initialBackoff ||
-		!s.fits(worker, step.Demand(), headroom) || remote && !s.fits(worker, step.Demand(), max(headroom, remoteHeadroom)) {
+		!s.fits(worker, step.Demand(), headroom) {
 		return false
 	}
 	most := step.AntiAffinity
@@ -37,11 +37,17 @@
 }
 
 // countFreeCPU adds up what is free of the service at the beginning of a cycle, in thousandths of cores: of each worker
-// such a part of its processors as is free of the resource of which it has least left.
+// such a part of its processors as is free of the resource of which it has least left. What is used is counted of workers
+// that get nothing for a while after a fault too.
 func (s *Scheduler) countFreeCPU(now time.Duration) {
-	s.freeCPU, s.totalCPU = 0, 0
+	s.freeCPU, s.totalCPU, s.usedCPU, s.serviceCPU = 0, 0, 0, 0
 	for _, worker := range s.workerList {
-		if worker.draining || now < worker.backoffUntil {
+		if worker.draining {
+			continue
+		}
+		s.serviceCPU += float64(worker.capacity.CPU)
+		s.usedCPU += float64(worker.capacity.CPU) - worker.freeCPU()
+		if now < worker.backoffUntil {
 			continue
 		}
 		s.totalCPU += float64(worker.capacity.CPU)
--- a/scheduling/placement/headroom.go
+++ b/scheduling/placement/headroom.go
@@ -19,10 +19,6 @@
 	promptWithin = 100 * time.Millisecond
 	// pressureStepSize is the weight of one unit in the part that had to wait.
 	pressureStepSize = 0.04
-	// maxRest is how long a unit may wait for headroom alone; beyond it the unit leaves no more than restHeadroom free, and
-	// nothing if its tasks run until they are stopped. No job may rest for 3 s while half of the service is free.
-	maxRest      = 2 * time.Second
-	restHeadroom = 0.5
 	// priorityClasses is how many priorities are told apart; lower ones count as the last.
 	priorityClasses = 3
 )
@@ -68,23 +64,24 @@
 
 // headroomFor returns the part of the service that the unit has to leave free: none for urgent units and gangs, else the
 // urgent part of the work, and more where units of higher priority had to wait. A unit that has waited for half of its
-// time until the deadline makes way for the first part alone. Pressure follows placements, not time: where nothing urgent
-// comes any more it stays, so it holds a unit up for maxRest at the most while half of the service is free.
+// time until the deadline makes way for the first part alone.
+// Pressure follows placements, not time, and stays where nothing urgent comes any more: a unit that must not rest leaves
+// nothing free.
 func (s *Scheduler) headroomFor(unit *Unit) float64 {
-	if unit.Job.Priority == 0 || s.urgent.allWork == 0 || unit.Step().Gang {
+	if unit.Job.Priority == 0 || s.urgent.allWork == 0 || unit.Step().Gang || s.mustNotRest(unit) {
 		return 0
 	}
 	base := min(s.urgent.urgentWork/s.urgent.allWork, maxUrgentHeadroom)
-	waited := s.now - unit.EnqueuedAt
-	if waited > maxRest && unit.Step().LongRunning {
-		return 0
-	}
-	if waited > (unit.Deadline-unit.EnqueuedAt)/2 {
+	if s.now-unit.EnqueuedAt > (unit.Deadline-unit.EnqueuedAt)/2 {
 		return base
 	}
-	headroom := base + s.urgent.pressure[priorityClass(unit)]*(pressureHeadroom-base)
-	if waited > maxRest {
-		return min(headroom, restHeadroom)
+	return base + s.urgent.pressure[priorityClass(unit)]*(pressureHeadroom-base)
+}
+
+// remoteHeadroomFor returns the part of the service that the unit has to leave free where it is placed away from its data.
+func (s *Scheduler) remoteHeadroomFor(unit *Unit, headroom float64) float64 {
+	if s.mustNotRest(unit) {
+		return headroom
 	}
-	return headroom
+	return max(headroom, remoteHeadroom)
 }
--- a/scheduling/placement/ranking.go
+++ b/scheduling/placement/ranking.go
@@ -47,7 +47,9 @@
 func (s *Scheduler) findWorker(now time.Duration, unit *Unit) (workers []string, slower *slowerChoice) {
 	step := unit.Step()
 	s.candidates = s.candidates[:0]
-	remotePenalty, headroom := math.Log(s.remoteFactor), s.headroomFor(unit)
+	remotePenalty := math.Log(s.remoteFactor)
+	nearHeadroom := s.headroomFor(unit)
+	farHeadroom := s.remoteHeadroomFor(unit, nearHeadroom)
 	best, fastest := -1, math.Inf(1)
 	for _, worker := range s.workerList {
 		if !eligible(worker, step) {
@@ -55,7 +57,11 @@
 		}
 		slowness, remote := s.slownessFor(worker, step, remotePenalty)
 		fastest = min(fastest, slowness)
-		if !s.feasible(now, unit, worker, remote, headroom) {
+		headroom := nearHeadroom
+		if remote {
+			headroom = farHeadroom
+		}
+		if !s.feasible(now, unit, worker, headroom) {
 			continue
 		}
 		score := dominantShare(worker.available().Minus(step.Demand()), worker.capacity) + ownOrderWeight*worker.ownOrder
--- a/scheduling/placement/scheduler.go
+++ b/scheduling/placement/scheduler.go
@@ -40,9 +40,12 @@
 	stepBegan    time.Duration // of the learner's open step
 	runningTasks int
 
-	freeCPU  float64 // of the service, thousandths of cores; see countFreeCPU
-	totalCPU float64
-	urgent   urgentHeadroom
+	// Thousandths of cores of the service; see countFreeCPU.
+	freeCPU    float64 // of workers that may be given work
+	totalCPU   float64 // of the same workers
+	usedCPU    float64 // of all workers that do not drain
+	serviceCPU float64 // of the same workers
+	urgent     urgentHeadroom
 }
 
 // New returns a scheduler without workers. RemoteFactor is how many times as long work takes away from its data.
--- a/scheduling/placement/threshold.go
+++ b/scheduling/placement/threshold.go
@@ -20,10 +20,10 @@
 
 // accepts draws whether a unit goes to a slower worker. The worker's threshold starts at the number of queued tasks that
 // the faster workers get through meanwhile (the paper's RSRT rule), for this dispatcher's share of them. A unit that has
-// waited for as long as the slower worker takes longer does not wait any more.
+// waited for as long as the slower worker takes longer, or must not rest, does not wait any more.
 func (s *Scheduler) accepts(now time.Duration, unit *Unit, slower *slowerChoice) bool {
 	extraMs := (slower.runtimeRatio - 1) * float64(unit.Step().EstimateMs)
-	if now-unit.EnqueuedAt >= time.Duration(extraMs)*time.Millisecond {
+	if now-unit.EnqueuedAt >= time.Duration(extraMs)*time.Millisecond || s.mustNotRest(unit) {
 		return true
 	}
 	if slower.parameters.Updates < minThresholdUpdates {
