Reading for a dispatcher: the duty goes back after failed readings, not slow ones

The duty went back to the dispatcher whenever the last complete reading was over 2 s old, so a slow but sound reading, or a pace of over 2 s (beyond 6,000 workers at 30 calls a second), would have made it flap, and each flap starts a reading over the thin link that is then dropped. It goes back after two failed readings in a row now. A dispatcher that attaches again no longer has the list read out of turn, and a report without an outcome holds the next one up for half a second at most. The log line of a reading stands once, beside the client.

--- a/internal/control/instancelist/instancelist.go
+++ b/internal/control/instancelist/instancelist.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rs/zerolog"
 
 	"yardflow/coordination/frame"
 	"yardflow/internal/control/instances"
@@ -24,6 +25,19 @@
 	maxPages     = 1000
 )
 
+// slowReading is how long a reading may take before it is logged as slow: what it brings may be as old.
+const slowReading = time.Second
+
+// LogReading logs a reading, as a warning where it failed or was slow: until the next one, workers that drain are given tasks.
+func LogReading(logger zerolog.Logger, reading *instances.Reading, took time.Duration) {
+	line := logger.Debug()
+	if reading.Err != nil || took > slowReading {
+		line = logger.Warn()
+	}
+	line.Int("pages", reading.Pages).Int("listed", len(reading.Entries)).Dur("took_ms", took).Err(reading.Err).
+		Msg("instance list read")
+}
+
 // Pace of readings.
 const (
 	// minInterval is the time from the start of one reading to that of the next.
--- a/internal/control/server/instancelist.go
+++ b/internal/control/server/instancelist.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// slowReading is how long a reading of the platform's list may take before it is logged as slow.
-	slowReading = time.Second
-	// readingFailedAfter is for how long readings may fail before the dispatcher that has the duty is asked to read.
-	readingFailedAfter = 2 * time.Second
+	// failuresToHandBack is how many readings in a row fail before the dispatcher that has the duty is asked to read.
+	failuresToHandBack = 2
+	// reportTimeout is how long a report without an outcome holds the next one up. Reports may be applied twice.
+	reportTimeout = 500 * time.Millisecond
 )
 
 // instanceListReader reads the platform's list on behalf of the dispatcher whose duty that is, while that one is connected
@@ -29,13 +29,13 @@
 	configured bool // the settings name the platform
 	ratePerS   float64
 
-	tracker   instances.Tracker
-	session   statemachine.SessionID // on whose behalf; 0: nobody's
-	reading   bool
-	reporting bool // a report has no outcome yet
-	dueAt     time.Duration
-	soundAt   time.Duration // the newest complete reading, or the begin of the duty
-	failing   bool          // for readingFailedAfter
+	tracker    instances.Tracker
+	session    statemachine.SessionID // on whose behalf; 0: nobody's
+	reading    bool
+	dueAt      time.Duration
+	failures   int  // readings in a row that failed
+	reporting  bool // a report has no outcome yet
+	reportedAt time.Duration
 }
 
 func newInstanceListReader(network frame.Network, cloud settings.Cloud) *instanceListReader {
@@ -43,21 +43,20 @@
 		ratePerS: cloud.RatePerS}
 }
 
-// duty returns who reads the list on behalf of a dispatcher that is connected to this machine.
+// duty returns who reads the list while a dispatcher that is connected to this machine has the duty.
 func (r *instanceListReader) duty() protocol.InstanceListDuty {
-	if !r.configured || r.failing {
+	if !r.configured || r.failures >= failuresToHandBack {
 		return protocol.DispatcherReads
 	}
 	return protocol.ControlReads
 }
 
 // serve makes a session the one on whose behalf the list is read, 0 for none.
-func (r *instanceListReader) serve(now time.Duration, session statemachine.SessionID) {
-	if session == r.session {
-		return
+func (r *instanceListReader) serve(session statemachine.SessionID) {
+	if session != r.session {
+		r.tracker.Reset()
+		r.session = session
 	}
-	r.tracker.Reset()
-	r.session, r.dueAt, r.soundAt = session, now, now
 }
 
 // instanceReaderHere returns the dispatcher whose duty it is to read the list, where it is connected here and leaves that
@@ -78,10 +77,10 @@
 	}
 	reader := s.instanceReaderHere()
 	if reader == nil {
-		r.serve(now, 0)
+		r.serve(0)
 		return
 	}
-	r.serve(now, reader.session)
+	r.serve(reader.session)
 	s.assignInstanceListDuty(reader)
 	if r.reading || now < r.dueAt {
 		return
@@ -98,43 +97,33 @@
 func (s *Server) finishInstanceReading(session statemachine.SessionID, startedAt time.Duration, reading instances.Reading) {
 	r := s.instanceList
 	r.reading = false
-	s.logInstanceReading(&reading, s.now()-startedAt)
-	if reader := s.instanceReaderHere(); reader == nil || reader.session != session || session != r.session {
+	r.dueAt = startedAt + instancelist.Interval(reading.Pages, r.ratePerS)
+	instancelist.LogReading(s.logger, &reading, s.now()-startedAt)
+	if reading.Err != nil {
+		r.failures++
 		return
 	}
-	r.dueAt = startedAt + instancelist.Interval(reading.Pages, r.ratePerS)
-	if reading.Err == nil {
-		r.soundAt = s.now()
-		s.reportInstances(&reading)
+	r.failures = 0
+	if reader := s.instanceReaderHere(); reader == nil || reader.session != session || session != r.session {
+		return
 	}
+	s.reportInstances(&reading)
 }
 
 // assignInstanceListDuty tells the dispatcher with the duty where that has passed to it, or back to this machine.
 func (s *Server) assignInstanceListDuty(reader *dispatcher) {
-	r := s.instanceList
-	r.failing = s.now()-r.soundAt > readingFailedAfter
-	if duty := r.duty(); duty != reader.listDuty {
+	if duty := s.instanceList.duty(); duty != reader.listDuty {
 		reader.listDuty = duty
 		reader.send(protocol.ControlMessage{InstanceListDuty: duty})
 	}
 }
 
-// logInstanceReading logs a reading that failed or was slow: until the next one, workers that drain are given tasks.
-func (s *Server) logInstanceReading(reading *instances.Reading, took time.Duration) {
-	line := s.logger.Debug()
-	if reading.Err != nil || took > slowReading {
-		line = s.logger.Warn()
-	}
-	line.Int("pages", reading.Pages).Int("listed", len(reading.Entries)).Dur("took_ms", took).Err(reading.Err).
-		Msg("instance list read")
-}
-
 // reportInstances proposes what a reading says that the state does not have. It follows the reports that the state has from
 // the same session, of whichever machine; of two machines that report at once under one number, one is ignored, and the next
 // reading brings what it had.
 func (s *Server) reportInstances(reading *instances.Reading) {
 	r, fsm := s.instanceList, s.state.fsm
-	if r.reporting {
+	if r.reporting && s.now()-r.reportedAt < reportTimeout {
 		return
 	}
 	report := r.tracker.Observe(reading, fsm.Workers)
@@ -147,7 +136,7 @@
 	}
 	s.logger.Info().Uint64("reading", command.Sequence).Int("listed", len(reading.Entries)).
 		Strs("changed", report.ChangedIDs()).Strs("removed", report.Removed).Msg("instance list changed")
-	r.reporting = true
+	r.reporting, r.reportedAt = true, s.now()
 	err := s.commands.submit(&statemachine.Command{InstancesChanged: command}, func(statemachine.Result) { r.reporting = false })
 	if err != nil {
 		r.reporting = false
--- a/internal/dispatcher/instances.go
+++ b/internal/dispatcher/instances.go
@@ -9,10 +9,6 @@
 	"yardflow/internal/control/statemachine"
 )
 
-// slowReading is how long a reading may take before it is logged: what it brings may be as old, and reaches the owners of
-// workers only after it.
-const slowReading = time.Second
-
 // instanceReader reads the platform's list of workers while that is this dispatcher's duty: it has the oldest open session,
 // and the control machine that it is connected to does not read on its behalf. It belongs to the event loop; a reading has a
 // goroutine of its own, at most one at a time.
@@ -64,22 +60,12 @@
 	d := r.dispatcher
 	r.reading = false
 	r.dueAt = startedAt + instancelist.Interval(reading.Pages, d.settings.Cloud.RatePerS)
-	r.logReading(&reading, d.now()-startedAt)
+	instancelist.LogReading(d.logger, &reading, d.now()-startedAt)
 	if reading.Err == nil && r.isReader() {
 		r.report(&reading)
 	}
 }
 
-// logReading logs a reading that failed or was slow: until the next one, workers that drain are given tasks.
-func (r *instanceReader) logReading(reading *instances.Reading, took time.Duration) {
-	line := r.dispatcher.logger.Debug()
-	if reading.Err != nil || took > slowReading {
-		line = r.dispatcher.logger.Warn()
-	}
-	line.Int("pages", reading.Pages).Int("listed", len(reading.Entries)).Dur("took_ms", took).Err(reading.Err).
-		Msg("instance list read")
-}
-
 // report sends what has changed to the control machines. Reports are numbered by the milliseconds of this process: a
 // control machine that reads on behalf of this session counts them up by one, so this number is higher than any of its own.
 func (r *instanceReader) report(reading *instances.Reading) {
