That a worker drains overtakes what else waits for a dispatcher's link

The outbox of a dispatcher is bounded by bytes (32 MB), not by time, and that a worker drains waited there in order behind placements, outcomes and usage, while its owner went on dispatching what had been placed before.

A notice of its own (WorkerDraining, a few bytes) goes out at once, as changes of the configuration do. The worker's state follows in order as before; an older state behind the notice does not take the drain back at the dispatcher. Former dispatchers skip the notice, and learn of the drain from the state.

--- a/internal/control/server/outbox.go
+++ b/internal/control/server/outbox.go
@@ -14,8 +14,8 @@
 	maxMessageBytes = 32 << 10
 	// sendWindowBytes is how much may be in flight, beyond which the backlog waits: 0.4 s of a link of 2 Mbit/s.
 	sendWindowBytes = 96 << 10
-	// configWindowBytes is how much may be in flight, beyond which configurations wait too.
-	configWindowBytes = 1 << 20
+	// urgentWindowBytes is how much may be in flight, beyond which urgent updates wait too.
+	urgentWindowBytes = 1 << 20
 	// maxBacklogBytes is how large the backlog may grow, beyond which the connection is closed: the dispatcher attaches
 	// again, and a snapshot takes the backlog's place.
 	maxBacklogBytes = 32 << 20
@@ -23,8 +23,8 @@
 	outcomeOverheadBytes = 24
 )
 
-// outbox has what one dispatcher is to be sent, in the order in which that goes out. A change of the configuration goes
-// out at once. All else goes in order, in messages of bounded size, while the dispatcher acknowledges the bytes that it
+// outbox has what one dispatcher is to be sent, in the order in which that goes out. A change of the configuration, and that
+// a worker has begun to drain, go out at once: how late they may take effect is bounded. All else goes in order, in messages of bounded size, while the dispatcher acknowledges the bytes that it
 // has received: the backlog for a slow link waits here, where a configuration can overtake it and newer usage can replace
 // older usage.
 type outbox struct {
@@ -32,7 +32,7 @@
 	sentBytes    uint64
 	ackedBytes   uint64
 
-	configs        []cbor.RawMessage // changes of the configuration
+	urgent         []cbor.RawMessage // changes of the configuration, and workers that have begun to drain
 	backlog        []outboxEntry
 	firstPosition  uint64            // of backlog[0] among all that was ever in the backlog
 	backlogBytes   int               // size of the backlog
@@ -60,8 +60,8 @@
 	position := o.firstPosition + uint64(len(o.backlog))
 	added := outboxEntry{update: encoded}
 	switch {
-	case update.Config != nil:
-		o.configs = append(o.configs, encoded)
+	case update.Config != nil, update.WorkerDraining != "":
+		o.urgent = append(o.urgent, encoded)
 		return
 	case update.Usage != nil:
 		added.worker = update.Usage.Worker
@@ -116,8 +116,8 @@
 // next returns the next message that may go out now, and false while there is none.
 func (o *outbox) next() (protocol.ControlMessage, bool) {
 	message, size := protocol.ControlMessage{}, 0
-	if o.inFlightBytes() < configWindowBytes {
-		message.Updates, o.configs = o.configs, nil
+	if o.inFlightBytes() < urgentWindowBytes {
+		message.Updates, o.urgent = o.urgent, nil
 	}
 	for _, update := range message.Updates {
 		size += len(update)
--- a/internal/control/server/outbox_test.go
+++ b/internal/control/server/outbox_test.go
@@ -174,3 +174,19 @@
 		t.Errorf("the backlog has %d bytes", o.backlogBytes)
 	}
 }
+
+// TestDrainOvertakesABurst guards against DRAIN: that a worker drains waited behind thousands of other updates for the link
+// of its owner, which went on dispatching to it.
+func TestDrainOvertakesABurst(t *testing.T) {
+	const burst, size = 2000, 500
+	o := outbox{acknowledges: true}
+	for i := range burst {
+		addUpdate(&o, jobRemoved(fmt.Sprintf("%04d-", i), size))
+	}
+	drainOutbox(&o) // what the window takes is in flight, and nothing is acknowledged
+	addUpdate(&o, statemachine.Update{WorkerDraining: "w"})
+	updates, _, _ := drainOutbox(&o)
+	if len(updates) != 1 || updates[0].WorkerDraining != "w" {
+		t.Errorf("%d updates go out, want the drain alone", len(updates))
+	}
+}
--- a/internal/control/statemachine/updates.go
+++ b/internal/control/statemachine/updates.go
@@ -21,6 +21,8 @@
 	Placement        *taskrun.Placement `cbor:"9,keyasint,omitempty"` // to the worker's owner
 	PlacementRemoved *PlacementRemoved  `cbor:"10,keyasint,omitempty"`
 	Sessions         []SessionID        `cbor:"11,keyasint,omitempty"` // all that are open, rising
+	// WorkerDraining is the ID of a worker that has begun to drain. It may overtake all else, which says so too, in order.
+	WorkerDraining string `cbor:"12,keyasint,omitempty"`
 }
 
 // ConfigUpdate brings a configuration that has come in force: the whole body, or a patch of the body of BaseVersion.
--- a/internal/control/statemachine/workers.go
+++ b/internal/control/statemachine/workers.go
@@ -96,7 +96,10 @@
 		f.addWorkerNotice(NoticeWorkerJoined, worker)
 		f.assignWorker(worker)
 	}
-	worker.Draining = worker.Draining || instance.Draining
+	if instance.Draining && !worker.Draining {
+		worker.Draining = true
+		f.notifyAll(Update{WorkerDraining: worker.ID})
+	}
 	worker.RemainingMs = instance.RemainingMs
 	worker.Capacity, worker.Labels = instance.Capacity, instance.Labels
 	worker.Unlisted = false
--- a/internal/dispatcher/updates.go
+++ b/internal/dispatcher/updates.go
@@ -36,6 +36,8 @@
 	case update.Worker != nil:
 		snapshot.keepWorker(update.Worker.ID)
 		d.setWorker(now, update.Worker)
+	case update.WorkerDraining != "":
+		d.drainWorker(now, update.WorkerDraining)
 	case update.WorkerRemoved != "":
 		d.removeWorker(update.WorkerRemoved)
 	case update.Usage != nil:
--- a/internal/dispatcher/workers.go
+++ b/internal/dispatcher/workers.go
@@ -10,7 +10,9 @@
 // setWorker takes in a worker's state: it becomes known to its service's scheduler, and is owned or no longer owned here.
 // An owner exists for one token; a new token, also after another dispatcher's ownership, means a new one.
 func (d *Dispatcher) setWorker(now time.Duration, worker *statemachine.Worker) {
-	d.logDrain(d.workers[worker.ID], worker)
+	former := d.workers[worker.ID]
+	d.logDrain(former, worker)
+	worker.Draining = worker.Draining || former != nil && former.Draining // a drain overtakes older updates
 	d.workers[worker.ID] = worker
 	d.scheduler(worker.Service).SetWorker(worker.ID, worker.Labels, worker.Capacity, worker.Used, worker.Unschedulable())
 	owned := d.ownedWorkers[worker.ID]
@@ -33,6 +35,17 @@
 	}
 }
 
+// drainWorker takes in that a worker has begun to drain. How much time it has left follows with its state.
+func (d *Dispatcher) drainWorker(now time.Duration, id string) {
+	known := d.workers[id]
+	if known == nil || known.Draining {
+		return
+	}
+	draining := *known
+	draining.Draining = true
+	d.setWorker(now, &draining)
+}
+
 // logDrain logs at debug level that a worker that is owned here has begun to drain, and what is still to be dispatched there.
 func (d *Dispatcher) logDrain(former, worker *statemachine.Worker) {
 	owned := d.ownedWorkers[worker.ID]
