--- a/lab/ablation/mechanisms.go
+++ b/lab/ablation/mechanisms.go
@@ -30,7 +30,7 @@
 	{"learned-thresholds", "thresholds follow their starting rule", []edit{
 		{thresholdFile, "if slower.parameters.Updates < minThresholdUpdates {", "{"}}},
 	{"thresholds", "any worker with room is taken at once", []edit{
-		{thresholdFile, "if now-unit.EnqueuedAt >= time.Duration(extraMs)*time.Millisecond {", "if extraMs >= 0 {"}}},
+		{thresholdFile, "if now-unit.EnqueuedAt >= time.Duration(extraMs)*time.Millisecond || s.mustNotRest(unit) {", "if extraMs >= 0 {"}}},
 	{"near-equal", "the fastest worker alone, however little the others are slower", []edit{
 		{rankingFile, "similarSpeed = 0.15", "similarSpeed = 0.0001"}}},
 	{"own-order", "all dispatchers prefer the same ones among workers that are alike", []edit{
@@ -40,7 +40,7 @@
 	{"other-workers", "one worker named in a command", []edit{
 		{rankingFile, "if unit.Step().Gang || len(s.candidates) < 2 {", "if unit.Step().Gang || len(s.candidates) >= 0 {"}}},
 	{"reserve", "no room is left free for urgent work", []edit{
-		{headroomFile, "if unit.Job.Priority == 0 || s.urgent.allWork == 0 || unit.Step().Gang {", "if unit.Job.Priority >= 0 {"}}},
+		{headroomFile, "if unit.Job.Priority == 0 || s.urgent.allWork == 0 || unit.Step().Gang || s.mustNotRest(unit) {", "if unit.Job.Priority >= 0 {"}}},
 	{"blame", "runs that end badly are held against nobody", []edit{
 		{faultsFile, "f.rateThen += weight * (1 - f.rateThen)", "f.rateThen += 0 * weight"}}},
 	{"longer-pauses", "each pause of a worker is as short as the first", []edit{
@@ -50,7 +50,7 @@
 	{"deadlines", "first come, first served within a priority", []edit{
 		{queueFile, "if a.Deadline != b.Deadline {\n\t\treturn a.Deadline < b.Deadline\n\t}", ""}}},
 	{"locality", "work goes anywhere, wherever its data are", []edit{
-		{rankingFile, "remotePenalty, headroom := math.Log(s.remoteFactor), s.headroomFor(unit)", "remotePenalty, headroom := 0*math.Log(s.remoteFactor), s.headroomFor(unit)"}}},
+		{rankingFile, "remotePenalty := math.Log(s.remoteFactor)", "remotePenalty := 0 * math.Log(s.remoteFactor)"}}},
 	{"avoid-last", "a task may go back at once to the worker at which it failed", []edit{
 		{unitFile, "func (u *Unit) AvoidWorker(worker string) { u.avoid = worker }", "func (u *Unit) AvoidWorker(string) { u.avoid = \"\" }"}}},
 	{"thinning", "every figure of a worker's use is told", []edit{
