--- a/scheduling/placement/headroom.go
+++ b/scheduling/placement/headroom.go
@@ -65,8 +65,10 @@
 // headroomFor returns the part of the service that the unit has to leave free: none for urgent units and gangs, else the
 // urgent part of the work, and more where units of higher priority had to wait. A unit that has waited for half of its
 // time until the deadline makes way for the first part alone.
+// Pressure follows placements, not time, and stays where nothing urgent comes any more: a unit that must not rest leaves
+// nothing free.
 func (s *Scheduler) headroomFor(unit *Unit) float64 {
-	if unit.Job.Priority == 0 || s.urgent.allWork == 0 || unit.Step().Gang {
+	if unit.Job.Priority == 0 || s.urgent.allWork == 0 || unit.Step().Gang || s.mustNotRest(unit) {
 		return 0
 	}
 	base := min(s.urgent.urgentWork/s.urgent.allWork, maxUrgentHeadroom)
@@ -75,3 +77,11 @@
 	}
 	return base + s.urgent.pressure[priorityClass(unit)]*(pressureHeadroom-base)
 }
+
+// remoteHeadroomFor returns the part of the service that the unit has to leave free where it is placed away from its data.
+func (s *Scheduler) remoteHeadroomFor(unit *Unit, headroom float64) float64 {
+	if s.mustNotRest(unit) {
+		return headroom
+	}
+	return max(headroom, remoteHeadroom)
+}
--- a/scheduling/worker/drain.go
+++ b/scheduling/worker/drain.go
@@ -11,15 +11,27 @@
 	overrunFactor = 1.25
 )
 
-// Drain records that the worker drains, and leaves with all that still runs there once the remaining time has passed. Only
-// the first call counts.
+// Drain records that the worker drains: no run is dispatched there any more, also where it was placed before. It leaves with
+// all that still runs there once the remaining time has passed, 0 where that is not known. Only the first time counts.
 func (o *Owner) Drain(now, remaining time.Duration) {
-	if o.departureAt == 0 {
+	o.draining = true
+	if o.departureAt == 0 && remaining > 0 {
 		o.departureAt = now + remaining
 	}
 	o.act(now)
 }
 
+// Undispatched returns how many runs are placed at the worker and were not dispatched yet.
+func (o *Owner) Undispatched() int {
+	count := 0
+	for _, r := range o.runs {
+		if r.phase == pending {
+			count++
+		}
+	}
+	return count
+}
+
 // mustMove reports whether a run is to be stopped so that it goes on elsewhere, since the worker leaves before its end. A
 // run with checkpoints or without an end of its own stays as long as it can; another one that cannot end in time loses its
 // work anyway and is moved at once.
