--- a/internal/control/server/sessions_test.go
+++ b/internal/control/server/sessions_test.go
@@ -63,18 +63,27 @@
 // connect returns a connection to a peer that says nothing.
 func connect(t *testing.T) *frame.Conn {
 	t.Helper()
+	conn, _ := connectPair(t)
+	return conn
+}
+
+// connectPair returns both sides of a connection.
+func connectPair(t *testing.T) (here, there *frame.Conn) {
+	t.Helper()
+	accepted := make(chan *frame.Conn, 1)
 	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if conn, err := frame.Upgrade(w, r); err == nil {
 			t.Cleanup(conn.Close)
+			accepted <- conn
 		}
 	}))
 	t.Cleanup(peer.Close)
-	conn, err := frame.Dial(frame.TCP{}, peer.Listener.Addr().String(), "/", time.Second)
+	here, err := frame.Dial(frame.TCP{}, peer.Listener.Addr().String(), "/", time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(conn.Close)
-	return conn
+	t.Cleanup(here.Close)
+	return here, <-accepted
 }
 
 // Where the last session is over, the dispatchers' connections are closed, so that they open new sessions: the update that
