Workers of the emulator drain, leave, and are replaced, in random schedules

A worker that drains serves for the time that the list names, lingers, and stops: its runs end with it, the list no longer names it, and another worker comes in its place. The list names the time that remains at the call, not at the last change. Five kinds of disruption more: workers drain and leave, and workers drain around a trouble of the control machine that reads the list: killed, cut off, frozen, without a way to the platform.

--- a/internal/testing/emulator/cluster.go
+++ b/internal/testing/emulator/cluster.go
@@ -145,8 +145,11 @@
 // RestartWorker crashes the worker in the place; its next incarnation begins after a while.
 func (y *Cluster) RestartWorker(place int, after time.Duration) { y.list.Restart(place, after) }
 
-// DrainWorker lets the worker in the place drain for at least so long.
-func (y *Cluster) DrainWorker(place int, remaining time.Duration) { y.list.Drain(place, remaining) }
+// DrainWorker lets the worker in the place drain for at least so long. It lingers for some more time, leaves, and
+// another one comes in its place.
+func (y *Cluster) DrainWorker(place int, remaining, linger time.Duration) {
+	y.list.Drain(place, remaining, linger)
+}
 
 // ReuseAddress crashes the worker in the place; another one begins at its address while it is still listed.
 func (y *Cluster) ReuseAddress(place int) { y.list.Reuse(place) }
--- a/internal/testing/emulator/disruptions_test.go
+++ b/internal/testing/emulator/disruptions_test.go
@@ -166,6 +166,42 @@
 		time.Sleep(span)
 		core.disk.Fill(false)
 	}},
+	{"workers drain and leave", func(y *Cluster, random *rand.Rand, span time.Duration) {
+		drainSome(y, random)
+		time.Sleep(span)
+	}},
+	{"workers drain while the list's reader is killed", func(y *Cluster, random *rand.Rand, span time.Duration) {
+		core := listReader(y, random)
+		drainAround(y, random, func() {
+			core.Kill()
+			time.Sleep(span / 4)
+			core.Back()
+		})
+	}},
+	{"workers drain while the list's reader is cut off", func(y *Cluster, random *rand.Rand, span time.Duration) {
+		core := listReader(y, random)
+		drainAround(y, random, func() {
+			cutOff(y, core.name, random.IntN(2) == 0, true)
+			time.Sleep(span)
+			cutOff(y, core.name, true, false)
+		})
+	}},
+	{"workers drain while the list's reader is frozen", func(y *Cluster, random *rand.Rand, span time.Duration) {
+		core := listReader(y, random)
+		drainAround(y, random, func() {
+			thaw := core.Freeze()
+			time.Sleep(span)
+			thaw()
+		})
+	}},
+	{"workers drain while the list's reader does not reach the platform", func(y *Cluster, random *rand.Rand, span time.Duration) {
+		core := listReader(y, random)
+		drainAround(y, random, func() {
+			cutFromPlatform(y, core.name, true)
+			time.Sleep(span)
+			cutFromPlatform(y, core.name, false)
+		})
+	}},
 	{"core frozen", func(y *Cluster, random *rand.Rand, span time.Duration) {
 		thaw := anyOf(random, y.Cores()).Freeze()
 		time.Sleep(span)
@@ -222,6 +258,45 @@
 	}},
 }
 
+// Spans of drains.
+const (
+	drainRemaining = 4 * time.Second // that the list names, as the large deployments' DrainMs
+	drainLingers   = 8 * time.Second // at most, beyond that
+)
+
+// drainSome lets up to half of the workers drain at once. They leave in their own time.
+func drainSome(y *Cluster, random *rand.Rand) {
+	for _, place := range random.Perm(y.Shape.Workers)[:1+random.IntN(y.Shape.Workers/2)] {
+		y.DrainWorker(place, drainRemaining, time.Duration(random.Int64N(int64(drainLingers))))
+	}
+}
+
+// drainAround lets some workers drain just before a trouble, and others while it lasts.
+func drainAround(y *Cluster, random *rand.Rand, trouble func()) {
+	during := rand.New(rand.NewPCG(random.Uint64(), 0))
+	drainSome(y, random)
+	time.Sleep(time.Duration(random.IntN(800)) * time.Millisecond)
+	time.AfterFunc(listLag, func() { drainSome(y, during) })
+	trouble()
+}
+
+// listReader returns the control machine that reads the platform's list, or any while none does.
+func listReader(y *Cluster, random *rand.Rand) *core {
+	cores := y.Cores()
+	for _, core := range cores {
+		if core.name == y.list.lastCaller() {
+			return core
+		}
+	}
+	return anyOf(random, cores)
+}
+
+// cutFromPlatform cuts a machine off from the platform alone, or joins them again.
+func cutFromPlatform(y *Cluster, name string, cut bool) {
+	y.Network.Cut(name, cloudName, cut)
+	y.Network.Cut(cloudName, name, cut)
+}
+
 func loseDisk(y *Cluster, place int, span time.Duration) {
 	core := y.Cores()[place]
 	core.PowerOff()
--- a/internal/testing/emulator/drain_test.go
+++ b/internal/testing/emulator/drain_test.go
@@ -38,7 +38,7 @@
 		until := time.Now().Add(span)
 		go func() {
 			for place := range drained {
-				y.DrainWorker(place, time.Minute)
+				y.DrainWorker(place, time.Minute, 0)
 				time.Sleep(drainGap)
 			}
 		}()
--- a/internal/testing/emulator/instance_list.go
+++ b/internal/testing/emulator/instance_list.go
@@ -18,6 +18,8 @@
 	listLag = 500 * time.Millisecond
 	// reuseAfter is how soon an address may be given to another worker after its last one crashed.
 	reuseAfter = 2 * time.Second
+	// successorAfter is how soon another worker comes in the place of one that has drained and left.
+	successorAfter = 2 * time.Second
 	// lingers is how long a crashed worker that has no successor of its service stays on the list.
 	lingers = 10 * time.Second
 	// defaultPageSize is how many workers a page of the list names where the shape says nothing.
@@ -33,6 +35,8 @@
 	stopped bool         // no incarnation begins any more
 	crashed []*Worker    // that are still listed
 	down    map[int]bool // places whose next incarnation has not begun
+	left    map[int]bool // those of them whose worker has drained and left: it is no longer listed
+	caller  string       // the machine that has asked for a page last
 	shown   []listEntry
 	number  int
 }
@@ -45,13 +49,14 @@
 	State    string
 	Capacity job.Resources
 	Labels   []string
+	leavesAt time.Time // as the worker's
 	// RemainingMs is the least time that a draining worker has from now on.
 	RemainingMs int64  `json:",omitempty"`
 	Padding     string `json:",omitempty"` // what other workers, which are not emulated, would take on the list
 }
 
 func newInstanceList(y *Cluster) *instanceList {
-	return &instanceList{cluster: y, down: map[int]bool{}}
+	return &instanceList{cluster: y, down: map[int]bool{}, left: map[int]bool{}}
 }
 
 func (l *instanceList) start() {
@@ -105,6 +110,11 @@
 	}
 	w.Crash()
 	l.cluster.Network.PowerOff(workerName(place))
+	l.replaceAfter(place, after)
+}
+
+// replaceAfter lets the next incarnation of the worker in the place, which is down, begin after a while.
+func (l *instanceList) replaceAfter(place int, after time.Duration) {
 	time.AfterFunc(after, func() {
 		if l.isStopped() {
 			return // a server begun now would never be closed
@@ -113,6 +123,7 @@
 		l.add(place)
 		l.mu.Lock()
 		delete(l.down, place)
+		delete(l.left, place)
 		l.mu.Unlock()
 		time.AfterFunc(listLag, l.show)
 	})
@@ -138,29 +149,66 @@
 	l.Restart(place, reuseAfter)
 }
 
-// Drain lets the worker in the place drain. The list shows it after listLag, and names at least so much time as left.
-func (l *instanceList) Drain(place int, remaining time.Duration) {
+// Drain lets the worker in the place drain. The list shows it after listLag, and names at least so much time as left. The
+// worker serves on for that time, lingers for some more, and leaves.
+func (l *instanceList) Drain(place int, remaining, linger time.Duration) {
 	l.mu.Lock()
 	w := l.workers[place]
-	w.leavesAt = time.Now().Add(remaining)
 	l.mu.Unlock()
 	time.AfterFunc(listLag, func() {
+		l.mu.Lock()
+		drains := l.workers[place] == w && !l.down[place] && w.leavesAt.IsZero()
+		if drains {
+			w.leavesAt = time.Now().Add(remaining)
+		}
+		l.mu.Unlock()
+		if !drains {
+			return // it has crashed, or drains already
+		}
 		l.show()
 		l.cluster.Checker.drainListed(w)
+		time.AfterFunc(remaining+linger, func() { l.leave(place, w) })
 	})
 }
 
+// leave ends the worker in the place in order, unless another one is there by now. Another one comes after a while.
+func (l *instanceList) leave(place int, w *Worker) {
+	l.mu.Lock()
+	stays := l.stopped || l.workers[place] != w || l.down[place]
+	if !stays {
+		l.down[place], l.left[place] = true, true
+	}
+	l.mu.Unlock()
+	if stays {
+		return
+	}
+	w.Crash() // what still runs ends with it
+	l.cluster.Network.Kill(workerName(place))
+	time.AfterFunc(listLag, l.show)
+	l.replaceAfter(place, successorAfter)
+}
+
+// lastCaller returns the machine that has asked for a page of the list last, where the network tells that.
+func (l *instanceList) lastCaller() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.caller
+}
+
 // show lets the list tell the present state.
 func (l *instanceList) show() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.shown = nil
 	padding := strings.Repeat("-", l.cluster.Shape.ListPadding)
-	for _, w := range slices.Concat(l.crashed, l.workers) {
+	for i, w := range slices.Concat(l.crashed, l.workers) {
+		if place := i - len(l.crashed); place >= 0 && l.left[place] {
+			continue
+		}
 		entry := listEntry{ID: w.ID, Service: w.Service, Address: w.Address, Zone: w.Zone, State: "ready",
-			Capacity: w.Capacity, Labels: w.Labels, Padding: padding}
+			Capacity: w.Capacity, Labels: w.Labels, leavesAt: w.leavesAt, Padding: padding}
 		if !w.leavesAt.IsZero() {
-			entry.State, entry.RemainingMs = "draining", max(time.Until(w.leavesAt).Milliseconds(), 1)
+			entry.State = "draining"
 		}
 		l.shown = append(l.shown, entry)
 	}
@@ -179,10 +227,17 @@
 func (l *instanceList) answer(out http.ResponseWriter, r *http.Request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.caller = machineOf(r.RemoteAddr)
 	from, _ := strconv.Atoi(r.URL.Query().Get("PageToken"))
 	from = min(from, len(l.shown))
 	to := min(from+l.pageSize(), len(l.shown))
-	page := map[string]any{"Instances": l.shown[from:to], "NextToken": nil}
+	entries := slices.Clone(l.shown[from:to])
+	for i := range entries {
+		if at := entries[i].leavesAt; !at.IsZero() {
+			entries[i].RemainingMs = max(time.Until(at).Milliseconds(), 1)
+		}
+	}
+	page := map[string]any{"Instances": entries, "NextToken": nil}
 	if to < len(l.shown) {
 		page["NextToken"] = strconv.Itoa(to)
 	}
