The simulation of policy changes stands in files by concern

Cause: lab/rig/harness/sim.go had 627 lines with five concerns, and names that need explaining (told, heard, patient, life, looks, rush). Its heap of events stood again in the simulation of cold starts.

Change: policy_simulation.go (settings, result, run), _coordinators.go (raft nodes), _dispatchers.go (leases, observations), _faults.go; virtual_time.go is the one heap of events, for cold starts too; quantile.go was Median. The types are PolicySimulation and PolicySimulationResult, as the other two simulations are named; prove-policy follows. Fields that nothing read are gone (calling, last).

--- a/lab/prove-policy/main.go
+++ b/lab/prove-policy/main.go
@@ -102,18 +102,18 @@
 	for range runtime.GOMAXPROCS(0) {
 		wg.Go(func() {
 			for i := range next {
-				c := harness.Sim{Seed: uint64(i), Keepers: 5, Dispatchers: 6, Length: 10 * time.Second, Lost: 0.05, Doubled: 0.05, Slowest: 30 * time.Millisecond}
+				c := harness.PolicySimulation{Seed: uint64(i), Coordinators: 5, Dispatchers: 6, Length: 10 * time.Second, LossRate: 0.05, DuplicationRate: 0.05, MaxMessageDelay: 30 * time.Millisecond}
 				if i%4 == 3 {
-					c.Fence = statemachine.KeepLastPolicy
+					c.OnLeaseLoss = statemachine.KeepLastPolicy
 				}
 				got := c.Run()
 				mu.Lock()
-				all.broken += len(got.Broken)
-				if got.Hanging {
+				all.broken += len(got.Violations)
+				if got.ChangePending {
 					all.hanging++
 				}
-				all.versions += got.InForce
-				all.overlap = max(all.overlap, got.Overlap)
+				all.versions += got.FinalVersion
+				all.overlap = max(all.overlap, got.MaxOverlap)
 				mu.Unlock()
 			}
 		})
@@ -131,20 +131,20 @@
 
 // proveMany plays 300 dispatchers, and returns what prints it.
 func proveMany() func() {
-	c := harness.Sim{Seed: 3, Keepers: 5, Dispatchers: 300, Length: 10 * time.Second, Slowest: 4 * time.Millisecond, Calm: true}
+	c := harness.PolicySimulation{Seed: 3, Coordinators: 5, Dispatchers: 300, Length: 10 * time.Second, MaxMessageDelay: 4 * time.Millisecond, WithoutFaults: true}
 	got := c.Run()
-	away := harness.Sim{Seed: 4, Keepers: 5, Dispatchers: 300, Length: 30 * time.Second, Slowest: 4 * time.Millisecond, Calm: true, Away: 20 * time.Second, Fence: statemachine.KeepLastPolicy}.Run()
+	away := harness.PolicySimulation{Seed: 4, Coordinators: 5, Dispatchers: 300, Length: 30 * time.Second, MaxMessageDelay: 4 * time.Millisecond, WithoutFaults: true, CoordinatorOutage: 20 * time.Second, OnLeaseLoss: statemachine.KeepLastPolicy}.Run()
 	return func() { rowsMany(c, got, away) }
 }
 
-func rowsMany(c harness.Sim, got, away harness.Outcome) {
-	p99 := harness.Median(got.Took, 0.99)
+func rowsMany(c harness.PolicySimulation, got, away harness.PolicySimulationResult) {
+	p99 := harness.Quantile(got.ChangeDurations, 0.99)
 	row("300 dispatchers, virtual: a change, p99", p99.Round(time.Millisecond).String(), "", true)
 	seconds := (c.Length * 3 / 2).Seconds()
-	row("300 dispatchers, virtual: calls and bytes a second at the keepers", fmt.Sprintf("%.0f, %.0f KB", float64(got.Calls)/seconds, float64(got.Bytes)/seconds/1000), "", true)
-	row("300 dispatchers, keepers away for 20 s, last: served before, meanwhile", fmt.Sprintf("%.3f, %.3f", away.Before, away.Without), "not lower", away.Without >= away.Before)
-	row("300 dispatchers, keepers back: all hold leases after, most calls in 100 ms", fmt.Sprintf("%v, %d", away.Back.Round(time.Millisecond), away.Rush), "", away.Back > 0)
-	row("300 dispatchers, virtual: promises broken", strconv.Itoa(len(got.Broken)), "0", len(got.Broken) == 0)
+	row("300 dispatchers, virtual: calls and bytes a second at the keepers", fmt.Sprintf("%.0f, %.0f KB", float64(got.Requests)/seconds, float64(got.RequestBytes)/seconds/1000), "", true)
+	row("300 dispatchers, keepers away for 20 s, last: served before, meanwhile", fmt.Sprintf("%.3f, %.3f", away.AdmittedBefore, away.AdmittedWithout), "not lower", away.AdmittedWithout >= away.AdmittedBefore)
+	row("300 dispatchers, keepers back: all hold leases after, most calls in 100 ms", fmt.Sprintf("%v, %d", away.RecoveredAfter.Round(time.Millisecond), away.PeakRequests), "", away.RecoveredAfter > 0)
+	row("300 dispatchers, virtual: promises broken", strconv.Itoa(len(got.Violations)), "0", len(got.Violations) == 0)
 }
 
 // op is one call of the history that is checked to be linearizable: what it returned is a
@@ -173,7 +173,7 @@
 		}
 		all = append(all, time.Since(began))
 	}
-	return harness.Median(all, 0.5), nil
+	return harness.Quantile(all, 0.5), nil
 }
 
 // trips is how long a call takes that a keeper answers from its memory, the median of 30.
@@ -198,7 +198,7 @@
 		}
 		all = append(all, time.Since(began))
 	}
-	return harness.Median(all, 0.5), nil
+	return harness.Quantile(all, 0.5), nil
 }
 
 // idle is what a dispatcher takes that has nothing to do but keep its lease.
--- a/lab/prove-policy/processes.go
+++ b/lab/prove-policy/processes.go
@@ -116,9 +116,9 @@
 	// Four steps, one after the other: proposed, the last vote, the last dispatcher that stops, the last lease under it. In
 	// each all dispatchers call, not all in one flush.
 	aim := 3*trip + 4*4*entry
-	p99 := harness.Median(took, 0.99)
+	p99 := harness.Quantile(took, 0.99)
 	row("a flush of this disk, a round trip to a keeper, an entry agreed on, medians", fmt.Sprintf("%v, %v, %v", flush.Round(10*time.Microsecond), trip.Round(10*time.Microsecond), entry.Round(10*time.Microsecond)), "", true)
-	row("12 dispatchers, 5 keepers: a change, median", harness.Median(took, 0.5).Round(time.Millisecond).String(), "", true)
+	row("12 dispatchers, 5 keepers: a change, median", harness.Quantile(took, 0.5).Round(time.Millisecond).String(), "", true)
 	row("12 dispatchers, 5 keepers: a change, p99 of 30", p99.Round(time.Millisecond).String(), fmt.Sprintf("3 round trips and 16 entries, %v", aim.Round(time.Millisecond)), p99 <= aim)
 	return nil
 }
--- a/lab/rig/harness/coldstart_simulation.go
+++ b/lab/rig/harness/coldstart_simulation.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -59,28 +58,6 @@
 	WithoutList                       int           // dispatchers without the list at the end
 }
 
-// coldEvent is something that happens at a time. Events of one time happen in the order of their numbers.
-type coldEvent struct {
-	at     time.Duration
-	number int
-	do     func()
-}
-
-// coldEvents is a heap of events, the next one first.
-type coldEvents []coldEvent
-
-func (h coldEvents) Len() int { return len(h) }
-func (h coldEvents) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].number < h[j].number
-}
-func (h coldEvents) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *coldEvents) Push(x any)   { *h = append(*h, x.(coldEvent)) }
-func (h *coldEvents) Pop() any {
-	x := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return x
-}
-
 // coldDispatcher is one incarnation of a dispatcher.
 type coldDispatcher struct {
 	index          int
@@ -99,10 +76,8 @@
 // coldStartRun is a ColdStart under way.
 type coldStartRun struct {
 	ColdStart
+	virtualTime
 	random       *rand.Rand
-	now          time.Duration
-	events       coldEvents
-	scheduled    int
 	state        *statemachine.State
 	entries      []relay.Entry // of the list service
 	calls        []time.Duration
@@ -132,12 +107,6 @@
 	return r
 }
 
-// at schedules an event.
-func (r *coldStartRun) at(t time.Duration, do func()) {
-	r.scheduled++
-	heap.Push(&r.events, coldEvent{max(t, r.now), r.scheduled, do})
-}
-
 // draw returns a random time below most.
 func (r *coldStartRun) draw(most time.Duration) time.Duration {
 	return time.Duration(r.random.Float64() * float64(most))
@@ -365,13 +334,7 @@
 // play carries the events out in order.
 func (r *coldStartRun) play() {
 	const startsEnd = 3 * time.Second // no dispatcher is killed after that
-	for len(r.events) > 0 {
-		event := heap.Pop(&r.events).(coldEvent)
-		if event.at > cmp.Or(r.Horizon, time.Minute) {
-			return
-		}
-		r.now = event.at
-		event.do()
+	for r.step(cmp.Or(r.Horizon, time.Minute)) {
 		if r.now > startsEnd && !slices.ContainsFunc(r.dispatchers, func(d *coldDispatcher) bool { return d.listAt == 0 }) {
 			return
 		}
--- a/lab/rig/harness/outlier_simulation.go
+++ b/lab/rig/harness/outlier_simulation.go
@@ -30,7 +30,7 @@
 	Disconnected func(at time.Duration, dispatcher int) bool
 }
 
-// OutlierResult is the result of a Jury.
+// OutlierResult is the result of an OutlierSimulation.
 type OutlierResult struct {
 	LostJobs        int           // jobs that failed at workers while these were unhealthy
 	Ejections       int           // ejections
@@ -78,7 +78,7 @@
 	return outlier.Incarnation{Worker: fmt.Sprint("s-", worker), Started: 1}
 }
 
-// outlierRun is a Jury under way.
+// outlierRun is an OutlierSimulation under way.
 type outlierRun struct {
 	OutlierSimulation
 	random       *rand.Rand
--- a/lab/rig/harness/sim_test.go
+++ b/lab/rig/harness/policy_simulation_test.go
@@ -11,8 +11,8 @@
 	"yardflow/internal/fleet/statemachine"
 )
 
-func schedule(seed uint64) Sim {
-	return Sim{Seed: seed, Keepers: 5, Dispatchers: 6, Length: 15 * time.Second, Lost: 0.05, Doubled: 0.05, Slowest: 30 * time.Millisecond}
+func schedule(seed uint64) PolicySimulation {
+	return PolicySimulation{Seed: seed, Coordinators: 5, Dispatchers: 6, Length: 15 * time.Second, LossRate: 0.05, DuplicationRate: 0.05, MaxMessageDelay: 30 * time.Millisecond}
 }
 
 // Schedules of crashes, cuts, stops and lost, late and doubled messages: no two versions serve at
@@ -24,19 +24,19 @@
 	for seed := range uint64(60) {
 		for _, fence := range []statemachine.LeaseLossMode{statemachine.RefuseWork, statemachine.KeepLastPolicy} {
 			c := schedule(seed)
-			c.Fence = fence
+			c.OnLeaseLoss = fence
 			got := c.Run()
-			for _, b := range got.Broken {
+			for _, b := range got.Violations {
 				t.Errorf("seed %d, %v: %s", seed, fence, b)
 			}
-			if got.Overlap > simLease {
-				t.Errorf("seed %d, %v: two versions beside each other for %v", seed, fence, got.Overlap)
+			if got.MaxOverlap > policyLeaseDuration {
+				t.Errorf("seed %d, %v: two versions beside each other for %v", seed, fence, got.MaxOverlap)
 			}
-			if got.Hanging {
+			if got.ChangePending {
 				t.Errorf("seed %d, %v: a change is left under way", seed, fence)
 			}
 			if fence == statemachine.RefuseWork {
-				versions += got.InForce
+				versions += got.FinalVersion
 			}
 		}
 	}
@@ -60,14 +60,14 @@
 func TestKeepersAway(t *testing.T) {
 	t.Parallel()
 	for _, fence := range []statemachine.LeaseLossMode{statemachine.RefuseWork, statemachine.KeepLastPolicy} {
-		c := Sim{Seed: 5, Keepers: 3, Dispatchers: 60, Length: 40 * time.Second, Slowest: 4 * time.Millisecond, Calm: true, Away: 20 * time.Second, Fence: fence}
+		c := PolicySimulation{Seed: 5, Coordinators: 3, Dispatchers: 60, Length: 40 * time.Second, MaxMessageDelay: 4 * time.Millisecond, WithoutFaults: true, CoordinatorOutage: 20 * time.Second, OnLeaseLoss: fence}
 		got := c.Run()
-		t.Logf("%v: %.3f before, %.3f without keepers; all back after %v, at most %d calls in 100 ms", fence, got.Before, got.Without, got.Back, got.Rush)
-		if len(got.Broken) > 0 || got.Back == 0 || got.Back > 5*time.Second || got.Rush > 3*c.Dispatchers {
-			t.Errorf("%v: %v; back after %v, %d calls in 100 ms", fence, got.Broken, got.Back, got.Rush)
+		t.Logf("%v: %.3f before, %.3f without keepers; all back after %v, at most %d calls in 100 ms", fence, got.AdmittedBefore, got.AdmittedWithout, got.RecoveredAfter, got.PeakRequests)
+		if len(got.Violations) > 0 || got.RecoveredAfter == 0 || got.RecoveredAfter > 5*time.Second || got.PeakRequests > 3*c.Dispatchers {
+			t.Errorf("%v: %v; back after %v, %d calls in 100 ms", fence, got.Violations, got.RecoveredAfter, got.PeakRequests)
 		}
-		if fence == statemachine.KeepLastPolicy && got.Without < got.Before || fence == statemachine.RefuseWork && got.Without > 0.2 {
-			t.Errorf("%v: %.3f before, %.3f without keepers", fence, got.Before, got.Without)
+		if fence == statemachine.KeepLastPolicy && got.AdmittedWithout < got.AdmittedBefore || fence == statemachine.RefuseWork && got.AdmittedWithout > 0.2 {
+			t.Errorf("%v: %.3f before, %.3f without keepers", fence, got.AdmittedBefore, got.AdmittedWithout)
 		}
 	}
 }
