The scenarios of workflows stand in files by concern

Cause: lab/rig/harness/flowplays.go had 440 lines: faults, a restore, pools and load in one file, functions of up to 60 lines.

Change: workflow_faults.go, _restore.go, _pools.go and _load.go; what they share is workflows.go (was flows.go). The drawn fault, the two checks of pools and the two halves of flow-many are functions of their own. Names of scenarios, log lines, figures and the order of draws are as they were.

--- a/lab/rig/harness/flows.go
+++ b/lab/rig/harness/workflows.go
@@ -151,3 +151,9 @@
 	check(t, r.Propose(id, text, base, false))
 	changed(t, r, id, statemachine.InForce)
 }
+
+// awaitSent waits until so many steps were sent whose names begin with a prefix.
+func awaitSent(t T, r *Rig, prefix string, n int) {
+	t.Helper()
+	check(t, Until(fmt.Sprintf("%d of %s are sent", n, prefix), func() bool { return len(r.Sent(prefix)) >= n }))
+}
