One piece of code where the rigs had the same logic twice

Cause: the duplicates of lab/, and what stood beside them: 18 loops that wait until all dispatchers admit under a version, 4 clients that wait for a version at some coordinators, 4 starts of a load under the policy that ejects, 3 lists of addresses, the T without a test of lab/rig and of lab/rig/prove, the readings of /proc and the table in prove-policy and prove-srv.

Change: allUnder, awaitVersionAt, loadUnderPolicy, Rig.fronts, Rig.entry with its start, Scenario.Record, prove.ProcessorTime and ResidentMemory; prove-policy prints by prove.Table. It reads resident memory from /proc/PID/status now, not from stat, as prove-srv does.

--- a/lab/prove-flows/keepers.go
+++ b/lab/prove-flows/keepers.go
@@ -128,9 +128,18 @@
 	return histories(t, r)
 }
 
+// clientOf makes a client of the three coordinators that calls the one at an index first.
+func clientOf(r *harness.Rig, first int) *transport.Client {
+	var addresses []string
+	for i := range r.Keeper {
+		addresses = append(addresses, r.Keeper[(first+i)%len(r.Keeper)].Addr)
+	}
+	return transport.NewClient("rig", addresses)
+}
+
 // worker stands for a dispatcher.
 func worker(ctx context.Context, r *harness.Rig, i int, done, bytes *atomic.Int64) {
-	cl := transport.NewClient("rig", []string{r.Keeper[i%3].Addr, r.Keeper[(i+1)%3].Addr, r.Keeper[(i+2)%3].Addr})
+	cl := clientOf(r, i)
 	defer cl.Close()
 	name, seq, life := fmt.Sprint("w", i), uint64(0), uint64(1)
 	do := func(c statemachine.Command) *claims.Answer {
@@ -246,7 +255,7 @@
 
 // submitAndLook is client c, which submits workflows and looks whether they are there until ctx ends.
 func (h *history) submitAndLook(ctx context.Context, r *harness.Rig, c int, began time.Time) {
-	client := transport.NewClient("rig", []string{r.Keeper[c%3].Addr, r.Keeper[(c+1)%3].Addr, r.Keeper[(c+2)%3].Addr})
+	client := clientOf(r, c)
 	defer client.Close()
 	for i := 0; ctx.Err() == nil; i++ {
 		in := asked{key: fmt.Sprintf("h%d", i/3), look: (c+i)%3 == 0}
--- a/lab/prove-policy/main.go
+++ b/lab/prove-policy/main.go
@@ -11,9 +11,7 @@
 	"path/filepath"
 	"runtime"
 	"strconv"
-	"strings"
 	"sync"
-	"text/tabwriter"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -21,6 +19,7 @@
 	"yardflow/internal/fleet/policylease"
 	"yardflow/internal/fleet/statemachine"
 	"yardflow/lab/rig/harness"
+	"yardflow/lab/rig/prove"
 )
 
 var (
@@ -29,37 +28,20 @@
 	seed      = flag.Uint64("seed", 1, "of the storm")
 )
 
-var (
-	table = tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
-	ok    = true
-)
-
-func row(what, figure, aim string, holds bool) {
-	verdict := "holds"
-	if !holds {
-		verdict, ok = "MISSED", false
-	}
-	if aim == "" {
-		verdict = ""
-	}
-	fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", what, figure, aim, verdict)
-}
+// table is what is printed.
+var table = prove.New()
 
 func main() {
 	flag.Parse()
-	fmt.Fprintln(table, "figure\tmeasured\taim\t")
 	many := make(chan func())
 	go func() { many <- proveMany() }()
 	proveModel()
 	proveSchedules()
 	(<-many)()
 	if err := proveProcesses(); err != nil {
-		row("real processes", err.Error(), "no fault of the stage", false)
-	}
-	_ = table.Flush()
-	if !ok {
-		os.Exit(1)
+		table.Row("real processes", err.Error(), "no fault of the stage", false)
 	}
+	table.End()
 }
 
 func proveModel() {
@@ -83,9 +65,9 @@
 			broken += len(got.Violation)
 		}
 	}
-	row("model: states and steps explored", strconv.Itoa(states), "", true)
-	row("model: promises broken", strconv.Itoa(broken), "0", broken == 0)
-	row("model: planted faults found", fmt.Sprintf("%d of %d", found, len(policylease.Faults)), "all", found == len(policylease.Faults))
+	table.Row("model: states and steps explored", strconv.Itoa(states), "", true)
+	table.Row("model: promises broken", strconv.Itoa(broken), "0", broken == 0)
+	table.Row("model: planted faults found", fmt.Sprintf("%d of %d", found, len(policylease.Faults)), "all", found == len(policylease.Faults))
 }
 
 func proveSchedules() {
@@ -123,10 +105,10 @@
 	}
 	close(next)
 	wg.Wait()
-	row("virtual time: schedules played", fmt.Sprintf("%d, %d changes in force, %.0f s", *schedules, all.versions, time.Since(began).Seconds()), "2000 or more", *schedules >= 2000)
-	row("virtual time: promises broken", strconv.Itoa(all.broken), "0", all.broken == 0)
-	row("virtual time: changes left hanging", strconv.Itoa(all.hanging), "0", all.hanging == 0)
-	row("virtual time: two versions beside each other, last", all.overlap.Round(time.Millisecond).String(), "one lease, 2 s", all.overlap <= 2*time.Second)
+	table.Row("virtual time: schedules played", fmt.Sprintf("%d, %d changes in force, %.0f s", *schedules, all.versions, time.Since(began).Seconds()), "2000 or more", *schedules >= 2000)
+	table.Row("virtual time: promises broken", strconv.Itoa(all.broken), "0", all.broken == 0)
+	table.Row("virtual time: changes left hanging", strconv.Itoa(all.hanging), "0", all.hanging == 0)
+	table.Row("virtual time: two versions beside each other, last", all.overlap.Round(time.Millisecond).String(), "one lease, 2 s", all.overlap <= 2*time.Second)
 }
 
 // proveMany plays 300 dispatchers, and returns what prints it.
@@ -139,12 +121,12 @@
 
 func rowsMany(c harness.PolicySimulation, got, away harness.PolicySimulationResult) {
 	p99 := harness.Quantile(got.ChangeDurations, 0.99)
-	row("300 dispatchers, virtual: a change, p99", p99.Round(time.Millisecond).String(), "", true)
+	table.Row("300 dispatchers, virtual: a change, p99", p99.Round(time.Millisecond).String(), "", true)
 	seconds := (c.Length * 3 / 2).Seconds()
-	row("300 dispatchers, virtual: calls and bytes a second at the keepers", fmt.Sprintf("%.0f, %.0f KB", float64(got.Requests)/seconds, float64(got.RequestBytes)/seconds/1000), "", true)
-	row("300 dispatchers, keepers away for 20 s, last: served before, meanwhile", fmt.Sprintf("%.3f, %.3f", away.AdmittedBefore, away.AdmittedWithout), "not lower", away.AdmittedWithout >= away.AdmittedBefore)
-	row("300 dispatchers, keepers back: all hold leases after, most calls in 100 ms", fmt.Sprintf("%v, %d", away.RecoveredAfter.Round(time.Millisecond), away.PeakRequests), "", away.RecoveredAfter > 0)
-	row("300 dispatchers, virtual: promises broken", strconv.Itoa(len(got.Violations)), "0", len(got.Violations) == 0)
+	table.Row("300 dispatchers, virtual: calls and bytes a second at the keepers", fmt.Sprintf("%.0f, %.0f KB", float64(got.Requests)/seconds, float64(got.RequestBytes)/seconds/1000), "", true)
+	table.Row("300 dispatchers, keepers away for 20 s, last: served before, meanwhile", fmt.Sprintf("%.3f, %.3f", away.AdmittedBefore, away.AdmittedWithout), "not lower", away.AdmittedWithout >= away.AdmittedBefore)
+	table.Row("300 dispatchers, keepers back: all hold leases after, most calls in 100 ms", fmt.Sprintf("%v, %d", away.RecoveredAfter.Round(time.Millisecond), away.PeakRequests), "", away.RecoveredAfter > 0)
+	table.Row("300 dispatchers, virtual: promises broken", strconv.Itoa(len(got.Violations)), "0", len(got.Violations) == 0)
 }
 
 // op is one call of the history that is checked to be linearizable: what it returned is a
@@ -205,25 +187,16 @@
 func idle(r *harness.Rig, stop func()) (cpu, memory float64, err error) {
 	stop()
 	pid := r.Dispatcher[0].Pid()
-	before, _, err := usage(pid)
+	before, err := prove.ProcessorTime(pid)
 	if err != nil {
 		return 0, 0, err
 	}
 	const span = 3 * time.Second
 	time.Sleep(span)
-	after, memory, err := usage(pid)
-	return (after - before) / span.Seconds(), memory, err
-}
-
-// usage is a process's CPU seconds and resident memory in MB, as the kernel counts them.
-func usage(pid int) (cpu, memory float64, err error) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	after, err := prove.ProcessorTime(pid)
 	if err != nil {
 		return 0, 0, err
 	}
-	f := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+2:]))
-	user, _ := strconv.ParseFloat(f[11], 64)
-	system, _ := strconv.ParseFloat(f[12], 64)
-	pages, _ := strconv.ParseFloat(f[21], 64)
-	return (user + system) / 100, pages * float64(os.Getpagesize()) / (1 << 20), nil
+	memory, err = prove.ResidentMemory(pid)
+	return float64(after-before) / float64(span), memory, err
 }
--- a/lab/prove-policy/processes.go
+++ b/lab/prove-policy/processes.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return err
 	}
-	row("a dispatcher, idle, with it on: CPU, memory", fmt.Sprintf("%.2f%% of a core, %.1f MB", 100*cpu, memory), "under 1%", cpu < 0.01)
+	table.Row("a dispatcher, idle, with it on: CPU, memory", fmt.Sprintf("%.2f%% of a core, %.1f MB", 100*cpu, memory), "under 1%", cpu < 0.01)
 	return nil
 }
 
@@ -117,9 +117,9 @@
 	// each all dispatchers call, not all in one flush.
 	aim := 3*trip + 4*4*entry
 	p99 := harness.Quantile(took, 0.99)
-	row("a flush of this disk, a round trip to a keeper, an entry agreed on, medians", fmt.Sprintf("%v, %v, %v", flush.Round(10*time.Microsecond), trip.Round(10*time.Microsecond), entry.Round(10*time.Microsecond)), "", true)
-	row("12 dispatchers, 5 keepers: a change, median", harness.Quantile(took, 0.5).Round(time.Millisecond).String(), "", true)
-	row("12 dispatchers, 5 keepers: a change, p99 of 30", p99.Round(time.Millisecond).String(), fmt.Sprintf("3 round trips and 16 entries, %v", aim.Round(time.Millisecond)), p99 <= aim)
+	table.Row("a flush of this disk, a round trip to a keeper, an entry agreed on, medians", fmt.Sprintf("%v, %v, %v", flush.Round(10*time.Microsecond), trip.Round(10*time.Microsecond), entry.Round(10*time.Microsecond)), "", true)
+	table.Row("12 dispatchers, 5 keepers: a change, median", harness.Quantile(took, 0.5).Round(time.Millisecond).String(), "", true)
+	table.Row("12 dispatchers, 5 keepers: a change, p99 of 30", p99.Round(time.Millisecond).String(), fmt.Sprintf("3 round trips and 16 entries, %v", aim.Round(time.Millisecond)), p99 <= aim)
 	return nil
 }
 
@@ -177,7 +177,7 @@
 	if err := harness.Until("another leads", func() bool { _, l, err := p.rig.State(); return err == nil && l > 0 && l != leader }); err != nil {
 		return err
 	}
-	row("a new leader, with raft's tick at 20 ms", time.Since(began).Round(time.Millisecond).String(), "", true)
+	table.Row("a new leader, with raft's tick at 20 ms", time.Since(began).Round(time.Millisecond).String(), "", true)
 	return p.rig.Keeper[leader-1].Start()
 }
 
@@ -288,22 +288,22 @@
 	}); err != nil {
 		hanging++
 	}
-	row("storm: changes left hanging", strconv.Itoa(hanging), "0", hanging == 0)
+	table.Row("storm: changes left hanging", strconv.Itoa(hanging), "0", hanging == 0)
 	s, _, err := p.rig.State()
 	if err != nil {
 		return err
 	}
-	row("storm: versions in force", fmt.Sprint(s.CurrentPolicy().Version-p.version), "", true)
+	table.Row("storm: versions in force", fmt.Sprint(s.CurrentPolicy().Version-p.version), "", true)
 	back := 0
 	for _, d := range p.rig.Dispatcher {
 		if harness.Until("serves", func() bool { return p.rig.Ask(d) == 200 }) == nil {
 			back++
 		}
 	}
-	row("storm: dispatchers that serve after it", fmt.Sprintf("%d of %d", back, dispatcherCount), "all", back == dispatcherCount)
+	table.Row("storm: dispatchers that serve after it", fmt.Sprintf("%d of %d", back, dispatcherCount), "all", back == dispatcherCount)
 	linearizable := porcupine.CheckOperations(revisions, history.calls)
-	row("storm: history linearizable", fmt.Sprintf("%t, %d calls", linearizable, len(history.calls)), "true", linearizable && len(history.calls) > 50)
+	table.Row("storm: history linearizable", fmt.Sprintf("%t, %d calls", linearizable, len(history.calls)), "true", linearizable && len(history.calls) > 50)
 	overlap, what := p.rig.Overlap()
-	row("storm: two versions serving at one moment, refuse", strings.TrimSpace(overlap.String()+" "+what), "0", overlap == 0)
+	table.Row("storm: two versions serving at one moment, refuse", strings.TrimSpace(overlap.String()+" "+what), "0", overlap == 0)
 	return nil
 }
--- a/lab/prove-srv/resources.go
+++ b/lab/prove-srv/resources.go
@@ -3,24 +3,19 @@
 // This file measures what the program takes of memory and processor time.
 
 import (
-	"errors"
 	"fmt"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
 	"yardflow/internal/testing/standin/deployment"
+	"yardflow/lab/rig/prove"
 )
 
 // idleBefore is what the program took idle before there were sources, in MB: the
 // median of 7 runs of that build, measured in the same way.
 const idleBefore = 9.5
 
-// clockTick is the unit of processor time in /proc.
-const clockTick = 10 * time.Millisecond
-
 // largeFleet: 2,000 workers at a lifetime of 5 s.
 func largeFleet() ([]row, error) {
 	const workers, span = 2000, 12 * time.Second
@@ -42,14 +37,14 @@
 	if err := awaitServing(s, workers, 20*time.Second); err != nil {
 		return nil, err
 	}
-	before, _ := processorTime(s.Pid)
+	before, _ := prove.ProcessorTime(s.Pid)
 	time.Sleep(span)
-	after, err := processorTime(s.Pid)
+	after, err := prove.ProcessorTime(s.Pid)
 	if err != nil {
 		return nil, err
 	}
 	share := float64(after-before) / float64(span) * 100
-	mb, err := residentMemory(s.Pid)
+	mb, err := prove.ResidentMemory(s.Pid)
 	return []row{
 		{"2,000 workers at a lifetime of 5 s: memory", fmt.Sprintf("%.1f MB", mb), "64 MB at most", mb <= 64},
 		{"and CPU", fmt.Sprintf("%.1f%% of a core", share), "25% at most", share <= 25},
@@ -82,28 +77,5 @@
 		return 0, err
 	}
 	time.Sleep(500 * time.Millisecond)
-	return residentMemory(s.Pid)
-}
-
-// processorTime returns how much processor time a process has used so far.
-func processorTime(pid int) (time.Duration, error) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0, err
-	}
-	_, rest, _ := strings.Cut(string(text), ") ")
-	f := strings.Fields(rest)
-	user, err1 := strconv.Atoi(f[11])
-	system, err2 := strconv.Atoi(f[12])
-	return time.Duration(user+system) * clockTick, errors.Join(err1, err2)
-}
-
-// residentMemory returns a process's resident memory in MB.
-func residentMemory(pid int) (float64, error) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0, err
-	}
-	kb, err := strconv.Atoi(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(between(string(text), "VmRSS:", "\n")), "kB")))
-	return float64(kb) / 1024, err
+	return prove.ResidentMemory(s.Pid)
 }
--- a/lab/rig/harness/dispatchers.go
+++ b/lab/rig/harness/dispatchers.go
@@ -119,11 +119,7 @@
 			}
 			l.Target(w.Addr)
 		}
-		e := r.entry(i, l.Addr())
-		if at := started(i); !at.IsZero() {
-			e.Started = at.UnixMilli()
-		}
-		all = append(all, e)
+		all = append(all, r.entry(i, l.Addr(), started(i)))
 	}
 	r.rosters[name].Set(all...)
 	return nil
@@ -133,18 +129,14 @@
 func (r *Rig) Tell(started func(worker int) time.Time) error {
 	var all []listservice.Entry
 	for i, w := range r.Workers {
-		e := r.entry(i, w.Addr)
-		if at := started(i); !at.IsZero() {
-			e.Started = at.UnixMilli()
-		}
-		all = append(all, e)
+		all = append(all, r.entry(i, w.Addr, started(i)))
 	}
 	r.List.Set(all...)
 	return nil
 }
 
-// entry is a worker as a list tells of it.
-func (r *Rig) entry(i int, addr string) listservice.Entry {
+// entry is a worker as a list has it; the zero time where the list does not say when it was started.
+func (r *Rig) entry(i int, addr string, started time.Time) listservice.Entry {
 	e := listservice.Entry{ID: r.Workers[i].ID, Addr: addr, Zone: "praha-holesovice", Kind: "dual-fast", Lifecycle: "SERVING", Weight: 1, Cell: i % max(r.Cells, 1)}
 	if r.Kinds > 1 && i%r.Kinds == 1 {
 		e.Kind = "triple-slow"
@@ -152,6 +144,9 @@
 	if r.drained[e.ID] {
 		e.Lifecycle = "DRAINING"
 	}
+	if !started.IsZero() {
+		e.Started = started.UnixMilli()
+	}
 	return e
 }
 
--- a/lab/rig/harness/folders.go
+++ b/lab/rig/harness/folders.go
@@ -3,14 +3,11 @@
 // This file owns the scenarios of keepers' folders: lost, damaged, full, older, or the only one that is left.
 
 import (
-	"context"
 	"os"
 	"path/filepath"
 	"strings"
-	"time"
 
 	"yardflow/internal/fleet/statemachine"
-	"yardflow/internal/fleet/transport"
 )
 
 // A folder that is lost, another's or damaged is refused by name, and nothing is made anew.
@@ -83,14 +80,7 @@
 	full.Limit(0)
 	full.Kill()
 	check(t, full.Start())
-	only := transport.NewClient(fleet, []string{full.Addr})
-	defer only.Close()
-	check(t, Until("it knows version 1", func() bool {
-		ctx, end := context.WithTimeout(context.Background(), time.Second)
-		defer end()
-		s, _, err := only.State(ctx)
-		return err == nil && s.CurrentPolicy().Version == 1
-	}))
+	awaitVersionAt(t, "it knows version 1", 1, full.Addr)
 }
 
 // A keeper that is started on an older copy of its folder is refused while another knows better:
@@ -107,14 +97,7 @@
 	// What follows is taken in by all three: by the two others alone it would not be k3's.
 	check(t, r.Propose("two", third, 1, false))
 	changed(t, r, "two", statemachine.InForce)
-	only := transport.NewClient(fleet, []string{k.Addr})
-	defer only.Close()
-	check(t, Until("it knows version 2", func() bool {
-		ctx, end := context.WithTimeout(context.Background(), time.Second)
-		defer end()
-		s, _, err := only.State(ctx)
-		return err == nil && s.CurrentPolicy().Version == 2
-	}))
+	awaitVersionAt(t, "it knows version 2", 2, k.Addr)
 	k.Kill()
 	whole, err := os.ReadFile(file)
 	check(t, err)
@@ -140,9 +123,7 @@
 	defer stop()
 	check(t, r.Propose("one", second, 0, false))
 	changed(t, r, "one", statemachine.InForce)
-	for _, d := range r.Dispatcher {
-		under(t, r, d, 1)
-	}
+	allUnder(t, r, 1)
 	before := r.Keeper
 	for _, k := range before {
 		k.Kill()
@@ -159,26 +140,20 @@
 		t.Errorf("restored twice: %s", out)
 	}
 	replaceKeepers(t, r, next)
-	for _, d := range r.Dispatcher {
-		under(t, r, d, 1001)
-	}
+	allUnder(t, r, 1001)
 	tenth, addr, err := r.Join("k10", 10)
 	check(t, err)
 	staff(t, r, 0, "members", "add", "10", addr)
 	check(t, r.Propose("two", third, 1001, false))
 	changed(t, r, "two", statemachine.InForce)
-	for _, d := range r.Dispatcher {
-		under(t, r, d, 1002)
-	}
+	allUnder(t, r, 1002)
 	if tenth.Addr == "" {
 		t.Error("k10 does not serve")
 	}
 	formerKeepersLead(t, r, before)
 	check(t, r.Propose("three", second, 1002, false))
 	changed(t, r, "three", statemachine.InForce)
-	for _, d := range r.Dispatcher {
-		under(t, r, d, 1003)
-	}
+	allUnder(t, r, 1003)
 	alone(t, r)
 	for _, k := range before {
 		k.Kill()
@@ -207,14 +182,7 @@
 	for _, k := range before[1:] {
 		check(t, k.Start())
 	}
-	only := transport.NewClient(fleet, []string{before[1].Addr, before[2].Addr})
-	defer only.Close()
-	check(t, Until("those of before lead", func() bool {
-		ctx, end := context.WithTimeout(context.Background(), time.Second)
-		defer end()
-		s, _, err := only.State(ctx)
-		return err == nil && s.CurrentPolicy().Version == 1
-	}))
+	awaitVersionAt(t, "those of before lead", 1, before[1].Addr, before[2].Addr)
 	for i, d := range r.Dispatcher {
 		r.Link(d.Name, "k1").Cut(true)
 		_, err := d.Await(marks[i], "from before they were restored")
--- a/lab/rig/harness/keepers.go
+++ b/lab/rig/harness/keepers.go
@@ -36,19 +36,10 @@
 	changed(t, r, "two", statemachine.InForce)
 	next.Go()
 	check(t, first.Start())
-	for _, d := range r.Dispatcher {
-		under(t, r, d, 2)
-	}
+	allUnder(t, r, 2)
 	// Those that come back know what was agreed on without them.
 	for _, k := range []*Process{first, next} {
-		only := transport.NewClient(fleet, []string{k.Addr})
-		check(t, Until(k.Name+" knows version 2", func() bool {
-			ctx, end := context.WithTimeout(context.Background(), time.Second)
-			defer end()
-			s, _, err := only.State(ctx)
-			return err == nil && s.CurrentPolicy().Version == 2
-		}))
-		only.Close()
+		awaitVersionAt(t, k.Name+" knows version 2", 2, k.Addr)
 	}
 	alone(t, r)
 }
@@ -58,9 +49,7 @@
 func keepersLost(t T, r *Rig) {
 	check(t, r.Propose("one", second, 0, false))
 	changed(t, r, "one", statemachine.InForce)
-	for _, d := range r.Dispatcher {
-		under(t, r, d, 1)
-	}
+	allUnder(t, r, 1)
 	mark := r.Dispatcher[0].Mark()
 	r.Keeper[0].Kill()
 	r.Keeper[1].Kill()
@@ -86,9 +75,7 @@
 	check(t, r.Keeper[1].Start())
 	check(t, r.Propose("two", third, 1, false))
 	changed(t, r, "two", statemachine.InForce)
-	for _, d := range r.Dispatcher {
-		under(t, r, d, 2)
-	}
+	allUnder(t, r, 2)
 	if r.Fence == "refuse" {
 		alone(t, r)
 	} else if d, what := r.Overlap(); d > lease {
@@ -119,9 +106,7 @@
 	for _, k := range r.Keeper {
 		r.Link("d1", k.Name).Slow(0)
 	}
-	for _, d := range r.Dispatcher {
-		under(t, r, d, 1)
-	}
+	allUnder(t, r, 1)
 	alone(t, r)
 }
 
@@ -149,9 +134,7 @@
 		changed(t, r, id, statemachine.InForce)
 		version++
 		cut(first.Name, false, false)
-		for _, d := range r.Dispatcher {
-			under(t, r, d, version)
-		}
+		allUnder(t, r, version)
 	}
 	deaf := r.Dispatcher[1]
 	cut(deaf.Name, false, true)
@@ -187,9 +170,7 @@
 		one.Kill()
 		check(t, one.Start())
 		changed(t, r, id, statemachine.InForce)
-		for _, d := range r.Dispatcher {
-			under(t, r, d, version+1)
-		}
+		allUnder(t, r, version+1)
 	}
 	alone(t, r)
 }
@@ -210,9 +191,7 @@
 	}
 	changed(t, r, "one", statemachine.InForce)
 	still.Go()
-	for _, d := range r.Dispatcher {
-		under(t, r, d, 1)
-	}
+	allUnder(t, r, 1)
 	alone(t, r)
 }
 
@@ -255,9 +234,7 @@
 	}
 	check(t, r.Propose("three", second, 2, true))
 	changed(t, r, "three", statemachine.InForce)
-	for _, d := range r.Dispatcher {
-		under(t, r, d, 3)
-	}
+	allUnder(t, r, 3)
 	alone(t, r)
 }
 
@@ -298,12 +275,8 @@
 	defer func() { stop(); wg.Wait() }()
 	var all []*transport.LeaseSession
 	for i := range 300 {
-		var addrs []string
-		for _, k := range r.Keeper {
-			l, err := r.Front(k.Name)
-			check(t, err)
-			addrs = append(addrs, l.Addr())
-		}
+		addrs, err := r.fronts()
+		check(t, err)
 		h := transport.NewLeaseSession(transport.NewClient(fleet, addrs), policylease.New(fmt.Sprint("h", i), 1, "", statemachine.RefuseWork), time.Now(),
 			transport.Hooks{CheckPolicy: func(statemachine.Policy) error { return nil }, ApplyPolicy: func(statemachine.Policy) error { return nil }, Log: func(string) {}})
 		all = append(all, h)
--- a/lab/rig/harness/limits.go
+++ b/lab/rig/harness/limits.go
@@ -58,9 +58,7 @@
 	version := force(t, r, fmt.Sprintf(rateLimit, 200, 24))
 	stop := r.Push(3, r.Dispatcher...)
 	defer stop()
-	for _, d := range r.Dispatcher {
-		under(t, r, d, version)
-	}
+	allUnder(t, r, version)
 	// 160 and 40 a second: the static shares of the four that are not there stay theirs.
 	check(t, Until("the limit is used", func() bool { return r.Lately(time.Second) >= 171 }))
 	calm, _ := r.Beyond(rateOf(t, r))
@@ -99,9 +97,7 @@
 	r.Runs(150 * time.Millisecond)
 	version := force(t, r, "dispatchers = 7\nsettle = \"3s\"\n[[limit]]\nname = \"open\"\nkind = \"open\"\namount = 28.0\nstatic = 0.5\n[[limit]]\nname = \"each\"\nkind = \"at-worker\"\namount = 14.0\nstatic = 0.5\n")
 	// Under the fence "last" a dispatcher admits by the policy before, which limits nothing, until it has the new one.
-	for _, d := range r.Dispatcher {
-		under(t, r, d, version)
-	}
+	allUnder(t, r, version)
 	for _, w := range r.Workers {
 		w.Peak()
 	}
--- a/lab/rig/harness/links.go
+++ b/lab/rig/harness/links.go
@@ -21,16 +21,24 @@
 
 // Reach has Client call the keepers that there are, wherever they serve after a restart.
 func (r *Rig) Reach() error {
-	var addrs []string
+	addresses, err := r.fronts()
+	if err != nil {
+		return err
+	}
+	r.Client = transport.NewClient(fleet, addresses)
+	return nil
+}
+
+// fronts returns the addresses at which all who are not processes reach the coordinators.
+func (r *Rig) fronts() (addresses []string, err error) {
 	for _, k := range r.Keeper {
 		l, err := r.Front(k.Name)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		addrs = append(addrs, l.Addr())
+		addresses = append(addresses, l.Addr())
 	}
-	r.Client = transport.NewClient(fleet, addrs)
-	return nil
+	return addresses, nil
 }
 
 // Front is one relay to a process that all who are not processes share.
--- a/lab/rig/harness/scenarios.go
+++ b/lab/rig/harness/scenarios.go
@@ -5,6 +5,7 @@
 // happen is asserted, what must happen in the end has a wide limit.
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"os/exec"
@@ -15,6 +16,7 @@
 
 	"yardflow/internal/fleet/quota"
 	"yardflow/internal/fleet/statemachine"
+	"yardflow/internal/fleet/transport"
 )
 
 // T is who hears what a scenario finds: a test, or whoever plays one by hand.
@@ -146,6 +148,27 @@
 	}))
 }
 
+// allUnder waits until all dispatchers admit under a version.
+func allUnder(t T, r *Rig, version uint64) {
+	t.Helper()
+	for _, d := range r.Dispatcher {
+		under(t, r, d, version)
+	}
+}
+
+// awaitVersionAt waits until coordinators by themselves know a version as the one in force.
+func awaitVersionAt(t T, what string, version uint64, addresses ...string) {
+	t.Helper()
+	client := transport.NewClient(fleet, addresses)
+	defer client.Close()
+	check(t, Until(what, func() bool {
+		ctx, end := context.WithTimeout(context.Background(), time.Second)
+		defer end()
+		s, _, err := client.State(ctx)
+		return err == nil && s.CurrentPolicy().Version == version
+	}))
+}
+
 func changed(t T, r *Rig, id string, stage statemachine.Stage) *statemachine.PolicyChange {
 	t.Helper()
 	c, err := r.Change(id, stage)
@@ -181,17 +204,13 @@
 	if out := call("policy", "propose", file, "--why", "a trial"); !strings.Contains(out, "version 1 in force") {
 		t.Errorf("propose: %s", out)
 	}
-	for _, d := range r.Dispatcher {
-		under(t, r, d, 1)
-	}
+	allUnder(t, r, 1)
 	check(t, os.WriteFile(file, []byte(third), 0o600))
 	call("policy", "propose", file)
 	if out := call("policy", "back", "1", "--why", "worse"); !strings.Contains(out, "version 3 in force") {
 		t.Errorf("back: %s", out)
 	}
-	for _, d := range r.Dispatcher {
-		under(t, r, d, 3)
-	}
+	allUnder(t, r, 3)
 	stop()
 	alone(t, r)
 	if out := call("policy", "history"); strings.Count(out, "\n") != 3 {
@@ -211,9 +230,7 @@
 	check(t, r.Propose("two", third, 1, false))
 	check(t, down.Start())
 	changed(t, r, "two", statemachine.InForce)
-	for _, d := range r.Dispatcher {
-		under(t, r, d, 2)
-	}
+	allUnder(t, r, 2)
 	if n := r.Admitted(down.Name, 0); n == 0 {
 		t.Error("it had admitted nothing before")
 	}
@@ -259,9 +276,7 @@
 		}
 		changed(t, r, "one", statemachine.InForce)
 	}
-	for _, d := range r.Dispatcher {
-		under(t, r, d, 1)
-	}
+	allUnder(t, r, 1)
 	alone(t, r)
 }
 
--- a/lab/rig/harness/startmany.go
+++ b/lab/rig/harness/startmany.go
@@ -53,12 +53,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer func() { stop(); wg.Wait() }()
-	var addrs []string
-	for _, k := range r.Keeper {
-		l, err := r.Front(k.Name)
-		check(t, err)
-		addrs = append(addrs, l.Addr())
-	}
+	addrs, err := r.fronts()
+	check(t, err)
 	began := time.Now()
 	all := make([]*listCounter, holders)
 	for i := range all {
--- a/lab/rig/harness/verdicts.go
+++ b/lab/rig/harness/verdicts.go
@@ -48,11 +48,16 @@
 	return len(w.Arrivals()) - before
 }
 
-func verdictBad(t T, r *Rig) {
+// loadUnderPolicy puts a policy in force, and has so many clients ask that each dispatcher uses all workers; stop ends them.
+func loadUnderPolicy(t T, r *Rig, policy string) (stop func()) {
+	t.Helper()
 	r.Runs(40 * time.Millisecond)
-	force(t, r, judged)
-	stop := r.PushOf("package-file", 10, r.Dispatcher...) // so many that each uses all workers
-	defer stop()
+	force(t, r, policy)
+	return r.PushOf("package-file", 10, r.Dispatcher...)
+}
+
+func verdictBad(t T, r *Rig) {
+	defer loadUnderPolicy(t, r, judged)()
 	bad := r.busiest()[0]
 	began := time.Now()
 	bad.Fail(true)
@@ -91,10 +96,7 @@
 }
 
 func verdictZone(t T, r *Rig) {
-	r.Runs(40 * time.Millisecond)
-	force(t, r, judged)
-	stop := r.PushOf("package-file", 10, r.Dispatcher...) // so many that each uses all workers
-	defer stop()
+	defer loadUnderPolicy(t, r, judged)()
 	far := r.busiest()[0]
 	for i, d := range r.Dispatcher {
 		if i%2 == 1 {
@@ -114,10 +116,7 @@
 }
 
 func verdictFive(t T, r *Rig) {
-	r.Runs(40 * time.Millisecond)
-	force(t, r, judged+"most = 0.5\n")
-	stop := r.PushOf("package-file", 10, r.Dispatcher...)
-	defer stop()
+	defer loadUnderPolicy(t, r, judged+"most = 0.5\n")()
 	for _, w := range r.busiest()[:5] {
 		w.Fail(true)
 	}
@@ -149,10 +148,7 @@
 }
 
 func verdictLiar(t T, r *Rig) {
-	r.Runs(40 * time.Millisecond)
-	force(t, r, judged)
-	stop := r.PushOf("package-file", 10, r.Dispatcher...) // so many that each uses all workers
-	defer stop()
+	defer loadUnderPolicy(t, r, judged)()
 	ctx, end := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer func() { end(); wg.Wait() }()
--- a/lab/rig/main.go
+++ b/lab/rig/main.go
@@ -21,24 +21,6 @@
 	history  = flag.Bool("history", false, "print what each process said, too")
 )
 
-// hand hears what a scenario finds.
-type hand struct {
-	began  time.Time
-	failed bool
-}
-
-type over struct{}
-
-func (h *hand) say(kind, text string) {
-	fmt.Printf("%8.3fs %s%s\n", time.Since(h.began).Seconds(), kind, text)
-}
-func (h *hand) Helper()                           {}
-func (h *hand) Logf(format string, args ...any)   { h.say("", fmt.Sprintf(format, args...)) }
-func (h *hand) Error(args ...any)                 { h.failed = true; h.say("WRONG: ", fmt.Sprint(args...)) }
-func (h *hand) Errorf(format string, args ...any) { h.Error(fmt.Sprintf(format, args...)) }
-func (h *hand) Fatal(args ...any)                 { h.Error(args...); panic(over{}) }
-func (h *hand) Fatalf(format string, args ...any) { h.Fatal(fmt.Sprintf(format, args...)) }
-
 func main() {
 	flag.Parse()
 	for _, s := range harness.Scenarios {
@@ -81,24 +63,16 @@
 	if err != nil {
 		return false, err
 	}
-	h := &hand{began: time.Now()}
+	began := time.Now()
+	print := func(text string) { fmt.Printf("%8.3fs %s\n", time.Since(began).Seconds(), text) }
 	c := s.Config(*bin, dir, text, *seed)
 	c.Full = true
-	c.Over = func(r *harness.Rig) { table(h, r) }
-	func() {
-		defer func() {
-			if v := recover(); v != nil && v != (over{}) {
-				panic(v)
-			}
-		}()
-		s.Run(h, c)
-	}()
-	return !h.failed, nil
+	c.Over = func(r *harness.Rig) { print("over"); table(r) }
+	return len(s.Record(c, print)) == 0, nil
 }
 
 // table prints what became of each dispatcher.
-func table(h *hand, r *harness.Rig) {
-	h.Logf("over")
+func table(r *harness.Rig) {
 	s, leader, err := r.State()
 	if err != nil {
 		fmt.Println("no keeper answers:", err)
--- a/lab/rig/prove/prove.go
+++ b/lab/rig/prove/prove.go
@@ -48,18 +48,6 @@
 	}
 }
 
-// judge hears what a scenario finds.
-type judge struct{ wrong []string }
-
-type over struct{}
-
-func (j *judge) Helper()                           {}
-func (j *judge) Logf(string, ...any)               {}
-func (j *judge) Error(args ...any)                 { j.wrong = append(j.wrong, fmt.Sprint(args...)) }
-func (j *judge) Errorf(format string, args ...any) { j.Error(fmt.Sprintf(format, args...)) }
-func (j *judge) Fatal(args ...any)                 { j.Error(args...); panic(over{}) }
-func (j *judge) Fatalf(format string, args ...any) { j.Fatal(fmt.Sprintf(format, args...)) }
-
 // Scenarios plays some by name, beside each other, with the programs in bin.
 func (t *Table) Scenarios(seed uint64, names ...string) {
 	settings, err := os.ReadFile("cmd/yardflow/testdata/settings.json")
@@ -86,7 +74,6 @@
 		return
 	}
 	defer os.RemoveAll(dir)
-	j := &judge{}
 	c := s.Config(bin, dir, settings, seed)
 	c.Full = true
 	c.Over = func(r *harness.Rig) {
@@ -98,13 +85,6 @@
 			t.Row(f.What, fmt.Sprintf("%.2f", f.Is), fmt.Sprintf("%s %.2f", sign, f.Aim), !f.Missed)
 		}
 	}
-	func() {
-		defer func() {
-			if v := recover(); v != nil && v != (over{}) {
-				panic(v)
-			}
-		}()
-		s.Run(j, c)
-	}()
-	t.Row("real processes: "+s.Name, fmt.Sprintf("%d wrong %v", len(j.wrong), j.wrong), "0 wrong", len(j.wrong) == 0)
+	wrong := s.Record(c, func(string) {})
+	t.Row("real processes: "+s.Name, fmt.Sprintf("%d wrong %v", len(wrong), wrong), "0 wrong", len(wrong) == 0)
 }
