--- a/lab/prove-policy/main.go
+++ b/lab/prove-policy/main.go
@@ -11,9 +11,7 @@
 	"path/filepath"
 	"runtime"
 	"strconv"
-	"strings"
 	"sync"
-	"text/tabwriter"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -21,6 +19,7 @@
 	"yardflow/internal/fleet/policylease"
 	"yardflow/internal/fleet/statemachine"
 	"yardflow/lab/rig/harness"
+	"yardflow/lab/rig/prove"
 )
 
 var (
@@ -29,37 +28,20 @@
 	seed      = flag.Uint64("seed", 1, "of the storm")
 )
 
-var (
-	table = tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
-	ok    = true
-)
-
-func row(what, figure, aim string, holds bool) {
-	verdict := "holds"
-	if !holds {
-		verdict, ok = "MISSED", false
-	}
-	if aim == "" {
-		verdict = ""
-	}
-	fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", what, figure, aim, verdict)
-}
+// table is what is printed.
+var table = prove.New()
 
 func main() {
 	flag.Parse()
-	fmt.Fprintln(table, "figure\tmeasured\taim\t")
 	many := make(chan func())
 	go func() { many <- proveMany() }()
 	proveModel()
 	proveSchedules()
 	(<-many)()
 	if err := proveProcesses(); err != nil {
-		row("real processes", err.Error(), "no fault of the stage", false)
-	}
-	_ = table.Flush()
-	if !ok {
-		os.Exit(1)
+		table.Row("real processes", err.Error(), "no fault of the stage", false)
 	}
+	table.End()
 }
 
 func proveModel() {
@@ -83,9 +65,9 @@
 			broken += len(got.Violation)
 		}
 	}
-	row("model: states and steps explored", strconv.Itoa(states), "", true)
-	row("model: promises broken", strconv.Itoa(broken), "0", broken == 0)
-	row("model: planted faults found", fmt.Sprintf("%d of %d", found, len(policylease.Faults)), "all", found == len(policylease.Faults))
+	table.Row("model: states and steps explored", strconv.Itoa(states), "", true)
+	table.Row("model: promises broken", strconv.Itoa(broken), "0", broken == 0)
+	table.Row("model: planted faults found", fmt.Sprintf("%d of %d", found, len(policylease.Faults)), "all", found == len(policylease.Faults))
 }
 
 func proveSchedules() {
@@ -102,18 +84,18 @@
 	for range runtime.GOMAXPROCS(0) {
 		wg.Go(func() {
 			for i := range next {
-				c := harness.Sim{Seed: uint64(i), Keepers: 5, Dispatchers: 6, Length: 10 * time.Second, Lost: 0.05, Doubled: 0.05, Slowest: 30 * time.Millisecond}
+				c := harness.PolicySimulation{Seed: uint64(i), Coordinators: 5, Dispatchers: 6, Length: 10 * time.Second, LossRate: 0.05, DuplicationRate: 0.05, MaxMessageDelay: 30 * time.Millisecond}
 				if i%4 == 3 {
-					c.Fence = statemachine.KeepLastPolicy
+					c.OnLeaseLoss = statemachine.KeepLastPolicy
 				}
 				got := c.Run()
 				mu.Lock()
-				all.broken += len(got.Broken)
-				if got.Hanging {
+				all.broken += len(got.Violations)
+				if got.ChangePending {
 					all.hanging++
 				}
-				all.versions += got.InForce
-				all.overlap = max(all.overlap, got.Overlap)
+				all.versions += got.FinalVersion
+				all.overlap = max(all.overlap, got.MaxOverlap)
 				mu.Unlock()
 			}
 		})
@@ -123,28 +105,28 @@
 	}
 	close(next)
 	wg.Wait()
-	row("virtual time: schedules played", fmt.Sprintf("%d, %d changes in force, %.0f s", *schedules, all.versions, time.Since(began).Seconds()), "2000 or more", *schedules >= 2000)
-	row("virtual time: promises broken", strconv.Itoa(all.broken), "0", all.broken == 0)
-	row("virtual time: changes left hanging", strconv.Itoa(all.hanging), "0", all.hanging == 0)
-	row("virtual time: two versions beside each other, last", all.overlap.Round(time.Millisecond).String(), "one lease, 2 s", all.overlap <= 2*time.Second)
+	table.Row("virtual time: schedules played", fmt.Sprintf("%d, %d changes in force, %.0f s", *schedules, all.versions, time.Since(began).Seconds()), "2000 or more", *schedules >= 2000)
+	table.Row("virtual time: promises broken", strconv.Itoa(all.broken), "0", all.broken == 0)
+	table.Row("virtual time: changes left hanging", strconv.Itoa(all.hanging), "0", all.hanging == 0)
+	table.Row("virtual time: two versions beside each other, last", all.overlap.Round(time.Millisecond).String(), "one lease, 2 s", all.overlap <= 2*time.Second)
 }
 
 // proveMany plays 300 dispatchers, and returns what prints it.
 func proveMany() func() {
-	c := harness.Sim{Seed: 3, Keepers: 5, Dispatchers: 300, Length: 10 * time.Second, Slowest: 4 * time.Millisecond, Calm: true}
+	c := harness.PolicySimulation{Seed: 3, Coordinators: 5, Dispatchers: 300, Length: 10 * time.Second, MaxMessageDelay: 4 * time.Millisecond, WithoutFaults: true}
 	got := c.Run()
-	away := harness.Sim{Seed: 4, Keepers: 5, Dispatchers: 300, Length: 30 * time.Second, Slowest: 4 * time.Millisecond, Calm: true, Away: 20 * time.Second, Fence: statemachine.KeepLastPolicy}.Run()
+	away := harness.PolicySimulation{Seed: 4, Coordinators: 5, Dispatchers: 300, Length: 30 * time.Second, MaxMessageDelay: 4 * time.Millisecond, WithoutFaults: true, CoordinatorOutage: 20 * time.Second, OnLeaseLoss: statemachine.KeepLastPolicy}.Run()
 	return func() { rowsMany(c, got, away) }
 }
 
-func rowsMany(c harness.Sim, got, away harness.Outcome) {
-	p99 := harness.Median(got.Took, 0.99)
-	row("300 dispatchers, virtual: a change, p99", p99.Round(time.Millisecond).String(), "", true)
+func rowsMany(c harness.PolicySimulation, got, away harness.PolicySimulationResult) {
+	p99 := harness.Quantile(got.ChangeDurations, 0.99)
+	table.Row("300 dispatchers, virtual: a change, p99", p99.Round(time.Millisecond).String(), "", true)
 	seconds := (c.Length * 3 / 2).Seconds()
-	row("300 dispatchers, virtual: calls and bytes a second at the keepers", fmt.Sprintf("%.0f, %.0f KB", float64(got.Calls)/seconds, float64(got.Bytes)/seconds/1000), "", true)
-	row("300 dispatchers, keepers away for 20 s, last: served before, meanwhile", fmt.Sprintf("%.3f, %.3f", away.Before, away.Without), "not lower", away.Without >= away.Before)
-	row("300 dispatchers, keepers back: all hold leases after, most calls in 100 ms", fmt.Sprintf("%v, %d", away.Back.Round(time.Millisecond), away.Rush), "", away.Back > 0)
-	row("300 dispatchers, virtual: promises broken", strconv.Itoa(len(got.Broken)), "0", len(got.Broken) == 0)
+	table.Row("300 dispatchers, virtual: calls and bytes a second at the keepers", fmt.Sprintf("%.0f, %.0f KB", float64(got.Requests)/seconds, float64(got.RequestBytes)/seconds/1000), "", true)
+	table.Row("300 dispatchers, keepers away for 20 s, last: served before, meanwhile", fmt.Sprintf("%.3f, %.3f", away.AdmittedBefore, away.AdmittedWithout), "not lower", away.AdmittedWithout >= away.AdmittedBefore)
+	table.Row("300 dispatchers, keepers back: all hold leases after, most calls in 100 ms", fmt.Sprintf("%v, %d", away.RecoveredAfter.Round(time.Millisecond), away.PeakRequests), "", away.RecoveredAfter > 0)
+	table.Row("300 dispatchers, virtual: promises broken", strconv.Itoa(len(got.Violations)), "0", len(got.Violations) == 0)
 }
 
 // op is one call of the history that is checked to be linearizable: what it returned is a
@@ -173,7 +155,7 @@
 		}
 		all = append(all, time.Since(began))
 	}
-	return harness.Median(all, 0.5), nil
+	return harness.Quantile(all, 0.5), nil
 }
 
 // trips is how long a call takes that a keeper answers from its memory, the median of 30.
@@ -198,32 +180,23 @@
 		}
 		all = append(all, time.Since(began))
 	}
-	return harness.Median(all, 0.5), nil
+	return harness.Quantile(all, 0.5), nil
 }
 
 // idle is what a dispatcher takes that has nothing to do but keep its lease.
 func idle(r *harness.Rig, stop func()) (cpu, memory float64, err error) {
 	stop()
 	pid := r.Dispatcher[0].Pid()
-	before, _, err := usage(pid)
+	before, err := prove.ProcessorTime(pid)
 	if err != nil {
 		return 0, 0, err
 	}
 	const span = 3 * time.Second
 	time.Sleep(span)
-	after, memory, err := usage(pid)
-	return (after - before) / span.Seconds(), memory, err
-}
-
-// usage is a process's CPU seconds and resident memory in MB, as the kernel counts them.
-func usage(pid int) (cpu, memory float64, err error) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	after, err := prove.ProcessorTime(pid)
 	if err != nil {
 		return 0, 0, err
 	}
-	f := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+2:]))
-	user, _ := strconv.ParseFloat(f[11], 64)
-	system, _ := strconv.ParseFloat(f[12], 64)
-	pages, _ := strconv.ParseFloat(f[21], 64)
-	return (user + system) / 100, pages * float64(os.Getpagesize()) / (1 << 20), nil
+	memory, err = prove.ResidentMemory(pid)
+	return float64(after-before) / float64(span), memory, err
 }
--- a/lab/rig/harness/scenarios.go
+++ b/lab/rig/harness/scenarios.go
@@ -5,6 +5,7 @@
 // happen is asserted, what must happen in the end has a wide limit.
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"os/exec"
@@ -15,6 +16,7 @@
 
 	"yardflow/internal/fleet/quota"
 	"yardflow/internal/fleet/statemachine"
+	"yardflow/internal/fleet/transport"
 )
 
 // T is who hears what a scenario finds: a test, or whoever plays one by hand.
@@ -109,14 +111,14 @@
 	{Name: "start-again", About: "A dispatcher is killed in each stage of its start, and started ten times in a row", Keepers: 3, Dispatchers: 3, Workers: 2, Shared: true, Play: startAgain},
 	{Name: "start-storm", About: "All workers are cold at once under twice the load that they bear, with clients that come again at once", Keepers: 3, Dispatchers: 6, Workers: 4, Slots: 2, Shared: true, Alone: true, Play: startStorm},
 	{Name: "start-300", About: "300 holders in six zones ask real keepers for turns at a real list service", Keepers: 3, Shared: true, Alone: true, Play: startMany},
-	{Name: "flow-killed", About: "The dispatcher of steps that run only once is killed, stopped through its lease, or cut off, at each stage of a step", Keepers: 3, Dispatchers: 2, Workers: 2, Cells: 2, Fence: "last", Play: flowKilled},
-	{Name: "flow-storm", About: "Workflows while dispatchers die and stand still, links are cut, reset and doubled, and the leader dies, by the seed", Keepers: 3, Dispatchers: 4, Workers: 4, Cells: 2, Fence: "last", Alone: true, Play: flowStorm},
-	{Name: "flow-restore", About: "A majority of the keepers is lost, and what is left is older than what was done", Keepers: 3, Dispatchers: 2, Workers: 2, Fence: "last", Play: flowRestore},
-	{Name: "flow-pools", About: "Steps over two pools, of which one drains in the middle; templates changed under way, and such as can't be", Keepers: 3, Dispatchers: 3, Workers: 4, Kinds: 2, Alone: true, Play: flowPools},
-	{Name: "flow-many", About: "1,000 flows submitted in one second, one of 10,000 items, one cancelled with 500 steps out", Keepers: 3, Dispatchers: 3, Workers: 3, Slots: 400, Alone: true, Play: flowMany},
-	{Name: "flow-poison", About: "Steps that kill each worker that takes them, and answers that claim another's step", Keepers: 1, Dispatchers: 2, Workers: 4, Play: flowPoison},
-	{Name: "flow-beside", About: "Clients' work at load 0.8 without a workflow beside it and with one", Keepers: 3, Dispatchers: 3, Workers: 4, Slots: 8, Alone: true, Play: flowBeside},
-	{Name: "flow-calm", About: "Workflows that nothing happens to: by one key twice at once, and one of a thousand titles", Keepers: 3, Dispatchers: 3, Workers: 3, Alone: true, Play: flowCalm},
+	{Name: "flow-killed", About: "The dispatcher of steps that run only once is killed, stopped through its lease, or cut off, at each stage of a step", Keepers: 3, Dispatchers: 2, Workers: 2, Cells: 2, Fence: "last", Play: stepOwnerKilled},
+	{Name: "flow-storm", About: "Workflows while dispatchers die and stand still, links are cut, reset and doubled, and the leader dies, by the seed", Keepers: 3, Dispatchers: 4, Workers: 4, Cells: 2, Fence: "last", Alone: true, Play: workflowsUnderRandomFaults},
+	{Name: "flow-restore", About: "A majority of the keepers is lost, and what is left is older than what was done", Keepers: 3, Dispatchers: 2, Workers: 2, Fence: "last", Play: workflowsAfterRestore},
+	{Name: "flow-pools", About: "Steps over two pools, of which one drains in the middle; templates changed under way, and such as can't be", Keepers: 3, Dispatchers: 3, Workers: 4, Kinds: 2, Alone: true, Play: workflowsOverPools},
+	{Name: "flow-many", About: "1,000 flows submitted in one second, one of 10,000 items, one cancelled with 500 steps out", Keepers: 3, Dispatchers: 3, Workers: 3, Slots: 400, Alone: true, Play: manyWorkflows},
+	{Name: "flow-poison", About: "Steps that kill each worker that takes them, and answers that claim another's step", Keepers: 1, Dispatchers: 2, Workers: 4, Play: stepsThatKillWorkers},
+	{Name: "flow-beside", About: "Clients' work at load 0.8 without a workflow beside it and with one", Keepers: 3, Dispatchers: 3, Workers: 4, Slots: 8, Alone: true, Play: clientsBesideWorkflow},
+	{Name: "flow-calm", About: "Workflows that nothing happens to: by one key twice at once, and one of a thousand titles", Keepers: 3, Dispatchers: 3, Workers: 3, Alone: true, Play: workflowsWithoutFaults},
 	{Name: "300-back", About: "300 holders come back at once after all keepers were away", Keepers: 3, Alone: true, Play: manyBack},
 }
 
@@ -146,6 +148,27 @@
 	}))
 }
 
+// allUnder waits until all dispatchers admit under a version.
+func allUnder(t T, r *Rig, version uint64) {
+	t.Helper()
+	for _, d := range r.Dispatcher {
+		under(t, r, d, version)
+	}
+}
+
+// awaitVersionAt waits until coordinators by themselves know a version as the one in force.
+func awaitVersionAt(t T, what string, version uint64, addresses ...string) {
+	t.Helper()
+	client := transport.NewClient(fleet, addresses)
+	defer client.Close()
+	check(t, Until(what, func() bool {
+		ctx, end := context.WithTimeout(context.Background(), time.Second)
+		defer end()
+		s, _, err := client.State(ctx)
+		return err == nil && s.CurrentPolicy().Version == version
+	}))
+}
+
 func changed(t T, r *Rig, id string, stage statemachine.Stage) *statemachine.PolicyChange {
 	t.Helper()
 	c, err := r.Change(id, stage)
@@ -181,17 +204,13 @@
 	if out := call("policy", "propose", file, "--why", "a trial"); !strings.Contains(out, "version 1 in force") {
 		t.Errorf("propose: %s", out)
 	}
-	for _, d := range r.Dispatcher {
-		under(t, r, d, 1)
-	}
+	allUnder(t, r, 1)
 	check(t, os.WriteFile(file, []byte(third), 0o600))
 	call("policy", "propose", file)
 	if out := call("policy", "back", "1", "--why", "worse"); !strings.Contains(out, "version 3 in force") {
 		t.Errorf("back: %s", out)
 	}
-	for _, d := range r.Dispatcher {
-		under(t, r, d, 3)
-	}
+	allUnder(t, r, 3)
 	stop()
 	alone(t, r)
 	if out := call("policy", "history"); strings.Count(out, "\n") != 3 {
@@ -211,9 +230,7 @@
 	check(t, r.Propose("two", third, 1, false))
 	check(t, down.Start())
 	changed(t, r, "two", statemachine.InForce)
-	for _, d := range r.Dispatcher {
-		under(t, r, d, 2)
-	}
+	allUnder(t, r, 2)
 	if n := r.Admitted(down.Name, 0); n == 0 {
 		t.Error("it had admitted nothing before")
 	}
@@ -259,9 +276,7 @@
 		}
 		changed(t, r, "one", statemachine.InForce)
 	}
-	for _, d := range r.Dispatcher {
-		under(t, r, d, 1)
-	}
+	allUnder(t, r, 1)
 	alone(t, r)
 }
 
