--- a/lab/prove-flows/keepers.go
+++ b/lab/prove-flows/coordinators.go
@@ -1,6 +1,6 @@
 package main
 
-// This file owns what three real keepers agree on: steps a second in batches, bytes and memory, and
+// This file owns what three real coordinators agree on: steps a second in batches, bytes and memory, and
 // whether histories of submissions under a fallen leader are linearizable.
 
 import (
@@ -58,8 +58,8 @@
 	t.Row("snapshot: a flow", fmt.Sprintf("%.0f B", float64(len(text))/flows), "1 KB at most", float64(len(text))/flows <= 1024)
 }
 
-// proveKeepers has clients stand for dispatchers, each with all the steps that it can have.
-func proveKeepers(t *prove.Table) {
+// proveCoordinators has clients stand for dispatchers, each with all the steps that it can have.
+func proveCoordinators(t *prove.Table) {
 	dir, err := os.MkdirTemp("", "prove")
 	if err != nil {
 		t.Row("keepers", err.Error(), "no fault of the stage", false)
@@ -68,7 +68,7 @@
 	defer os.RemoveAll(dir)
 	bin, err := filepath.Abs("bin")
 	if err == nil {
-		err = withKeepers(t, harness.Config{Bin: bin, Dir: dir, Keepers: 3, Fence: "last", Lease: 3 * time.Second, Answer: time.Second, Seed: *seed})
+		err = measureCoordinators(t, harness.Config{Bin: bin, Dir: dir, Coordinators: 3, OnLeaseLoss: "last", Lease: 3 * time.Second, Answer: time.Second, Seed: *seed})
 	}
 	if err != nil {
 		t.Row("keepers", err.Error(), "no fault of the stage", false)
@@ -91,7 +91,7 @@
 needs = ["one"]
 `
 
-func withKeepers(t *prove.Table, c harness.Config) error {
+func measureCoordinators(t *prove.Table, c harness.Config) error {
 	r, err := harness.New(c)
 	if err != nil {
 		return err
@@ -131,8 +131,8 @@
 // clientOf makes a client of the three coordinators that calls the one at an index first.
 func clientOf(r *harness.Rig, first int) *transport.Client {
 	var addresses []string
-	for i := range r.Keeper {
-		addresses = append(addresses, r.Keeper[(first+i)%len(r.Keeper)].Addr)
+	for i := range r.Coordinators {
+		addresses = append(addresses, r.Coordinators[(first+i)%len(r.Coordinators)].Addr)
 	}
 	return transport.NewClient("rig", addresses)
 }
@@ -141,7 +141,7 @@
 func worker(ctx context.Context, r *harness.Rig, i int, done, bytes *atomic.Int64) {
 	cl := clientOf(r, i)
 	defer cl.Close()
-	name, seq, life := fmt.Sprint("w", i), uint64(0), uint64(1)
+	name, seq, incarnation := fmt.Sprint("w", i), uint64(0), uint64(1)
 	do := func(c statemachine.Command) *claims.Answer {
 		if text, err := statemachine.Encode(c); err == nil && c.Workflow != nil {
 			bytes.Add(int64(len(text)))
@@ -154,18 +154,18 @@
 		}
 		return res.Workflow
 	}
-	hold := func() {
+	renewLease := func() {
 		seq++
-		do(statemachine.Command{LeaseRequest: &statemachine.LeaseRequest{Name: name, Incarnation: life, Seq: seq, KnownVersion: 1, ServingVersion: 1}})
+		do(statemachine.Command{LeaseRequest: &statemachine.LeaseRequest{Name: name, Incarnation: incarnation, Seq: seq, KnownVersion: 1, ServingVersion: 1}})
 	}
-	hold()
-	last, heard := time.Now(), uint64(0)
+	renewLease()
+	last, lastClaim := time.Now(), uint64(0)
 	for ctx.Err() == nil {
 		if time.Since(last) > time.Second {
-			hold()
+			renewLease()
 			last = time.Now()
 		}
-		a := do(statemachine.Command{Workflow: &claims.Command{Claim: &claims.ClaimRequest{Dispatcher: name, Incarnation: life, WantedSteps: 256, LastSeenClaim: heard, Pools: []string{""}}}})
+		a := do(statemachine.Command{Workflow: &claims.Command{Claim: &claims.ClaimRequest{Dispatcher: name, Incarnation: incarnation, WantedSteps: 256, LastSeenClaim: lastClaim, Pools: []string{""}}}})
 		if a == nil || len(a.Claimed) == 0 {
 			time.Sleep(5 * time.Millisecond)
 			continue
@@ -173,14 +173,14 @@
 		var marks []claims.DispatchIntent
 		var ends []claims.StepEnd
 		for _, k := range a.Claimed {
-			heard = max(heard, k.ClaimNumber)
+			lastClaim = max(lastClaim, k.ClaimNumber)
 			marks, ends = append(marks, claims.DispatchIntent{ClaimNumber: k.ClaimNumber, AtMostOnce: k.Class == "issue-loan", Sequence: 1}), append(ends, claims.StepEnd{ClaimNumber: k.ClaimNumber})
 		}
 		for a = nil; a == nil && ctx.Err() == nil; {
-			a = do(statemachine.Command{Workflow: &claims.Command{RecordIntents: &claims.DispatchIntents{Dispatcher: name, Incarnation: life, Intents: marks}}})
+			a = do(statemachine.Command{Workflow: &claims.Command{RecordIntents: &claims.DispatchIntents{Dispatcher: name, Incarnation: incarnation, Intents: marks}}})
 		}
 		for a = nil; a == nil && ctx.Err() == nil; {
-			a = do(statemachine.Command{Workflow: &claims.Command{EndSteps: &claims.StepEnds{Dispatcher: name, Incarnation: life, Ends: ends}}})
+			a = do(statemachine.Command{Workflow: &claims.Command{EndSteps: &claims.StepEnds{Dispatcher: name, Incarnation: incarnation, Ends: ends}}})
 		}
 		if a != nil {
 			done.Add(int64(len(ends) - len(a.Rejected)))
@@ -220,7 +220,7 @@
 	},
 }
 
-// histories submits by few keys from many sides while the keeper that leads falls.
+// histories submits by few keys from many sides while the coordinator that leads falls.
 func histories(t *prove.Table, r *harness.Rig) error {
 	ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
 	defer stop()
@@ -235,9 +235,9 @@
 	if err != nil || leader == 0 {
 		return fmt.Errorf("no leader: %w", err)
 	}
-	r.Keeper[leader-1].Kill()
+	r.Coordinators[leader-1].Kill()
 	time.Sleep(1500 * time.Millisecond)
-	if err := r.Keeper[leader-1].Start(); err != nil {
+	if err := r.Coordinators[leader-1].Start(); err != nil {
 		return err
 	}
 	wg.Wait()
--- a/lab/prove-flows/main.go
+++ b/lab/prove-flows/main.go
@@ -1,5 +1,5 @@
 // Prove-flows measures what workflows promise: storms of faults by seed with and without planted ones,
-// what three real keepers agree on in a second, how long steps wait and flows take against a plan that
+// what three real coordinators agree on in a second, how long steps wait and flows take against a plan that
 // knows all, what clients' work loses beside flows, and real processes under faults. Each figure stands
 // beside its aim; exit code 1 where one is missed.
 package main
@@ -24,7 +24,7 @@
 	flag.Parse()
 	t := prove.New()
 	proveSize(t)
-	proveKeepers(t)
+	proveCoordinators(t)
 	t.Scenarios(*seed, "flow-beside") // figures of real processes: alone on the machine
 	var wg sync.WaitGroup
 	wg.Go(func() { t.Scenarios(*seed, "flow-killed", "flow-storm", "flow-restore", "flow-pools", "flow-poison") })
--- a/lab/prove-flows/plans.go
+++ b/lab/prove-flows/plans.go
@@ -22,7 +22,7 @@
 const (
 	plants = 40                    // slots
 	look   = 20 * time.Millisecond // between two claims of the dispatchers
-	way    = 15 * time.Millisecond // of a claim and of a mark, by the keepers' log
+	way    = 15 * time.Millisecond // of a claim and of a mark, by the coordinators' log
 )
 
 // draw is a template drawn, of some steps that need earlier ones; several are over one input.
--- a/lab/prove-policy/main.go
+++ b/lab/prove-policy/main.go
@@ -158,7 +158,7 @@
 	return harness.Quantile(all, 0.5), nil
 }
 
-// trips is how long a call takes that a keeper answers from its memory, the median of 30.
+// trips is how long a call takes that a coordinator answers from its memory, the median of 30.
 func trips(r *harness.Rig) (time.Duration, error) {
 	return median(func() error { _, err := r.Client.Watch(context.Background(), 0, 0, 0); return err })
 }
@@ -186,7 +186,7 @@
 // idle is what a dispatcher takes that has nothing to do but keep its lease.
 func idle(r *harness.Rig, stop func()) (cpu, memory float64, err error) {
 	stop()
-	pid := r.Dispatcher[0].Pid()
+	pid := r.Dispatchers[0].Pid()
 	before, err := prove.ProcessorTime(pid)
 	if err != nil {
 		return 0, 0, err
--- a/lab/prove-policy/processes.go
+++ b/lab/prove-policy/processes.go
@@ -77,12 +77,12 @@
 	if err != nil {
 		return nil, err
 	}
-	rig, err := harness.New(harness.Config{Bin: bin, Dir: dir, Keepers: coordinatorCount, Dispatchers: dispatcherCount, Fence: "refuse",
+	rig, err := harness.New(harness.Config{Bin: bin, Dir: dir, Coordinators: coordinatorCount, Dispatchers: dispatcherCount, OnLeaseLoss: "refuse",
 		Lease: leaseDuration, Answer: 4 * time.Second, Settings: settings})
 	if err != nil {
 		return nil, err
 	}
-	for _, d := range rig.Dispatcher {
+	for _, d := range rig.Dispatchers {
 		if err := harness.Until(d.Name+" serves", func() bool { return rig.Ask(d) == 200 }); err != nil {
 			rig.Close()
 			return nil, err
@@ -173,12 +173,12 @@
 		return err
 	}
 	began := time.Now()
-	p.rig.Keeper[leader-1].Kill()
+	p.rig.Coordinators[leader-1].Kill()
 	if err := harness.Until("another leads", func() bool { _, l, err := p.rig.State(); return err == nil && l > 0 && l != leader }); err != nil {
 		return err
 	}
 	table.Row("a new leader, with raft's tick at 20 ms", time.Since(began).Round(time.Millisecond).String(), "", true)
-	return p.rig.Keeper[leader-1].Start()
+	return p.rig.Coordinators[leader-1].Start()
 }
 
 // measureStorm plays faults while callers read and changes are made, and checks what came of it.
@@ -188,7 +188,7 @@
 	history := &readHistory{began: time.Now()}
 	var callers sync.WaitGroup
 	for c := range historyCallers {
-		client := transport.NewClient("rig", []string{p.rig.Keeper[c].Addr, p.rig.Keeper[(c+1)%coordinatorCount].Addr})
+		client := transport.NewClient("rig", []string{p.rig.Coordinators[c].Addr, p.rig.Coordinators[(c+1)%coordinatorCount].Addr})
 		callers.Go(func() { history.read(ctx, c, client) })
 	}
 	callers.Go(func() { p.makeChanges(ctx) })
@@ -241,21 +241,21 @@
 		var err error
 		switch random.IntN(5) {
 		case 0:
-			err = restart(p.rig.Keeper[random.IntN(coordinatorCount)], pause)
+			err = restart(p.rig.Coordinators[random.IntN(coordinatorCount)], pause)
 		case 1:
-			halt(p.rig.Keeper[random.IntN(coordinatorCount)], pause)
+			halt(p.rig.Coordinators[random.IntN(coordinatorCount)], pause)
 		case 2:
-			halt(p.rig.Dispatcher[random.IntN(dispatcherCount)], 2*pause)
+			halt(p.rig.Dispatchers[random.IntN(dispatcherCount)], 2*pause)
 		case 3:
-			name := p.rig.Dispatcher[random.IntN(dispatcherCount)].Name
+			name := p.rig.Dispatchers[random.IntN(dispatcherCount)].Name
 			if random.IntN(3) == 0 {
-				name = p.rig.Keeper[random.IntN(coordinatorCount)].Name
+				name = p.rig.Coordinators[random.IntN(coordinatorCount)].Name
 			}
 			p.rig.Cut(name, true)
 			time.Sleep(2 * pause)
 			p.rig.Cut(name, false)
 		case 4:
-			err = restart(p.rig.Dispatcher[random.IntN(dispatcherCount)], pause/2)
+			err = restart(p.rig.Dispatchers[random.IntN(dispatcherCount)], pause/2)
 		}
 		if err != nil {
 			return err
@@ -295,7 +295,7 @@
 	}
 	table.Row("storm: versions in force", fmt.Sprint(s.CurrentPolicy().Version-p.version), "", true)
 	back := 0
-	for _, d := range p.rig.Dispatcher {
+	for _, d := range p.rig.Dispatchers {
 		if harness.Until("serves", func() bool { return p.rig.Ask(d) == 200 }) == nil {
 			back++
 		}
--- a/lab/rig/harness/clients.go
+++ b/lab/rig/harness/clients.go
@@ -48,7 +48,7 @@
 
 // History writes what each process said, in its own order.
 func (r *Rig) History(to io.Writer) {
-	for _, p := range slices.Concat(r.Keeper, r.Dispatcher) {
+	for _, p := range slices.Concat(r.Coordinators, r.Dispatchers) {
 		p.mu.Lock()
 		for _, l := range p.log {
 			fmt.Fprintf(to, "%s: %s\n", p.Name, l)
@@ -65,7 +65,7 @@
 }
 
 // Load asks every dispatcher again and again until the returned function is called.
-func (r *Rig) Load() (stop func()) { return r.Push(1, r.Dispatcher...) }
+func (r *Rig) Load() (stop func()) { return r.Push(1, r.Dispatchers...) }
 
 // Push asks some dispatchers again and again, each by so many clients.
 func (r *Rig) Push(clients int, to ...*Process) (stop func()) {
--- a/lab/rig/harness/coldstart.go
+++ b/lab/rig/harness/coldstart.go
@@ -24,8 +24,8 @@
 
 var startPolicy = fmt.Sprintf("[start]\ncalls = %d\n", startCalls)
 
-// up starts processes at one moment, and waits until each serves on its port.
-func up(t T, all ...*Process) {
+// startAll starts processes at one moment, and waits until each serves on its port.
+func startAll(t T, all ...*Process) {
 	t.Helper()
 	var wg sync.WaitGroup
 	errs := make([]error, len(all))
@@ -38,7 +38,7 @@
 	}
 }
 
-func down(all ...*Process) {
+func killAll(all ...*Process) {
 	var wg sync.WaitGroup
 	for _, p := range all {
 		wg.Go(p.Kill)
@@ -46,17 +46,17 @@
 	wg.Wait()
 }
 
-// serve waits until all dispatchers serve, and returns how long the last took.
-func serve(t T, r *Rig, since time.Time) time.Duration {
+// awaitAllServe waits until all dispatchers serve, and returns how long the last took.
+func awaitAllServe(t T, r *Rig, since time.Time) time.Duration {
 	t.Helper()
-	for _, d := range r.Dispatcher {
-		serves(t, r, d, true)
+	for _, d := range r.Dispatchers {
+		awaitAnswer(t, r, d, true)
 	}
 	return time.Since(since)
 }
 
-// spared checks that the list service was never asked more than the policy states.
-func spared(t T, r *Rig, from time.Time) {
+// checkListCallRate checks that the list service was never asked more than the policy states.
+func checkListCallRate(t T, r *Rig, from time.Time) {
 	t.Helper()
 	if n := r.List.Peak(from); n > startCalls {
 		t.Errorf("%d calls at the list service in one second; %d are stated", n, startCalls)
@@ -80,33 +80,33 @@
 
 // Power comes back, with each kind of process last in turn.
 func startPower(t T, r *Rig) {
-	force(t, r, startPolicy)
+	enforcePolicy(t, r, startPolicy)
 	began := time.Now()
 	last := func(what string, late func()) {
 		t.Helper()
-		down(append(append([]*Process(nil), r.Dispatcher...), r.Keeper...)...)
+		killAll(append(append([]*Process(nil), r.Dispatchers...), r.Coordinators...)...)
 		power := time.Now()
 		if what != "list" {
 			r.gone(false)
 		}
 		if what != "keepers" {
-			up(t, r.Keeper...)
+			startAll(t, r.Coordinators...)
 		}
 		if what != "dispatchers" {
-			up(t, r.Dispatcher...)
+			startAll(t, r.Dispatchers...)
 		}
 		late()
-		t.Logf("%s last: all 12 serve %v after the power", what, serve(t, r, power).Round(time.Millisecond))
-		spared(t, r, began)
+		t.Logf("%s last: all 12 serve %v after the power", what, awaitAllServe(t, r, power).Round(time.Millisecond))
+		checkListCallRate(t, r, began)
 	}
 	r.gone(true)
 	last("list", func() { r.gone(false) })
-	last("keepers", func() { up(t, r.Keeper...) })
-	last("dispatchers", func() { up(t, r.Dispatcher...) })
+	last("keepers", func() { startAll(t, r.Coordinators...) })
+	last("dispatchers", func() { startAll(t, r.Dispatchers...) })
 	r.gone(true)
 	last("list", func() {
-		// What was relayed before stands in the keepers' log: all serve by it, with no list service.
-		t.Logf("without a list service: all 12 serve after %v", serve(t, r, time.Now()).Round(time.Millisecond))
+		// What was relayed before stands in the coordinators' log: all serve by it, with no list service.
+		t.Logf("without a list service: all 12 serve after %v", awaitAllServe(t, r, time.Now()).Round(time.Millisecond))
 		r.gone(false)
 	})
 	if calls := len(r.List.Anew()); !r.Most("calls at the list service in four starts of 12 dispatchers in 3 zones", float64(calls), 4*2*3) {
@@ -114,8 +114,8 @@
 	}
 }
 
-// seat is who reads for zone 0, and under which number.
-func (r *Rig) seat(t T) (reader *Process, list relay.List) {
+// listReader is who reads for zone 0, and under which number.
+func (r *Rig) listReader(t T) (reader *Process, list relay.List) {
 	t.Helper()
 	s, _, err := r.State()
 	check(t, err)
@@ -124,7 +124,7 @@
 	}
 	list = *s.ColdStart.Lists[0]
 	name, _, _ := strings.Cut(list.Reader, "/")
-	for _, d := range r.Dispatcher {
+	for _, d := range r.Dispatchers {
 		if d.Name == name {
 			reader = d
 		}
@@ -132,18 +132,18 @@
 	return reader, list
 }
 
-// drained has a worker told to drain, and notes how long after the reader was told somebody sent
+// checkDrain has a worker drain, and notes how long after the reader was notified somebody sent
 // there still, beside the settings' limit; a busy machine's delays are no verdict, seconds are.
 // until is when to look.
-func drained(t T, r *Rig, worker int, until func()) {
+func checkDrain(t T, r *Rig, worker int, until func()) {
 	t.Helper()
 	id := r.Workers[worker].ID
-	told, err := r.List.Told(r.List.Mark(id, "DRAINING"), Patience)
+	notifiedAt, err := r.List.Told(r.List.Mark(id, "DRAINING"), Patience)
 	check(t, err)
 	until()
 	last := time.Duration(0)
 	for _, a := range r.Workers[worker].Arrivals() {
-		last = max(last, a.First.Sub(told))
+		last = max(last, a.First.Sub(notifiedAt))
 	}
 	if r.Most("seconds from a drain told to the reader to the last send by anybody", last.Seconds(), 0.55); last > 3*time.Second {
 		t.Errorf("%s gets a job %v after its drain was told to the reader", id, last)
@@ -152,54 +152,54 @@
 
 // The reader falls in three ways.
 func startReader(t T, r *Rig) {
-	force(t, r, startPolicy)
+	enforcePolicy(t, r, startPolicy)
 	began := time.Now()
-	up(t, r.Dispatcher...)
-	serve(t, r, began)
+	startAll(t, r.Dispatchers...)
+	awaitAllServe(t, r, began)
 	stop := r.Load()
 	defer func() { stop() }()
 	next := func(was *Process, fence uint64) (reader *Process) {
 		t.Helper()
 		check(t, Until("another reads", func() bool {
-			now, list := r.seat(t)
+			now, list := r.listReader(t)
 			reader = now
 			return now != nil && now != was && list.FencingToken > fence && list.PublishedFencingToken == list.FencingToken
 		}))
 		return reader
 	}
-	check(t, Until("somebody has read", func() bool { _, l := r.seat(t); return l.PublishedFencingToken > 0 }))
-	// It stands still through three leases, and another reads meanwhile and is told of a drain.
-	reader, list := r.seat(t)
+	check(t, Until("somebody has read", func() bool { _, l := r.listReader(t); return l.PublishedFencingToken > 0 }))
+	// It stands still through three leases, and another reads meanwhile and is notified of a drain.
+	reader, list := r.listReader(t)
 	reader.Stop()
 	second := next(reader, list.FencingToken)
-	drained(t, r, 0, func() {
-		check(t, Until("the drain is relayed", func() bool { _, l := r.seat(t); return l.Entries[0].State == uint8(membership.Draining) }))
+	checkDrain(t, r, 0, func() {
+		check(t, Until("the drain is relayed", func() bool { _, l := r.listReader(t); return l.Entries[0].State == uint8(membership.Draining) }))
 		time.Sleep(2 * lease)
 	})
 	reader.Go()
-	serves(t, r, reader, true)
-	if _, l := r.seat(t); l.Entries[0].State != uint8(membership.Draining) || l.FencingToken < list.FencingToken+1 {
+	awaitAnswer(t, r, reader, true)
+	if _, l := r.listReader(t); l.Entries[0].State != uint8(membership.Draining) || l.FencingToken < list.FencingToken+1 {
 		t.Errorf("%s woke, and the list is as it knew it: %+v", reader.Name, l)
 	}
 	// It is killed.
-	_, list = r.seat(t)
+	_, list = r.listReader(t)
 	second.Kill()
 	third := next(second, list.FencingToken)
-	drained(t, r, 1, func() { time.Sleep(lease) })
+	checkDrain(t, r, 1, func() { time.Sleep(lease) })
 	check(t, second.Start())
-	serves(t, r, second, true)
+	awaitAnswer(t, r, second, true)
 	// It is not heard of any more, and hears: its lease runs out, its watch at the service stands.
-	_, list = r.seat(t)
-	for _, k := range r.Keeper {
+	_, list = r.listReader(t)
+	for _, k := range r.Coordinators {
 		r.Link(third.Name, k.Name).CutWays(true, false)
 	}
 	next(third, list.FencingToken)
-	drained(t, r, 2, func() { time.Sleep(lease) })
-	for _, k := range r.Keeper {
+	checkDrain(t, r, 2, func() { time.Sleep(lease) })
+	for _, k := range r.Coordinators {
 		r.Link(third.Name, k.Name).Cut(false)
 	}
-	serve(t, r, time.Now())
-	spared(t, r, began)
+	awaitAllServe(t, r, time.Now())
+	checkListCallRate(t, r, began)
 	if n := r.Answers(third.Name, 200); n == 0 {
 		t.Error("nothing was served")
 	}
@@ -207,7 +207,7 @@
 
 // The list service has its moods while all start.
 func startList(t T, r *Rig) {
-	force(t, r, startPolicy)
+	enforcePolicy(t, r, startPolicy)
 	began := time.Now()
 	for _, m := range []struct {
 		name string
@@ -219,18 +219,18 @@
 		{"silent", listservice.Mood{Silent: true}},
 		{"old", listservice.Mood{Old: true}},
 	} {
-		down(r.Dispatcher...)
+		killAll(r.Dispatchers...)
 		r.List.Be(m.mood)
 		at := time.Now()
-		up(t, r.Dispatcher...)
+		startAll(t, r.Dispatchers...)
 		if m.name != "silent, with nothing relayed" {
-			t.Logf("list service %s: all 6 serve after %v, by what was relayed", m.name, serve(t, r, at).Round(time.Millisecond))
+			t.Logf("list service %s: all 6 serve after %v, by what was relayed", m.name, awaitAllServe(t, r, at).Round(time.Millisecond))
 		} else {
 			time.Sleep(lease)
 		}
 		if m.mood.Old {
 			check(t, Until("the old list is refused", func() bool {
-				for _, d := range r.Dispatcher {
+				for _, d := range r.Dispatchers {
 					d.mu.Lock()
 					all := strings.Join(d.log, "\n")
 					d.mu.Unlock()
@@ -242,51 +242,54 @@
 			}))
 		}
 		r.List.Be(listservice.Mood{Calls: startCalls})
-		serve(t, r, at)
-		drained(t, r, 0, func() {
+		awaitAllServe(t, r, at)
+		checkDrain(t, r, 0, func() {
 			check(t, Until("the change is relayed", func() bool {
-				_, l := r.seat(t)
+				_, l := r.listReader(t)
 				return len(l.Entries) > 0 && l.Entries[0].State == uint8(membership.Draining)
 			}))
 		})
 		check(t, Until("it is on the list again", func() bool {
 			r.List.Mark(r.Workers[0].ID, "SERVING")
-			_, l := r.seat(t)
+			_, l := r.listReader(t)
 			return l.Entries[0].State == uint8(membership.Serving)
 		}))
 		r.Workers[0].Clear()
-		spared(t, r, began)
+		checkListCallRate(t, r, began)
 	}
 }
 
-// Keepers come late, in part, and not at all: dispatchers that may go on by the last policy start
+// Coordinators come late, in part, and not at all: dispatchers that may go on by the last policy start
 // without them, each by its own drawn pause.
 func startAlone(t T, r *Rig) {
-	force(t, r, startPolicy)
-	up(t, r.Dispatcher...)
-	serve(t, r, time.Now())
-	down(append(append([]*Process(nil), r.Dispatcher...), r.Keeper...)...)
+	enforcePolicy(t, r, startPolicy)
+	startAll(t, r.Dispatchers...)
+	awaitAllServe(t, r, time.Now())
+	killAll(append(append([]*Process(nil), r.Dispatchers...), r.Coordinators...)...)
 	began := time.Now()
-	up(t, r.Dispatcher...)
-	t.Logf("without keepers: all 4 serve after %v", serve(t, r, began).Round(time.Millisecond))
-	up(t, r.Keeper[0])
-	serve(t, r, time.Now())
-	up(t, r.Keeper[1:]...)
-	check(t, Until("one reads for all", func() bool { reader, l := r.seat(t); return reader != nil && l.PublishedFencingToken == l.FencingToken }))
-	drained(t, r, 0, func() {
-		check(t, Until("the drain is relayed", func() bool { _, l := r.seat(t); return l.Entries[0].State == uint8(membership.Draining) }))
+	startAll(t, r.Dispatchers...)
+	t.Logf("without keepers: all 4 serve after %v", awaitAllServe(t, r, began).Round(time.Millisecond))
+	startAll(t, r.Coordinators[0])
+	awaitAllServe(t, r, time.Now())
+	startAll(t, r.Coordinators[1:]...)
+	check(t, Until("one reads for all", func() bool {
+		reader, l := r.listReader(t)
+		return reader != nil && l.PublishedFencingToken == l.FencingToken
+	}))
+	checkDrain(t, r, 0, func() {
+		check(t, Until("the drain is relayed", func() bool { _, l := r.listReader(t); return l.Entries[0].State == uint8(membership.Draining) }))
 	})
-	serve(t, r, time.Now())
-	if n := r.List.Peak(began); n > 2*len(r.Dispatcher) {
+	awaitAllServe(t, r, time.Now())
+	if n := r.List.Peak(began); n > 2*len(r.Dispatchers) {
 		t.Errorf("%d calls in a second by 4 dispatchers", n)
 	}
 }
 
 // A dispatcher is killed at each stage of its start.
 func startAgain(t T, r *Rig) {
-	force(t, r, startPolicy)
+	enforcePolicy(t, r, startPolicy)
 	began := time.Now()
-	d := r.Dispatcher[0]
+	d := r.Dispatchers[0]
 	for i := range 10 {
 		from := d.Mark()
 		check(t, d.Start())
@@ -297,9 +300,9 @@
 		d.signal(syscall.SIGKILL)
 		d.Kill()
 	}
-	up(t, r.Dispatcher...)
-	serve(t, r, began)
-	spared(t, r, began)
+	startAll(t, r.Dispatchers...)
+	awaitAllServe(t, r, began)
+	checkListCallRate(t, r, began)
 }
 
 // All workers have just started, and clients ask twice what they bear, each coming again at once.
@@ -308,7 +311,7 @@
 func startStorm(t T, r *Rig) {
 	const warm = 30 * time.Millisecond // a job's run, by a worker that is
 	share, ramp, multiple, window := 0.3, 8300*time.Millisecond, 4.0, 2*time.Second
-	force(t, r, "dispatchers = 6\n"+startPolicy+`
+	enforcePolicy(t, r, "dispatchers = 6\n"+startPolicy+`
 [[limit]]
 name = "cold"
 kind = "cold"
@@ -316,17 +319,17 @@
 static = 0.2
 `)
 	r.Runs(warm)
-	up(t, r.Dispatcher...)
-	serve(t, r, time.Now())
-	calm := r.Push(1, r.Dispatcher[:2]...)
+	startAll(t, r.Dispatchers...)
+	awaitAllServe(t, r, time.Now())
+	calm := r.Push(1, r.Dispatchers[:2]...)
 	before := r.servedShare(time.Second)
 	// The whole fleet of workers starts again.
 	power := time.Now()
 	for _, w := range r.Workers {
 		w.Clear()
 	}
-	check(t, r.Tell(func(int) time.Time { return power }))
-	storm := r.Push(10, r.Dispatcher...)
+	check(t, r.PublishWorkers(func(int) time.Time { return power }))
+	storm := r.Push(10, r.Dispatchers...)
 	warmth := func(after time.Duration) float64 { return share + (1-share)*after.Seconds()/ramp.Seconds() }
 	for time.Since(power) < 6*time.Second { // it warms, in steps
 		r.Runs(time.Duration(float64(warm) / warmth(time.Since(power))))
@@ -353,7 +356,7 @@
 	check(t, Until("what is served is as before", func() bool { return r.servedShare(500*time.Millisecond) >= before-0.02 }))
 	r.Most("seconds from the end of the storm until what is served is as before", time.Since(over).Seconds(), 5)
 	calm()
-	spared(t, r, power)
+	checkListCallRate(t, r, power)
 }
 
 // arrivalsWithin returns how many jobs came within a span of the first.
--- a/lab/rig/harness/coldstart_simulation_test.go
+++ b/lab/rig/harness/coldstart_simulation_test.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// Hundreds start within a second, with keepers at once, late and never; a third is killed and
-// starts again. With keepers no second has more calls than are stated, and a zone's list is read
+// Hundreds start within a second, with coordinators at once, late and never; a third is killed and
+// starts again. With coordinators no second has more calls than are stated, and a zone's list is read
 // at most twice; without, everybody has it in the end.
 func TestColdStarts(t *testing.T) {
 	t.Parallel()
--- a/lab/rig/harness/keepers.go
+++ b/lab/rig/harness/coordinators.go
@@ -1,6 +1,6 @@
 package harness
 
-// This file owns the scenarios of keepers that fall, come back, and are taken in and out.
+// This file owns the scenarios of coordinators that fall, come back, and are taken in and out.
 
 import (
 	"context"
@@ -16,68 +16,68 @@
 	"yardflow/internal/fleet/transport"
 )
 
-// The keeper that leads is killed while a change is under way, then the next one stands still
+// The coordinator that leads is killed while a change is under way, then the next one stands still
 // and goes on believing that it leads: the change ends, in force everywhere or withdrawn.
-func leadersFall(t T, r *Rig) {
+func leadersFail(t T, r *Rig) {
 	stop := r.Load()
 	defer stop()
 	lead := func() *Process {
 		var who uint64
 		check(t, Until("a keeper leads", func() bool { _, l, err := r.State(); who = l; return err == nil && l > 0 }))
-		return r.Keeper[who-1]
+		return r.Coordinators[who-1]
 	}
 	first := lead()
 	check(t, r.Propose("one", second, 0, false))
 	first.Kill()
-	changed(t, r, "one", statemachine.InForce)
+	awaitStage(t, r, "one", statemachine.InForce)
 	next := lead()
 	next.Stop()
 	check(t, r.Propose("two", third, 1, false))
-	changed(t, r, "two", statemachine.InForce)
+	awaitStage(t, r, "two", statemachine.InForce)
 	next.Go()
 	check(t, first.Start())
-	allUnder(t, r, 2)
+	awaitVersionEverywhere(t, r, 2)
 	// Those that come back know what was agreed on without them.
 	for _, k := range []*Process{first, next} {
 		awaitVersionAt(t, k.Name+" knows version 2", 2, k.Addr)
 	}
-	alone(t, r)
+	checkNoOverlap(t, r)
 }
 
-// A majority of the keepers is lost: nobody is harmed at once, leases end, and under refuse
+// A majority of the coordinators is lost: nobody is harmed at once, leases end, and under refuse
 // nothing is admitted then; back, all serve again. Under last all serve on, by the last.
-func keepersLost(t T, r *Rig) {
+func coordinatorsLost(t T, r *Rig) {
 	check(t, r.Propose("one", second, 0, false))
-	changed(t, r, "one", statemachine.InForce)
-	allUnder(t, r, 1)
-	mark := r.Dispatcher[0].Mark()
-	r.Keeper[0].Kill()
-	r.Keeper[1].Kill()
-	if status := r.Ask(r.Dispatcher[0]); status != 200 {
+	awaitStage(t, r, "one", statemachine.InForce)
+	awaitVersionEverywhere(t, r, 1)
+	mark := r.Dispatchers[0].Mark()
+	r.Coordinators[0].Kill()
+	r.Coordinators[1].Kill()
+	if status := r.Ask(r.Dispatchers[0]); status != 200 {
 		t.Errorf("%d at once", status)
 	}
-	_, err := r.Dispatcher[0].Await(mark, "no keeper answers")
+	_, err := r.Dispatchers[0].Await(mark, "no keeper answers")
 	check(t, err)
-	if r.Fence == "refuse" {
-		for _, d := range r.Dispatcher {
-			serves(t, r, d, false)
+	if r.OnLeaseLoss == "refuse" {
+		for _, d := range r.Dispatchers {
+			awaitAnswer(t, r, d, false)
 		}
 	} else {
 		for until := time.Now().Add(2 * lease); time.Now().Before(until); {
-			for _, d := range r.Dispatcher {
+			for _, d := range r.Dispatchers {
 				if status := r.Ask(d); status != 200 {
 					t.Fatalf("%s: %d without keepers", d.Name, status)
 				}
 			}
 		}
 	}
-	check(t, r.Keeper[0].Start())
-	check(t, r.Keeper[1].Start())
+	check(t, r.Coordinators[0].Start())
+	check(t, r.Coordinators[1].Start())
 	check(t, r.Propose("two", third, 1, false))
-	changed(t, r, "two", statemachine.InForce)
-	allUnder(t, r, 2)
-	if r.Fence == "refuse" {
-		alone(t, r)
+	awaitStage(t, r, "two", statemachine.InForce)
+	awaitVersionEverywhere(t, r, 2)
+	if r.OnLeaseLoss == "refuse" {
+		checkNoOverlap(t, r)
 	} else if d, what := r.Overlap(); d > lease {
 		t.Error(what)
 	}
@@ -85,7 +85,7 @@
 
 // Links that pass 1 KB a second, and are reset in the middle of messages: slower, and right.
 func badLinks(t T, r *Rig) {
-	for _, k := range r.Keeper {
+	for _, k := range r.Coordinators {
 		r.Link("d1", k.Name).Slow(1000)
 	}
 	stop := r.Load()
@@ -95,22 +95,22 @@
 		defer close(over)
 		for range 20 {
 			time.Sleep(50 * time.Millisecond)
-			for _, k := range r.Keeper {
+			for _, k := range r.Coordinators {
 				r.Link("d2", k.Name).Reset()
 			}
 		}
 	}()
 	check(t, r.Propose("one", second, 0, true))
-	changed(t, r, "one", statemachine.InForce)
+	awaitStage(t, r, "one", statemachine.InForce)
 	<-over
-	for _, k := range r.Keeper {
+	for _, k := range r.Coordinators {
 		r.Link("d1", k.Name).Slow(0)
 	}
-	allUnder(t, r, 1)
-	alone(t, r)
+	awaitVersionEverywhere(t, r, 1)
+	checkNoOverlap(t, r)
 }
 
-// The keeper that leads hears nobody, and is heard; and the other way round: others go on without
+// The coordinator that leads hears nobody, and is heard; and the other way round: others go on without
 // it. A dispatcher whose words arrive and that hears nothing stops at its lease's end.
 func oneWay(t T, r *Rig) {
 	stop := r.Load()
@@ -126,29 +126,29 @@
 	}
 	version := uint64(0)
 	for _, out := range []bool{false, true} {
-		first := leads(t, r)
+		first := awaitLeader(t, r)
 		cut(first.Name, out, !out)
-		check(t, Until("another leads", func() bool { _, l, err := r.State(); return err == nil && l > 0 && r.Keeper[l-1] != first }))
+		check(t, Until("another leads", func() bool { _, l, err := r.State(); return err == nil && l > 0 && r.Coordinators[l-1] != first }))
 		id := fmt.Sprint("out ", out)
 		check(t, r.Propose(id, fmt.Sprintf("attempts = %d\n", version+2), version, true))
-		changed(t, r, id, statemachine.InForce)
+		awaitStage(t, r, id, statemachine.InForce)
 		version++
 		cut(first.Name, false, false)
-		allUnder(t, r, version)
+		awaitVersionEverywhere(t, r, version)
 	}
-	deaf := r.Dispatcher[1]
+	deaf := r.Dispatchers[1]
 	cut(deaf.Name, false, true)
-	serves(t, r, deaf, false)
+	awaitAnswer(t, r, deaf, false)
 	check(t, r.Propose("deaf", third, version, true))
-	changed(t, r, "deaf", statemachine.InForce)
-	under(t, r, r.Dispatcher[0], version+1)
+	awaitStage(t, r, "deaf", statemachine.InForce)
+	awaitVersion(t, r, r.Dispatchers[0], version+1)
 	cut(deaf.Name, false, false)
-	under(t, r, deaf, version+1)
-	alone(t, r)
+	awaitVersion(t, r, deaf, version+1)
+	checkNoOverlap(t, r)
 }
 
-// All that goes to the keepers arrives once more, from each other and from dispatchers, much of it
-// after another life of a dispatcher has begun.
+// All that goes to the coordinators arrives once more, from each other and from dispatchers, much of it
+// after another incarnation of a dispatcher has begun.
 func doubled(t T, r *Rig) {
 	for ends, l := range r.relays {
 		if ends[0] == "all" {
@@ -163,46 +163,46 @@
 	}
 	stop := r.Load()
 	defer stop()
-	one := r.Dispatcher[0]
+	one := r.Dispatchers[0]
 	for version := range uint64(4) {
 		id := fmt.Sprint("c", version)
 		check(t, r.Propose(id, fmt.Sprintf("attempts = %d\n", version+2), version, true))
 		one.Kill()
 		check(t, one.Start())
-		changed(t, r, id, statemachine.InForce)
-		allUnder(t, r, version+1)
+		awaitStage(t, r, id, statemachine.InForce)
+		awaitVersionEverywhere(t, r, version+1)
 	}
-	alone(t, r)
+	checkNoOverlap(t, r)
 }
 
-// All keepers are killed in the middle of a change, and come back: it goes on.
+// All coordinators are killed in the middle of a change, and come back: it goes on.
 func allBack(t T, r *Rig) {
 	stop := r.Load()
 	defer stop()
-	still := r.Dispatcher[1]
+	still := r.Dispatchers[1]
 	still.Stop() // the change waits for it
 	check(t, r.Propose("one", second, 0, true))
-	changed(t, r, "one", statemachine.Proposed)
-	for _, k := range r.Keeper {
+	awaitStage(t, r, "one", statemachine.Proposed)
+	for _, k := range r.Coordinators {
 		k.Kill()
 	}
-	for _, k := range r.Keeper {
+	for _, k := range r.Coordinators {
 		check(t, k.Start())
 	}
-	changed(t, r, "one", statemachine.InForce)
+	awaitStage(t, r, "one", statemachine.InForce)
 	still.Go()
-	allUnder(t, r, 1)
-	alone(t, r)
+	awaitVersionEverywhere(t, r, 1)
+	checkNoOverlap(t, r)
 }
 
-// Keepers are taken in and out while changes are made: the one taken in learns first, has a say
+// Coordinators are taken in and out while changes are made: the one taken in learns first, has a say
 // then, and knows all after a restart; the one that leads hands that over and is out; a number is
 // used once; and those left go on without one more.
 func members(t T, r *Rig) {
 	stop := r.Load()
 	defer stop()
 	check(t, r.Propose("one", second, 0, false))
-	changed(t, r, "one", statemachine.InForce)
+	awaitStage(t, r, "one", statemachine.InForce)
 	fourth, addr, err := r.Join("k4", 4)
 	check(t, err)
 	if out := staff(t, r, 0, "members", "add", "4", addr); !strings.Contains(out, "4 learns") || !strings.Contains(out, "4 is a member") {
@@ -211,11 +211,11 @@
 	if out := staff(t, r, 0, "members"); strings.Count(out, "true") != 4 || strings.Contains(out, "learner") {
 		t.Errorf("members: %s", out)
 	}
-	out := leads(t, r)
+	out := awaitLeader(t, r)
 	id := strings.TrimPrefix(out.Name, "k")
 	check(t, r.Propose("two", third, 1, false))
 	staff(t, r, 0, "members", "remove", id)
-	changed(t, r, "two", statemachine.InForce)
+	awaitStage(t, r, "two", statemachine.InForce)
 	out.Kill()
 	if out := staff(t, r, 1, "members", "add", id, out.Addr); !strings.Contains(out, "a number is used once") {
 		t.Errorf("taken in again: %s", out)
@@ -223,7 +223,7 @@
 	fourth.Kill()
 	check(t, fourth.Start())
 	// Two of the three that are left are a majority, k4 among them.
-	for _, k := range r.Keeper[:3] {
+	for _, k := range r.Coordinators[:3] {
 		if k != out {
 			k.Kill()
 			break
@@ -233,23 +233,23 @@
 		t.Errorf("one of the two that answer is taken out: %s", out)
 	}
 	check(t, r.Propose("three", second, 2, true))
-	changed(t, r, "three", statemachine.InForce)
-	allUnder(t, r, 3)
-	alone(t, r)
+	awaitStage(t, r, "three", statemachine.InForce)
+	awaitVersionEverywhere(t, r, 3)
+	checkNoOverlap(t, r)
 }
 
-// A dispatcher starts again while the keepers are away: under last it goes on by the policy that
+// A dispatcher starts again while the coordinators are away: under last it goes on by the policy that
 // it ran by before, and marks itself; what it kept is not whole: it admits nothing.
 func restartLast(t T, r *Rig) {
-	d, k := r.Dispatcher[0], r.Keeper[0]
+	d, k := r.Dispatchers[0], r.Coordinators[0]
 	check(t, r.Propose("one", third, 0, false))
-	changed(t, r, "one", statemachine.InForce)
-	under(t, r, d, 1)
+	awaitStage(t, r, "one", statemachine.InForce)
+	awaitVersion(t, r, d, 1)
 	k.Kill()
 	before := r.Admitted(d.Name, 1)
 	d.Kill()
 	check(t, d.Start())
-	serves(t, r, d, true)
+	awaitAnswer(t, r, d, true)
 	if r.Admitted(d.Name, 1) <= before {
 		t.Error("it serves under another version")
 	}
@@ -263,13 +263,13 @@
 	check(t, d.Start())
 	_, err = d.Await(mark, "left out")
 	check(t, err)
-	serves(t, r, d, false)
+	awaitAnswer(t, r, d, false)
 	check(t, k.Start())
-	serves(t, r, d, true)
+	awaitAnswer(t, r, d, true)
 }
 
-// 300 holders lose their keepers, and come back at once when these do: all hold leases again.
-func manyBack(t T, r *Rig) {
+// 300 holders lose their coordinators, and come back at once when these do: all hold leases again.
+func leasesAfterOutage(t T, r *Rig) {
 	ctx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer func() { stop(); wg.Wait() }()
@@ -291,11 +291,11 @@
 		return n
 	}
 	check(t, Until("all 300 hold leases", func() bool { return holding() == 300 }))
-	for _, k := range r.Keeper {
+	for _, k := range r.Coordinators {
 		k.Kill()
 	}
 	check(t, Until("none holds a lease", func() bool { return holding() == 0 }))
-	for _, k := range r.Keeper {
+	for _, k := range r.Coordinators {
 		check(t, k.Start())
 	}
 	began := time.Now()
--- a/lab/rig/harness/dispatchers.go
+++ b/lab/rig/harness/dispatchers.go
@@ -32,7 +32,7 @@
 		return nil, err
 	}
 	var addrs []string
-	for _, k := range r.Keeper {
+	for _, k := range r.Coordinators {
 		l, err := r.relay(name, k.Name)
 		if err != nil {
 			return nil, err
@@ -44,14 +44,14 @@
 	if err != nil {
 		return nil, err
 	}
-	op := fmt.Sprintf("[keepers]\nfleet = %q\naddresses = [%s]\nfence = %q\n[log]\ntrace = true\n", fleet, strings.Join(addrs, ", "), r.Fence)
+	op := fmt.Sprintf("[keepers]\nfleet = %q\naddresses = [%s]\nfence = %q\n[log]\ntrace = true\n", fleet, strings.Join(addrs, ", "), r.OnLeaseLoss)
 	settings := r.Settings
 	own := map[string]any{}
-	if zone := len(r.Dispatcher) % max(r.Zones, 1); zone > 0 {
+	if zone := len(r.Dispatchers) % max(r.Zones, 1); zone > 0 {
 		own["Zone"] = zone
 	}
 	if r.Shared {
-		own["Balancers"], own["MyNumber"] = r.Dispatchers, len(r.Dispatcher)
+		own["Balancers"], own["MyNumber"] = r.Config.Dispatchers, len(r.Dispatchers)
 	}
 	if settings, err = with(settings, own); err != nil {
 		return nil, err
@@ -71,7 +71,7 @@
 	if change != nil {
 		p.env = change(p.env)
 	}
-	r.Dispatcher = append(r.Dispatcher, p)
+	r.Dispatchers = append(r.Dispatchers, p)
 	return p, nil
 }
 
@@ -125,8 +125,8 @@
 	return nil
 }
 
-// Tell tells the one list service all workers, each at its own address.
-func (r *Rig) Tell(started func(worker int) time.Time) error {
+// PublishWorkers tells the one list service all workers, each at its own address.
+func (r *Rig) PublishWorkers(started func(worker int) time.Time) error {
 	var all []listservice.Entry
 	for i, w := range r.Workers {
 		all = append(all, r.entry(i, w.Addr, started(i)))
--- a/lab/rig/harness/folders.go
+++ b/lab/rig/harness/folders.go
@@ -1,6 +1,6 @@
 package harness
 
-// This file owns the scenarios of keepers' folders: lost, damaged, full, older, or the only one that is left.
+// This file owns the scenarios of coordinators' folders: lost, damaged, full, older, or the only one that is left.
 
 import (
 	"os"
@@ -13,11 +13,11 @@
 // A folder that is lost, another's or damaged is refused by name, and nothing is made anew.
 func folders(t T, r *Rig) {
 	check(t, r.Propose("one", second, 0, false))
-	changed(t, r, "one", statemachine.InForce)
-	k := r.Keeper[2]
+	awaitStage(t, r, "one", statemachine.InForce)
+	k := r.Coordinators[2]
 	dir := filepath.Join(r.Dir, k.Name)
 	file := filepath.Join(dir, "keeper.db")
-	// In force is what a majority has: this keeper may get it later.
+	// In force is what a majority has: this coordinator may get it later.
 	check(t, Until("the last keeper has the policy in its folder", func() bool {
 		text, err := os.ReadFile(file)
 		return err == nil && strings.Contains(string(text), "attempts = 3")
@@ -59,13 +59,13 @@
 	check(t, os.WriteFile(file, whole, 0o600))
 	check(t, k.Start())
 	check(t, r.Propose("two", third, 1, false))
-	changed(t, r, "two", statemachine.InForce)
+	awaitStage(t, r, "two", statemachine.InForce)
 }
 
-// A keeper whose folder is full stops and says so; the others go on, and with room again it is
+// A coordinator whose folder is full stops and says so; the others go on, and with room again it is
 // back, knowing all.
 func folderFull(t T, r *Rig) {
-	full := r.Keeper[2]
+	full := r.Coordinators[2]
 	full.Kill()
 	full.Limit(64 << 10)
 	mark := full.Mark()
@@ -76,19 +76,19 @@
 		check(t, err)
 	}
 	check(t, r.Propose("one", second, 0, false))
-	changed(t, r, "one", statemachine.InForce)
+	awaitStage(t, r, "one", statemachine.InForce)
 	full.Limit(0)
 	full.Kill()
 	check(t, full.Start())
 	awaitVersionAt(t, "it knows version 1", 1, full.Addr)
 }
 
-// A keeper that is started on an older copy of its folder is refused while another knows better:
+// A coordinator that is started on an older copy of its folder is refused while another knows better:
 // it would go back on what it has acknowledged.
 func olderFolder(t T, r *Rig) {
 	check(t, r.Propose("one", second, 0, false))
-	changed(t, r, "one", statemachine.InForce)
-	k := r.Keeper[2]
+	awaitStage(t, r, "one", statemachine.InForce)
+	k := r.Coordinators[2]
 	file := filepath.Join(r.Dir, k.Name, "keeper.db")
 	k.Kill()
 	old, err := os.ReadFile(file)
@@ -96,7 +96,7 @@
 	check(t, k.Start())
 	// What follows is taken in by all three: by the two others alone it would not be k3's.
 	check(t, r.Propose("two", third, 1, false))
-	changed(t, r, "two", statemachine.InForce)
+	awaitStage(t, r, "two", statemachine.InForce)
 	awaitVersionAt(t, "it knows version 2", 2, k.Addr)
 	k.Kill()
 	whole, err := os.ReadFile(file)
@@ -111,25 +111,25 @@
 	check(t, os.WriteFile(file, whole, 0o600))
 	check(t, k.Start())
 	check(t, r.Propose("three", second, 2, false))
-	changed(t, r, "three", statemachine.InForce)
-	under(t, r, r.Dispatcher[0], 3)
+	awaitStage(t, r, "three", statemachine.InForce)
+	awaitVersion(t, r, r.Dispatchers[0], 3)
 }
 
-// Two of three keepers are lost for good with their folders. One is made anew of the third's: it
+// Two of three coordinators are lost for good with their folders. One is made anew of the third's: it
 // says what may be lost, is alone, gives no lease before all that were given are over, uses no
 // version twice, and takes others in.
 func restore(t T, r *Rig) {
 	stop := r.Load()
 	defer stop()
 	check(t, r.Propose("one", second, 0, false))
-	changed(t, r, "one", statemachine.InForce)
-	allUnder(t, r, 1)
-	before := r.Keeper
+	awaitStage(t, r, "one", statemachine.InForce)
+	awaitVersionEverywhere(t, r, 1)
+	before := r.Coordinators
 	for _, k := range before {
 		k.Kill()
 	}
 	left := before[2]
-	next, err := r.keeper("k9", 9, nil)
+	next, err := r.newCoordinator("k9", 9, nil)
 	check(t, err)
 	words := []string{"restore", "--config", filepath.Join(r.Dir, "k9.toml"), "--from", filepath.Join(r.Dir, left.Name)}
 	if out := staff(t, r, 1, words...); !strings.Contains(out, "version 1 was in force by it, and is version 1001") || !strings.Contains(out, "nothing was done") {
@@ -139,30 +139,30 @@
 	if out := staff(t, r, 1, append(words, "--accept-loss")...); !strings.Contains(out, "holds a keeper already") {
 		t.Errorf("restored twice: %s", out)
 	}
-	replaceKeepers(t, r, next)
-	allUnder(t, r, 1001)
+	replaceCoordinators(t, r, next)
+	awaitVersionEverywhere(t, r, 1001)
 	tenth, addr, err := r.Join("k10", 10)
 	check(t, err)
 	staff(t, r, 0, "members", "add", "10", addr)
 	check(t, r.Propose("two", third, 1001, false))
-	changed(t, r, "two", statemachine.InForce)
-	allUnder(t, r, 1002)
+	awaitStage(t, r, "two", statemachine.InForce)
+	awaitVersionEverywhere(t, r, 1002)
 	if tenth.Addr == "" {
 		t.Error("k10 does not serve")
 	}
-	formerKeepersLead(t, r, before)
+	formerCoordinatorsLead(t, r, before)
 	check(t, r.Propose("three", second, 1002, false))
-	changed(t, r, "three", statemachine.InForce)
-	allUnder(t, r, 1003)
-	alone(t, r)
+	awaitStage(t, r, "three", statemachine.InForce)
+	awaitVersionEverywhere(t, r, 1003)
+	checkNoOverlap(t, r)
 	for _, k := range before {
 		k.Kill()
 	}
 }
 
-// replaceKeepers starts a restored keeper in place of all before, and leads k1's name to it, as operators do.
-func replaceKeepers(t T, r *Rig, next *Process) {
-	r.Keeper = []*Process{next}
+// replaceCoordinators starts a restored coordinator in place of all before, and leads k1's name to it, as operators do.
+func replaceCoordinators(t T, r *Rig, next *Process) {
+	r.Coordinators = []*Process{next}
 	check(t, next.Start())
 	check(t, r.Reach())
 	for ends, l := range r.relays {
@@ -172,18 +172,18 @@
 	}
 }
 
-// formerKeepersLead starts two of the three keepers of before a restore, which lead among
+// formerCoordinatorsLead starts two of the three coordinators of before a restore, which lead among
 // themselves: no dispatcher goes back to them.
-func formerKeepersLead(t T, r *Rig, before []*Process) {
+func formerCoordinatorsLead(t T, r *Rig, before []*Process) {
 	var marks []int
-	for _, d := range r.Dispatcher {
+	for _, d := range r.Dispatchers {
 		marks = append(marks, d.Mark())
 	}
 	for _, k := range before[1:] {
 		check(t, k.Start())
 	}
 	awaitVersionAt(t, "those of before lead", 1, before[1].Addr, before[2].Addr)
-	for i, d := range r.Dispatcher {
+	for i, d := range r.Dispatchers {
 		r.Link(d.Name, "k1").Cut(true)
 		_, err := d.Await(marks[i], "from before they were restored")
 		check(t, err)
--- a/lab/rig/harness/history.go
+++ b/lab/rig/harness/history.go
@@ -51,8 +51,8 @@
 	return worst, what
 }
 
-// Lately counts the requests that all dispatchers let in within so long before now.
-func (r *Rig) Lately(d time.Duration) (n int) {
+// AdmittedWithin counts the requests that all dispatchers let in within so long before now.
+func (r *Rig) AdmittedWithin(d time.Duration) (n int) {
 	since := time.Now().Add(-d).UnixNano()
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/lab/rig/harness/limits.go
+++ b/lab/rig/harness/limits.go
@@ -9,24 +9,24 @@
 	"yardflow/internal/fleet/statemachine"
 )
 
-// force puts a policy in force, and waits until all serve under it.
-func force(t T, r *Rig, text string) (version uint64) {
+// enforcePolicy puts a policy in force, and waits until all serve under it.
+func enforcePolicy(t T, r *Rig, text string) (version uint64) {
 	t.Helper()
 	s, _, err := r.State()
 	check(t, err)
 	version = s.CurrentPolicy().Version + 1
 	id := fmt.Sprint("v", version)
 	check(t, r.Propose(id, text, version-1, true))
-	changed(t, r, id, statemachine.InForce)
+	awaitStage(t, r, id, statemachine.InForce)
 	return version
 }
 
-// trouble is what befalls a fleet of four while it is under load: two are cut off from the keepers
+// faultsUnderLoad is what befalls a fleet of four while it is under load: two are cut off from the coordinators
 // for two leases while demand on the others rises, one hears nothing and is heard, one stands
 // still for three leases and wakes in the middle of a burst, one is killed and starts again with
-// its old lease still running, and the leading keeper dies and comes back.
-func trouble(t T, r *Rig, more func(to ...*Process) (stop func())) {
-	d := r.Dispatcher
+// its old lease still running, and the leading coordinator dies and comes back.
+func faultsUnderLoad(t T, r *Rig, more func(to ...*Process) (stop func())) {
+	d := r.Dispatchers
 	for _, p := range d[:2] {
 		r.Cut(p.Name, true)
 	}
@@ -36,17 +36,17 @@
 	for _, p := range d[:2] {
 		r.Cut(p.Name, false)
 	}
-	for _, k := range r.Keeper {
+	for _, k := range r.Coordinators {
 		r.Link(d[2].Name, k.Name).CutWays(false, true)
 	}
 	d[3].Stop()
 	time.Sleep(2 * lease)
-	for _, k := range r.Keeper {
+	for _, k := range r.Coordinators {
 		r.Link(d[2].Name, k.Name).Cut(false)
 	}
 	d[0].Kill()
 	check(t, d[0].Start())
-	lead := leads(t, r)
+	lead := awaitLeader(t, r)
 	lead.Kill()
 	time.Sleep(lease)
 	d[3].Go()
@@ -55,17 +55,17 @@
 }
 
 func limitRate(t T, r *Rig) {
-	version := force(t, r, fmt.Sprintf(rateLimit, 200, 24))
-	stop := r.Push(3, r.Dispatcher...)
+	version := enforcePolicy(t, r, fmt.Sprintf(rateLimit, 200, 24))
+	stop := r.Push(3, r.Dispatchers...)
 	defer stop()
-	allUnder(t, r, version)
+	awaitVersionEverywhere(t, r, version)
 	// 160 and 40 a second: the static shares of the four that are not there stay theirs.
-	check(t, Until("the limit is used", func() bool { return r.Lately(time.Second) >= 171 }))
+	check(t, Until("the limit is used", func() bool { return r.AdmittedWithin(time.Second) >= 171 }))
 	calm, _ := r.Beyond(rateOf(t, r))
-	trouble(t, r, func(to ...*Process) func() { return r.Push(10, to...) })
-	check(t, Until("the limit is used again", func() bool { return r.Lately(time.Second) >= 171 }))
+	faultsUnderLoad(t, r, func(to ...*Process) func() { return r.Push(10, to...) })
+	check(t, Until("the limit is used again", func() bool { return r.AdmittedWithin(time.Second) >= 171 }))
 	worst, what := r.Beyond(rateOf(t, r))
-	if !r.Most("rate, "+r.Fence+": beyond the limit with all links up, requests", calm, 0.001) || !r.Most("rate, "+r.Fence+": beyond it at the worst moment of the trouble", worst, 0.001) {
+	if !r.Most("rate, "+r.OnLeaseLoss+": beyond the limit with all links up, requests", calm, 0.001) || !r.Most("rate, "+r.OnLeaseLoss+": beyond it at the worst moment of the trouble", worst, 0.001) {
 		t.Errorf("%.3f requests beyond the limit: %s", worst, what)
 	}
 	s, _, err := r.State()
@@ -76,13 +76,13 @@
 }
 
 func limitLowered(t T, r *Rig) {
-	stop := r.Push(3, r.Dispatcher...)
+	stop := r.Push(3, r.Dispatchers...)
 	defer stop()
 	for _, amount := range []int{200, 50, 0} {
-		version := force(t, r, fmt.Sprintf(rateLimit, amount, 12))
-		for _, d := range r.Dispatcher {
+		version := enforcePolicy(t, r, fmt.Sprintf(rateLimit, amount, 12))
+		for _, d := range r.Dispatchers {
 			if amount > 0 {
-				under(t, r, d, version)
+				awaitVersion(t, r, d, version)
 			}
 		}
 		time.Sleep(lease)
@@ -90,21 +90,21 @@
 	if worst, what := r.Beyond(rateOf(t, r)); !r.Most("rate, quartered and set to 0: beyond the limit", worst, 0.001) {
 		t.Errorf("%.3f requests beyond the limit: %s", worst, what)
 	}
-	alone(t, r)
+	checkNoOverlap(t, r)
 }
 
 func limitOpen(t T, r *Rig) {
 	r.Runs(150 * time.Millisecond)
-	version := force(t, r, "dispatchers = 7\nsettle = \"3s\"\n[[limit]]\nname = \"open\"\nkind = \"open\"\namount = 28.0\nstatic = 0.5\n[[limit]]\nname = \"each\"\nkind = \"at-worker\"\namount = 14.0\nstatic = 0.5\n")
+	version := enforcePolicy(t, r, "dispatchers = 7\nsettle = \"3s\"\n[[limit]]\nname = \"open\"\nkind = \"open\"\namount = 28.0\nstatic = 0.5\n[[limit]]\nname = \"each\"\nkind = \"at-worker\"\namount = 14.0\nstatic = 0.5\n")
 	// Under the fence "last" a dispatcher admits by the policy before, which limits nothing, until it has the new one.
-	allUnder(t, r, version)
+	awaitVersionEverywhere(t, r, version)
 	for _, w := range r.Workers {
 		w.Peak()
 	}
-	stop := r.Push(10, r.Dispatcher...)
+	stop := r.Push(10, r.Dispatchers...)
 	defer stop()
-	check(t, Until("the limit is used", func() bool { return r.Lately(time.Second) >= 60 }))
-	trouble(t, r, func(to ...*Process) func() { return r.Push(20, to...) })
+	check(t, Until("the limit is used", func() bool { return r.AdmittedWithin(time.Second) >= 60 }))
+	faultsUnderLoad(t, r, func(to ...*Process) func() { return r.Push(20, to...) })
 	for i, w := range r.Workers {
 		if peak := w.Peak(); !r.Most(fmt.Sprintf("at each worker, 14: most jobs open at worker %d", i+1), float64(peak), 14) || peak < 5 {
 			t.Errorf("%d jobs were open at worker %d, of 14", peak, i+1)
@@ -117,14 +117,14 @@
 		w.Fail(true)
 	}
 	const share, each, burst = 0.2, 4, 8
-	force(t, r, fmt.Sprintf("dispatchers = 8\n[[limit]]\nname = \"again\"\nkind = \"retries\"\nshare = %v\namount = %d.0\nburst = %d.0\nstatic = 0.25\n", share, each, burst))
+	enforcePolicy(t, r, fmt.Sprintf("dispatchers = 8\n[[limit]]\nname = \"again\"\nkind = \"retries\"\nshare = %v\namount = %d.0\nburst = %d.0\nstatic = 0.25\n", share, each, burst))
 	began := time.Now()
 	for _, w := range r.Workers {
 		w.Clear()
 	}
-	stop := r.PushOf("package-file", 4, r.Dispatcher...)
+	stop := r.PushOf("package-file", 4, r.Dispatchers...)
 	time.Sleep(2 * lease)
-	for _, d := range r.Dispatcher[:2] {
+	for _, d := range r.Dispatchers[:2] {
 		r.Cut(d.Name, true)
 	}
 	time.Sleep(2 * lease)
--- a/lab/rig/harness/links.go
+++ b/lab/rig/harness/links.go
@@ -19,7 +19,7 @@
 	return r.relays[[2]string{from, to}]
 }
 
-// Reach has Client call the keepers that there are, wherever they serve after a restart.
+// Reach has Client call the coordinators that there are, wherever they serve after a restart.
 func (r *Rig) Reach() error {
 	addresses, err := r.fronts()
 	if err != nil {
@@ -31,7 +31,7 @@
 
 // fronts returns the addresses at which all who are not processes reach the coordinators.
 func (r *Rig) fronts() (addresses []string, err error) {
-	for _, k := range r.Keeper {
+	for _, k := range r.Coordinators {
 		l, err := r.Front(k.Name)
 		if err != nil {
 			return nil, err
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, p := range r.Keeper {
+	for _, p := range r.Coordinators {
 		if p.Name == name {
 			l.Target(p.Addr)
 		}
@@ -58,7 +58,7 @@
 	return l, nil
 }
 
-// Cut cuts a process off from all keepers, or joins it again, both ways.
+// Cut cuts a process off from all coordinators, or joins it again, both ways.
 func (r *Rig) Cut(name string, cut bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/lab/rig/harness/outlier_simulation_test.go
+++ b/lab/rig/harness/outlier_simulation_test.go
@@ -47,13 +47,13 @@
 			t.Errorf("seed %d, all deaf: a verdict of %v ago is used", seed, got.OldestNotice)
 		}
 	}
-	sentences := 0
+	ejections := 0
 	for seed := range uint64(40) {
 		j := base
 		j.Seed, j.Length = 100+seed, 20*time.Second
-		sentences += j.Run().Ejections
+		ejections += j.Run().Ejections
 	}
-	if sentences > 0 {
-		t.Errorf("%d sentences on 40 calm days", sentences)
+	if ejections > 0 {
+		t.Errorf("%d sentences on 40 calm days", ejections)
 	}
 }
--- a/lab/rig/harness/policy_simulation_test.go
+++ b/lab/rig/harness/policy_simulation_test.go
@@ -17,7 +17,7 @@
 
 // Schedules of crashes, cuts, stops and lost, late and doubled messages: no two versions serve at
 // one moment under refuse, none beside another for over a lease under last, and once all is calm
-// no change is left hanging and the keepers agree.
+// no change is left hanging and the coordinators agree.
 func TestSchedules(t *testing.T) {
 	t.Parallel()
 	versions := uint64(0)
@@ -54,10 +54,10 @@
 	}
 }
 
-// All keepers are away for a while, and 60 dispatchers come back to them at once: under last not
+// All coordinators are away for a while, and 60 dispatchers come back to them at once: under last not
 // one request fewer is served, under refuse none is once leases are over; back, all hold leases
 // soon, without a rush.
-func TestKeepersAway(t *testing.T) {
+func TestCoordinatorOutage(t *testing.T) {
 	t.Parallel()
 	for _, fence := range []statemachine.LeaseLossMode{statemachine.RefuseWork, statemachine.KeepLastPolicy} {
 		c := PolicySimulation{Seed: 5, Coordinators: 3, Dispatchers: 60, Length: 40 * time.Second, MaxMessageDelay: 4 * time.Millisecond, WithoutFaults: true, CoordinatorOutage: 20 * time.Second, OnLeaseLoss: fence}
--- a/lab/rig/harness/process.go
+++ b/lab/rig/harness/process.go
@@ -127,7 +127,7 @@
 			}
 			if strings.HasPrefix(p.log[from], "ended: ") && text != "ended: " {
 				defer p.mu.Unlock()
-				return "", fmt.Errorf("%s has ended before %q: %s", p.Name, text, strings.Join(lastWords(p.log[:from+1]), "\n"))
+				return "", fmt.Errorf("%s has ended before %q: %s", p.Name, text, strings.Join(lastLines(p.log[:from+1]), "\n"))
 			}
 		}
 		more := p.more
@@ -140,8 +140,8 @@
 	}
 }
 
-// lastWords are the lines of a log that tell why its process has ended: from the panic on, where there was one.
-func lastWords(log []string) []string {
+// lastLines are the lines of a log that tell why its process has ended: from the panic on, where there was one.
+func lastLines(log []string) []string {
 	const tail, most = 5, 60
 	from := max(0, len(log)-tail)
 	for i := max(0, len(log)-1000); i < from; i++ {
@@ -158,7 +158,7 @@
 // Beside starts a second process of a dispatcher, as an upgrade does: the same name and folder.
 func (r *Rig) Beside(p *Process) (*Process, error) {
 	next := &Process{Name: p.Name, rig: r, dir: p.dir, args: p.args, env: p.env}
-	r.Dispatcher = append(r.Dispatcher, next)
+	r.Dispatchers = append(r.Dispatchers, next)
 	return next, next.Start()
 }
 
--- a/lab/rig/harness/proposer.go
+++ b/lab/rig/harness/proposer.go
@@ -17,10 +17,10 @@
 func proposerKilled(t T, r *Rig) {
 	stop := r.Load()
 	defer stop()
-	slow := r.Dispatcher[1]
+	slow := r.Dispatchers[1]
 	file := filepath.Join(r.Dir, "policy.toml")
 	for n, step := range []string{"attempts: ", "proposed; ", "closing; "} {
-		serves(t, r, slow, true)
+		awaitAnswer(t, r, slow, true)
 		slow.Stop() // so that each step lasts
 		check(t, os.WriteFile(file, fmt.Appendf(nil, "attempts = %d\n", 2+n), 0o600))
 		if !proposeUntil(t, r, file, step) && n == 1 {
@@ -41,7 +41,7 @@
 			t.Errorf("killed after %q: it is not the last change", step)
 		}
 	}
-	alone(t, r)
+	checkNoOverlap(t, r)
 }
 
 // proposeUntil has the staff's command propose a policy, and kills it once it has said so far; false: it ended before.
--- a/lab/rig/harness/scenarios_test.go
+++ b/lab/rig/harness/scenarios_test.go
@@ -84,7 +84,7 @@
 		file.Close()
 		t.Logf("all logs are in %s", file.Name())
 	}
-	for _, p := range slices.Concat(r.Keeper, r.Dispatcher) {
+	for _, p := range slices.Concat(r.Coordinators, r.Dispatchers) {
 		p.mu.Lock()
 		last := p.log[max(0, len(p.log)-linesKept):]
 		t.Logf("%s, its last %d lines of %d:\n%s", p.Name, len(last), len(p.log), strings.Join(last, "\n"))
--- a/lab/rig/harness/stage.go
+++ b/lab/rig/harness/stage.go
@@ -1,4 +1,4 @@
-// Package harness starts the real programs, keepers and dispatchers, with stand-ins for all else on
+// Package harness starts the real programs, coordinators and dispatchers, with stand-ins for all else on
 // loopback, leads every link between them through a relay of its own, and injects faults into
 // relays and processes. What dispatchers write of each admission is the history that it judges.
 //
@@ -37,23 +37,23 @@
 
 // Config is one stage.
 type Config struct {
-	Bin         string // folder of the programs
-	Dir         string // for folders and files
-	Keepers     int
-	Dispatchers int
-	Fence       string
-	Lease       time.Duration
-	Answer      time.Duration
-	Workers     int    // 0: one
-	Slots       int    // of each worker; 0: 64
-	Zones       int    // dispatchers are in them by turns; 0: all in one
-	Cells       int    // workers are in them by turns; 0: all in one
-	Kinds       int    // of workers, by turns, two at most; 0: one
-	Shared      bool   // all ask one list service, each by a link of its own; nobody is started
-	Settings    []byte // of the dispatchers, as the platform gives them
-	Seed        uint64
-	Full        bool       // scenarios are played at their full size; else at one that many can be played at beside each other
-	Over        func(*Rig) // is shown the stage when a scenario has ended, however it has; nil: nobody is
+	Bin          string // folder of the programs
+	Dir          string // for folders and files
+	Coordinators int
+	Dispatchers  int
+	OnLeaseLoss  string
+	Lease        time.Duration
+	Answer       time.Duration
+	Workers      int    // 0: one
+	Slots        int    // of each worker; 0: 64
+	Zones        int    // dispatchers are in them by turns; 0: all in one
+	Cells        int    // workers are in them by turns; 0: all in one
+	Kinds        int    // of workers, by turns, two at most; 0: one
+	Shared       bool   // all ask one list service, each by a link of its own; nobody is started
+	Settings     []byte // of the dispatchers, as the platform gives them
+	Seed         uint64
+	Full         bool       // scenarios are played at their full size; else at one that many can be played at beside each other
+	Over         func(*Rig) // is shown the stage when a scenario has ended, however it has; nil: nobody is
 }
 
 // oldProgram is the dispatcher as one that knows no policy newer than the first form.
@@ -83,11 +83,11 @@
 // Rig is one stage with its processes.
 type Rig struct {
 	Config
-	Keeper     []*Process
-	Dispatcher []*Process
-	Client     *transport.Client   // on links that no fault is injected into
-	List       *listservice.Roster // where all share one
-	Workers    []*worker.Worker    // each dispatcher reaches each by a relay, and has a roster of its own
+	Coordinators []*Process
+	Dispatchers  []*Process
+	Client       *transport.Client   // on links that no fault is injected into
+	List         *listservice.Roster // where all share one
+	Workers      []*worker.Worker    // each dispatcher reaches each by a relay, and has a roster of its own
 
 	rosters map[string]*listservice.Roster
 	work    atomic.Int64 // how long a job runs
@@ -137,13 +137,13 @@
 	}
 	if c.Shared {
 		r.List = listservice.Start()
-		if err := r.Tell(func(int) time.Time { return time.Time{} }); err != nil {
+		if err := r.PublishWorkers(func(int) time.Time { return time.Time{} }); err != nil {
 			return nil, err
 		}
 	}
 	name := func(i int) string { return fmt.Sprintf("k%d", i+1) }
-	for i := range c.Keepers {
-		for j := range c.Keepers {
+	for i := range c.Coordinators {
+		for j := range c.Coordinators {
 			if i != j {
 				if _, err := r.relay(name(i), name(j)); err != nil {
 					return nil, err
@@ -151,14 +151,14 @@
 			}
 		}
 	}
-	for i := range c.Keepers {
+	for i := range c.Coordinators {
 		others := map[int]string{}
-		for j := range c.Keepers {
+		for j := range c.Coordinators {
 			if i != j {
 				others[j+1] = r.Link(name(i), name(j)).Addr()
 			}
 		}
-		p, err := r.keeper(name(i), i+1, others)
+		p, err := r.newCoordinator(name(i), i+1, others)
 		if err == nil {
 			err = p.Start("--new")
 		}
@@ -182,28 +182,28 @@
 	return r, nil
 }
 
-// keeper makes a keeper's file, and a process that is not started yet. What is there under its
+// newCoordinator makes a coordinator's file, and a process that is not started yet. What is there under its
 // name already is replaced.
-func (r *Rig) keeper(name string, id int, others map[int]string) (*Process, error) {
+func (r *Rig) newCoordinator(name string, id int, others map[int]string) (*Process, error) {
 	p := &Process{Name: name, rig: r, dir: r.Dir, args: []string{filepath.Join(r.Bin, "coordinator"), "serve", "--config", filepath.Join(r.Dir, name+".toml")}}
 	text := fmt.Sprintf("fleet = %q\nmember = %d\nlisten = \"127.0.0.1:0\"\nfolder = %q\nfence = %q\nlease = %q\nanswer = %q\ntick = \"20ms\"\nsnapshot = 300\n",
-		fleet, id, filepath.Join(r.Dir, name), r.Fence, r.Lease, r.Answer)
+		fleet, id, filepath.Join(r.Dir, name), r.OnLeaseLoss, r.Lease, r.Answer)
 	text += fmt.Sprintf("[[keeper]]\nid = %d\naddr = \"127.0.0.1:1\" # its own, which it does not call\n", id)
 	for _, other := range slices.Sorted(maps.Keys(others)) {
 		text += fmt.Sprintf("[[keeper]]\nid = %d\naddr = %q\n", other, others[other])
 	}
-	if at := slices.IndexFunc(r.Keeper, func(k *Process) bool { return k.Name == name }); at >= 0 {
-		r.Keeper[at] = p
+	if at := slices.IndexFunc(r.Coordinators, func(k *Process) bool { return k.Name == name }); at >= 0 {
+		r.Coordinators[at] = p
 	} else {
-		r.Keeper = append(r.Keeper, p)
+		r.Coordinators = append(r.Coordinators, p)
 	}
 	return p, os.WriteFile(p.args[3], []byte(text), 0o600)
 }
 
-// Join starts a keeper that is to be taken in, and returns the address by which the others reach it.
+// Join starts a coordinator that is to be taken in, and returns the address by which the others reach it.
 func (r *Rig) Join(name string, id int) (*Process, string, error) {
 	others := map[int]string{}
-	for _, k := range r.Keeper {
+	for _, k := range r.Coordinators {
 		l, err := r.relay(name, k.Name)
 		if err != nil {
 			return nil, "", err
@@ -219,7 +219,7 @@
 	if err != nil {
 		return nil, "", err
 	}
-	p, err := r.keeper(name, id, others)
+	p, err := r.newCoordinator(name, id, others)
 	if err == nil {
 		err = p.Start("--join")
 	}
@@ -235,7 +235,7 @@
 
 func (r *Rig) staff(args ...string) *exec.Cmd {
 	var addrs []string
-	for _, k := range r.Keeper {
+	for _, k := range r.Coordinators {
 		addrs = append(addrs, k.Addr)
 	}
 	return exec.Command(filepath.Join(r.Bin, "coordinator"), append([]string{"--fleet", fleet, "--keepers", strings.Join(addrs, ",")}, args...)...)
@@ -254,7 +254,7 @@
 
 // Close ends all that was started.
 func (r *Rig) Close() {
-	for _, p := range append(append([]*Process(nil), r.Dispatcher...), r.Keeper...) {
+	for _, p := range append(append([]*Process(nil), r.Dispatchers...), r.Coordinators...) {
 		p.Kill()
 	}
 	for _, l := range r.relays {
@@ -282,7 +282,7 @@
 	return nil
 }
 
-// State is what the keepers have agreed on by now.
+// State is what the coordinators have agreed on by now.
 func (r *Rig) State() (s *statemachine.State, leader uint64, err error) {
 	ctx, stop := context.WithTimeout(context.Background(), Patience)
 	defer stop()
--- a/lab/rig/harness/startmany.go
+++ b/lab/rig/harness/startmany.go
@@ -44,10 +44,10 @@
 	return c.workers > 0
 }
 
-// 300 holders in six zones begin at one moment, with real keepers and a real list service.
-func startMany(t T, r *Rig) {
+// 300 holders in six zones begin at one moment, with real coordinators and a real list service.
+func startManyHolders(t T, r *Rig) {
 	const holders, zones, workers = 300, 6, 200
-	force(t, r, startPolicy)
+	enforcePolicy(t, r, startPolicy)
 	r.List.Set(loanWorkers(workers)...)
 	r.List.Be(listservice.Mood{Calls: startCalls})
 	ctx, stop := context.WithCancel(context.Background())
--- a/lab/rig/harness/workflow_faults.go
+++ b/lab/rig/harness/workflow_faults.go
@@ -17,7 +17,7 @@
 // hand. Each time the steps are unknown, none is sent again, and another dispatcher sends what was not sent yet.
 func stepOwnerKilled(t T, r *Rig) {
 	inForce(t, r, "one", fmt.Sprintf(course, 200), 0)
-	one, two := r.Dispatcher[0], r.Dispatcher[1]
+	one, two := r.Dispatchers[0], r.Dispatchers[1]
 	play := func(key string, fault func()) {
 		t.Helper()
 		r.Cut(two.Name, true)
@@ -35,8 +35,8 @@
 		if v.EndCounts[2] < 4 || v.EndCounts[2] > 6 || v.EndCounts[0]+v.EndCounts[1]+v.EndCounts[2]+v.EndCounts[3] != 13 {
 			t.Errorf("%s: %v: expected 4 to 6 unknown of 13", key, v.EndCounts)
 		}
-		sound(t, r, key)
-		if sent := once(t, r, key, "loan"); sent < 4 || 6-sent > v.EndCounts[2] { // marked, and not sent: unknown, too
+		checkSentSoundly(t, r, key)
+		if sent := countSentOnce(t, r, key, "loan"); sent < 4 || 6-sent > v.EndCounts[2] { // marked, and not sent: unknown, too
 			t.Errorf("%s: %d of 6 loans were sent, %d are unknown", key, sent, v.EndCounts[2])
 		}
 	}
@@ -54,14 +54,14 @@
 		time.Sleep(3 * lease)
 		one.Go()
 	})
-	serves(t, r, one, true)
+	awaitAnswer(t, r, one, true)
 }
 
 // workflowsUnderRandomFaults injects faults by the seed: every workflow ends, no loan is sent twice, no package goes to two cells.
 func workflowsUnderRandomFaults(t T, r *Rig) {
 	inForce(t, r, "one", fmt.Sprintf(course, 30), 0)
 	r.Runs(20 * time.Millisecond)
-	for _, k := range r.Keeper[1:] {
+	for _, k := range r.Coordinators[1:] {
 		r.Link("d1", k.Name).Double(300 * time.Millisecond)
 	}
 	var keys []string
@@ -78,7 +78,7 @@
 	for _, key := range keys {
 		v, err := r.Ends(key, "done")
 		check(t, err)
-		sound(t, r, key)
+		checkSentSoundly(t, r, key)
 		if v.EndCounts[0]+v.EndCounts[1]+v.EndCounts[2]+v.EndCounts[3] != 2*titles+1 {
 			t.Errorf("%s: %v of %d steps", key, v.EndCounts, 2*titles+1)
 		}
@@ -91,7 +91,7 @@
 // injectWorkflowFault injects a fault that is drawn, and ends it after a drawn time.
 func injectWorkflowFault(t T, r *Rig, rnd *rand.Rand) {
 	pause := func(most time.Duration) { time.Sleep(time.Duration(rnd.Int64N(int64(most)))) }
-	d := r.Dispatcher[rnd.IntN(len(r.Dispatcher))]
+	d := r.Dispatchers[rnd.IntN(len(r.Dispatchers))]
 	switch rnd.IntN(6) {
 	case 0, 1:
 		d.Kill()
@@ -106,16 +106,16 @@
 		pause(2 * lease)
 		r.Cut(d.Name, false)
 	case 4:
-		l := leads(t, r)
+		l := awaitLeader(t, r)
 		l.Kill()
 		pause(lease / 2)
 		check(t, l.Start())
 	case 5:
-		for _, k := range r.Keeper {
+		for _, k := range r.Coordinators {
 			r.Link(d.Name, k.Name).CutWays(false, true) // its messages arrive, the answers do not
 		}
 		pause(lease)
-		for _, k := range r.Keeper {
+		for _, k := range r.Coordinators {
 			r.Link(d.Name, k.Name).CutWays(false, false)
 		}
 	}
@@ -156,8 +156,8 @@
 	if kills["p/loan[3 0 0]"] != 1 || kills["q/package[7 0 0]"] != 3 && len(r.Sent("q/package[7 ")) > 0 {
 		t.Errorf("workers killed: %v; expected 1 by a loan, 3 by a package", kills)
 	}
-	once(t, r, "p", "loan")
-	once(t, r, "q", "loan")
+	countSentOnce(t, r, "p", "loan")
+	countSentOnce(t, r, "q", "loan")
 	if p.EndCounts[2] < 2 || q.EndCounts[1] < 1 && len(r.Sent("q/package[7 ")) > 0 {
 		t.Errorf("%v, %v: expected two loans unknown, and a package failed", p.EndCounts, q.EndCounts)
 	}
--- a/lab/rig/harness/workflow_load.go
+++ b/lab/rig/harness/workflow_load.go
@@ -26,8 +26,8 @@
 		v, err := r.Ends(key, "done")
 		check(t, err)
 		t.Logf("%s: %+v after %v", key, v, time.Since(began))
-		if want := map[string]int{"twice": 20, "wide": titles}[key]; once(t, r, key, "loan") != want || once(t, r, key, "package") != want || once(t, r, key, "collect") != 1 {
-			t.Errorf("%s: %d loans, %d packages", key, once(t, r, key, "loan"), once(t, r, key, "package"))
+		if want := map[string]int{"twice": 20, "wide": titles}[key]; countSentOnce(t, r, key, "loan") != want || countSentOnce(t, r, key, "package") != want || countSentOnce(t, r, key, "collect") != 1 {
+			t.Errorf("%s: %d loans, %d packages", key, countSentOnce(t, r, key, "loan"), countSentOnce(t, r, key, "package"))
 		}
 	}
 }
@@ -101,7 +101,7 @@
 	v, err = r.Ends("wide", "done")
 	check(t, err)
 	t.Logf("a fan-out of %d: %v after %v", wide, v.EndCounts, time.Since(began))
-	if n := once(t, r, "wide", "loan"); n != wide || v.EndCounts[0] != 2*wide+1 {
+	if n := countSentOnce(t, r, "wide", "loan"); n != wide || v.EndCounts[0] != 2*wide+1 {
 		t.Errorf("%d loans were sent; %v", n, v.EndCounts)
 	}
 }
@@ -118,7 +118,7 @@
 		served, began := 0, time.Now()
 		for ; time.Since(began) < d; n++ {
 			time.Sleep(time.Until(began.Add(time.Duration(float64(n) / rate * float64(time.Second)))))
-			p := r.Dispatcher[n%len(r.Dispatcher)]
+			p := r.Dispatchers[n%len(r.Dispatchers)]
 			wg.Go(func() {
 				at := time.Now()
 				if r.AskOf(p, "package-file") == 200 && time.Since(at) < 500*time.Millisecond {
--- a/lab/rig/harness/workflow_pools.go
+++ b/lab/rig/harness/workflow_pools.go
@@ -69,7 +69,7 @@
 	for _, key := range []string{"a", "b"} {
 		v, err := r.Ends(key, "done")
 		check(t, err)
-		sound(t, r, key)
+		checkSentSoundly(t, r, key)
 		want := map[string]int{"a": 2*titles + 1, "b": 21}[key]
 		if last := map[string]string{"a": "collect", "b": "gather"}[key]; v.EndCounts[0]+v.EndCounts[2] < want-4 || len(r.Sent(key+"/"+last)) != 1 {
 			t.Errorf("%s: %v of %d; %d of %s were sent", key, v.EndCounts, want, len(r.Sent(key+"/"+last)), last)
--- a/lab/rig/harness/workflow_restore.go
+++ b/lab/rig/harness/workflow_restore.go
@@ -17,18 +17,18 @@
 	r.Runs(30 * time.Millisecond)
 	check(t, r.Submit("old", "course", 60))
 	awaitSent(t, r, "old/loan", 15)
-	left := r.Keeper[2]
+	left := r.Coordinators[2]
 	left.Kill() // its folder is old from here on
 	awaitSent(t, r, "old/loan", 35)
-	before := r.Keeper
+	before := r.Coordinators
 	for _, k := range before {
 		k.Kill()
 	}
 	sent := len(r.Sent("old/loan"))
-	next, err := r.keeper("k9", 9, nil)
+	next, err := r.newCoordinator("k9", 9, nil)
 	check(t, err)
 	staff(t, r, 0, "restore", "--config", r.Dir+"/k9.toml", "--from", r.Dir+"/"+left.Name, "--accept-loss")
-	replaceKeepers(t, r, next)
+	replaceCoordinators(t, r, next)
 	v, err := r.Ends("old", "held")
 	check(t, err)
 	t.Logf("%d loans were sent before; %+v", sent, v)
@@ -36,7 +36,7 @@
 		t.Error("it is not in doubt")
 	}
 	time.Sleep(2 * lease)
-	once(t, r, "old", "loan")
+	countSentOnce(t, r, "old", "loan")
 	if n := len(r.Sent("old/loan")); n > sent+4 {
 		t.Errorf("%d loans were sent, %d before the keepers were lost: what is in doubt is not sent", n, sent)
 	}
@@ -53,8 +53,8 @@
 	check(t, r.Submit("new", "course", 5))
 	_, err = r.Ends("new", "done")
 	check(t, err)
-	once(t, r, "old", "loan")
-	once(t, r, "new", "loan")
+	countSentOnce(t, r, "old", "loan")
+	countSentOnce(t, r, "new", "loan")
 }
 
 // stuckAndNeverSent returns a loan of the workflow old that is stuck and was sent to no worker, nil where there is none.
--- a/lab/rig/harness/workflows.go
+++ b/lab/rig/harness/workflows.go
@@ -122,10 +122,10 @@
 	return out
 }
 
-// sound checks of a course that no loan was sent twice, and no package to two cells.
-func sound(t T, r *Rig, flow string) {
+// checkSentSoundly checks of a course that no loan was sent twice, and no package to two cells.
+func checkSentSoundly(t T, r *Rig, flow string) {
 	t.Helper()
-	once(t, r, flow, "loan")
+	countSentOnce(t, r, flow, "loan")
 	for step, cells := range r.CellsOf(flow + "/package") {
 		if len(cells) > 1 {
 			t.Errorf("%s was sent to cells %v", step, cells)
@@ -133,8 +133,8 @@
 	}
 }
 
-// once checks that no step of a kind was sent twice, and counts those sent.
-func once(t T, r *Rig, flow, step string) int {
+// countSentOnce checks that no step of a kind was sent twice, and counts those sent.
+func countSentOnce(t T, r *Rig, flow, step string) int {
 	t.Helper()
 	sent := r.Sent(flow + "/" + step)
 	for name, n := range sent {
@@ -149,7 +149,7 @@
 func inForce(t T, r *Rig, id, text string, base uint64) {
 	t.Helper()
 	check(t, r.Propose(id, text, base, false))
-	changed(t, r, id, statemachine.InForce)
+	awaitStage(t, r, id, statemachine.InForce)
 }
 
 // awaitSent waits until so many steps were sent whose names begin with a prefix.
--- a/lab/rig/main.go
+++ b/lab/rig/main.go
@@ -82,7 +82,7 @@
 	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(w, "dispatcher\tversion\tlease left\tserved\trefused\tover a limit\tno answer")
 	seen := map[string]bool{}
-	for _, d := range r.Dispatcher {
+	for _, d := range r.Dispatchers {
 		if seen[d.Name] {
 			continue
 		}
