Workers drain in the soak, and DRAIN is judged once all is calm

Workers drain among its series. After the series traffic goes on for 10 s without disruptions but some more drains: which dispatcher starts a task is not seen on real links, so a start at a drained worker is judged only when no process has been in trouble for 5 s.

--- a/internal/testing/emulator/checker.go
+++ b/internal/testing/emulator/checker.go
@@ -22,8 +22,11 @@
 	stopped bool
 	drainMs int64 // within which starts at a draining worker end; 0: not judged
 	excused int   // starts at workers that had drained for longer, by machines out of touch or carried out late
-	inTouch func(sender, worker string) bool
-	drains  map[*Worker]time.Time // since when the list has shown that a worker drains
+	inTouch func(sender, worker string, at time.Time) bool
+	// ConfirmAfter is how much later a start is judged by whether its machine was in touch; 0: at once. It may be set before
+	// the start of the cluster, where trouble is recorded late.
+	ConfirmAfter time.Duration
+	drains       map[*Worker]time.Time // since when the list has shown that a worker drains
 }
 
 type taskSeen struct {
@@ -135,13 +138,26 @@
 func (j *Checker) checkDrain(w *Worker, o *workerCommand) {
 	since, drains := j.drains[w]
 	late := time.Since(since) - time.Duration(j.drainMs)*time.Millisecond
-	switch {
-	case !drains || j.drainMs == 0 || late <= 0:
-	case o.delayed || !j.inTouch(o.sender, w.machine):
-		j.excused++
-	default:
+	if !drains || j.drainMs == 0 || late <= 0 {
+		return
+	}
+	at := time.Now()
+	judge := func() {
+		if o.delayed || !j.inTouch(o.sender, w.machine, at) {
+			j.excused++
+			return
+		}
 		j.violated("DRAIN", "%s starts on %s by order of %s, %v after the last moment", o.Task, w, o.sender, late)
 	}
+	if j.ConfirmAfter == 0 {
+		judge()
+		return
+	}
+	time.AfterFunc(j.ConfirmAfter, func() {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		judge()
+	})
 }
 
 // ExcusedStarts returns how many starts came too late at workers that drain, by machines for which the rule did not hold.
--- a/internal/testing/emulator/trouble.go
+++ b/internal/testing/emulator/trouble.go
@@ -108,42 +108,43 @@
 	}
 }
 
-// inTouch reports whether the sender of an order to a worker is in touch, and nothing holds the order up.
-func (l *troubleLog) inTouch(sender, worker string) bool {
+// inTouch reports whether the sender of an order to a worker was in touch at a time, and nothing held the order up. What has
+// befallen them since counts too: it may have begun before it was recorded.
+func (l *troubleLog) inTouch(sender, worker string, at time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.isCoreStable() || !l.isUndisturbed(worker) {
+	if !l.isCoreStable(at) || !l.isUndisturbed(worker, at) {
 		return false
 	}
 	if isDispatcher(sender) {
-		return l.isUndisturbed(sender)
+		return l.isUndisturbed(sender, at)
 	}
 	for subject := range l.last {
-		if isDispatcher(subject) && !l.isUndisturbed(subject) {
+		if isDispatcher(subject) && !l.isUndisturbed(subject, at) {
 			return false
 		}
 	}
 	return true
 }
 
-// isUndisturbed reports whether nothing has befallen a machine lately, and none of its paths is cut.
-func (l *troubleLog) isUndisturbed(machine string) bool {
+// isUndisturbed reports whether nothing had befallen a machine lately at a time, and none of its paths is cut.
+func (l *troubleLog) isUndisturbed(machine string, at time.Time) bool {
 	for pair, cut := range l.cuts {
 		if cut && slices.Contains(cutSubjects(pair[0], pair[1]), machine) {
 			return false
 		}
 	}
-	return l.isCalm(machine)
+	return l.isCalm(machine, at)
 }
 
-func (l *troubleLog) isCalm(subject string) bool {
+func (l *troubleLog) isCalm(subject string, at time.Time) bool {
 	last, known := l.last[subject]
-	return l.lasting[subject] == 0 && (!known || time.Since(last) > contactSpan)
+	return l.lasting[subject] == 0 && (!known || at.Sub(last) > contactSpan)
 }
 
-// isCoreStable reports whether nothing has befallen the core lately, and more than half of it runs and is connected.
-func (l *troubleLog) isCoreStable() bool {
-	if !l.isCalm(coreSubject) {
+// isCoreStable reports whether nothing had befallen the core lately at a time, and more than half of it runs and is connected.
+func (l *troubleLog) isCoreStable(at time.Time) bool {
+	if !l.isCalm(coreSubject, at) {
 		return false
 	}
 	most := 0
--- a/lab/soak/main.go
+++ b/lab/soak/main.go
@@ -28,12 +28,17 @@
 	clients := flag.Int("clients", 24, "clients, each with a connection of its own")
 	series := flag.Int("series", 3, "series of disruptions of dispatchers at once")
 	slack := flag.Duration("loss-slack", time.Second, "a call sent that shortly before its connection ends may be cut off; 200ms on an idle machine")
+	unseen := flag.Bool("drains-unseen", false, "a planted fault: the platform lists workers that drain as ready, and DRAIN has to be found")
 	flag.Parse()
 	absolute, err := filepath.Abs(*program)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(2)
 	}
+	planted := emulator.NoFault
+	if *unseen {
+		planted = emulator.DrainsUnseen
+	}
 	var playing sync.WaitGroup
 	var printing sync.Mutex
 	failed := false
@@ -44,7 +49,7 @@
 			defer func() { <-turns }()
 			config := scenario.Config{Program: absolute, Folder: filepath.Join(*folder, fmt.Sprint("seed-", seed)), Seed: seed,
 				Span: *span, Clients: *clients, Series: *series, LossSlack: *slack, Shape: emulator.Shape{Cores: *cores, Tolerate: *tolerate,
-					Dispatchers: *dispatchers, Workers: *workers, Guards: true}}
+					Dispatchers: *dispatchers, Workers: *workers, Guards: true, Planted: planted}}
 			held := playSeed(config, &printing)
 			printing.Lock()
 			defer printing.Unlock()
--- a/lab/soak/scenario/process.go
+++ b/lab/soak/scenario/process.go
@@ -73,6 +73,7 @@
 // start starts the program.
 func (p *process) start(first bool) {
 	p.writeSettings(first)
+	p.soak.cluster.RecordStart(p.name)
 	log, err := os.OpenFile(filepath.Join(p.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		p.soak.breaks("FAULT", "%s: %v", p.name, err)
