Emulator: the final fault with every other machine dark, and a minority that missed changes

Now Tolerate.Machines control machines come back empty while all others, dispatchers too, are dark, right behind a change sent, a change acknowledged or a job accepted; some machines are back up to 2 s before others. Traffic goes on; a quarter of the jobs handed in after RecoveryS (12 s, 15 s with two disks) has to be accepted, beside all rules that the judge knows.

--- a/internal/testing/emulator/checker.go
+++ b/internal/testing/emulator/checker.go
@@ -42,6 +42,7 @@
 
 type jobSeen struct {
 	request   job.Request
+	handedIn  time.Time
 	accepted  bool
 	cancelled bool
 	state     string
@@ -81,7 +82,7 @@
 func (j *Checker) Submitted(id string, request job.Request) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.jobs[id] = &jobSeen{request: request, done: map[job.StepKey]int{}}
+	j.jobs[id] = &jobSeen{request: request, handedIn: time.Now(), done: map[job.StepKey]int{}}
 }
 
 // Accepted takes in that a job was answered with success.
@@ -246,6 +247,37 @@
 	return false
 }
 
+// acceptedAmong counts the jobs that were handed in first within a span, and those of them that were accepted.
+func (j *Checker) acceptedAmong(from, to time.Time) (handedIn, accepted int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, seen := range j.jobs {
+		if seen.handedIn.Before(from) || seen.handedIn.After(to) {
+			continue
+		}
+		handedIn++
+		if seen.accepted {
+			accepted++
+		}
+	}
+	return handedIn, accepted
+}
+
+// underWay counts the runs that are at work, and the accepted jobs of which clients have seen no end.
+func (j *Checker) underWay() (runs, jobs int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, task := range j.tasks {
+		runs += len(task.runs)
+	}
+	for _, seen := range j.jobs {
+		if seen.accepted && seen.state != "completed" && seen.state != "failed" {
+			jobs++
+		}
+	}
+	return runs, jobs
+}
+
 func (j *Checker) configured(version, base int64, body string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/testing/emulator/clients.go
+++ b/internal/testing/emulator/clients.go
@@ -51,6 +51,7 @@
 		status, _ := y.call(http.MethodPost, anywhere(), body, 3*time.Second, "")
 		if accepted = status == http.StatusOK; accepted {
 			y.Checker.Accepted(id)
+			y.moments.come(jobAccepted)
 			break
 		}
 		time.Sleep(300 * time.Millisecond)
--- a/internal/testing/emulator/cluster.go
+++ b/internal/testing/emulator/cluster.go
@@ -55,6 +55,7 @@
 	startedAt   time.Time
 	disruptions []DisruptionRecord // that were played; whoever plays them owns it until the end
 	hurry       atomic.Bool        // operators change the configuration in quick succession
+	moments     moments
 	random      *rand.Rand
 	logger      zerolog.Logger
 	coresMu     sync.Mutex
--- a/internal/testing/emulator/norace_test.go
+++ b/internal/testing/emulator/norace_test.go
@@ -9,4 +9,8 @@
 	historiesInTest = 4
 	// addressesInTest is how many schedules of addresses that are used again a test run plays.
 	addressesInTest = 2
+	// finalFaultsInTest is how many seeds of each final fault a test run plays with each shape.
+	finalFaultsInTest = 1
+	// faultShapesInTest is with how many shapes a test run plays final faults; PROVE_SCHEDULES plays them with all.
+	faultShapesInTest = 2
 )
--- a/internal/testing/emulator/operator.go
+++ b/internal/testing/emulator/operator.go
@@ -58,6 +58,7 @@
 		switch status {
 		case http.StatusOK:
 			o.cluster.Checker.configured(version, base, body)
+			o.cluster.moments.come(changeAcknowledged)
 			if acknowledged = true; !lost {
 				return status
 			}
@@ -76,6 +77,7 @@
 }
 
 func (o *Operator) put(random *rand.Rand, version, base int64, body string) int {
+	o.cluster.moments.come(changeSent)
 	done := o.History.begin(ConfigCall{Put: true, Version: version, Base: base, Body: body})
 	status, _ := o.cluster.call(http.MethodPut, o.cluster.anyCore(random), body, callWithin, fmt.Sprint(base))
 	done(status, "")
--- a/internal/testing/emulator/schedule_test.go
+++ b/internal/testing/emulator/schedule_test.go
@@ -67,7 +67,15 @@
 	return 3
 }
 
-func play(t *testing.T, shape Shape, seed uint64, trouble troubles, logs io.Writer) (result outcome) {
+func play(t *testing.T, shape Shape, seed uint64, trouble troubles, logs io.Writer) outcome {
+	return playUnder(t, shape, seed, load{traffic, 300 * time.Millisecond}, trouble, logs)
+}
+
+// load is how long a schedule's traffic lasts, and the longest pause between two jobs.
+type load struct{ lasts, longestPause time.Duration }
+
+// playUnder plays a schedule under a load of its own.
+func playUnder(t *testing.T, shape Shape, seed uint64, l load, trouble troubles, logs io.Writer) (result outcome) {
 	playing <- struct{}{}
 	defer func() { <-playing }()
 	synctest.Test(t, func(t *testing.T) {
@@ -75,7 +83,7 @@
 		y.Start()
 		y.Operator.Configure()
 		time.Sleep(warmUp)
-		end := time.Now().Add(traffic)
+		end := time.Now().Add(l.lasts)
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
@@ -92,7 +100,7 @@
 				y.Client(own, end.Add(drain))
 				ended <- struct{}{}
 			}()
-			time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+			time.Sleep(time.Duration(random.IntN(int(l.longestPause.Milliseconds()))) * time.Millisecond)
 		}
 		<-done
 		result.Configurations = <-operators
