--- a/internal/testing/emulator/cluster.go
+++ b/internal/testing/emulator/cluster.go
@@ -56,6 +56,7 @@
 	startedAt   time.Time
 	disruptions []DisruptionRecord // that were played; whoever plays them owns it until the end
 	hurry       atomic.Bool        // operators change the configuration in quick succession
+	moments     moments
 	random      *rand.Rand
 	logger      zerolog.Logger
 	emulated    *Network    // the network itself, nil where it is real
