Scenario flow-many cancels a flow of which something was sent

The scenario waits until claims on many steps are open and then cancels, to see that what is out is waited for. A claim whose step was not sent yet is given back at once, so a cancel right behind the claims leaves nothing to wait for, and the flow is cancelled at the first look.

It waits for the first sent step too.

--- a/lab/rig/harness/workflow_load.go
+++ b/lab/rig/harness/workflow_load.go
@@ -84,6 +84,7 @@
 	check(t, r.Submit("off", "course", off*6/5))
 	r.Runs(1500 * time.Millisecond)
 	check(t, Until("many steps of one flow are out", func() bool { v, err := r.View("off"); return err == nil && v.OpenClaims >= off }))
+	awaitSent(t, r, "off/", 1) // a claim whose step was not sent is given back at once, and leaves nothing to wait for
 	staff(t, r, 0, "flow", "cancel", "off")
 	v, err := r.View("off")
 	check(t, err)
