Fix finished jobs forgotten early after changes of the head

Cause: the head proposed a tick of the state's clock 5 s after the last tick that it had proposed itself. A process that became the head and had proposed none for 5 s proposed one at once, however short ago the former head had. Each change of the head added up to one tick; the margin of four ticks was used up after some eight changes.

Change: internal/control/stateclock has the rule, without I/O or clock. Each control machine measures the time since it applied the present tick, also while it is not the head, and the next tick needs a whole interval of that. Nothing that is replicated or sent has changed, so builds may mix: a former build as the head still ticks early.

--- a/internal/control/server/replication.go
+++ b/internal/control/server/replication.go
@@ -70,6 +70,7 @@
 	for i := range ready.CommittedEntries {
 		s.apply(&ready.CommittedEntries[i])
 	}
+	s.clock.witness.Observe(s.now(), s.state.fsm.ClockTicks)
 	s.logNotices()
 	for _, read := range ready.ConfirmedReads {
 		s.completeRead(read)
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -59,6 +59,7 @@
 	commands    *commandTable
 	dispatchers *dispatcherTable
 	sessions    *sessionMonitor
+	clock       clock
 
 	instanceList *instanceListReader
 }
@@ -144,6 +145,7 @@
 		s.apply(&entries[i])
 		s.state.discardOutput()
 	}
+	s.clock.witness.Observe(s.now(), s.state.fsm.ClockTicks)
 	return nil
 }
 
--- a/internal/control/server/sessions.go
+++ b/internal/control/server/sessions.go
@@ -26,11 +26,10 @@
 // sessionMonitor tracks the dispatchers' connections for the head, from this machine's own connections and from the
 // heartbeats of its peers. Every member keeps one, since any member may become the head. It belongs to the engine.
 type sessionMonitor struct {
-	lastSeen        map[statemachine.SessionID]time.Duration // when it was last connected to a control machine
-	disconnectedAt  map[statemachine.SessionID]time.Duration // when its connection was closed
-	clockAdvancedAt time.Duration
-	tickedAt        time.Duration // time of the last tick
-	resumedAt       time.Duration // when the engine last resumed after a pause
+	lastSeen       map[statemachine.SessionID]time.Duration // when it was last connected to a control machine
+	disconnectedAt map[statemachine.SessionID]time.Duration // when its connection was closed
+	tickedAt       time.Duration                            // time of the last tick
+	resumedAt      time.Duration                            // when the engine last resumed after a pause
 }
 
 func newSessionMonitor() *sessionMonitor {
@@ -110,14 +109,3 @@
 			CloseSession: &statemachine.CloseSession{Session: id}})
 	}
 }
-
-// advanceClock advances the state machine's clock every clockInterval. The state machine uses the clock to forget old
-// jobs and sessions.
-func (s *Server) advanceClock(now time.Duration) {
-	if now-s.sessions.clockAdvancedAt < clockInterval {
-		return
-	}
-	s.sessions.clockAdvancedAt = now
-	advance := &statemachine.AdvanceClock{Tick: s.state.fsm.ClockTicks + 1}
-	s.commands.submitAsHead(s.replica.Epoch(), &statemachine.Command{AdvanceClock: advance})
-}
--- a/internal/control/server/state.go
+++ b/internal/control/server/state.go
@@ -5,15 +5,12 @@
 
 	"yardflow/coordination/chain"
 	"yardflow/internal/control/protocol"
+	"yardflow/internal/control/stateclock"
 	"yardflow/internal/control/statemachine"
 )
 
-// clockInterval is the interval at which the head advances the state machine's clock, and thus the resolution at which
-// finished jobs are forgotten.
-const clockInterval = 5 * time.Second
-
 // jobRetentionMargin is how long jobs are kept beyond the retention that clients were promised (settings key
-// Bounds.status_s): four clockIntervals, since the clock advances only in steps of clockInterval.
+// Bounds.status_s): four intervals of the state's clock, since a job may end right before a tick.
 const jobRetentionMargin = 20 * time.Second
 
 // replicatedState is the cluster's state as of the newest log entry applied here, with the updates for dispatchers that
@@ -27,7 +24,7 @@
 
 // newReplicatedState returns an empty state that keeps jobs for the given time after their end, in seconds.
 func newReplicatedState(retentionS float64) replicatedState {
-	ticks := uint64((retentionS + jobRetentionMargin.Seconds()) / clockInterval.Seconds())
+	ticks := uint64((retentionS + jobRetentionMargin.Seconds()) / stateclock.Interval.Seconds())
 	return replicatedState{fsm: statemachine.New(ticks)}
 }
 
--- a/internal/testing/emulator/norace_test.go
+++ b/internal/testing/emulator/norace_test.go
@@ -7,6 +7,8 @@
 	schedulesInTest = 6
 	// historiesInTest is how many histories of the configuration API a test run checks.
 	historiesInTest = 4
+	// retentionsInTest is how many schedules of trouble of heads a test run plays.
+	retentionsInTest = 3
 	// addressesInTest is how many schedules of addresses that are used again a test run plays.
 	addressesInTest = 2
 	// finalFaultsInTest is how many seeds of each final fault a test run plays with each shape.
--- a/internal/testing/emulator/race_test.go
+++ b/internal/testing/emulator/race_test.go
@@ -7,6 +7,7 @@
 const (
 	schedulesInTest   = 4
 	historiesInTest   = 1
+	retentionsInTest  = 1
 	addressesInTest   = 1
 	finalFaultsInTest = 1
 	faultShapesInTest = 1
--- /dev/null
+++ b/internal/testing/emulator/retention_test.go
@@ -0,0 +1,162 @@
+package emulator
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"yardflow/scheduling/job"
+)
+
+// Bounds of the time for which a finished job is known.
+const (
+	statusRetention = 120 * time.Second // settings key Bounds.status_s of the emulated machines
+	// longestRetention is when a finished job must be forgotten at the latest, though heads come and go.
+	longestRetention = 300 * time.Second
+	askEvery         = 700 * time.Millisecond
+)
+
+// head returns the head of the chain as the control machines report it, or nil while none does.
+func (y *Cluster) head() *core {
+	for _, one := range y.Cores() {
+		status, text := y.call(http.MethodGet, "http://"+y.Address(one.name)+"/-/status", "", 200*time.Millisecond, "")
+		shown := struct {
+			Chain  []string
+			Serves bool
+		}{}
+		if status != http.StatusOK || json.Unmarshal([]byte(text), &shown) != nil || !shown.Serves {
+			continue
+		}
+		if at := slices.IndexFunc(y.Cores(), func(c *core) bool { return c.name == shown.Chain[0] }); at >= 0 {
+			return y.Cores()[at]
+		}
+	}
+	return nil
+}
+
+// headTrouble lets something befall the head, and returns once it is over.
+type headTrouble func(y *Cluster, head *core, random *rand.Rand)
+
+func killHead(_ *Cluster, head *core, _ *rand.Rand) {
+	head.Kill()
+	time.Sleep(500 * time.Millisecond)
+	head.Back()
+}
+
+func stopHeadInOrder(_ *Cluster, head *core, _ *rand.Rand) {
+	head.Terminate()
+	time.Sleep(500 * time.Millisecond)
+	head.Back()
+}
+
+func freezeHead(_ *Cluster, head *core, random *rand.Rand) {
+	thaw := head.Freeze()
+	time.Sleep(time.Second + time.Duration(random.IntN(4000))*time.Millisecond)
+	thaw()
+}
+
+func cutHeadOff(y *Cluster, head *core, random *rand.Rand) {
+	cutAmong(y, []*core{head}, true)
+	time.Sleep(time.Second + time.Duration(random.IntN(2000))*time.Millisecond)
+	joinAll(y)
+}
+
+// submitJob hands in a job of one short task at the first dispatcher, and returns its path there.
+func (y *Cluster) submitJob(t *testing.T, id string) (url string) {
+	t.Helper()
+	request := job.Request{Spec: "kept", Steps: []job.Step{{Count: 1, CPU: 1000, MemoryMB: 100, EstimateMs: 300}}}
+	y.Checker.Submitted(id, request)
+	url = "http://" + y.Address("front-1") + route + id
+	if status, _ := y.call(http.MethodPost, url, encodeJob(request), 3*time.Second, ""); status != http.StatusOK {
+		t.Fatalf("the job is answered %d", status)
+	}
+	y.Checker.Accepted(id)
+	return url
+}
+
+// awaitEnd waits until a job is shown as completed.
+func (y *Cluster) awaitEnd(t *testing.T, url string) {
+	t.Helper()
+	for range 100 {
+		if _, text := y.call(http.MethodGet, url, "", time.Second, ""); strings.Contains(text, "completed") {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	t.Fatal("the job does not end")
+}
+
+// judgeRetention lets troubles befall one head after the other, and checks that a finished job is known for the time that
+// clients were promised, and is forgotten at some time all the same.
+func judgeRetention(t *testing.T, seed uint64, pause func(*rand.Rand) time.Duration, troubles ...headTrouble) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		y := NewCluster(Shape{Cores: 3, Tolerate: 1, Dispatchers: 2, Workers: 2}, NewNetwork(), seed, io.Discard)
+		y.Start()
+		y.Operator.Configure()
+		time.Sleep(warmUp)
+		url := y.submitJob(t, "00000000005c0e7a")
+		y.awaitEnd(t, url)
+		done := time.Now()
+		over := make(chan struct{})
+		var playing sync.WaitGroup
+		playing.Go(func() {
+			random := rand.New(rand.NewPCG(seed, 8))
+			for {
+				select {
+				case <-over:
+					return
+				case <-time.After(pause(random)):
+				}
+				if head := y.head(); head != nil {
+					troubles[random.IntN(len(troubles))](y, head, random)
+				}
+			}
+		})
+		forgotten := time.Duration(0)
+		for forgotten == 0 && time.Since(done) < longestRetention {
+			time.Sleep(askEvery)
+			// The dispatcher that took the job in answers from its copy of the state. Another one would remember the end.
+			if status, _ := y.call(http.MethodGet, url, "", time.Second, ""); status == http.StatusGone {
+				forgotten = time.Since(done)
+			}
+		}
+		close(over)
+		playing.Wait()
+		if forgotten > 0 && forgotten < statusRetention {
+			t.Errorf("seed %d: the job is forgotten after %v, %v were promised", seed, forgotten, statusRetention)
+		}
+		if forgotten == 0 {
+			t.Errorf("seed %d: the job is still known after %v", seed, longestRetention)
+		}
+		y.Stop()
+		time.Sleep(20 * time.Second) // timers run out
+	})
+}
+
+// TestFinishedJobIsKnownForItsRetentionThoughHeadsAreKilledInTurn guards against LOST: each change of the head advanced the
+// clock of the replicated state at once, so finished jobs were forgotten after 80 s in place of 120 s.
+func TestFinishedJobIsKnownForItsRetentionThoughHeadsAreKilledInTurn(t *testing.T) {
+	t.Parallel()
+	judgeRetention(t, 1, func(*rand.Rand) time.Duration { return 5100 * time.Millisecond }, killHead)
+}
+
+// TestRetentionInSchedulesOfHeadTrouble plays seeded schedules in which heads are killed, stopped, frozen and cut off.
+func TestRetentionInSchedulesOfHeadTrouble(t *testing.T) {
+	for seed := uint64(1); seed <= retentionsInTest; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			judgeRetention(t, seed, func(random *rand.Rand) time.Duration {
+				return 1500*time.Millisecond + time.Duration(random.IntN(5000))*time.Millisecond
+			}, killHead, stopHeadInOrder, freezeHead, cutHeadOff)
+		})
+	}
+}
