--- a/internal/control/protocol/golden_test.go
+++ b/internal/control/protocol/golden_test.go
@@ -29,6 +29,11 @@
 	assertFormerBytes[ControlMessage](t, "down")
 }
 
+// TestPeerMessagesWithoutRulesKeepTheirBytes checks the same for messages of the version before the field SupportedRules.
+func TestPeerMessagesWithoutRulesKeepTheirBytes(t *testing.T) {
+	wiretest.AssertRecoded(t, "before-rules/peer", encode[PeerMessage], decode[PeerMessage])
+}
+
 func assertFormerBytes[T any](t *testing.T, name string) {
 	t.Helper()
 	text, err := os.ReadFile(filepath.Join("testdata", "before-instance-list-duty", name+".golden"))
--- a/internal/control/protocol/messages.go
+++ b/internal/control/protocol/messages.go
@@ -95,4 +95,6 @@
 	CatchUpResponse      *chain.CatchUpResponse   `cbor:"8,keyasint,omitempty"`
 	// ForwardedProposals are sent to the head of the chain, which orders them.
 	ForwardedProposals []chain.Proposal `cbor:"5,keyasint,omitempty"`
+	// SupportedRules is the newest version of the state machine's rules that the sender supports. It is set in heartbeats.
+	SupportedRules statemachine.RulesVersion `cbor:"9,keyasint,omitempty"`
 }
--- a/internal/control/server/commands.go
+++ b/internal/control/server/commands.go
@@ -112,13 +112,21 @@
 }
 
 // repropose proposes again, in the order of submission, the commands without an outcome that were last proposed at least
-// minAge ago.
+// minAge ago. A command that changes the rules comes first, since the other ones are to be applied by the new rules.
 func (t *commandTable) repropose(minAge time.Duration) {
+	var others []uint64
 	for _, tag := range slices.Sorted(maps.Keys(t.pending)) {
-		if command := t.pending[tag]; t.now()-command.proposedAt >= minAge {
+		switch command := t.pending[tag]; {
+		case t.now()-command.proposedAt < minAge:
+		case command.command.SetRules != nil:
 			t.propose(tag, command)
+		default:
+			others = append(others, tag)
 		}
 	}
+	for _, tag := range others {
+		t.propose(tag, t.pending[tag])
+	}
 }
 
 // takeProposals removes and returns the proposals that wait to be sent to the head.
--- a/internal/control/server/heartbeat.go
+++ b/internal/control/server/heartbeat.go
@@ -92,7 +92,7 @@
 // heartbeatMessage returns the heartbeat of this machine for its peers.
 func (s *Server) heartbeatMessage() *protocol.PeerMessage {
 	m := &s.membership
-	return &protocol.PeerMessage{ConnectedSessions: s.dispatchers.sessions(), Heartbeat: &view.Heartbeat{
+	return &protocol.PeerMessage{ConnectedSessions: s.dispatchers.sessions(), SupportedRules: s.rules.tracker.Own(), Heartbeat: &view.Heartbeat{
 		From: m.self(), Epoch: m.view().Epoch, InitialMember: m.consensus.IsInitialMember(), Unhealthy: s.isUnhealthy(),
 		Restarted: m.hasRestartedInView(), LastIndex: s.replica.LastIndex(), HeardFrom: m.detector.HeardFrom(s.now()),
 		Leaving: m.leaving}}
--- a/internal/control/server/membership.go
+++ b/internal/control/server/membership.go
@@ -88,7 +88,8 @@
 
 // isUnhealthy reports whether the chain should exclude this member.
 func (s *Server) isUnhealthy() bool {
-	return s.disk.isUnhealthy() || s.snapshots.receivedUnreadable || s.replica.Divergence() != nil
+	return s.disk.isUnhealthy() || s.snapshots.receivedUnreadable || s.replica.Divergence() != nil ||
+		!s.state.supportsRules()
 }
 
 // installView installs a view at this replica, and proposes all pending commands to the head of the view. A view that has
@@ -109,7 +110,11 @@
 	s.peers.add(addressesOf(v.Chain))
 	s.peers.add(addressesOf(v.Electors))
 	s.commands.dropHeadCommands(v.Epoch)
+	s.lowerRules(s.now())
 	s.commands.repropose(0)
+	if s.rules.lowering {
+		s.forwardProposals() // ahead of whatever the peers forward, since a member of the view may not support the rules
+	}
 }
 
 // proposeView proposes another view if the detector desires one. Before the very first view, it first passes the electors
--- a/internal/control/server/operator_status.go
+++ b/internal/control/server/operator_status.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"yardflow/coordination/view"
+	"yardflow/internal/control/statemachine"
 )
 
 const statusPath = "/-/status"
@@ -33,6 +34,8 @@
 	DispatchersBehind    int   `json:"Behind"`     // of these, dispatchers that have not acknowledged ConfigVersion
 
 	LogDiverged bool `json:"Diverged,omitempty"` // whether another member's log contradicts an entry committed here
+	// RulesVersion is the version of the state machine's rules in force.
+	RulesVersion statemachine.RulesVersion `json:",omitempty"`
 }
 
 // currentStatus returns the server's status. The engine calls it.
@@ -54,6 +57,7 @@
 		Jobs:                 len(fsm.Jobs),
 		DiskStalledMs:        s.disk.stalledFor().Milliseconds(),
 		ConnectedDispatchers: len(s.dispatchers.attached),
+		RulesVersion:         fsm.Rules,
 		LogDiverged:          s.replica.Divergence() != nil,
 	}
 	for _, known := range fsm.Jobs {
@@ -120,6 +124,7 @@
 		{"yardflow_disk_stalled_ms", status.DiskStalledMs},
 		{"yardflow_dispatchers_connected", int64(status.ConnectedDispatchers)},
 		{"yardflow_dispatchers_behind", int64(status.DispatchersBehind)},
+		{"yardflow_rules_version", int64(status.RulesVersion)},
 	}
 	for _, metric := range metrics {
 		io.WriteString(w, metric.name+" "+strconv.FormatInt(metric.value, 10)+"\n")
--- a/internal/control/server/peer_messages.go
+++ b/internal/control/server/peer_messages.go
@@ -14,6 +14,8 @@
 func (s *Server) receivePeer(arrivedAt time.Duration, from view.Member, message *protocol.PeerMessage) {
 	switch {
 	case message.Heartbeat != nil:
+		s.rules.tracker.Receive(arrivedAt, from.ID, message.SupportedRules)
+		s.lowerRules(s.now())
 		s.receiveHeartbeat(arrivedAt, message.Heartbeat, message.ConnectedSessions)
 	case message.DisconnectedSessions != nil:
 		s.sessions.recordDisconnected(arrivedAt, message.DisconnectedSessions)
--- a/internal/control/server/process.go
+++ b/internal/control/server/process.go
@@ -10,6 +10,7 @@
 
 	"yardflow/coordination/frame"
 	"yardflow/coordination/segment"
+	"yardflow/internal/control/statemachine"
 	"yardflow/internal/platform/settings"
 )
 
@@ -23,18 +24,24 @@
 	server        atomic.Pointer[Server] // nil until the disk is read
 	handler       atomic.Pointer[http.Handler]
 	diskRejection atomic.Pointer[string] // text of the disk's most recent error; nil: none yet
+
+	supportedRules statemachine.RulesVersion
 }
 
 // NewProcess returns a process that has not opened its disk yet.
 func NewProcess(s *settings.Settings, network frame.Network, folder segment.Folder, logger zerolog.Logger) *Process {
-	return &Process{settings: s, network: network, folder: folder, logger: logger}
+	return &Process{settings: s, network: network, folder: folder, logger: logger, supportedRules: statemachine.NewestRules}
 }
 
+// LimitRules makes the process support the state machine's rules up to a version only, as an earlier build does. Tests of
+// rolling upgrades call it, before Run.
+func (p *Process) LimitRules(newest statemachine.RulesVersion) { p.supportedRules = newest }
+
 // Run opens the disk and runs the server until stop is closed. Like Open, it returns an error if the content of the disk
 // can't be used.
 func (p *Process) Run(stop <-chan struct{}) error {
 	folder := segment.NewRetryingFolder(p.folder, func(err error) bool { return p.waitForDisk(err, stop) })
-	server, err := Open(p.settings, p.network, folder, p.logger)
+	server, err := open(p.settings, p.network, folder, p.logger, p.supportedRules)
 	folder.StopRetrying() // from now on the server's disk goroutine retries
 	if err != nil {
 		if isClosed(stop) {
--- a/internal/control/server/replication.go
+++ b/internal/control/server/replication.go
@@ -70,8 +70,9 @@
 	for i := range ready.CommittedEntries {
 		s.apply(&ready.CommittedEntries[i])
 	}
-	s.clock.witness.Observe(s.now(), s.state.fsm.ClockTicks)
+	s.observeClock()
 	s.logNotices()
+	s.logRules()
 	for _, read := range ready.ConfirmedReads {
 		s.completeRead(read)
 	}
@@ -104,8 +105,8 @@
 // apply applies a committed entry, and completes its command if it was proposed here.
 func (s *Server) apply(entry *chain.Entry) {
 	s.snapshots.logBytes += len(entry.Data)
-	result, decoded := s.state.apply(entry)
-	if decoded && entry.Origin == s.membership.self().ID {
+	command, result := s.state.apply(entry)
+	if command != nil && entry.Origin == s.membership.self().ID {
 		s.commands.complete(entry.Tag, result)
 	}
 }
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -28,6 +28,8 @@
 	"yardflow/coordination/segment"
 	"yardflow/coordination/view"
 	"yardflow/internal/control/protocol"
+	"yardflow/internal/control/ruleversion"
+	"yardflow/internal/control/statemachine"
 	"yardflow/internal/platform/settings"
 )
 
@@ -60,6 +62,7 @@
 	dispatchers *dispatcherTable
 	sessions    *sessionMonitor
 	clock       clock
+	rules       rules
 
 	instanceList *instanceListReader
 }
@@ -67,6 +70,12 @@
 // Open reads the disk and returns a server that is not running yet. It returns an error if the disk can't be read, which
 // is a segment.CorruptionError or an UnreadableDiskError if the content is damaged or was written by another version.
 func Open(s *settings.Settings, network frame.Network, folder segment.Folder, logger zerolog.Logger) (*Server, error) {
+	return open(s, network, folder, logger, statemachine.NewestRules)
+}
+
+// open does the same as Open for a server that supports the rules up to a version.
+func open(s *settings.Settings, network frame.Network, folder segment.Folder, logger zerolog.Logger,
+	supportedRules statemachine.RulesVersion) (*Server, error) {
 	store, recovered, err := segment.Open(folder, segment.LayoutFor(s.Limits.DiskMb))
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -75,7 +84,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	server := newServer(s, network, logger, hardState)
+	server := newServer(s, network, logger, hardState, supportedRules)
 	if err := server.restoreFromDisk(recovered); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -103,7 +112,8 @@
 	return hardState, errors.Trace(store.SaveMetadata(protocol.Encode(hardState)))
 }
 
-func newServer(s *settings.Settings, network frame.Network, logger zerolog.Logger, hardState view.HardState) *Server {
+func newServer(s *settings.Settings, network frame.Network, logger zerolog.Logger, hardState view.HardState,
+	supportedRules statemachine.RulesVersion) *Server {
 	server := &Server{
 		settings:    s,
 		logger:      logger,
@@ -117,6 +127,8 @@
 		dispatchers: newDispatcherTable(),
 		sessions:    newSessionMonitor(),
 	}
+	server.state.fsm.LimitRules(supportedRules)
+	server.rules.tracker = ruleversion.NewTracker(supportedRules)
 	server.instanceList = newInstanceListReader(network, s.Cloud)
 	server.commands = newCommandTable(hardState.Self.ID, segment.LayoutFor(s.Limits.DiskMb).MaxDataBytes(), server.now)
 	return server
@@ -145,7 +157,7 @@
 		s.apply(&entries[i])
 		s.state.discardOutput()
 	}
-	s.clock.witness.Observe(s.now(), s.state.fsm.ClockTicks)
+	s.observeClock()
 	return nil
 }
 
--- a/internal/control/server/state.go
+++ b/internal/control/server/state.go
@@ -28,11 +28,11 @@
 	return replicatedState{fsm: statemachine.New(ticks)}
 }
 
-// restore replaces the state with that of a snapshot. If the snapshot can't be decoded, it returns false and changes
-// nothing.
+// restore replaces the state with that of a snapshot. If the snapshot can't be decoded, or its rules are not supported here,
+// it returns false and changes nothing.
 func (r *replicatedState) restore(index uint64, data []byte) bool {
 	state := statemachine.State{}
-	if !protocol.Decode(data, &state) {
+	if !protocol.Decode(data, &state) || r.fsm.CheckRules(&state) != nil {
 		return false
 	}
 	r.fsm.Restore(state)
@@ -41,13 +41,20 @@
 	return true
 }
 
-// apply applies a committed entry and returns the outcome of its command. It returns false if the entry holds no command
-// that this version can decode; such an entry changes nothing at any member.
-func (r *replicatedState) apply(entry *chain.Entry) (statemachine.Result, bool) {
+// supportsRules reports whether the rules in force are supported here.
+func (r *replicatedState) supportsRules() bool { return r.fsm.CheckRules(&r.fsm.State) == nil }
+
+// apply applies a committed entry, and returns its command with the outcome. The command is nil if the entry holds none that
+// this version can decode; such an entry changes nothing at any member. Once rules are in force that are not supported
+// here, apply does nothing, so that no snapshot of a diverging state is saved.
+func (r *replicatedState) apply(entry *chain.Entry) (*statemachine.Command, statemachine.Result) {
+	if !r.supportsRules() {
+		return nil, statemachine.Result{}
+	}
 	command := &statemachine.Command{}
 	r.appliedIndex = entry.Index
 	if !protocol.Decode(entry.Data, command) {
-		return statemachine.Result{}, false
+		return nil, statemachine.Result{}
 	}
 	result := r.fsm.Apply(command)
 	updates := r.fsm.DequeueUpdates()
@@ -57,7 +64,7 @@
 			r.configs.add(updates[i].Update.Config)
 		}
 	}
-	return result, true
+	return command, result
 }
 
 // discardOutput discards the pending updates and notices.
--- a/internal/control/statemachine/clock.go
+++ b/internal/control/statemachine/clock.go
@@ -1,6 +1,10 @@
 package statemachine
 
-import "yardflow/scheduling/job"
+import (
+	"time"
+
+	"yardflow/scheduling/job"
+)
 
 // advanceClock counts one tick of the clock, and removes the sessions and jobs whose retention time has expired. A tick that
 // is already counted, or that skips one, is a Conflict: it would shorten the retention time that clients were promised.
@@ -9,11 +13,24 @@
 		return Result{Code: Conflict}
 	}
 	f.ClockTicks++
+	f.ClockAgeMs = 0
 	f.forgetLatestSessions()
 	f.forgetJobs()
 	return Result{}
 }
 
+// recordClockAge records the age of the present tick. An age that is delivered late, after the tick, is a Conflict.
+func (f *FSM) recordClockAge(command *RecordClockAge) Result {
+	if command.Tick != f.ClockTicks {
+		return Result{Code: Conflict}
+	}
+	f.ClockAgeMs = max(f.ClockAgeMs, command.AgeMs)
+	return Result{}
+}
+
+// ClockAge returns the recorded age of the present tick of the clock.
+func (f *FSM) ClockAge() time.Duration { return time.Duration(f.ClockAgeMs) * time.Millisecond }
+
 // forgetLatestSessions removes the LatestSession of each node that has had no open session for the retention time. Until
 // then a delayed OpenSession of a former incarnation of the node is rejected.
 func (f *FSM) forgetLatestSessions() {
--- a/internal/control/statemachine/commands.go
+++ b/internal/control/statemachine/commands.go
@@ -37,6 +37,9 @@
 	Session             SessionID `cbor:"30,keyasint,omitempty"`
 	Sequence            uint64    `cbor:"31,keyasint,omitempty"`
 	AcknowledgedThrough uint64    `cbor:"32,keyasint,omitempty"`
+
+	SetRules       *SetRules       `cbor:"14,keyasint,omitempty"`
+	RecordClockAge *RecordClockAge `cbor:"15,keyasint,omitempty"` // needs ClockAgeRules
 }
 
 // OpenSession opens a session for an incarnation of a dispatcher, and closes an open session of the same node. The
@@ -134,6 +137,21 @@
 	Tick uint64 `cbor:"1,keyasint"`
 }
 
+// SetRules changes the rules by which the following commands are applied. The head of the chain sends it to raise the
+// version once all members support it, and any member sends it to lower the version once a member does not. A build from
+// before there were versions can't decode the command, and goes on by the InitialRules.
+type SetRules struct {
+	From RulesVersion `cbor:"1,keyasint,omitempty"` // the version in force when the command was sent
+	To   RulesVersion `cbor:"2,keyasint,omitempty"`
+}
+
+// RecordClockAge records how much time has passed since a tick of the clock, at least. The head sends it while restarts
+// are frequent, so that the time is not lost if all control machines restart before the next tick. It needs ClockAgeRules.
+type RecordClockAge struct {
+	Tick  uint64 `cbor:"1,keyasint"`
+	AgeMs uint64 `cbor:"2,keyasint"`
+}
+
 // ReadJob requests a job's state.
 type ReadJob struct {
 	Job string `cbor:"1,keyasint"`
--- a/internal/control/statemachine/fsm.go
+++ b/internal/control/statemachine/fsm.go
@@ -32,6 +32,7 @@
 	// retentionTicks is the number of ticks of the clock for which the state keeps a terminal job, or the latest session
 	// of a node that has no open one.
 	retentionTicks uint64
+	supportedRules RulesVersion // the newest rules that this machine applies
 	updates        []AddressedUpdate
 	notices        []Notice
 }
@@ -63,12 +64,17 @@
 	// that was the InstanceReader, and the report's number among those of that session.
 	LastReader SessionID `cbor:"15,keyasint"`
 	LastReport uint64    `cbor:"16,keyasint"`
+	// Rules is the version of the rules in force. The fields below are used by later rules than the InitialRules; a
+	// state under the InitialRules has none of them, so that a build from before there were versions can read it.
+	Rules RulesVersion `cbor:"17,keyasint,omitempty"`
+	// ClockAgeMs is a lower bound of the time since the present tick of the clock, in ms, as last recorded.
+	ClockAgeMs uint64 `cbor:"18,keyasint,omitempty"`
 }
 
 // New returns the state machine of an empty cluster. It removes a job retentionTicks ticks of the clock after the job
 // became terminal.
 func New(retentionTicks uint64) *FSM {
-	return &FSM{retentionTicks: retentionTicks, State: State{
+	return &FSM{retentionTicks: retentionTicks, supportedRules: NewestRules, State: State{
 		ConfigDigests:  map[int64][]byte{},
 		Sessions:       map[SessionID]*Session{},
 		LatestSessions: map[string]*LatestSession{},
@@ -87,6 +93,9 @@
 	if state.LatestSessions == nil {
 		state.addLatestSessions()
 	}
+	if f.supportedRules == InitialRules {
+		state.dropLaterRules()
+	}
 	f.State, f.updates, f.notices = state, nil, nil
 }
 
@@ -142,6 +151,10 @@
 		return f.jobsStarted(command.JobsStarted)
 	case command.AdvanceClock != nil:
 		return f.advanceClock(command.AdvanceClock)
+	case command.RecordClockAge != nil && f.Rules >= ClockAgeRules:
+		return f.recordClockAge(command.RecordClockAge)
+	case command.SetRules != nil && f.supportedRules > InitialRules:
+		return f.setRules(command.SetRules)
 	case command.ReadJob != nil:
 		return f.readJob(command.ReadJob)
 	case command.ReadQueue != nil:
--- a/internal/testing/emulator/processes.go
+++ b/internal/testing/emulator/processes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"yardflow/internal/control/server"
+	"yardflow/internal/control/statemachine"
 	"yardflow/internal/dispatcher"
 )
 
@@ -19,6 +20,7 @@
 	stop    chan struct{}
 	http    *http.Server
 	run     *server.Process
+	former  bool // its build is from before there were versions of the state machine's rules
 }
 
 func (c *core) up() bool { return c.stop != nil }
@@ -29,6 +31,9 @@
 	c.cluster.troubles.setRuns(c.name, true)
 	machine := c.cluster.Network.Machine(c.name)
 	control := server.NewProcess(s, machine, c.disk, c.cluster.logger.With().Str("node", c.name).Logger())
+	if c.former {
+		control.LimitRules(statemachine.InitialRules)
+	}
 	listener, _ := machine.Listen(s.Listen.Control)
 	c.http = &http.Server{Handler: control}
 	stop := make(chan struct{})
