Fix jobs that ran after their cancelling was answered 410

Cause: CancelJob of an unknown job left no trace, so a SubmitJob that a frozen head, a member's command table or a connection had held back was accepted later, as if nobody had cancelled it.

A job that is submitted with such an ID is cancelled at once. The head confirms each such job by a CancelJob, so that an earlier build which reads the log from its disk ends with the same jobs.

--- a/internal/control/server/replication.go
+++ b/internal/control/server/replication.go
@@ -6,6 +6,8 @@
 	"yardflow/coordination/chain"
 	"yardflow/coordination/view"
 	"yardflow/internal/control/protocol"
+	"yardflow/internal/control/statemachine"
+	"yardflow/scheduling/job"
 )
 
 // flushConsensus executes the actions that the view agreement has requested, and reports whether there were any. As in
@@ -109,6 +111,18 @@
 	if command != nil && entry.Origin == s.membership.self().ID {
 		s.commands.complete(entry.Tag, result)
 	}
+	if command != nil && command.SubmitJob != nil && result.JobState == job.Cancelled {
+		s.confirmCancelled(command.SubmitJob)
+	}
+}
+
+// confirmCancelled proposes to cancel a job that was accepted as cancelled. It changes nothing under the rules in force, but
+// it cancels the job for an earlier build that reads this log from its disk, by whose rules the job was accepted.
+func (s *Server) confirmCancelled(submitted *statemachine.SubmitJob) {
+	if s.replica.IsHead() && s.replica.IsServing() {
+		s.commands.submitAsHead(s.replica.Epoch(), &statemachine.Command{
+			CancelJob: &statemachine.CancelJob{Job: submitted.Job.ID, Route: submitted.Job.Route}})
+	}
 }
 
 // completeRead completes a read that this machine has proposed. The read has passed through the chain, so the state
--- a/internal/control/statemachine/clock.go
+++ b/internal/control/statemachine/clock.go
@@ -6,7 +6,7 @@
 	"yardflow/scheduling/job"
 )
 
-// advanceClock counts one tick of the clock, and removes the sessions and jobs whose retention time has expired. A tick that
+// advanceClock counts one tick of the clock, and removes the sessions, jobs and cancelled IDs whose retention time has expired. A tick that
 // is already counted, or that skips one, is a Conflict: it would shorten the retention time that clients were promised.
 func (f *FSM) advanceClock(command *AdvanceClock) Result {
 	if command.Tick != f.ClockTicks+1 {
@@ -16,6 +16,7 @@
 	f.ClockAgeMs = 0
 	f.forgetLatestSessions()
 	f.forgetJobs()
+	f.forgetCancelledIDs()
 	return Result{}
 }
 
--- a/internal/control/statemachine/clock_test.go
+++ b/internal/control/statemachine/clock_test.go
@@ -22,7 +22,7 @@
 func TestClockTicksCountOnce(t *testing.T) {
 	c := newTestCluster(t, 1, 1)
 	c.submit(jobA, job.Step{Count: 1, CPU: 1})
-	c.mustApply(Command{CancelJob: &CancelJob{jobA}}, OK)
+	c.mustApply(Command{CancelJob: &CancelJob{Job: jobA}}, OK)
 	c.mustApply(Command{AdvanceClock: &AdvanceClock{1}}, OK)
 	for range 20 {
 		c.mustApply(Command{AdvanceClock: &AdvanceClock{1}}, Conflict)
--- a/internal/control/statemachine/commands.go
+++ b/internal/control/statemachine/commands.go
@@ -88,6 +88,8 @@
 // CancelJob cancels a job that is not yet terminal. The dispatcher that received the client's request sends it.
 type CancelJob struct {
 	Job string `cbor:"1,keyasint"`
+	// Route is the queue that the client named. Earlier versions don't set it.
+	Route string `cbor:"2,keyasint,omitempty"`
 }
 
 // Target is a task and the worker at which it is to be placed.
--- a/internal/control/statemachine/duplicates_test.go
+++ b/internal/control/statemachine/duplicates_test.go
@@ -118,7 +118,7 @@
 	id := fmt.Sprintf("%016x", c.jobs)
 	c.sendFenced(Command{SubmitJob: &SubmitJob{job.Job{ID: id, Route: "r", Service: "s", MaxAttempts: 1, Owner: c.session,
 		Request: job.Request{Steps: []job.Step{{Count: 1, CPU: 1}}}}}})
-	c.sendFenced(Command{CancelJob: &CancelJob{id}})
+	c.sendFenced(Command{CancelJob: &CancelJob{Job: id}})
 	c.cancelled[id] = true
 }
 
--- a/internal/control/statemachine/fsm.go
+++ b/internal/control/statemachine/fsm.go
@@ -69,6 +69,9 @@
 	Rules RulesVersion `cbor:"17,keyasint,omitempty"`
 	// ClockAgeMs is a lower bound of the time since the present tick of the clock, in ms, as last recorded.
 	ClockAgeMs uint64 `cbor:"18,keyasint,omitempty"`
+	// CancelledIDs are the IDs of jobs whose cancelling was acknowledged while the state did not have the job, by route, with
+	// the tick of the newest acknowledgement. A job that is submitted with such an ID is cancelled at once.
+	CancelledIDs map[string]map[string]uint64 `cbor:"19,keyasint,omitempty"`
 }
 
 // New returns the state machine of an empty cluster. It removes a job retentionTicks ticks of the clock after the job
--- a/internal/control/statemachine/jobs.go
+++ b/internal/control/statemachine/jobs.go
@@ -7,7 +7,8 @@
 	"yardflow/scheduling/taskrun"
 )
 
-// submitJob accepts a job. If the state has a job with the same ID already, that job is unchanged.
+// submitJob accepts a job. If the state has a job with the same ID already, that job is unchanged. A job that was cancelled
+// before is accepted as cancelled.
 func (f *FSM) submitJob(command *SubmitJob) Result {
 	if f.Jobs[command.Job.ID] != nil {
 		return Result{}
@@ -23,16 +24,27 @@
 		accepted.Owner = f.chooseOwner(accepted.ID, "")
 	}
 	f.Jobs[accepted.ID] = &accepted
+	if f.takeCancelledID(accepted.ID) {
+		return f.acceptAsCancelled(&accepted)
+	}
 	f.PendingByRoute[accepted.Route]++
 	f.notify(accepted.Owner, Update{Job: &accepted})
 	return Result{}
 }
 
+// acceptAsCancelled makes a job terminal that was cancelled before it was submitted. The state is then the same as if the job
+// had been cancelled right after it was submitted.
+func (f *FSM) acceptAsCancelled(j *job.Job) Result {
+	j.Started, j.State, j.EndedAtTick = true, job.Cancelled, f.ClockTicks
+	f.notify(j.Owner, Update{JobState: &JobStateUpdate{j.ID, j.State}})
+	return Result{JobState: j.State}
+}
+
 // cancelJob cancels a job and returns the resulting job state. A job that was terminal before keeps its state.
 func (f *FSM) cancelJob(command *CancelJob) Result {
 	j := f.Jobs[command.Job]
 	if j == nil {
-		return Result{Code: NotFound}
+		return f.cancelUnknownJob(command)
 	}
 	if !j.State.Terminal() {
 		f.finishJob(j, job.Cancelled)
--- a/internal/control/statemachine/jobs_test.go
+++ b/internal/control/statemachine/jobs_test.go
@@ -38,14 +38,14 @@
 	c := newTestCluster(t, 1, 1)
 	c.submit(jobA, job.Step{Count: 2, CPU: 1})
 	c.place(jobA, OK, Target{Task: taskKey(0, 0), Worker: "w1"})
-	c.mustApply(Command{CancelJob: &CancelJob{jobA}}, OK)
-	c.mustApply(Command{CancelJob: &CancelJob{jobA}}, OK)
+	c.mustApply(Command{CancelJob: &CancelJob{Job: jobA}}, OK)
+	c.mustApply(Command{CancelJob: &CancelJob{Job: jobA}}, OK)
 	c.place(jobA, Conflict, Target{Task: taskKey(0, 1), Worker: "w1"})
 	if !c.Jobs[jobA].EnsureTask(taskKey(0, 0)).Stopping {
 		t.Error("the placed run is not stopping")
 	}
 	c.endRun(jobA, taskKey(0, 0), "w1", 1, taskrun.Stopped)
-	c.mustApply(Command{CancelJob: &CancelJob{"00000000000000cc"}}, NotFound)
+	c.mustApply(Command{CancelJob: &CancelJob{Job: "00000000000000cc"}}, NotFound)
 }
 
 func TestSubmittingAJobTwiceIsIdempotent(t *testing.T) {
@@ -69,7 +69,7 @@
 		c := newTestCluster(t, 1, 1)
 		c.mustApply(fenced(submit(), 1, 7, 6), OK)
 		c.mustApply(fenced(submit(), 1, 7, 6), OK) // sent again before its outcome was known: one job
-		c.mustApply(fenced(Command{CancelJob: &CancelJob{jobA}}, 1, 8, 7), OK)
+		c.mustApply(fenced(Command{CancelJob: &CancelJob{Job: jobA}}, 1, 8, 7), OK)
 		for range 3 {
 			c.mustApply(Command{AdvanceClock: &AdvanceClock{c.ClockTicks + 1}}, OK)
 		}
@@ -121,7 +121,7 @@
 	c.place(other, OK, Target{Task: taskKey(0, 0), Worker: "w1"})
 	c.endRun(other, taskKey(0, 0), "w1", 2, taskrun.Failed)
 	expectPending(1) // an end that is reported by the worker shows that the job has started
-	c.mustApply(Command{CancelJob: &CancelJob{third}}, OK)
+	c.mustApply(Command{CancelJob: &CancelJob{Job: third}}, OK)
 	expectPending(0)
 	c.endRun(jobA, taskKey(0, 0), "w1", 1, taskrun.Done)
 	expectPending(0)
--- a/internal/control/statemachine/replicas_test.go
+++ b/internal/control/statemachine/replicas_test.go
@@ -79,7 +79,7 @@
 			Owner: uint64(random.IntN(8)), Request: job.Request{Steps: []job.Step{{Count: 2, CPU: 1}, {Count: 2, CPU: 2,
 				DependsOn: []int{0}, Gang: true}}}}}}
 	case 4:
-		return &Command{CancelJob: &CancelJob{id}}
+		return &Command{CancelJob: &CancelJob{Job: id}}
 	case 5:
 		return &Command{AdvanceClock: &AdvanceClock{uint64(random.IntN(12))}}
 	case 6, 7:
--- a/internal/control/statemachine/results.go
+++ b/internal/control/statemachine/results.go
@@ -28,14 +28,18 @@
 	// Unknown: the state does not show whether the command was ever executed. Operators get 503, which asks them to
 	// resend the same request. A control machine that has lost the majority also answers them with this outcome.
 	Unknown
+	// Exhausted: the state has no space to remember what the command asks for. Clients get 503, which asks them to resend
+	// the same request later. Only commands that earlier versions don't send have this outcome.
+	Exhausted
 )
 
 // Result answers a command. Besides Code, only the fields that the command requests are set.
 type Result struct {
 	Code Code `cbor:"1,keyasint,omitempty"`
 	// Session answers OpenSession: the open session, or with Conflict the latest session of the node.
-	Session  SessionID `cbor:"2,keyasint,omitempty"`
-	JobState job.State `cbor:"3,keyasint,omitempty"` // answers ReadJob and CancelJob
+	Session SessionID `cbor:"2,keyasint,omitempty"`
+	// JobState answers ReadJob and CancelJob. It answers SubmitJob if the job was cancelled before it was submitted.
+	JobState job.State `cbor:"3,keyasint,omitempty"`
 	Count    int       `cbor:"4,keyasint,omitempty"` // answers ReadQueue: number of jobs
 	Body     []byte    `cbor:"5,keyasint,omitempty"` // answers ReadConfig
 }
--- a/internal/control/statemachine/rules.go
+++ b/internal/control/statemachine/rules.go
@@ -14,8 +14,10 @@
 	InitialRules RulesVersion = 0
 	// ClockAgeRules add RecordClockAge.
 	ClockAgeRules RulesVersion = 1
+	// CancelledIDsRules remember the IDs of jobs that were cancelled before they were submitted.
+	CancelledIDsRules RulesVersion = 2
 	// NewestRules are the newest ones that this build can apply.
-	NewestRules = ClockAgeRules
+	NewestRules = CancelledIDsRules
 )
 
 // setRules puts other rules in force. A command that was sent under other rules than those in force is a Conflict.
@@ -34,6 +36,7 @@
 func (s *State) dropLaterRules() {
 	s.Rules = InitialRules
 	s.ClockAgeMs = 0
+	s.CancelledIDs = nil
 }
 
 // LimitRules makes this machine support the rules up to a version only, as an earlier build does. With InitialRules it
--- a/internal/dispatcher/clients.go
+++ b/internal/dispatcher/clients.go
@@ -36,6 +36,7 @@
 	noOutcomeText          = "no outcome yet; send the same again"
 	invalidJobText         = "no job that can be carried out"
 	noSuchJobText          = "no such job"
+	tooManyCancelledText   = "too many unknown jobs of this queue were cancelled lately; send the same again"
 )
 
 // ServeHTTP serves clients. Each route of the configuration is a queue; the path of a job is the route's prefix and the
@@ -191,7 +192,7 @@
 
 func (d *Dispatcher) serveCancel(w http.ResponseWriter, r *http.Request, route *configuration.Route, id string) {
 	result, outcome := d.execute(r, answerTimeout(r, route), func() *statemachine.Command {
-		return &statemachine.Command{CancelJob: &statemachine.CancelJob{Job: id}}
+		return &statemachine.Command{CancelJob: &statemachine.CancelJob{Job: id, Route: route.Key()}}
 	})
 	switch {
 	case outcome == outcomeNotSent:
@@ -200,6 +201,8 @@
 		http.Error(w, noOutcomeText, http.StatusGatewayTimeout)
 	case result.Code == statemachine.NotFound:
 		http.Error(w, noSuchJobText, http.StatusGone)
+	case result.Code == statemachine.Exhausted:
+		serviceUnavailable(w, tooManyCancelledText)
 	default:
 		w.WriteHeader(http.StatusOK)
 	}
--- a/internal/testing/emulator/checker.go
+++ b/internal/testing/emulator/checker.go
@@ -46,12 +46,14 @@
 }
 
 type jobSeen struct {
-	request   job.Request
-	handedIn  time.Time
-	accepted  bool
-	cancelled bool
-	state     string
-	done      map[job.StepKey]int
+	request  job.Request
+	handedIn time.Time
+	accepted bool
+	// cancelSent is set once a client may have sent a cancelling, and cancelledAt is when the first one was acknowledged.
+	cancelSent  bool
+	cancelledAt time.Time
+	state       string
+	done        map[job.StepKey]int
 }
 
 // NewChecker returns a judge who has seen nothing. DrainMs is how long after the list has shown a drain tasks may be started
@@ -103,6 +105,9 @@
 	defer j.mu.Unlock()
 	seen := j.jobs[id]
 	seen.state = state
+	if state == "cancelled" && !seen.cancelSent {
+		j.violated("LOST", "%s is shown as cancelled, and nobody has cancelled it", id)
+	}
 	if state == "failed" && !j.hasFailed(id, &seen.request) {
 		j.violated("LOST", "%s is shown as failed, and no task of it has failed %d times", id, attempts)
 	}
@@ -120,7 +125,7 @@
 func (j *Checker) Gone(id string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if seen := j.jobs[id]; seen.accepted && !seen.cancelled {
+	if seen := j.jobs[id]; seen.accepted && !seen.cancelSent {
 		j.violated("LOST", "%s was accepted and is not known", id)
 	}
 }
@@ -190,6 +195,7 @@
 		j.violated("TWICE", "%s run %d on %s was done", o.Task, o.Command, w)
 	}
 	j.checkDrain(w, o)
+	j.checkCancelled(id, seen, w, o)
 	task.starts = append(task.starts, len(task.failures))
 	j.checkAttempts(o.Task, task)
 	step := &seen.request.Steps[key.Step]
@@ -210,6 +216,46 @@
 	return takes, o.Command == 1 && (len(o.Task)+int(o.Task[3]))%11 == 0
 }
 
+// CancelSent takes in that a client is about to cancel a job.
+func (j *Checker) CancelSent(id string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.jobs[id].cancelSent = true
+}
+
+// CancelAcknowledged takes in that a cancelling was answered 2xx or 410.
+func (j *Checker) CancelAcknowledged(id string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if seen := j.jobs[id]; seen.cancelledAt.IsZero() {
+		seen.cancelledAt = time.Now()
+	}
+}
+
+// checkCancelled judges a start by whether the job's cancelling was acknowledged too long before. The rule holds for machines
+// in touch, and not for orders that the worker carries out late.
+func (j *Checker) checkCancelled(id string, seen *jobSeen, w *Worker, o *workerCommand) {
+	late := time.Since(seen.cancelledAt) - cancelBound
+	if seen.cancelledAt.IsZero() || late <= 0 || o.delayed {
+		return
+	}
+	at := time.Now()
+	judge := func() {
+		if j.inTouch(o.sender, w.machine, at) {
+			j.violated("UNASKED", "%s starts %v after the last moment, job %s is cancelled", o.Task, late, id)
+		}
+	}
+	if j.ConfirmAfter == 0 {
+		judge()
+		return
+	}
+	time.AfterFunc(j.ConfirmAfter, func() {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		judge()
+	})
+}
+
 // checkAttempts notes a start that came after as many failed runs as a task may have, if these ends were taken
 // note of, then or later.
 func (j *Checker) checkAttempts(name string, task *taskSeen) {
@@ -302,7 +348,7 @@
 		runs += len(task.runs)
 	}
 	for _, seen := range j.jobs {
-		if seen.accepted && seen.state != "completed" && seen.state != "failed" {
+		if seen.accepted && !seen.cancelSent && seen.state != "completed" && seen.state != "failed" {
 			jobs++
 		}
 	}
@@ -355,7 +401,7 @@
 		switch {
 		case seen.state == "completed" || seen.state == "failed" && isPoison(&seen.request):
 			completed++
-		case !seen.cancelled:
+		case !seen.cancelSent:
 			j.violated("LOST", "%s was accepted and is %q at the end", id, seen.state)
 		}
 	}
--- a/internal/testing/emulator/clients.go
+++ b/internal/testing/emulator/clients.go
@@ -12,7 +12,24 @@
 	"yardflow/scheduling/job"
 )
 
+// deadlineHeader tells a dispatcher how many milliseconds a client waits for its answer.
+const deadlineHeader = "Yardflow-Deadline-Remaining"
+
+// call makes a call of an operator, whose change replaces the version match, or of a client, where match is empty.
 func (y *Cluster) call(method, url, body string, within time.Duration, match string) (int, string) {
+	header := http.Header{}
+	if match != "" {
+		header.Set("If-Match", match)
+	}
+	return y.send(method, url, body, within, header)
+}
+
+// callWithDeadline makes a call of a client that tells how long it waits.
+func (y *Cluster) callWithDeadline(method, url, body string, within time.Duration) (int, string) {
+	return y.send(method, url, body, within, http.Header{deadlineHeader: {fmt.Sprint(within.Milliseconds())}})
+}
+
+func (y *Cluster) send(method, url, body string, within time.Duration, header http.Header) (int, string) {
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
@@ -20,9 +37,8 @@
 		return 0, ""
 	}
 	request.GetBody = nil
-	if match != "" {
-		request.Header.Set("If-Match", match)
-	} else {
+	request.Header = header
+	if header.Get("If-Match") == "" {
 		request.Host = routeHost
 	}
 	response, err := y.client.Do(request)
--- a/internal/testing/emulator/cluster.go
+++ b/internal/testing/emulator/cluster.go
@@ -74,13 +74,16 @@
 }
 
 const (
-	syncTime   = 4 * time.Millisecond
-	route      = "/queue/"
-	routeHost  = "jobs.example"
-	service    = "service"
-	attempts   = 4
-	cloudName  = "cloud"
-	clientName = "client"
+	syncTime  = 4 * time.Millisecond
+	route     = "/queue/"
+	routeHost = "jobs.example"
+	service   = "service"
+	attempts  = 4
+	// cancelBound is how long after the acknowledgement of a cancelling tasks of the job may be started (settings key
+	// Bounds.cancel_ms).
+	cancelBound = 3 * time.Second
+	cloudName   = "cloud"
+	clientName  = "client"
 )
 
 // Transport is what connects the machines.
--- a/internal/testing/emulator/schedule_test.go
+++ b/internal/testing/emulator/schedule_test.go
@@ -94,6 +94,7 @@
 		clients := 0
 		ended := make(chan struct{}, 10000)
 		operators := playOperators(y, seed, done)
+		cancelling := playCancelling(y, seed, end)
 		for time.Now().Before(end) {
 			clients++
 			own := rand.New(rand.NewPCG(seed, uint64(clients+100)))
@@ -108,6 +109,7 @@
 		for range clients {
 			<-ended
 		}
+		<-cancelling
 		y.Operator.ReadBack()
 		result.calls = y.Operator.History.Calls()
 		result.Accepted, result.Completed = y.Checker.Finish()
@@ -119,6 +121,26 @@
 	return result
 }
 
+// cancelPause is the longest pause between two clients of a schedule that cancel their jobs.
+const cancelPause = 900 * time.Millisecond
+
+// playCancelling lets clients hand jobs in and cancel them until the given time; the channel is closed once all have ended.
+func playCancelling(y *Cluster, seed uint64, end time.Time) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		random := rand.New(rand.NewPCG(seed, 11))
+		var clients sync.WaitGroup
+		for time.Now().Before(end) {
+			own := rand.New(rand.NewPCG(random.Uint64(), 12))
+			clients.Go(func() { y.CancellingClient(own) })
+			time.Sleep(time.Duration(random.Int64N(int64(cancelPause))))
+		}
+		clients.Wait()
+	}()
+	return ended
+}
+
 // playOperators changes the configuration until the disruptions are over, alone and in races, and reads it
 // meanwhile; the channel gets the number of changes that were taken.
 func playOperators(y *Cluster, seed uint64, over <-chan struct{}) <-chan int {
