Fence commands whose callers have stopped waiting, also where no other command follows

Change: a dispatcher notifies its control process of the commands that it has abandoned (DispatcherMessage.Abandoned), which proposes them no more, and sends an Acknowledge command if no other command advances the fence.

Evidence: TestAbandonedCommandIsFencedThoughNoOtherCommandFollows, TestAbandonedCommandOfADispatcherIsNotProposedAgain (neither has a counterpart on the code before, which does not compile with them); golden files of the former messages are read and written unchanged.

--- a/internal/control/protocol/golden_test.go
+++ b/internal/control/protocol/golden_test.go
@@ -29,8 +29,10 @@
 	assertFormerBytes[ControlMessage](t, "down")
 }
 
-// TestPeerMessagesWithoutRulesKeepTheirBytes checks the same for messages of the version before the field SupportedRules.
-func TestPeerMessagesWithoutRulesKeepTheirBytes(t *testing.T) {
+// TestMessagesWithoutRulesKeepTheirBytes checks the same for messages of the version before the fields SupportedRules and
+// Abandoned.
+func TestMessagesWithoutRulesKeepTheirBytes(t *testing.T) {
+	wiretest.AssertRecoded(t, "before-rules/up", encode[DispatcherMessage], decode[DispatcherMessage])
 	wiretest.AssertRecoded(t, "before-rules/peer", encode[PeerMessage], decode[PeerMessage])
 }
 
--- a/internal/control/protocol/messages.go
+++ b/internal/control/protocol/messages.go
@@ -62,6 +62,9 @@
 	ConfigVersion int64 `cbor:"4,keyasint,omitempty"`
 	// ReceivedBytes is the number of message bytes that the dispatcher has received on this connection.
 	ReceivedBytes uint64 `cbor:"5,keyasint,omitempty"`
+	// Abandoned contains the tags of commands of this connection whose outcomes the dispatcher no longer waits for. They
+	// need not be proposed again.
+	Abandoned []uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Outcome answers a TaggedCommand once it is committed and applied, or rejected.
--- a/internal/control/server/commands.go
+++ b/internal/control/server/commands.go
@@ -22,6 +22,7 @@
 	encoded    []byte // the command as CBOR
 	isRead     bool
 	issuer     *dispatcher // nil: this machine itself or an operator
+	issuerTag  uint64      // the issuer's own tag of the command; 0: it is not the issuer's, but made on its behalf
 	headEpoch  uint64      // epoch of the view in which this machine made the command as the head; 0: any other command
 	onResult   func(statemachine.Result)
 	proposedAt time.Duration
@@ -69,6 +70,16 @@
 	})
 }
 
+// submitTagged proposes a command that a dispatcher has sent under a tag.
+func (t *commandTable) submitTagged(issuer *dispatcher, tagged *protocol.TaggedCommand, command *statemachine.Command,
+	onResult func(statemachine.Result)) error {
+	if err := t.submitFor(issuer, command, tagged.Command, onResult); err != nil {
+		return err
+	}
+	t.pending[t.lastTag].issuerTag = tagged.Tag
+	return nil
+}
+
 // submitFor proposes a command of a dispatcher or, if issuer is nil, of this machine or an operator. The command of a
 // dispatcher is dropped when the dispatcher's connection ends: the dispatcher submits it again over another connection.
 func (t *commandTable) submitFor(issuer *dispatcher, command *statemachine.Command, encoded []byte,
@@ -157,6 +168,14 @@
 	}
 }
 
+// abandonFor drops commands whose outcomes a dispatcher no longer waits for, by the dispatcher's tags. Copies that were
+// proposed before may still be applied; the dispatcher's next command fences them.
+func (t *commandTable) abandonFor(d *dispatcher, tags []uint64) {
+	maps.DeleteFunc(t.pending, func(_ uint64, command *pendingCommand) bool {
+		return command.issuer == d && command.issuerTag != 0 && slices.Contains(tags, command.issuerTag)
+	})
+}
+
 // removeIssuer drops the commands of a dispatcher that is no longer connected here.
 func (t *commandTable) removeIssuer(d *dispatcher) {
 	for tag, command := range t.pending {
--- a/internal/control/server/commands_test.go
+++ b/internal/control/server/commands_test.go
@@ -64,6 +64,25 @@
 	}
 }
 
+// TestAbandonedCommandOfADispatcherIsNotProposedAgain guards against orders that take effect after their callers were told
+// otherwise: the command table proposed an abandoned command again with each view, until it had an outcome.
+func TestAbandonedCommandOfADispatcherIsNotProposedAgain(t *testing.T) {
+	s := newIdleServer(t)
+	one, other := &dispatcher{}, &dispatcher{}
+	s.dispatchers.attached[one], s.dispatchers.attached[other] = true, true
+	command := protocol.Encode(&statemachine.Command{CancelJob: &statemachine.CancelJob{Job: "a"}})
+	for _, d := range []*dispatcher{one, other} {
+		s.receiveFromDispatcher(d, &protocol.DispatcherMessage{
+			Commands: []protocol.TaggedCommand{{Tag: 1, Command: command}, {Tag: 2, Command: command}}})
+	}
+	s.receiveFromDispatcher(one, &protocol.DispatcherMessage{Abandoned: []uint64{2, 3}})
+	s.commands.proposals = nil
+	s.commands.repropose(0)
+	if len(s.commands.proposals) != 3 {
+		t.Errorf("%d commands are proposed again, want the three that were not abandoned", len(s.commands.proposals))
+	}
+}
+
 // TestPendingCommandsAreReproposedInOrder checks that commands without an outcome are proposed again in the order in which
 // they were submitted.
 func TestPendingCommandsAreReproposedInOrder(t *testing.T) {
--- a/internal/control/server/dispatchers.go
+++ b/internal/control/server/dispatchers.go
@@ -153,6 +153,9 @@
 	}
 	d.ackedConfig = max(d.ackedConfig, message.ConfigVersion)
 	d.outbox.acknowledge(message.ReceivedBytes)
+	if len(message.Abandoned) > 0 {
+		s.commands.abandonFor(d, message.Abandoned)
+	}
 	for i := range message.Commands {
 		s.receiveCommand(d, &message.Commands[i])
 	}
@@ -166,7 +169,7 @@
 		d.outcomes = append(d.outcomes, protocol.Outcome{Tag: tag, Result: statemachine.Result{Code: statemachine.Invalid}})
 		return
 	}
-	err := s.commands.submitFor(d, command, tagged.Command, func(result statemachine.Result) {
+	err := s.commands.submitTagged(d, tagged, command, func(result statemachine.Result) {
 		d.outcomes = append(d.outcomes, protocol.Outcome{Tag: tag, Result: result})
 	})
 	if err != nil {
--- a/internal/control/statemachine/commands.go
+++ b/internal/control/statemachine/commands.go
@@ -40,6 +40,7 @@
 
 	SetRules       *SetRules       `cbor:"14,keyasint,omitempty"`
 	RecordClockAge *RecordClockAge `cbor:"15,keyasint,omitempty"` // needs ClockAgeRules
+	Acknowledge    *Acknowledge    `cbor:"16,keyasint,omitempty"`
 }
 
 // OpenSession opens a session for an incarnation of a dispatcher, and closes an open session of the same node. The
@@ -154,6 +155,11 @@
 	AgeMs uint64 `cbor:"2,keyasint"`
 }
 
+// Acknowledge does nothing but advance the session's AcknowledgedThrough, so that copies of commands that the dispatcher has
+// abandoned are rejected. A dispatcher sends it if it has no other command to send. Earlier versions, which can't decode
+// it, advance AcknowledgedThrough as well, and answer Invalid.
+type Acknowledge struct{}
+
 // ReadJob requests a job's state.
 type ReadJob struct {
 	Job string `cbor:"1,keyasint"`
--- a/internal/control/statemachine/fsm.go
+++ b/internal/control/statemachine/fsm.go
@@ -154,6 +154,8 @@
 		return f.jobsStarted(command.JobsStarted)
 	case command.AdvanceClock != nil:
 		return f.advanceClock(command.AdvanceClock)
+	case command.Acknowledge != nil:
+		return Result{}
 	case command.RecordClockAge != nil && f.Rules >= ClockAgeRules:
 		return f.recordClockAge(command.RecordClockAge)
 	case command.SetRules != nil && f.supportedRules > InitialRules:
--- a/internal/dispatcher/uplink.go
+++ b/internal/dispatcher/uplink.go
@@ -66,9 +66,9 @@
 	return u.commands.add(command, done)
 }
 
-// abandon stops waiting for a command's outcome. The command is not sent again, and the replicated state rejects a copy in
-// flight once it has received a later AcknowledgedThrough.
-func (u *uplink) abandon(tag uint64) { delete(u.commands.pending, tag) }
+// abandon stops waiting for a command's outcome. The command is not sent again, the control machine is asked not to propose
+// it again, and the replicated state rejects a copy in flight once it has received a later AcknowledgedThrough.
+func (u *uplink) abandon(tag uint64) { u.commands.abandon(tag) }
 
 // flush sends a message if there are queued commands or bytes to acknowledge, or if the heartbeat interval has passed.
 func (u *uplink) flush(now time.Duration) {
@@ -76,13 +76,15 @@
 		u.commands.outgoing = nil // attach makes all pending commands outgoing again
 		return
 	}
+	u.commands.addFenceIfDue()
 	acknowledgementDue := u.receivedBytes-u.acknowledgedBytes >= acknowledgeThreshold
-	if len(u.commands.outgoing) == 0 && !acknowledgementDue && now-u.sentAt < heartbeatInterval {
+	if len(u.commands.outgoing)+len(u.commands.abandoned) == 0 && !acknowledgementDue && now-u.sentAt < heartbeatInterval {
 		return
 	}
 	u.sentAt, u.acknowledgedBytes = now, u.receivedBytes
 	u.conn.Send(protocol.Encode(protocol.DispatcherMessage{ConfigVersion: u.dispatcher.config.version(),
-		ReceivedBytes: u.receivedBytes, Commands: u.commands.takeOutgoing(u.session)}))
+		ReceivedBytes: u.receivedBytes, Abandoned: u.commands.takeAbandoned(),
+		Commands: u.commands.takeOutgoing(u.session)}))
 }
 
 // dialTarget is the address of a control machine to connect to, and the request that opens a session there.
@@ -241,6 +243,7 @@
 func (u *uplink) attach(conn *frame.Conn, session statemachine.SessionID) {
 	if u.session != session {
 		u.logger.Info().Uint64("session", session).Msg("session opened")
+		u.commands.beginSession()
 	}
 	u.conn, u.attached, u.session = conn, true, session
 	u.receivedBytes, u.acknowledgedBytes = 0, 0
--- a/internal/dispatcher/uplink_test.go
+++ b/internal/dispatcher/uplink_test.go
@@ -17,6 +17,7 @@
 func (u *uplink) sentCommands(t *testing.T) map[uint64]*statemachine.Command {
 	t.Helper()
 	commands := map[uint64]*statemachine.Command{}
+	u.commands.addFenceIfDue()
 	for _, tagged := range u.commands.takeOutgoing(u.session) {
 		command := &statemachine.Command{}
 		if !protocol.Decode(tagged.Command, command) {
@@ -101,6 +102,49 @@
 	}
 }
 
+// TestAbandonedCommandIsFencedThoughNoOtherCommandFollows guards against orders that take effect after their callers were
+// told otherwise: a copy of an abandoned command could be applied at any later time while its dispatcher sent no other one.
+func TestAbandonedCommandIsFencedThoughNoOtherCommandFollows(t *testing.T) {
+	u := newDispatcherWithoutLoop().uplink
+	u.attach(&frame.Conn{}, 7)
+	earlier := u.submit(cancelCommand("a"), func(statemachine.Result) {})
+	abandoned := u.submit(cancelCommand("b"), func(statemachine.Result) {})
+	u.sentCommands(t)
+	u.abandon(abandoned)
+	if notified := u.commands.takeAbandoned(); len(notified) != 1 || notified[0] != abandoned {
+		t.Errorf("the control machine is notified of %v, want %d", notified, abandoned)
+	}
+	if sent := u.sentCommands(t); len(sent) != 0 {
+		t.Errorf("%d commands are sent while an earlier one is pending: they would fence nothing", len(sent))
+	}
+	u.receiveOutcome(protocol.Outcome{Tag: earlier})
+	for tag, fence := range u.sentCommands(t) {
+		if fence.Acknowledge == nil || fence.AcknowledgedThrough < abandoned || fence.Sequence <= fence.AcknowledgedThrough {
+			t.Errorf("the fence is %+v", fence)
+		}
+		u.receiveOutcome(protocol.Outcome{Tag: tag, Result: statemachine.Result{Code: statemachine.Invalid}}) // of an earlier build
+	}
+	if u.commands.fencedThrough < abandoned {
+		t.Error("no fence is sent")
+	}
+	if sent := u.sentCommands(t); len(sent) != 0 {
+		t.Errorf("another %d commands are sent behind the fence", len(sent))
+	}
+}
+
+// TestOnlyChangesThatWereSentAreFenced checks that no fence is sent for a command that never left, or that was a read.
+func TestOnlyChangesThatWereSentAreFenced(t *testing.T) {
+	u := newDispatcherWithoutLoop().uplink
+	u.attach(&frame.Conn{}, 7)
+	u.abandon(u.submit(cancelCommand("a"), func(statemachine.Result) {}))
+	read := u.submit(&statemachine.Command{ReadJob: &statemachine.ReadJob{Job: "a"}}, func(statemachine.Result) {})
+	u.sentCommands(t)
+	u.abandon(read)
+	if sent := u.sentCommands(t); len(sent) != 0 {
+		t.Errorf("%d commands are sent", len(sent))
+	}
+}
+
 // TestReceivedBytesAreAcknowledged checks that received bytes are acknowledged at once when they reach acknowledgeThreshold,
 // because the control machine waits for the acknowledgement, that a smaller number is acknowledged with the next heartbeat,
 // and that a new connection starts counting at 0.
