Fix sessions of lost dispatchers that stay open while heads come and go

What callers saw: none reported.

Change: each member, not only the head, records the sessions that are connected to it, and adds up the time in which it served and heard all members of the chain. A session that was silent for the grace period and the timeout in that sum, over any number of views, is closed. Time without a member of the chain, or behind a pause, does not count.

--- a/internal/control/server/engine.go
+++ b/internal/control/server/engine.go
@@ -78,7 +78,7 @@
 // abandons its commands before the tick sends dispatchers anything.
 func (s *Server) tick() {
 	now := s.now()
-	s.sessions.recordTick(now)
+	s.trackSessions(now)
 	s.membership.consensus.Tick()
 	s.replica.Tick(retransmitTicks)
 	s.peers.redial()
--- a/internal/control/server/sessions_test.go
+++ b/internal/control/server/sessions_test.go
@@ -41,7 +41,7 @@
 	now := time.Minute
 	tick := func(after time.Duration) {
 		now += after
-		m.recordTick(now)
+		m.recordTick(now, true)
 	}
 	tick(0)
 	tick(sessionTimeout * 3) // the first tick after the start is late
@@ -63,6 +63,40 @@
 	}
 }
 
+// TestSilenceCountsOverSeveralViews checks that a session which is silent in each of several short views expires, and that
+// time in which this machine did not hear all members, or was paused, does not count.
+func TestSilenceCountsOverSeveralViews(t *testing.T) {
+	const session, shortView = statemachine.SessionID(1), 2 * time.Second
+	for name, c := range map[string]struct {
+		hearsAll bool
+		expires  bool
+	}{
+		"all members are heard":   {true, true},
+		"one member is not heard": {false, false},
+	} {
+		m, now, viewInstalledAt := newSessionMonitor(), time.Minute, time.Minute
+		m.recordTick(now, true)
+		m.recordConnected(now, []statemachine.SessionID{session})
+		lastSeen, expiredAfter := now, time.Duration(0)
+		for expiredAfter == 0 && now-lastSeen < 20*time.Second {
+			now += tickInterval
+			m.recordTick(now, c.hearsAll)
+			if now-viewInstalledAt >= shortView {
+				viewInstalledAt = now
+			}
+			if m.isExpired(session, now, viewInstalledAt) {
+				expiredAfter = now - lastSeen
+			}
+		}
+		if (expiredAfter > 0) != c.expires {
+			t.Errorf("%s: expired after %v, want an end: %v", name, expiredAfter, c.expires)
+		}
+		if c.expires && expiredAfter <= viewChangeGrace+sessionTimeout {
+			t.Errorf("%s: expired after %v, within the grace period", name, expiredAfter)
+		}
+	}
+}
+
 // connect returns a connection to a peer that sends nothing.
 func connect(t *testing.T) *frame.Conn {
 	t.Helper()
--- a/internal/testing/emulator/upgrade_test.go
+++ b/internal/testing/emulator/upgrade_test.go
@@ -22,6 +22,7 @@
 type coreStatus struct {
 	Epoch        uint64
 	Serves       bool
+	Sessions     int
 	Jobs, Open   int
 	Committed    uint64
 	RulesVersion statemachine.RulesVersion
