Schedules and soak: clients that cancel, heads in series, both builds in turn

Emulator: heads killed one after the other, a head frozen again and again, a control process that goes back to the former build and on again; one schedule in four judges the retention of a finished job under trouble of heads. Soak: one job in six is cancelled behind the last part of its deadline, with more calls for it behind that; -former names a former program, which control processes take in turn.

--- a/internal/testing/emulator/disruptions_test.go
+++ b/internal/testing/emulator/disruptions_test.go
@@ -248,6 +248,32 @@
 			front.Back()
 		}
 	}},
+	{"heads killed, one after the other", func(y *Cluster, random *rand.Rand, span time.Duration) {
+		for range 4 {
+			if head := y.head(); head != nil {
+				head.Kill()
+				time.Sleep(span / 8)
+				head.Back()
+			}
+			time.Sleep(catchUp)
+		}
+	}},
+	{"head frozen, and again", func(y *Cluster, random *rand.Rand, span time.Duration) {
+		for range 2 {
+			if head := y.head(); head != nil {
+				thaw := head.Freeze()
+				time.Sleep(span)
+				thaw()
+			}
+			time.Sleep(catchUp)
+		}
+	}},
+	{"core goes back to the former build, and on again", func(y *Cluster, random *rand.Rand, span time.Duration) {
+		core := anyOf(random, y.Cores())
+		core.changeBuild(true, random.IntN(2) == 0)
+		time.Sleep(span)
+		core.changeBuild(false, random.IntN(2) == 0)
+	}},
 	{"cores stopped in order, in turn", func(y *Cluster, random *rand.Rand, span time.Duration) {
 		for _, core := range y.Cores() {
 			core.Terminate()
--- a/internal/testing/emulator/retention_test.go
+++ b/internal/testing/emulator/retention_test.go
@@ -104,9 +104,25 @@
 	t.Fatal("the job does not end")
 }
 
-// judgeRetention lets troubles befall one head after the other, and checks that a finished job is known for the time that
-// clients were promised, and is forgotten at some time all the same.
+// judgeRetention plays a schedule of trouble of heads, and fails the test if a rule is broken.
 func judgeRetention(t *testing.T, seed uint64, pause func(*rand.Rand) time.Duration, troubles ...headTrouble) {
+	t.Helper()
+	for _, broken := range playRetention(t, seed, pause, troubles...) {
+		t.Errorf("seed %d: %s", seed, broken)
+	}
+}
+
+// anyHeadTrouble are all kinds of trouble of heads.
+var anyHeadTrouble = []headTrouble{killHead, stopHeadInOrder, freezeHead, cutHeadOff, killAllCores}
+
+// anyPause is a pause between two troubles of heads, shorter or longer than a tick of the state's clock.
+func anyPause(random *rand.Rand) time.Duration {
+	return 1500*time.Millisecond + time.Duration(random.IntN(5000))*time.Millisecond
+}
+
+// playRetention lets troubles befall one head after the other, and returns which rule was broken: a finished job is known for
+// the time that clients were promised, and is forgotten at some time all the same.
+func playRetention(t *testing.T, seed uint64, pause func(*rand.Rand) time.Duration, troubles ...headTrouble) (broken []string) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		y := NewCluster(Shape{Cores: 3, Tolerate: 1, Dispatchers: 2, Workers: 2}, NewNetwork(), seed, io.Discard)
@@ -142,14 +158,15 @@
 		close(over)
 		playing.Wait()
 		if forgotten > 0 && forgotten < statusRetention {
-			t.Errorf("seed %d: the job is forgotten after %v, %v were promised", seed, forgotten, statusRetention)
+			broken = append(broken, fmt.Sprintf("LOST: the job is forgotten after %v, %v were promised", forgotten, statusRetention))
 		}
 		if forgotten == 0 {
-			t.Errorf("seed %d: the job is still known after %v", seed, longestRetention)
+			broken = append(broken, fmt.Sprintf("RETENTION: the job is still known after %v", longestRetention))
 		}
 		y.Stop()
 		time.Sleep(20 * time.Second) // timers run out
 	})
+	return broken
 }
 
 // TestFinishedJobIsKnownForItsRetentionThoughHeadsAreKilledInTurn guards against LOST: each change of the head advanced the
@@ -171,9 +188,7 @@
 	for seed := uint64(1); seed <= retentionsInTest; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			judgeRetention(t, seed, func(random *rand.Rand) time.Duration {
-				return 1500*time.Millisecond + time.Duration(random.IntN(5000))*time.Millisecond
-			}, killHead, stopHeadInOrder, freezeHead, cutHeadOff, killAllCores)
+			judgeRetention(t, seed, anyPause, anyHeadTrouble...)
 		})
 	}
 }
--- a/internal/testing/emulator/schedule_test.go
+++ b/internal/testing/emulator/schedule_test.go
@@ -22,6 +22,9 @@
 	drain   = 100 * time.Second // three steps of ten seconds, each failing once, behind a cut-off worker
 )
 
+// retentionOneIn is how many schedules are played for each one of trouble of heads, by which the retention of jobs is judged.
+const retentionOneIn = 4
+
 // outcome is what a schedule has shown.
 type outcome struct {
 	ScheduleReport
@@ -211,6 +214,9 @@
 			if result.Accepted == 0 || result.Configurations == 0 {
 				result.Broken = append(result.Broken, "nothing was served: the schedule shows nothing")
 			}
+			if seed%retentionOneIn == 0 {
+				result.Broken = append(result.Broken, playRetention(t, seed, anyPause, anyHeadTrouble...)...)
+			}
 			for _, broken := range result.Broken {
 				t.Error(broken)
 			}
--- a/lab/soak/main.go
+++ b/lab/soak/main.go
@@ -16,6 +16,7 @@
 
 func main() {
 	program := flag.String("program", "bin/scheduler", "the system's program")
+	former := flag.String("former", "", "the program's former build, which control processes take in turn")
 	folder := flag.String("folder", "logs/soak", "for settings, disks and logs; a run's part is emptied first")
 	first := flag.Uint64("first", 1, "first seed")
 	seeds := flag.Int("seeds", 1, "how many seeds are played")
@@ -35,6 +36,13 @@
 		fmt.Fprintln(os.Stderr, "soak:", err)
 		os.Exit(2)
 	}
+	absoluteFormer := *former
+	if absoluteFormer != "" {
+		if absoluteFormer, err = filepath.Abs(*former); err != nil {
+			fmt.Fprintln(os.Stderr, "soak:", err)
+			os.Exit(2)
+		}
+	}
 	planted := emulator.NoFault
 	if *unseen {
 		planted = emulator.DrainsUnseen
@@ -47,7 +55,7 @@
 		turns <- struct{}{}
 		playing.Go(func() {
 			defer func() { <-turns }()
-			config := scenario.Config{Program: absolute, Folder: filepath.Join(*folder, fmt.Sprint("seed-", seed)), Seed: seed,
+			config := scenario.Config{Program: absolute, Former: absoluteFormer, Folder: filepath.Join(*folder, fmt.Sprint("seed-", seed)), Seed: seed,
 				Span: *span, Clients: *clients, Series: *series, LossSlack: *slack, Shape: emulator.Shape{Cores: *cores, Tolerate: *tolerate,
 					Dispatchers: *dispatchers, Workers: *workers, Guards: true, Planted: planted}}
 			held := playSeed(config, &printing)
--- a/lab/soak/scenario/client.go
+++ b/lab/soak/scenario/client.go
@@ -23,6 +23,11 @@
 	answerWithin   = 12 * time.Second // of a frozen process, say; a sound one answers within clientPatience
 	jobPause       = 300 * time.Millisecond
 	askPause       = 250 * time.Millisecond
+
+	cancelOneIn = 6                      // jobs for each one that is cancelled
+	lastTry     = 300 * time.Millisecond // what is left of the deadline of a client that cancels its job then
+	cancelTries = 60
+	copies      = 3 // calls for the same job that arrive behind the cancelling
 )
 
 // connection is a client's connection to one dispatcher. It is used until the process closes it.
@@ -37,7 +42,11 @@
 	c := &caller{soak: s, random: random}
 	defer c.hangUp()
 	for !s.ending() {
-		c.runJob()
+		if random.IntN(cancelOneIn) == 0 {
+			c.cancelJob()
+		} else {
+			c.runJob()
+		}
 		time.Sleep(time.Duration(random.Int64N(int64(jobPause))))
 	}
 }
@@ -85,6 +94,11 @@
 
 // call makes one call and returns the answer's status, 0 where there was none.
 func (c *caller) call(method, id, body string) (status int, text string) {
+	return c.callWithin(clientPatience, method, id, body)
+}
+
+// callWithin does the same as call for a client that tells how long it waits.
+func (c *caller) callWithin(patience time.Duration, method, id, body string) (status int, text string) {
 	if c.link == nil && c.connect() != nil {
 		time.Sleep(askPause)
 		return 0, ""
@@ -92,7 +106,7 @@
 	link := c.link
 	c.soak.calls.Add(1)
 	message := fmt.Sprintf("%s %s%s HTTP/1.1\r\nHost: %s\r\nYardflow-Deadline-Remaining: %d\r\nContent-Length: %d\r\n\r\n%s", method,
-		emulator.RoutePrefix, id, emulator.RouteHost, clientPatience.Milliseconds(), len(body), body)
+		emulator.RoutePrefix, id, emulator.RouteHost, patience.Milliseconds(), len(body), body)
 	link.conn.SetDeadline(time.Now().Add(answerWithin))
 	_, err := io.WriteString(link.conn, message)
 	sent := time.Now()
@@ -166,6 +180,34 @@
 	}
 }
 
+// cancelJob hands a job in with the last part of its deadline, and cancels it at another dispatcher, whatever it was answered.
+// More calls for the same job arrive behind that.
+func (c *caller) cancelJob() {
+	checker, id := c.soak.cluster.Checker, fmt.Sprintf("%016x", c.random.Uint64())
+	request, body := c.soak.cluster.RandomJob(c.random)
+	checker.Submitted(id, request)
+	if status, _ := c.callWithin(lastTry, http.MethodPost, id, body); status == http.StatusOK {
+		checker.Accepted(id)
+	}
+	checker.CancelSent(id)
+	for try := 0; ; try++ {
+		c.hangUp() // the next connection is to another dispatcher, as a rule
+		status, _ := c.call(http.MethodDelete, id, "")
+		if status == http.StatusOK || status == http.StatusGone {
+			break
+		}
+		if try == cancelTries {
+			return
+		}
+		time.Sleep(askPause)
+	}
+	checker.CancelAcknowledged(id)
+	for range copies {
+		time.Sleep(time.Duration(c.random.Int64N(int64(time.Second))))
+		c.call([]string{http.MethodPost, http.MethodGet, http.MethodDelete}[c.random.IntN(3)], id, body)
+	}
+}
+
 // submitProvisional sends a job until it is taken. One that has no clear answer is sent again, as long as the soak goes on.
 func (c *caller) handIn(id, body string) bool {
 	unclear := false
--- a/lab/soak/scenario/process.go
+++ b/lab/soak/scenario/process.go
@@ -42,6 +42,7 @@
 	frozen    bool
 	unplanned time.Time // of the last kill or freeze, or of its end
 	planned   time.Time // of the last SIGTERM or SIGHUP
+	starts    int
 }
 
 func newProcess(s *soak, name, zone, role string) *process {
@@ -80,7 +81,7 @@
 		return
 	}
 	defer log.Close()
-	cmd := exec.Command(p.soak.config.Program, p.role)
+	cmd := exec.Command(p.program(), p.role)
 	cmd.Env = []string{settings.PathVariable + "=" + p.settingsPath(), "PATH=/usr/bin:/bin"}
 	cmd.Stdout, cmd.Stderr = log, log
 	p.mu.Lock()
@@ -93,6 +94,17 @@
 	go p.watch(cmd, p.ended)
 }
 
+// program returns the program to start. Where there is a former one, each start of a control process takes another one of the
+// two, as a rolling upgrade and its way back do.
+func (p *process) program() string {
+	p.starts++
+	if p.soak.config.Former == "" || p.role != "control" || (p.starts+len(p.name)+int(p.name[len(p.name)-1]))%2 == 0 {
+		return p.soak.config.Program
+	}
+	p.soak.count("starts of the former program")
+	return p.soak.config.Former
+}
+
 // watch waits for the process's end. One that nobody has asked for is a fault, and so is an exit code: a panic, say, or
 // what the race detector found.
 func (p *process) watch(cmd *exec.Cmd, ended chan struct{}) {
--- a/lab/soak/scenario/soak.go
+++ b/lab/soak/scenario/soak.go
@@ -35,6 +35,7 @@
 // Config says what is played.
 type Config struct {
 	Program string // the path of cluster
+	Former  string // the path of the program's former build, which control processes take in turn; "": none does
 	Folder  string // for settings, disks and logs
 	Seed    uint64
 	Span    time.Duration // of disruptions and traffic
