--- a/internal/control/statemachine/fsm.go
+++ b/internal/control/statemachine/fsm.go
@@ -10,12 +10,13 @@
 //
 //   - Commands are idempotent or fenced. A duplicate that is delivered at any later time does not end a newer session,
 //     restore a removed worker or restart a job that was removed after its retention time.
+//   - A job whose cancelling was acknowledged, also before the job was known, is never open again within the retention time.
 //   - The Used of a worker is the sum of the demands of its runs, and no placement raises Used above Capacity.
 //   - A worker belongs to the open session with the highest claim, under a fencing token that no other change of owner
 //     has had.
 //
 // The package never sends, stores or logs anything: the server calls [FSM.DequeueUpdates] and [FSM.DequeueNotices] after
-// each command. The CBOR keys in tags are part of the log and of snapshots on disk and never change; Go names may.
+// each command. A changed rule gets a version (see [RulesVersion]): a log gives the same state as ever. The CBOR keys in tags are part of the log and of snapshots on disk and never change; Go names may.
 package statemachine
 
 import (
--- a/internal/testing/emulator/checker.go
+++ b/internal/testing/emulator/checker.go
@@ -9,7 +9,7 @@
 	"yardflow/scheduling/job"
 )
 
-// Checker sees what workers, clients and operators see, and notes each broken rule.
+// Checker judges the rules by what workers, clients and operators observe, and records each violation.
 type Checker struct {
 	mu      sync.Mutex
 	broken  []string
@@ -56,7 +56,7 @@
 	done        map[job.StepKey]int
 }
 
-// NewChecker returns a judge who has seen nothing. DrainMs is how long after the list has shown a drain tasks may be started
+// NewChecker returns a checker without observations. DrainMs is how long after the list has shown a drain tasks may be started
 // at that worker; 0: any time.
 func NewChecker(drainMs int64) *Checker {
 	return &Checker{drainMs: drainMs, drains: map[*Worker]time.Time{}, began: time.Now(), tasks: map[string]*taskSeen{}, jobs: map[string]*jobSeen{}, used: map[*Worker]job.Resources{},
@@ -71,35 +71,35 @@
 	j.broken = append(j.broken, fmt.Sprintf("%s at %.3f s: %s", rule, at, fmt.Sprintf(format, args...)))
 }
 
-// AddViolation is breaks for those who do not hold the lock.
+// AddViolation records a violation of a rule that the caller has observed.
 func (j *Checker) AddViolation(rule, format string, args ...any) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.violated(rule, format, args...)
 }
 
-// Violations returns all broken rules so far.
+// Violations returns all violations so far.
 func (j *Checker) Violations() []string {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return append([]string(nil), j.broken...)
 }
 
-// Submitted takes in that a client is about to hand a job in.
+// Submitted records that a client is about to submit a job.
 func (j *Checker) Submitted(id string, request job.Request) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.jobs[id] = &jobSeen{request: request, handedIn: time.Now(), done: map[job.StepKey]int{}}
 }
 
-// Accepted takes in that a job was answered with success.
+// Accepted records that a submission was answered with success.
 func (j *Checker) Accepted(id string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.jobs[id].accepted = true
 }
 
-// StateShown takes in a state that a client was told.
+// StateShown records a job state that a client was answered, and checks it.
 func (j *Checker) StateShown(id, state string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -121,7 +121,7 @@
 	}
 }
 
-// Gone takes in that a client was told that there is no such job.
+// Gone records that a client was answered that there is no such job.
 func (j *Checker) Gone(id string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -130,7 +130,7 @@
 	}
 }
 
-// drainListed takes in that the platform's list shows a worker as draining.
+// drainListed records that the platform's list shows a worker as draining.
 func (j *Checker) drainListed(w *Worker) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -155,6 +155,12 @@
 		}
 		j.violated("DRAIN", "%s starts on %s by order of %s, %v after the last moment", o.Task, w, o.sender, late)
 	}
+	j.judgeConfirmed(judge)
+}
+
+// judgeConfirmed calls a judgement that asks whether a machine was in touch, once the trouble that has befallen the machine is
+// recorded. The caller holds the lock.
+func (j *Checker) judgeConfirmed(judge func()) {
 	if j.ConfirmAfter == 0 {
 		judge()
 		return
@@ -216,14 +222,14 @@
 	return takes, o.Command == 1 && (len(o.Task)+int(o.Task[3]))%11 == 0
 }
 
-// CancelSent takes in that a client is about to cancel a job.
+// CancelSent records that a client is about to cancel a job.
 func (j *Checker) CancelSent(id string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.jobs[id].cancelSent = true
 }
 
-// CancelAcknowledged takes in that a cancelling was answered 2xx or 410.
+// CancelAcknowledged records that a cancelling was answered 2xx or 410.
 func (j *Checker) CancelAcknowledged(id string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -245,15 +251,7 @@
 			j.violated("UNASKED", "%s starts %v after the last moment, job %s is cancelled", o.Task, late, id)
 		}
 	}
-	if j.ConfirmAfter == 0 {
-		judge()
-		return
-	}
-	time.AfterFunc(j.ConfirmAfter, func() {
-		j.mu.Lock()
-		defer j.mu.Unlock()
-		judge()
-	})
+	j.judgeConfirmed(judge)
 }
 
 // checkAttempts notes a start that came after as many failed runs as a task may have, if these ends were taken
@@ -273,7 +271,7 @@
 	}
 }
 
-// ended takes in the end of a run; number is that of the worker's end, 0 where it has none.
+// ended records the end of a run; number is that of the worker's end, 0 where it has none.
 func (j *Checker) ended(w *Worker, name, how string, number uint64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -297,7 +295,7 @@
 	}
 }
 
-// endAcknowledged takes in that the owner has noted an end. It does not count if the hold has lapsed since.
+// endAcknowledged records that the owner has acknowledged an end. It does not count if the lease has expired since.
 func (j *Checker) endAcknowledged(w *Worker, end workerEnd) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/lab/soak/scenario/client.go
+++ b/lab/soak/scenario/client.go
@@ -208,7 +208,7 @@
 	}
 }
 
-// submitProvisional sends a job until it is taken. One that has no clear answer is sent again, as long as the soak goes on.
+// handIn sends a job until it is accepted. One that has no clear answer is sent again, as long as the soak goes on.
 func (c *caller) handIn(id, body string) bool {
 	unclear := false
 	for !c.soak.ending() || unclear {
