Messages between processes are read into buffers that grow with what arrives, under a quota

Change: coordination/buffer reads a text in steps of its announced length (at most four times what has arrived; a quarter more than the length at the last copy) and asks a quota before each. frame.Conn takes one; without it only the growth changes.

--- a/coordination/frame/frame.go
+++ b/coordination/frame/frame.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"yardflow/coordination/buffer"
 )
 
 // Limits of a connection.
@@ -51,6 +53,8 @@
 type Conn struct {
 	raw    net.Conn
 	reader *bufio.Reader
+	quota  buffer.Quota // nil: none
+	held   int          // bytes of the last message, granted by quota; belongs to Receive
 
 	mu     sync.Mutex
 	wake   chan struct{} // holds a token while something may be queued
@@ -144,9 +148,14 @@
 	return true
 }
 
-// Receive returns the next message. It fails if no byte arrives for the timeout; a large message on a slow link may take
-// longer than that in total. It fails with a MessageTooLongError if the message exceeds maxMessageBytes.
+// SetQuota makes Receive ask a quota before it allocates memory for a message. It is called before Receive.
+func (c *Conn) SetQuota(quota buffer.Quota) { c.quota = quota }
+
+// Receive returns the next message, whose memory counts against the quota until the next call. It fails if no byte arrives for
+// the timeout; a large message on a slow link may take longer than that in total. It fails with a MessageTooLongError if the
+// message exceeds maxMessageBytes, and with a buffer.RefusedError if the quota does not grant it.
 func (c *Conn) Receive(timeout time.Duration) ([]byte, error) {
+	c.releaseLastMessage()
 	header := [headerBytes]byte{}
 	if err := c.readFull(header[:], timeout); err != nil {
 		return nil, errors.Trace(err)
@@ -155,13 +164,25 @@
 	if length > maxMessageBytes {
 		return nil, errors.Trace(&MessageTooLongError{length})
 	}
-	message := make([]byte, length)
-	if err := c.readFull(message, timeout); err != nil {
+	message, err := buffer.Read(func(p []byte) (int, error) {
+		c.raw.SetReadDeadline(time.Now().Add(timeout))
+		return c.reader.Read(p)
+	}, int(length), c.quota)
+	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	c.held = cap(message)
 	return message, nil
 }
 
+// releaseLastMessage gives the memory of the last message back to the quota.
+func (c *Conn) releaseLastMessage() {
+	if c.quota != nil && c.held > 0 {
+		c.quota.Release(c.held)
+	}
+	c.held = 0
+}
+
 // readFull fills p. Each read restarts the timeout.
 func (c *Conn) readFull(p []byte, timeout time.Duration) error {
 	for len(p) > 0 {
