Steps of a job are counted before they are decoded

Cause: json.Unmarshal built all steps, 150 bytes and more for each 3 of text, and Valid refused them afterwards. Wire and stored forms are unchanged: a slice type has the same CBOR and JSON.

--- a/scheduling/job/request.go
+++ b/scheduling/job/request.go
@@ -29,7 +29,7 @@
 // Request is the body with which a client submits a job.
 type Request struct {
 	Spec  string `json:"Spec" cbor:"1,keyasint"`
-	Steps []Step `json:"Steps" cbor:"2,keyasint"`
+	Steps Steps  `json:"Steps" cbor:"2,keyasint"`
 	// Repeat is how many times a scheduled job runs its steps; 0 means that the job starts at once and runs its steps once.
 	Repeat     int   `json:"Repeat" cbor:"3,keyasint,omitempty"`
 	FirstRunMs int64 `json:"FirstRunMs" cbor:"4,keyasint,omitempty"` // when repetition 0 is due, ms since 1970
