Every listener asks the budget before it holds anything for a caller

Cause: net/http admits each connection, reads heads of 1 MiB, bodies with io.ReadAll and answers into buffers that the kernel scales up, and only MaxBodyBytes of the configuration's limits was in force: MaxHeaderBytes, HeaderTimeoutMs and IdleTimeoutMs were not.

Change: internal/platform/ingress owns callers' connections from the accept on. Connections, long heads, bodies, decoded jobs and messages of processes are claimed at the budget first. What does not fit is answered 503 before anything is taken (heads 431, bodies 413), or a connection that stands still is reset. All four limits of the configuration are in force for clients; a body has its route's timeout. Answers are written with a deadline for each 16 KiB. Sockets' buffers are 32 KiB until another process takes a connection over. A process that has not said who it is sends at most 64 KiB and gives way. Jobs are decoded one after the other. The emulator uses the same listeners. Figures by class and cause at /-/metrics (dispatchers: at the readiness address), and one log line a second for each cause, with what to do.

--- a/cmd/scheduler/control.go
+++ b/cmd/scheduler/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,22 +13,22 @@
 	"yardflow/internal/platform/settings"
 )
 
-const (
-	// readHeaderTimeout is how long a client may take for the header of a request.
-	readHeaderTimeout = 10 * time.Second
-	// shutdownTimeout is how long open requests and the engine may take to end once the chain position is handed over. A
-	// disk that hangs would hold the stop up.
-	shutdownTimeout = time.Second
-)
+// shutdownTimeout is how long open requests and the engine may take to end once the chain position is handed over. A disk
+// that hangs would hold the stop up.
+const shutdownTimeout = time.Second
 
 // runControl runs a control process until it is stopped. On a stop it first hands its chain position over, then ends its
 // open requests, and then the engine, which serves these requests.
 func runControl(s *settings.Settings, logger zerolog.Logger) error {
 	process := server.NewProcess(s, frame.TCP{}, segment.Dir(s.DataDir), logger)
 	stop := stopSignal()
-	listener := &http.Server{Addr: s.Listen.Control, Handler: process, ReadHeaderTimeout: readHeaderTimeout}
+	listener, err := frame.TCP{}.Listen(s.Listen.Control)
+	if err != nil {
+		return errors.Annotate(err, "Listen.Control")
+	}
+	httpServer := process.HTTPServer()
 	failed := make(chan error, 2) // one of each goroutine
-	go func() { failed <- errors.Annotate(listener.ListenAndServe(), "Listen.Control") }()
+	go func() { failed <- errors.Annotate(httpServer.Serve(process.Admit(listener)), "Listen.Control") }()
 	engineStop, engineEnded := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(engineEnded)
@@ -45,7 +44,7 @@
 	process.LeaveChain()
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
-	_ = listener.Shutdown(ctx) // requests that are open beyond shutdownTimeout end with the process
+	_ = httpServer.Shutdown(ctx) // requests that are open beyond shutdownTimeout end with the process
 	close(engineStop)
 	select {
 	case <-engineEnded:
--- a/internal/control/server/dispatchers.go
+++ b/internal/control/server/dispatchers.go
@@ -10,6 +10,7 @@
 	"yardflow/coordination/frame"
 	"yardflow/internal/control/protocol"
 	"yardflow/internal/control/statemachine"
+	"yardflow/internal/platform/ingress"
 )
 
 // Limits of connections from dispatchers.
@@ -94,14 +95,16 @@
 	if err != nil {
 		return // Upgrade has answered the request
 	}
-	go s.listenDispatcher(conn)
+	process := ingress.Process(r)
+	conn.SetQuota(process)
+	go s.listenDispatcher(conn, process)
 }
 
 // listenDispatcher passes a dispatcher's messages to the engine until either side closes the connection or the dispatcher
 // is silent for dispatcherTimeout. It then closes the connection and removes the dispatcher.
-func (s *Server) listenDispatcher(conn *frame.Conn) {
+func (s *Server) listenDispatcher(conn *frame.Conn, process *ingress.ProcessConn) {
 	d := &dispatcher{conn: conn}
-	err := s.receiveDispatcher(d)
+	err := s.receiveDispatcher(d, process)
 	conn.Close()
 	// A connection closed by the dispatcher's machine mostly means that the process has ended; silence does not.
 	disconnected := err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
@@ -115,7 +118,7 @@
 
 // receiveDispatcher passes messages to the engine. It returns the error of the connection, or nil after a message that
 // can't be decoded.
-func (s *Server) receiveDispatcher(d *dispatcher) error {
+func (s *Server) receiveDispatcher(d *dispatcher, process *ingress.ProcessConn) error {
 	for {
 		data, err := d.conn.Receive(dispatcherTimeout)
 		if err != nil {
@@ -125,6 +128,9 @@
 		if !protocol.Decode(data, message) {
 			return nil
 		}
+		if message.SessionRequest != nil {
+			process.Identified()
+		}
 		s.do(func() { s.receiveFromDispatcher(d, message) })
 	}
 }
--- a/internal/control/server/operator_config.go
+++ b/internal/control/server/operator_config.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,6 +9,7 @@
 
 	"yardflow/internal/control/configuration"
 	"yardflow/internal/control/statemachine"
+	"yardflow/internal/platform/ingress"
 )
 
 // Limits of operators' requests.
@@ -21,7 +21,10 @@
 )
 
 // operatorAPI serves the operators' requests. Its methods run in goroutines of the HTTP server.
-type operatorAPI struct{ server *Server }
+type operatorAPI struct {
+	server *Server
+	gate   *ingress.Gate
+}
 
 // commandOutcome is the result of an operator's command, or the error because of which it was not proposed.
 type commandOutcome struct {
@@ -74,15 +77,8 @@
 	text   string
 }
 
-// readConfigChange reads and validates a request. The badRequest is nil if the request is valid.
-func readConfigChange(r *http.Request) (configChange, *badRequest) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxConfigBytes+1))
-	if err != nil {
-		return configChange{}, &badRequest{http.StatusBadRequest, "the body can't be read"}
-	}
-	if len(body) > maxConfigBytes {
-		return configChange{}, &badRequest{http.StatusRequestEntityTooLarge, "the configuration is too large"}
-	}
+// readConfigChange reads and validates a request with its body. The badRequest is nil if the request is valid.
+func readConfigChange(r *http.Request, body []byte) (configChange, *badRequest) {
 	baseVersion, err := strconv.ParseInt(strings.Trim(r.Header.Get("If-Match"), `" `), 10, 64)
 	if err != nil {
 		return configChange{}, &badRequest{http.StatusBadRequest, "If-Match must hold the version on which this one builds"}
@@ -96,7 +92,12 @@
 
 // putConfig proposes a configuration, and answers 200 once it is committed.
 func (a *operatorAPI) putConfig(w http.ResponseWriter, r *http.Request) {
-	change, bad := readConfigChange(r)
+	body, err := ingress.ReadBody(r, ingress.BodyLimits{Bytes: maxConfigBytes, Timeout: bodyTimeout})
+	if err != nil {
+		ingress.AnswerBodyError(w, err, "the configuration")
+		return
+	}
+	change, bad := readConfigChange(r, body)
 	if bad != nil {
 		http.Error(w, bad.text, bad.status)
 		return
--- a/internal/control/server/operator_status.go
+++ b/internal/control/server/operator_status.go
@@ -8,6 +8,7 @@
 
 	"yardflow/coordination/view"
 	"yardflow/internal/control/statemachine"
+	"yardflow/internal/platform/ingress/budget"
 )
 
 const statusPath = "/-/status"
@@ -129,6 +130,9 @@
 	for _, metric := range metrics {
 		io.WriteString(w, metric.name+" "+strconv.FormatInt(metric.value, 10)+"\n")
 	}
+	for _, metric := range a.gate.Metrics(budget.Operators, budget.Processes) {
+		io.WriteString(w, metric.Name+" "+strconv.FormatInt(metric.Value, 10)+"\n")
+	}
 }
 
 // boolMetric returns 1 for true and 0 for false.
--- a/internal/control/server/operator_test.go
+++ b/internal/control/server/operator_test.go
@@ -19,7 +19,7 @@
 	request.Header.Set("If-Match", ifMatch)
 	response := httptest.NewRecorder()
 	startedAt := time.Now()
-	s.Handler().ServeHTTP(response, request)
+	s.handler(newGate(s.settings, s.logger)).ServeHTTP(response, request)
 	return response, time.Since(startedAt)
 }
 
--- a/internal/control/server/peers.go
+++ b/internal/control/server/peers.go
@@ -10,6 +10,7 @@
 	"yardflow/coordination/frame"
 	"yardflow/coordination/view"
 	"yardflow/internal/control/protocol"
+	"yardflow/internal/platform/ingress"
 )
 
 // Timeouts of connections between control machines.
@@ -148,12 +149,14 @@
 	if err != nil {
 		return // Upgrade has answered the request
 	}
-	go p.listen(conn)
+	process := ingress.Process(r)
+	conn.SetQuota(process)
+	go p.listen(conn, process)
 }
 
 // listen passes a peer's messages to the engine until the connection ends or is silent for peerTimeout. The first
 // heartbeat identifies the sender; messages before it are dropped.
-func (p *peers) listen(conn *frame.Conn) {
+func (p *peers) listen(conn *frame.Conn, process *ingress.ProcessConn) {
 	defer conn.Close()
 	var from view.Member
 	for {
@@ -171,6 +174,7 @@
 		if from.ID == 0 {
 			continue
 		}
+		process.Identified()
 		sender, arrivedAt := from, p.server.now()
 		p.server.do(func() {
 			if message.Heartbeat != nil {
--- a/internal/control/server/process.go
+++ b/internal/control/server/process.go
@@ -11,6 +11,7 @@
 	"yardflow/coordination/frame"
 	"yardflow/coordination/segment"
 	"yardflow/internal/control/statemachine"
+	"yardflow/internal/platform/ingress"
 	"yardflow/internal/platform/settings"
 )
 
@@ -21,6 +22,7 @@
 	network       frame.Network
 	folder        segment.Folder
 	logger        zerolog.Logger
+	gate          *ingress.Gate
 	server        atomic.Pointer[Server] // nil until the disk is read
 	handler       atomic.Pointer[http.Handler]
 	diskRejection atomic.Pointer[string] // text of the disk's most recent error; nil: none yet
@@ -30,7 +32,8 @@
 
 // NewProcess returns a process that has not opened its disk yet.
 func NewProcess(s *settings.Settings, network frame.Network, folder segment.Folder, logger zerolog.Logger) *Process {
-	return &Process{settings: s, network: network, folder: folder, logger: logger, supportedRules: statemachine.NewestRules}
+	return &Process{settings: s, network: network, folder: folder, logger: logger, gate: newGate(s, logger),
+		supportedRules: statemachine.NewestRules}
 }
 
 // LimitRules makes the process support the state machine's rules up to a version only, as an earlier build does. Tests of
@@ -50,7 +53,7 @@
 		return errors.Trace(err)
 	}
 	p.server.Store(server)
-	handler := server.Handler()
+	handler := server.handler(p.gate)
 	p.handler.Store(&handler)
 	server.Run(stop)
 	return nil
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -30,6 +30,7 @@
 	"yardflow/internal/control/protocol"
 	"yardflow/internal/control/ruleversion"
 	"yardflow/internal/control/statemachine"
+	"yardflow/internal/platform/ingress"
 	"yardflow/internal/platform/settings"
 )
 
@@ -178,9 +179,9 @@
 	return "replace this disk, or empty the folder so that this machine joins anew"
 }
 
-// Handler returns the handler of all paths of a control process: those for peers, dispatchers and operators.
-func (s *Server) Handler() http.Handler {
-	operator := &operatorAPI{server: s}
+// handler returns the handler of all paths of a control process: those for peers, dispatchers and operators.
+func (s *Server) handler(gate *ingress.Gate) http.Handler {
+	operator := &operatorAPI{server: s, gate: gate}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+protocol.PeerPath, s.peers.accept)
 	mux.HandleFunc("POST "+protocol.DispatcherPath, s.acceptDispatcher)
--- a/internal/dispatcher/clients.go
+++ b/internal/dispatcher/clients.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +11,7 @@
 
 	"yardflow/internal/control/configuration"
 	"yardflow/internal/control/statemachine"
+	"yardflow/internal/platform/ingress"
 	"yardflow/scheduling/job"
 )
 
@@ -24,10 +24,12 @@
 	defaultTimeout = 3 * time.Second
 	// answerMargin is how long before the client's deadline the answer is sent.
 	answerMargin = 150 * time.Millisecond
+	// copiesOfJob is how often a job is in memory while its call waits for the outcome: decoded, and encoded as a command.
+	copiesOfJob = 2
+	// includedJobBytes of a job's copies are part of what a connection costs.
+	includedJobBytes = 4 << 10
 	// retryAfterS is the Retry-After header of each 503, in seconds.
 	retryAfterS = "1"
-	// defaultMaxBodyBytes is the limit on the size of a job's body if the configuration has none.
-	defaultMaxBodyBytes = 1 << 20
 )
 
 // Bodies of error answers, which are part of the client protocol.
@@ -94,7 +96,7 @@
 // serveSubmit accepts a job. It answers 200 only after the job is committed.
 func (d *Dispatcher) serveSubmit(w http.ResponseWriter, r *http.Request, config *configuration.Configuration,
 	route *configuration.Route, id string) {
-	request, ok := readJob(w, r, config)
+	request, ok := d.readJob(w, r, config, route)
 	if !ok {
 		return
 	}
@@ -122,28 +124,49 @@
 }
 
 // readJob reads a job from the body of a call. If the body is not a valid job, it answers the call and reports false.
-func readJob(w http.ResponseWriter, r *http.Request, config *configuration.Configuration) (request job.Request, ok bool) {
-	limit := int64(defaultMaxBodyBytes)
-	if config.Limits.MaxBodyBytes > 0 {
-		limit = config.Limits.MaxBodyBytes
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		http.Error(w, "the job is too large", http.StatusRequestEntityTooLarge)
-		return request, false
-	}
+func (d *Dispatcher) readJob(w http.ResponseWriter, r *http.Request, config *configuration.Configuration,
+	route *configuration.Route) (request job.Request, ok bool) {
+	body, err := ingress.ReadBody(r, bodyLimits(config, route))
 	if err != nil {
-		http.Error(w, "the job can't be read", http.StatusBadRequest)
+		ingress.AnswerBodyError(w, err, "the job")
 		return request, false
 	}
-	if json.Unmarshal(body, &request) != nil || !request.Valid() {
+	request, valid := d.decodeJob(body)
+	if !valid {
 		http.Error(w, invalidJobText, http.StatusBadRequest)
 		return request, false
 	}
+	ingress.Release(r, int64(cap(body)))
+	if err := ingress.Claim(r, copiesOfJob*request.MemoryBytes()-includedJobBytes); err != nil {
+		ingress.AnswerBodyError(w, err, "the job")
+		return request, false
+	}
 	return request, true
 }
 
+// bodyLimits returns the limits of a job's body. A client that has not sent it whole within its route's timeout does not wait
+// for an answer any more.
+func bodyLimits(config *configuration.Configuration, route *configuration.Route) ingress.BodyLimits {
+	limits := ingress.BodyLimits{Bytes: defaultMaxBodyBytes, Timeout: defaultTimeout}
+	if config.Limits.MaxBodyBytes > 0 {
+		limits.Bytes = config.Limits.MaxBodyBytes
+	}
+	if route.TimeoutMs > 0 {
+		limits.Timeout = time.Duration(route.TimeoutMs) * time.Millisecond
+	}
+	return limits
+}
+
+// decodeJob decodes a job and reports whether it is valid. Calls are decoded one after the other.
+func (d *Dispatcher) decodeJob(body []byte) (request job.Request, valid bool) {
+	d.decoding.Lock()
+	defer d.decoding.Unlock()
+	if json.Unmarshal(body, &request) != nil {
+		return job.Request{}, false
+	}
+	return request, request.Valid()
+}
+
 // serveState answers with the state of a job: from this dispatcher's memory if that is known to be current, otherwise by a
 // read from the control machines.
 func (d *Dispatcher) serveState(w http.ResponseWriter, r *http.Request, route *configuration.Route, id string) {
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -12,12 +12,14 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"yardflow/coordination/frame"
 	"yardflow/internal/control/statemachine"
+	"yardflow/internal/platform/ingress"
 	"yardflow/internal/platform/settings"
 	"yardflow/scheduling/placement"
 	"yardflow/scheduling/wallclock"
@@ -46,6 +48,8 @@
 	answerNow chan struct{} // closed when clients' calls have to be answered even without an outcome
 	config    configInForce // written by the event loop alone
 	readiness readiness
+	gate      *ingress.Gate
+	decoding  sync.Mutex // held while a job is decoded, so that the memory for it is needed once
 
 	// The fields below belong to the event loop.
 	clock         wallclock.Clock // the time of day
@@ -72,6 +76,7 @@
 		events:        make(chan func(), eventBufferSize),
 		loopEnded:     make(chan struct{}),
 		answerNow:     make(chan struct{}),
+		gate:          newGate(s, logger),
 		workers:       map[string]*statemachine.Worker{},
 		ownedWorkers:  map[string]*ownedWorker{},
 		schedulers:    map[string]*placement.Scheduler{},
--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -27,12 +27,6 @@
 	lastMessageDelay = 100 * time.Millisecond
 )
 
-// Timeouts of clients' connections.
-const (
-	idleTimeout   = 60 * time.Second
-	headerTimeout = 10 * time.Second
-)
-
 // Serve serves clients and readiness checks until stop is closed, and then shuts down gracefully. It returns an error if it
 // can't listen on one of the configured addresses.
 func (d *Dispatcher) Serve(stop <-chan struct{}) error {
@@ -40,18 +34,16 @@
 	if err != nil {
 		return errors.Annotate(err, "Listen.Front")
 	}
-	clientServer := &http.Server{Handler: d, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout}
-	go d.serveUntilClosed(clientServer, clientListener)
+	clientServer := d.HTTPServer()
+	go d.serveUntilClosed(clientServer, d.Admit(clientListener))
 	if d.settings.Listen.Ready != "" {
 		readinessListener, err := d.network.Listen(d.settings.Listen.Ready)
 		if err != nil {
 			return errors.Annotate(err, "Listen.Ready")
 		}
-		mux := http.NewServeMux()
-		mux.HandleFunc("GET /-/readiness", d.ServeReadiness)
-		readinessServer := &http.Server{Handler: mux, IdleTimeout: idleTimeout}
+		readinessServer := d.newReadinessServer()
 		defer func() { _ = readinessServer.Close() }() // it only cuts off readiness checks; nothing to report
-		go d.serveUntilClosed(readinessServer, readinessListener)
+		go d.serveUntilClosed(readinessServer, d.admitReadinessChecks(readinessListener))
 	}
 	loopStop := make(chan struct{})
 	go d.Run(loopStop)
--- a/internal/platform/settings/settings.go
+++ b/internal/platform/settings/settings.go
@@ -39,6 +39,7 @@
 type Limits struct {
 	Cores    int   // not used by this version
 	MemoryMb int64 // the process is killed above it
+	MaxFds   int   // descriptors that the process may have open
 	DiskMb   int64 // of DataDir
 }
 
--- a/internal/testing/emulator/processes.go
+++ b/internal/testing/emulator/processes.go
@@ -35,10 +35,10 @@
 		control.LimitRules(statemachine.InitialRules)
 	}
 	listener, _ := machine.Listen(s.Listen.Control)
-	c.http = &http.Server{Handler: control}
+	c.http = control.HTTPServer()
 	stop := make(chan struct{})
 	c.stop, c.run = stop, control
-	go func() { _ = c.http.Serve(listener) }()
+	go func() { _ = c.http.Serve(control.Admit(listener)) }()
 	go func() {
 		defer c.cluster.noteStopped(c.name)
 		if err := control.Run(stop); err != nil {
@@ -150,9 +150,9 @@
 	machine := d.cluster.Network.Machine(d.name)
 	dispatcher := dispatcher.New(s, machine, d.cluster.logger.With().Str("node", d.name).Logger())
 	listener, _ := machine.Listen(s.Listen.Front)
-	d.http = &http.Server{Handler: dispatcher}
+	d.http = dispatcher.HTTPServer()
 	d.stop = make(chan struct{})
-	go func() { _ = d.http.Serve(listener) }()
+	go func() { _ = d.http.Serve(dispatcher.Admit(listener)) }()
 	go dispatcher.Run(d.stop)
 }
 
