A large body of announced length is claimed whole before a byte of it is read

Cause: bodies were claimed as they grew, so of 40 bodies of 4 MB at once each got a part, and all of them could be refused the rest. Change: above 16 KiB the announced length, and a quarter of it for the last copy, is claimed at the end of the head: the first requests get to their end, later ones are refused before any of their bytes are taken, and one that stands still gives way after 500 ms as before.

--- a/coordination/buffer/buffer.go
+++ b/coordination/buffer/buffer.go
@@ -25,15 +25,16 @@
 	return fmt.Sprintf("no quota for a buffer of %d bytes", e.Bytes)
 }
 
+// Sizes of buffers.
 const (
 	// firstBytes is the largest first buffer.
 	firstBytes = 16 << 10
-	// growthFactor is the ratio between a buffer and the next one.
-	growthFactor = 4
+	// GrowthFactor is the ratio between a buffer and the next one.
+	GrowthFactor = 4
 )
 
 // NextCapacity returns the capacity to which a full buffer grows that holds length bytes in the end. The last buffer has
-// exactly length bytes, and the one before it a quarter. So a text holds at most growthFactor times what has arrived of it,
+// exactly length bytes, and the one before it a quarter. So a text holds at most GrowthFactor times what has arrived of it,
 // and a quarter more than its length while it is copied for the last time.
 func NextCapacity(capacity, length int) int {
 	next := length
@@ -43,7 +44,7 @@
 	return next
 }
 
-func ceilingQuotient(bytes int) int { return (bytes + growthFactor - 1) / growthFactor }
+func ceilingQuotient(bytes int) int { return (bytes + GrowthFactor - 1) / GrowthFactor }
 
 // Read reads length bytes, or fewer where the source ends before; then the error is io.EOF. The capacity of the returned
 // buffer is granted by the quota; the caller releases it. After any other error nothing is held. A nil quota grants all.
--- a/coordination/buffer/buffer_test.go
+++ b/coordination/buffer/buffer_test.go
@@ -30,7 +30,7 @@
 			switch {
 			case next <= capacity || next > length:
 				t.Fatalf("length %d: capacity %d grows to %d", length, capacity, next)
-			case capacity > 0 && next > growthFactor*capacity, capacity == 0 && next > firstBytes:
+			case capacity > 0 && next > GrowthFactor*capacity, capacity == 0 && next > firstBytes:
 				t.Errorf("length %d: capacity %d grows to %d at once", length, capacity, next)
 			case next == length && capacity > ceilingQuotient(length):
 				t.Errorf("length %d: the last but one buffer has %d bytes", length, capacity)
--- a/internal/platform/ingress/body.go
+++ b/internal/platform/ingress/body.go
@@ -19,6 +19,9 @@
 	Timeout time.Duration // from the end of the head to that of the body
 }
 
+// smallBodyBytes is the length up to which a body is claimed as it is read.
+const smallBodyBytes = 16 << 10
+
 // ErrBodyIncomplete says that a body ended before its announced end, or came too slowly, or is not well-formed.
 const ErrBodyIncomplete = errors.ConstError("the body is incomplete")
 
@@ -32,12 +35,7 @@
 	if length < 0 {
 		length = limits.Bytes + 1 // one more shows that the body is too large
 	}
-	var quota buffer.Quota
-	if c := connOf(r); c != nil {
-		c.expectBody(limits)
-		quota = requestQuota{c}
-	}
-	body, err := buffer.Read(r.Body.Read, int(length), quota)
+	body, err := readBody(r, int(length), limits)
 	var refused *buffer.RefusedError
 	switch {
 	case errors.As(err, &refused):
@@ -53,13 +51,38 @@
 	return body, nil
 }
 
+// readBody reads length bytes of a body, or fewer where it ends before. A large body of announced length is claimed whole
+// before a byte of it is read, so that of many large bodies the first ones get to their end.
+func readBody(r *http.Request, length int, limits BodyLimits) ([]byte, error) {
+	c := connOf(r)
+	if c == nil {
+		return buffer.Read(r.Body.Read, length, nil)
+	}
+	c.expectBody(limits)
+	if r.ContentLength <= smallBodyBytes {
+		return buffer.Read(r.Body.Read, length, requestQuota{c})
+	}
+	whileCopied := r.ContentLength / buffer.GrowthFactor
+	if !c.gate.claim(c, r.ContentLength+whileCopied) {
+		return nil, &buffer.RefusedError{Bytes: length}
+	}
+	body, err := buffer.Read(r.Body.Read, length, nil)
+	c.gate.release(c, whileCopied)
+	return body, err
+}
+
 // Claim asks for bytes that a request holds beside its body, until it is answered. It returns a RefusedError with the cause
-// NoBytesLeft.
+// NoBytesLeft, or BodyTooLarge if the request would never fit.
 func Claim(r *http.Request, bytes int64) error {
-	if c := connOf(r); c != nil && !c.gate.claim(c, bytes) {
+	c := connOf(r)
+	switch {
+	case c == nil || c.gate.claim(c, bytes):
+		return nil
+	case bytes > c.gate.budget.Limits(c.class()).Bytes:
+		return refuse(r, BodyTooLarge)
+	default:
 		return refuse(r, NoBytesLeft)
 	}
-	return nil
 }
 
 // Release gives bytes back that a request does not hold any more.
