A configuration's memory is claimed before it is parsed, and parsed one at a time

Cause: Parse builds a tree of values; small objects take 50 times their text (700 kB of text held 35 MB). Change: configuration.ParsingMemory foretells from the text what Parse takes at most, by counting braces, brackets and separators (scheduling/jsontext, which the steps of a job use as well); the operator's API claims it. What never fits is answered 413, what does not fit now 503. Status calls wait for each other, not the engine for all of them.

--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,7 @@
 	go test -run '^$$' -fuzz FuzzRead -fuzztime $(FUZZTIME) ./internal/control/configuration
 	go test -run '^$$' -fuzz FuzzRequest -fuzztime $(FUZZTIME) ./scheduling/job
 	go test -run '^$$' -fuzz FuzzName -fuzztime $(FUZZTIME) ./scheduling/job
+	go test -run '^$$' -fuzz FuzzHasMoreElements -fuzztime $(FUZZTIME) ./scheduling/jsontext
 	go test -run '^$$' -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./internal/control/protocol
 	go test -run '^$$' -fuzz FuzzUnpack -fuzztime $(FUZZTIME) ./internal/control/protocol
 	go test -run '^$$' -fuzz FuzzApply -fuzztime $(FUZZTIME) ./internal/control/patch
--- a/internal/control/server/operator_config.go
+++ b/internal/control/server/operator_config.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"yardflow/internal/control/configuration"
@@ -22,8 +23,10 @@
 
 // operatorAPI serves the operators' requests. Its methods run in goroutines of the HTTP server.
 type operatorAPI struct {
-	server *Server
-	gate   *ingress.Gate
+	server  *Server
+	gate    *ingress.Gate
+	parsing sync.Mutex // held while a configuration is parsed
+	reading sync.Mutex // held while the engine works out the status, so that callers do not keep it from all else
 }
 
 // commandOutcome is the result of an operator's command, or the error because of which it was not proposed.
@@ -77,12 +80,14 @@
 	text   string
 }
 
-// readConfigChange reads and validates a request with its body. The badRequest is nil if the request is valid.
-func readConfigChange(r *http.Request, body []byte) (configChange, *badRequest) {
+// readConfigChange reads and validates a request with its body. Requests are parsed one after the other. The badRequest is nil if the request is valid.
+func (a *operatorAPI) readConfigChange(r *http.Request, body []byte) (configChange, *badRequest) {
 	baseVersion, err := strconv.ParseInt(strings.Trim(r.Header.Get("If-Match"), `" `), 10, 64)
 	if err != nil {
 		return configChange{}, &badRequest{http.StatusBadRequest, "If-Match must hold the version on which this one builds"}
 	}
+	a.parsing.Lock()
+	defer a.parsing.Unlock()
 	parsed, invalid := configuration.Parse(body)
 	if invalid != nil {
 		return configChange{}, &badRequest{http.StatusBadRequest, invalid.Error()}
@@ -97,7 +102,11 @@
 		ingress.AnswerBodyError(w, err, "the configuration")
 		return
 	}
-	change, bad := readConfigChange(r, body)
+	if err := ingress.Claim(r, configuration.ParsingMemory(body)); err != nil {
+		ingress.AnswerBodyError(w, err, "the configuration")
+		return
+	}
+	change, bad := a.readConfigChange(r, body)
 	if bad != nil {
 		http.Error(w, bad.text, bad.status)
 		return
--- a/internal/control/server/operator_status.go
+++ b/internal/control/server/operator_status.go
@@ -85,6 +85,8 @@
 
 // status asks the engine for its status. It returns an empty status if the engine has ended.
 func (a *operatorAPI) status() Status {
+	a.reading.Lock()
+	defer a.reading.Unlock()
 	s := a.server
 	answer := make(chan Status, 1)
 	s.do(func() { answer <- s.currentStatus() })
--- a/lab/crowds/crowds_test.go
+++ b/lab/crowds/crowds_test.go
@@ -21,22 +21,23 @@
 // Sizes of crowds and of what each of their connections sends. With the limits of the settings they go over memoryMb or
 // maxFds unless the process decides what it holds.
 const (
-	crowd            = 500
-	decodingCrowd    = 100 // of requests that grow when they are decoded
-	largeCrowd       = 40  // of requests of some megabytes each
-	endlessBytes     = 2 << 20
-	largeHeadBytes   = 512 << 10
-	pieceBytes       = 16 << 10
-	largeChunkBytes  = 64 << 10
-	largeConfigBytes = 8 << 20
-	frameBytes       = 4 << 20 // sent of a message of announcedBytes
-	announcedBytes   = 60 << 20
-	pipelinedBytes   = 256 << 10 // of calls of some 60 bytes each
-	manyLines        = 3800      // of 4 bytes each: a head of legal size
-	configPadding    = 4000      // further queues of a large configuration: some 700 kB
-	dialTimeout      = 10 * time.Second
-	sendTimeout      = 10 * time.Second // after which a connection that can't send on stays open and silent
-	piecePause       = 5 * time.Millisecond
+	crowd             = 500
+	decodingCrowd     = 100 // of requests that grow when they are decoded
+	largeCrowd        = 40  // of requests of some megabytes each
+	endlessBytes      = 2 << 20
+	largeHeadBytes    = 512 << 10
+	pieceBytes        = 16 << 10
+	largeChunkBytes   = 64 << 10
+	largeConfigBytes  = 8 << 20
+	frameBytes        = 4 << 20 // sent of a message of announcedBytes
+	announcedBytes    = 60 << 20
+	smallObjectsBytes = 4 << 20
+	pipelinedBytes    = 256 << 10 // of calls of some 60 bytes each
+	manyLines         = 3800      // of 4 bytes each: a head of legal size
+	configPadding     = 4000      // further queues of a large configuration: some 700 kB
+	dialTimeout       = 10 * time.Second
+	sendTimeout       = 10 * time.Second // after which a connection that can't send on stays open and silent
+	piecePause        = 5 * time.Millisecond
 )
 
 // attack is what each connection of a crowd does.
@@ -66,6 +67,13 @@
 	return start + strings.Repeat(step, (maxBodyBytes-len(start)-len(end))/len(step)) + end
 }()
 
+// smallObjects is a configuration of legal size that is none: its routes are small objects, which take far more memory than
+// their text.
+var smallObjects = func() string {
+	const start, object, end = `{"Version":3,"Routes":[{"":0}`, `,{"":0}`, `]}`
+	return start + strings.Repeat(object, smallObjectsBytes/len(object)) + end
+}()
+
 // send writes texts one after the other.
 func send(texts ...string) func(w io.Writer) error {
 	return func(w io.Writer) error {
@@ -168,6 +176,8 @@
 	{"silent-connections", crowd, send()},
 	{"messages-of-dispatchers-that-stop-short", largeCrowd, send(fmt.Sprintf(frameHead, protocol.DispatcherPath), announcedFrame(), strings.Repeat(" ", frameBytes))},
 	{"messages-of-peers-that-stop-short", largeCrowd, send(fmt.Sprintf(frameHead, protocol.PeerPath), announcedFrame(), strings.Repeat(" ", frameBytes))},
+	{"configurations-of-many-small-objects", largeCrowd, send(head("PUT", "/-/config", fmt.Sprintf("If-Match: 1\r\nContent-Length: %d", len(smallObjects))),
+		smallObjects)},
 	{"configurations-not-read", decodingCrowd, sendRepeatedly("", head("GET", "/-/config", "X: x"), pieceBytes)},
 }
 
--- a/scheduling/job/decode_test.go
+++ b/scheduling/job/decode_test.go
@@ -25,20 +25,6 @@
 	}
 }
 
-func TestElementsOfArraysAreCounted(t *testing.T) {
-	cases := map[string]int{
-		`[]`: 1, `[{}]`: 1, `[1,2]`: 2, `null`: 1, `{"a":1,"b":2}`: 2,
-		`[{"a":[1,2,3],"b":{"c":1,"d":2}},{}]`: 2,
-		`["a,b","\",\\",","]`:                  3,
-		` [ 1 , [2,3] ] `:                      2,
-	}
-	for text, want := range cases {
-		if got := countElements([]byte(text)); got != want {
-			t.Errorf("%s: %d elements, want %d", text, got, want)
-		}
-	}
-}
-
 func TestAllAllowedStepsAreDecoded(t *testing.T) {
 	body := `{"Spec":"x","Steps":[{"Count":1}` + strings.Repeat(`,{"Count":1}`, maxSteps-1) + `]}`
 	request := Request{}
