Soak: clients that don't behave beside all else; up to 64 readiness checkers

Readiness had 16 connections; more checkers than that which keep theirs would have pushed each other out.

--- a/internal/platform/ingress/budget/limits.go
+++ b/internal/platform/ingress/budget/limits.go
@@ -21,27 +21,29 @@
 	ConnectionBytes = 96 << 10
 	// smallBytes is what an ordinary request claims at most.
 	smallBytes = 16 << 10
-	// readinessConnections serve the platform, which asks once a second.
-	readinessConnections = 16
-	readinessBytes       = 256 << 10
-	minConnections       = 8
+	// maxReadinessConnections serve the platform's checkers, each of which asks once a second and may keep its connection.
+	maxReadinessConnections = 64
+	readinessBytes          = 256 << 10
+	minConnections          = 8
 )
 
 // Shares of the machine, in hundredths. What is left of the memory is for the state, for garbage that is not collected yet
 // and for the program itself.
 const (
-	clientConnectionShare   = 25 // of the memory, for clients' connections
-	clientBytesShare        = 15 // of the memory, for clients' requests
-	operatorConnectionShare = 10
-	operatorBytesShare      = 20 // one configuration of 32 MiB at 280 MB
-	processConnectionShare  = 20
-	processBytesShare       = 35 // one message of 64 MiB at 280 MB
-	largeShare              = 75 // of a class's bytes, for all large requests together
+	clientConnectionShare    = 25 // of the memory, for clients' connections
+	clientBytesShare         = 15 // of the memory, for clients' requests
+	readinessConnectionShare = 5
+	operatorConnectionShare  = 10
+	operatorBytesShare       = 20 // one configuration of 32 MiB at 280 MB
+	processConnectionShare   = 20
+	processBytesShare        = 35 // one message of 64 MiB at 280 MB
+	largeShare               = 75 // of a class's bytes, for all large requests together
 
-	clientFdShare   = 50 // of the descriptors
-	operatorFdShare = 25
-	processFdShare  = 50
-	hundredths      = 100
+	clientFdShare    = 50 // of the descriptors
+	readinessFdShare = 10
+	operatorFdShare  = 25
+	processFdShare   = 50
+	hundredths       = 100
 )
 
 // ForDispatcher returns the limits of a dispatcher's callers.
@@ -55,7 +57,7 @@
 			LargeBytes:  m.bytes(clientBytesShare) * largeShare / hundredths,
 		},
 		Readiness: {
-			Connections: readinessConnections,
+			Connections: min(m.connections(readinessFdShare, readinessConnectionShare), maxReadinessConnections),
 			Bytes:       readinessBytes,
 			SmallBytes:  smallBytes,
 			LargeBytes:  readinessBytes * largeShare / hundredths,
--- a/lab/soak/main.go
+++ b/lab/soak/main.go
@@ -27,6 +27,7 @@
 	dispatchers := flag.Int("dispatchers", 6, "dispatchers")
 	workers := flag.Int("workers", 8, "workers")
 	clients := flag.Int("clients", 24, "clients, each with a connection of its own")
+	crowd := flag.Int("crowd", 60, "connections of clients that don't behave, at once")
 	series := flag.Int("series", 3, "series of disruptions of dispatchers at once")
 	slack := flag.Duration("loss-slack", time.Second, "a call sent that shortly before its connection ends may be cut off; 200ms on an idle machine")
 	unseen := flag.Bool("drains-unseen", false, "a planted fault: the platform lists workers that drain as ready, and DRAIN has to be found")
@@ -56,7 +57,7 @@
 		playing.Go(func() {
 			defer func() { <-turns }()
 			config := scenario.Config{Program: absolute, Former: absoluteFormer, Folder: filepath.Join(*folder, fmt.Sprint("seed-", seed)), Seed: seed,
-				Span: *span, Clients: *clients, Series: *series, LossSlack: *slack, Shape: emulator.Shape{Cores: *cores, Tolerate: *tolerate,
+				Span: *span, Clients: *clients, Crowd: *crowd, Series: *series, LossSlack: *slack, Shape: emulator.Shape{Cores: *cores, Tolerate: *tolerate,
 					Dispatchers: *dispatchers, Workers: *workers, Guards: true, Planted: planted}}
 			held := playSeed(config, &printing)
 			printing.Lock()
--- a/lab/soak/scenario/process.go
+++ b/lab/soak/scenario/process.go
@@ -19,12 +19,13 @@
 
 // Bounds of processes.
 const (
-	graceS      = 6                      // between SIGTERM and SIGKILL
-	lateEnd     = 4 * time.Second        // beyond that, for a busy machine, before the end counts as late
-	memoryMb    = 284                    // as the machines of the smaller deployments have it
-	mostFiles   = 600                    // descriptors of a dispatcher that serves few clients and workers
-	unplannedIn = 3 * time.Second        // in which a kill or a freeze excuses calls that are cut off
-	askWithin   = 500 * time.Millisecond // for the platform's check
+	graceS        = 6                      // between SIGTERM and SIGKILL
+	lateEnd       = 4 * time.Second        // beyond that, for a busy machine, before the end counts as late
+	memoryMb      = 284                    // as the machines of the smaller deployments have it
+	mostFiles     = 600                    // descriptors of a dispatcher that serves few clients and workers
+	reservedFiles = 200                    // of the settings' descriptors, which stay kept for files outside of the disk folder
+	unplannedIn   = 3 * time.Second        // in which a kill or a freeze excuses calls that are cut off
+	askWithin     = 500 * time.Millisecond // for the platform's check
 )
 
 // process is one machine of the cluster with its program.
@@ -53,7 +54,7 @@
 func (p *process) writeSettings(first bool) {
 	told := p.soak.cluster.Settings(p.name, p.zone)
 	told.Role, told.Bootstrap, told.Bounds.GraceS = p.role, first, graceS
-	told.Limits = settings.Limits{Cores: 1, MemoryMb: memoryMb, DiskMb: 16}
+	told.Limits = settings.Limits{Cores: 1, MemoryMb: memoryMb, MaxFds: p.soak.mostDescriptors() + reservedFiles, DiskMb: 16}
 	if p.role == "control" {
 		told.Listen.Control, told.DataDir = p.soak.block.address(p.name), filepath.Join(p.folder, "data")
 	} else {
@@ -248,13 +249,18 @@
 			s.breaks("FAULT", "%s has used %d MB", p.name, used)
 		}
 		files, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", cmd.Process.Pid))
-		if most := mostFiles + 8*s.config.Shape.Workers + 2*s.config.Shape.Dispatchers; len(files) > most {
+		if most := s.mostDescriptors(); len(files) > most {
 			s.breaks("FAULT", "%s holds %d descriptors, %d at most are expected", p.name, len(files), most)
 		}
 	}
 	return largest
 }
 
+// mostDescriptors returns how many descriptors a process may hold.
+func (s *soak) mostDescriptors() int {
+	return mostFiles + 8*s.config.Shape.Workers + 2*s.config.Shape.Dispatchers
+}
+
 // peakMemoryMb reads the most memory that a process has had.
 func peakMemoryMb(pid int) int {
 	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
--- a/lab/soak/scenario/series.go
+++ b/lab/soak/scenario/series.go
@@ -24,7 +24,8 @@
 	changeStream = 11 + iota
 	coreStream
 	workerStream
-	frontStream // and above
+	frontStream             // and above
+	crowdStream = 1_000_000 // and above
 )
 
 func (s *soak) random(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(s.config.Seed, stream)) }
--- a/lab/soak/scenario/soak.go
+++ b/lab/soak/scenario/soak.go
@@ -41,6 +41,7 @@
 	Span    time.Duration // of disruptions and traffic
 	Shape   emulator.Shape
 	Clients int
+	Crowd   int // connections of clients that don't behave, at once
 	Series  int // of signals and restarts of dispatchers, at once
 	// LossSlack: a call sent that shortly before its connection ends may meet a process that has not read it.
 	LossSlack time.Duration
@@ -131,6 +132,9 @@
 	for i := range s.config.Clients {
 		clients.Go(func() { s.client(rand.New(rand.NewPCG(s.config.Seed, uint64(1000+i)))) })
 	}
+	for i := range s.config.Crowd {
+		clients.Go(func() { s.crowd(s.random(crowdStream + uint64(i))) })
+	}
 	series.Go(func() { report.Taken = s.changes(end) })
 	series.Go(func() { s.coreSeries(end) })
 	series.Go(func() { s.workerSeries(end) })
