Callers that do not take their answers give way; connections that wait to be accepted are bounded

(2) A trial with settings of 284 MB and 2,500 connections of one-byte chunks at a control address took 291 MB: up to 125 MB lay in sockets that waited to be accepted. Change: (1) a connection is Answering from the first write on, and gives way once the caller has taken nothing for 500 ms; an idle one gives way only after 500 ms as well, so that its last answer has arrived. (2) The listeners' backlog is a twentieth of the memory by what may arrive on each.

--- a/internal/platform/ingress/budget/budget.go
+++ b/internal/platform/ingress/budget/budget.go
@@ -3,13 +3,14 @@
 //
 // Each class of callers has a part of its own, so that one class never waits for another. Within a class connections that
 // have not brought a whole request yet give way first, the one without progress for the longest time before all others. A
-// connection whose request is whole never gives way. Of the bytes a part is left to connections that claim few, so that
+// connection whose request is whole does not give way until its answer is written, and then only if the caller takes none of
+// it for a while. Of the bytes a part is left to connections that claim few, so that
 // large requests do not crowd out ordinary ones; a large request that is alone may use all.
 //
 // Invariants, which tests of this package hold:
 //   - a class never has more connections, and never claims more bytes, than its limits say;
 //   - no decision depends on another class;
-//   - a connection whose request is whole is never closed for another;
+//   - a connection whose request is whole is never closed for another before its answer is written;
 //   - what a closed connection has claimed is free at once.
 //
 // The package has no I/O, no clock and no randomness: callers pass the time, and close the connections that are returned to
@@ -41,6 +42,7 @@
 // ClassLimits is the part of one class of callers. A class without connections admits nobody.
 type ClassLimits struct {
 	Connections int   // open at once
+	Backlog     int   // connections that may wait in the kernel to be accepted; 0: as many as the system allows
 	Bytes       int64 // claimed at once, beyond what each connection costs by itself
 	SmallBytes  int64 // a connection that claims no more than this may use all of Bytes
 	LargeBytes  int64 // claimed at once by connections that claim more than SmallBytes, unless one is alone
@@ -54,9 +56,10 @@
 
 // Stages of a request.
 const (
-	Idle    Stage = iota // no byte of the next request has arrived
-	Reading              // a part of a request has arrived
-	Serving              // the request is whole, and is being served
+	Idle      Stage = iota // no byte of the next request has arrived
+	Reading                // a part of a request has arrived
+	Serving                // the request is whole, and is being served
+	Answering              // the answer is being written
 )
 
 // Connection is one connection of a caller. Open returns it, and Close ends it.
@@ -68,7 +71,7 @@
 	claimed    int64
 	progressAt time.Duration
 
-	queue   *list.List    // the list of connections that may give way that holds it; nil while it serves
+	queue   *list.List    // the list of connections that may give way that holds it; nil while it is served
 	element *list.Element // its place in queue
 }
 
@@ -90,7 +93,8 @@
 	// longest time in front.
 	unproven   list.List // have not brought a whole request yet
 	incomplete list.List // have brought one before, and a part of the next one
-	idle       list.List // have brought one before
+	answering  list.List // are written an answer to; they give way only if they stand still
+	idle       list.List // have brought one before, and wait; they give way only after a while
 }
 
 // Budget is what a process may hold for its callers, and what it holds.
@@ -132,7 +136,7 @@
 // when Open returns it. The connection is nil if none can: all serve.
 func (b *Budget) Open(class Class, now time.Duration) (opened, evicted *Connection) {
 	p := &b.parts[class]
-	evicted, admitted := b.makeRoom(p)
+	evicted, admitted := b.makeRoom(p, now)
 	if !admitted {
 		return nil, nil
 	}
@@ -143,11 +147,11 @@
 }
 
 // makeRoom closes a connection of a class without room for one more. It reports whether there is room.
-func (b *Budget) makeRoom(p *part) (evicted *Connection, hasRoom bool) {
+func (b *Budget) makeRoom(p *part, now time.Duration) (evicted *Connection, hasRoom bool) {
 	if p.open < p.limits.Connections {
 		return nil, true
 	}
-	evicted = p.firstToGiveWay()
+	evicted = p.firstToGiveWay(now - b.stallAfter)
 	if evicted == nil {
 		return nil, false
 	}
@@ -155,11 +159,18 @@
 	return evicted, true
 }
 
-// firstToGiveWay returns the connection that gives way to another one, or nil if all serve.
-func (p *part) firstToGiveWay() *Connection {
-	for _, queue := range []*list.List{&p.unproven, &p.incomplete, &p.idle} {
-		if front := queue.Front(); front != nil {
-			return front.Value.(*Connection)
+// firstToGiveWay returns the connection that gives way to another one, or nil if there is none. A connection that is answered, or
+// was answered lately, gives way only if it has not made progress since stalledSince, so that its caller has got the answer.
+func (p *part) firstToGiveWay(stalledSince time.Duration) *Connection {
+	for _, queue := range []*list.List{&p.unproven, &p.incomplete, &p.answering, &p.idle} {
+		front := queue.Front()
+		if front == nil {
+			continue
+		}
+		c := front.Value.(*Connection)
+		isAnswered := queue == &p.answering || queue == &p.idle
+		if !isAnswered || c.progressAt <= stalledSince {
+			return c
 		}
 	}
 	return nil
@@ -173,7 +184,7 @@
 		return nil, false
 	}
 	p := &b.parts[class]
-	evicted, hasRoom := b.makeRoom(p)
+	evicted, hasRoom := b.makeRoom(p, now)
 	if !hasRoom {
 		return nil, false
 	}
@@ -227,6 +238,8 @@
 func (b *Budget) enqueue(c *Connection) {
 	p := &b.parts[c.class]
 	switch {
+	case c.stage == Answering:
+		c.queue = &p.answering
 	case !c.hasServed:
 		c.queue = &p.unproven
 	case c.stage == Reading:
--- a/internal/platform/ingress/budget/budget_test.go
+++ b/internal/platform/ingress/budget/budget_test.go
@@ -82,6 +82,8 @@
 	s.expect("then the one with part of a head", s.open("new-2"), "head")
 	s.stage("new-1", Serving)
 	s.stage("new-2", Serving)
+	s.expect("the answer of the last one may be on its way", s.open("new-3"), "refused")
+	s.now += testStall
 	s.expect("then the one that is idle between requests", s.open("new-3"), "served")
 	s.stage("new-3", Serving)
 	s.expect("none that serves gives way", s.open("new-4"), "refused")
@@ -110,9 +112,27 @@
 	s.stage("partial", Reading)
 	s.expect("a part of the second request", s.open("e"), "partial")
 	s.stage("e", Serving)
+	s.now += testStall
 	s.expect("no request under way", s.open("f"), "idle")
 }
 
+func TestCallerThatDoesNotTakeItsAnswerGivesWay(t *testing.T) {
+	s := newSession(t)
+	for _, name := range []string{"idle", "slow", "quick", "serving"} {
+		s.open(name)
+		s.stage(name, Serving)
+	}
+	s.stage("idle", Idle)
+	s.stage("slow", Answering)
+	s.now += testStall
+	s.stage("quick", Answering)
+	s.expect("takes nothing of its answer", s.open("e"), "slow")
+	s.stage("e", Serving)
+	s.expect("one that takes its answer stays", s.open("f"), "idle")
+	s.stage("f", Serving)
+	s.expect("all serve or take their answers", s.open("g"), "refused")
+}
+
 func TestClaimsThatStandStillGiveWay(t *testing.T) {
 	s := newSession(t)
 	for _, name := range []string{"a", "b", "c"} {
@@ -246,7 +266,7 @@
 	case 2:
 		b.Release(c, random.Int64N(20))
 	case 3:
-		b.SetStage(c, Stage(random.IntN(3)), now)
+		b.SetStage(c, Stage(random.IntN(4)), now)
 	default:
 		evicted, _ := b.Claim(c, random.Int64N(40), now)
 		for _, other := range evicted {
--- a/internal/platform/ingress/budget/claims.go
+++ b/internal/platform/ingress/budget/claims.go
@@ -82,7 +82,7 @@
 		return nil, true
 	}
 	onlyLarge := wanted.claimed <= p.limits.Bytes // small claims need not give way
-	for _, queue := range []*list.List{&p.unproven, &p.incomplete} {
+	for _, queue := range []*list.List{&p.unproven, &p.incomplete, &p.answering} {
 		for element := queue.Front(); element != nil; element = element.Next() {
 			other := element.Value.(*Connection)
 			if now-other.progressAt < b.stallAfter {
--- a/internal/platform/ingress/budget/limits.go
+++ b/internal/platform/ingress/budget/limits.go
@@ -25,6 +25,10 @@
 	maxReadinessConnections = 64
 	readinessBytes          = 256 << 10
 	minConnections          = 8
+	// limitedUnreadBytes may arrive on a connection before it is accepted where the socket's buffers are limited, and
+	// unreadBytes where they are not.
+	limitedUnreadBytes = 32 << 10
+	unreadBytes        = 64 << 10
 )
 
 // Shares of the machine, in hundredths. What is left of the memory is for the state, for garbage that is not collected yet
@@ -37,6 +41,7 @@
 	operatorBytesShare       = 20 // one configuration of 32 MiB at 280 MB
 	processConnectionShare   = 20
 	processBytesShare        = 35 // one message of 64 MiB at 280 MB
+	backlogShare             = 5  // for what arrives on connections before they are accepted
 	largeShare               = 75 // of a class's bytes, for all large requests together
 
 	clientFdShare    = 50 // of the descriptors
@@ -52,12 +57,14 @@
 	return Limits{
 		Clients: {
 			Connections: m.connections(clientFdShare, clientConnectionShare),
+			Backlog:     m.backlog(limitedUnreadBytes),
 			Bytes:       m.bytes(clientBytesShare),
 			SmallBytes:  smallBytes,
 			LargeBytes:  m.bytes(clientBytesShare) * largeShare / hundredths,
 		},
 		Readiness: {
 			Connections: min(m.connections(readinessFdShare, readinessConnectionShare), maxReadinessConnections),
+			Backlog:     maxReadinessConnections,
 			Bytes:       readinessBytes,
 			SmallBytes:  smallBytes,
 			LargeBytes:  readinessBytes * largeShare / hundredths,
@@ -71,6 +78,7 @@
 	return Limits{
 		Operators: {
 			Connections: m.connections(operatorFdShare, operatorConnectionShare),
+			Backlog:     m.backlog(unreadBytes),
 			Bytes:       m.bytes(operatorBytesShare),
 			SmallBytes:  smallBytes,
 			LargeBytes:  m.bytes(operatorBytesShare) * largeShare / hundredths,
@@ -98,6 +106,11 @@
 // bytes returns a share of the memory.
 func (m Machine) bytes(share int64) int64 { return m.MemoryMb << 20 * share / hundredths }
 
+// backlog returns how many connections may wait to be accepted.
+func (m Machine) backlog(unreadBytes int64) int {
+	return max(int(m.bytes(backlogShare)/unreadBytes), minConnections)
+}
+
 // connections returns how many connections shares of the descriptors and of the memory allow.
 func (m Machine) connections(fdShare int, memoryShare int64) int {
 	byFds := (m.MaxFds - reservedFds) * fdShare / hundredths
--- a/internal/platform/ingress/conn.go
+++ b/internal/platform/ingress/conn.go
@@ -195,6 +195,7 @@
 		return c.Conn.Write(p)
 	}
 	for written < len(p) {
+		c.gate.setStage(c, budget.Answering)
 		c.renewWriteDeadline()
 		n, err := c.Conn.Write(p[written:min(len(p), written+writeBytes)])
 		written += n
--- a/internal/platform/ingress/listener.go
+++ b/internal/platform/ingress/listener.go
@@ -25,9 +25,7 @@
 // Listen wraps a listener so that the gate admits its connections, as callers of a class. The limits of their requests are
 // asked for again and again, since a configuration may change them.
 func (g *Gate) Listen(l net.Listener, class budget.Class, limits func() RequestLimits) net.Listener {
-	if class != budget.Operators { // whose connections may become those of processes, with larger windows
-		limitBuffers(l)
-	}
+	g.limitSocket(l, class)
 	return &listener{Listener: l, gate: g, class: class, limits: limits}
 }
 
@@ -51,9 +49,10 @@
 	}
 }
 
-// limitBuffers sets the sizes of the buffers of all sockets that will be accepted. The operating system does not scale the
-// window of such a socket up, which fits short requests. Where it fails, the system's own sizes stay.
-func limitBuffers(l net.Listener) {
+// limitSocket limits what the kernel holds for callers: connections that wait to be accepted, and the buffers of all sockets that
+// will be accepted. The system does not scale the window of such a socket up, which fits short requests; operators' connections
+// may become those of processes and are limited once they are accepted. Where it fails, the system's own limits stay.
+func (g *Gate) limitSocket(l net.Listener, class budget.Class) {
 	socket, ok := l.(syscall.Conn)
 	if !ok {
 		return
@@ -62,8 +61,14 @@
 	if err != nil {
 		return
 	}
+	backlog := g.budget.Limits(class).Backlog
 	_ = raw.Control(func(descriptor uintptr) {
-		_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBufferBytes)
-		_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBufferBytes)
+		if backlog > 0 {
+			_ = syscall.Listen(int(descriptor), backlog) // changes the backlog of a socket that listens already
+		}
+		if class != budget.Operators {
+			_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, socketBufferBytes)
+			_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBufferBytes)
+		}
 	})
 }
