--- a/lab/soak/scenario/process.go
+++ b/lab/soak/scenario/process.go
@@ -39,7 +39,7 @@
 	mu        sync.Mutex
 	cmd       *exec.Cmd
 	ended     chan struct{} // closed once cmd has ended
-	asked     bool          // its end was asked for
+	asked     bool          // somebody has asked for its end
 	frozen    bool
 	unplanned time.Time // of the last kill or freeze, or of its end
 	planned   time.Time // of the last SIGTERM or SIGHUP
@@ -50,22 +50,22 @@
 	return &process{soak: s, name: name, zone: zone, role: role, folder: filepath.Join(s.config.Folder, name)}
 }
 
-// writeSettings lays the settings file as the platform would, whole at once.
+// writeSettings writes the settings file as the platform does: another file, renamed over the former one.
 func (p *process) writeSettings(first bool) {
-	told := p.soak.cluster.Settings(p.name, p.zone)
-	told.Role, told.Bootstrap, told.Bounds.GraceS = p.role, first, graceS
-	told.Limits = settings.Limits{Cores: 1, MemoryMb: memoryMb, MaxFds: p.soak.mostDescriptors() + reservedFiles, DiskMb: 16}
+	content := p.soak.cluster.Settings(p.name, p.zone)
+	content.Role, content.Bootstrap, content.Bounds.GraceS = p.role, first, graceS
+	content.Limits = settings.Limits{Cores: 1, MemoryMb: memoryMb, MaxFds: p.soak.mostDescriptors() + reservedFiles, DiskMb: 16}
 	if p.role == "control" {
-		told.Listen.Control, told.DataDir = p.soak.block.address(p.name), filepath.Join(p.folder, "data")
+		content.Listen.Control, content.DataDir = p.soak.block.address(p.name), filepath.Join(p.folder, "data")
 	} else {
-		told.Listen.Front, told.Listen.Ready = p.soak.block.address(p.name), p.soak.block.readyAddress(p.name)
+		content.Listen.Front, content.Listen.Ready = p.soak.block.address(p.name), p.soak.block.readyAddress(p.name)
 	}
-	text, err := toml.Marshal(told)
+	text, err := toml.Marshal(content)
 	if err != nil {
 		panic(err) // settings can always be written
 	}
-	fresh := filepath.Join(p.folder, "settings.new")
-	if os.WriteFile(fresh, text, 0o644) != nil || os.Rename(fresh, p.settingsPath()) != nil {
+	temporary := filepath.Join(p.folder, "settings.new")
+	if os.WriteFile(temporary, text, 0o644) != nil || os.Rename(temporary, p.settingsPath()) != nil {
 		p.soak.breaks("FAULT", "%s: the settings file can't be written", p.name)
 	}
 }
@@ -215,7 +215,7 @@
 	return p.frozen || !p.unplanned.IsZero() && at.Sub(p.unplanned) < unplannedIn
 }
 
-// stops reports whether the process was told to stop, or has ended.
+// stops reports whether the process was content to stop, or has ended.
 func (p *process) stops() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
