--- a/review/stand-2/yard.go
+++ b/review/stand-2/yard.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -17,6 +18,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 	"unsafe"
@@ -105,7 +107,9 @@
 	version      int64
 	diskMb       int
 	started      int
-	attempts     int // MaxAttempts of the queue
+	closing      sync.Mutex
+	closed       atomic.Bool // no process is started any more
+	attempts     int         // MaxAttempts of the queue
 	kinds        []string
 	perRack      int
 	mu           sync.Mutex
@@ -223,6 +227,9 @@
 // start starts the process with the command of the deploy file.
 func (p *process) start(first bool) error {
 	y := p.yard
+	if y.closed.Load() {
+		return errors.New("the case has ended")
+	}
 	p.folder = filepath.Join(y.folder, p.name)
 	if err := os.MkdirAll(filepath.Join(p.folder, "data"), 0o755); err != nil {
 		return err
@@ -298,6 +305,8 @@
 }
 
 func (y *yard) close() {
+	y.closing.Lock() // never unlocked: the process ends with it
+	y.closed.Store(true)
 	for _, p := range append(append([]*process{}, y.cores...), y.fronts...) {
 		p.kill()
 	}
