Review, case 5: jobs of 65,000 tasks stop a dispatcher that keeps its session

Twenty jobs of one step of 65,000 tasks are sent to one dispatcher, one each second, beside ten ordinary jobs a second at all three.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -35,7 +35,7 @@
 		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD, at the repository's root")
 		os.Exit(2)
 	}
-	cases := map[string]func(y *yard, trouble bool) (broken []string, err error){"pause": pauseCase, "ban": banCase, "memory": memoryCase}
+	cases := map[string]func(y *yard, trouble bool) (broken []string, err error){"pause": pauseCase, "ban": banCase, "memory": memoryCase, "wide": wideCase}
 	play := cases[os.Args[1]]
 	root, err := os.Getwd()
 	if play == nil || err != nil {
