--- a/internal/control/statemachine/jobs.go
+++ b/internal/control/statemachine/jobs.go
@@ -28,7 +28,7 @@
 		return f.acceptAsCancelled(&accepted)
 	}
 	f.PendingByRoute[accepted.Route]++
-	f.notify(accepted.Owner, Update{Job: &accepted})
+	f.notifyJob(&accepted)
 	return Result{}
 }
 
@@ -125,7 +125,7 @@
 // notifyTask notifies the job's owner of a task's state. The reason is how the task's last run ended, or Done if the run
 // has not ended.
 func (f *FSM) notifyTask(j *job.Job, key job.TaskKey, reason taskrun.EndReason) {
-	f.notify(j.Owner, Update{Task: &TaskUpdate{j.ID, key, *j.EnsureTask(key), reason}})
+	f.notify(j.Owner, Update{Task: &TaskUpdate{j.ID, key, j.EnsureTask(key).Clone(), reason}})
 }
 
 // stepOf returns the step of a task; the job must have that task.
--- a/internal/control/statemachine/jobs_test.go
+++ b/internal/control/statemachine/jobs_test.go
@@ -126,3 +126,35 @@
 	c.endRun(jobA, taskKey(0, 0), "w1", 1, taskrun.Done)
 	expectPending(0)
 }
+
+// TestQueuedUpdatesAreAsOfTheirCommands guards against jobs that stand still because an update was encoded with a later
+// state than that of its command (review/6): commands that follow in the same batch change no update that is queued.
+func TestQueuedUpdatesAreAsOfTheirCommands(t *testing.T) {
+	c := newTestCluster(t, 2, 2)
+	type queuedUpdate struct {
+		update   AddressedUpdate
+		encoding string // when it was queued
+	}
+	var queued []queuedUpdate
+	collect := func() {
+		for _, update := range c.DequeueUpdates() {
+			queued = append(queued, queuedUpdate{update, encoded(t, update)})
+		}
+	}
+	c.submit(jobA, job.Step{Count: 2, CPU: 1000})
+	collect()
+	c.place(jobA, OK, Target{Task: taskKey(0, 0), Worker: "w1"})
+	collect()
+	c.endRun(jobA, taskKey(0, 0), "w1", 1, taskrun.Failed)
+	collect()
+	c.mustApply(Command{CloseSession: &CloseSession{Session: 1}}, OK) // session 2 takes over the job
+	collect()
+	c.mustApply(Command{PlaceTasks: &PlaceTasks{Session: 2, Job: jobA, Targets: []Target{{Task: taskKey(0, 0), Worker: "w2"}}}}, OK)
+	c.endRun(jobA, taskKey(0, 0), "w2", 2, taskrun.Done)
+	collect()
+	for _, q := range queued {
+		if now := encoded(t, q.update); now != q.encoding {
+			t.Errorf("an update has changed since it was queued: %x, was %x", now, q.encoding)
+		}
+	}
+}
--- a/internal/control/statemachine/owners.go
+++ b/internal/control/statemachine/owners.go
@@ -109,7 +109,7 @@
 	for _, id := range orphans {
 		j := f.Jobs[id]
 		if j.Owner = f.chooseOwner(id, ""); j.Owner != 0 {
-			f.notify(j.Owner, Update{Job: j})
+			f.notifyJob(j)
 		}
 	}
 }
--- a/internal/control/statemachine/updates.go
+++ b/internal/control/statemachine/updates.go
@@ -7,8 +7,9 @@
 )
 
 // Update notifies dispatchers of one change of the state; exactly one field is set. Commands queue updates, and the
-// server sends each to the sessions that it concerns and drops it. A dispatcher that connects gets updates that describe
-// the whole state instead (SharedSnapshot, SessionSnapshot).
+// server sends each to the sessions that it concerns and drops it. A queued update is a value as of its command: it shares
+// nothing with the state that a later command changes, since the server encodes it only after a batch of commands. A
+// dispatcher that connects gets updates that describe the whole state instead (SharedSnapshot, SessionSnapshot).
 type Update struct {
 	Config           *ConfigUpdate      `cbor:"1,keyasint,omitempty"`
 	Worker           *Worker            `cbor:"2,keyasint,omitempty"` // without its runs
@@ -84,5 +85,12 @@
 	f.updates = append(f.updates, AddressedUpdate{to, update})
 }
 
+// notifyJob queues the state of a whole job for its owner.
+func (f *FSM) notifyJob(j *job.Job) {
+	if f.Sessions[j.Owner] != nil {
+		f.notify(j.Owner, Update{Job: j.Clone()})
+	}
+}
+
 // notifyAll queues an update for all sessions.
 func (f *FSM) notifyAll(update Update) { f.updates = append(f.updates, AddressedUpdate{0, update}) }
--- a/internal/control/statemachine/workers.go
+++ b/internal/control/statemachine/workers.go
@@ -65,6 +65,7 @@
 func (w *Worker) withoutRuns() *Worker {
 	stripped := *w
 	stripped.Runs = nil
+	stripped.Labels = slices.Clone(w.Labels)
 	return &stripped
 }
 
--- a/internal/dispatcher/jobs.go
+++ b/internal/dispatcher/jobs.go
@@ -80,8 +80,23 @@
 	return true
 }
 
-// setJob applies the complete state of a job that this dispatcher owns.
+// mergeJob applies the complete state of a job outside of a snapshot. Of a job that is known already it applies what is
+// newer.
+func (d *Dispatcher) mergeJob(now time.Duration, committed *job.Job) {
+	owned := d.jobs[committed.ID]
+	if owned == nil || owned.provisional {
+		d.setJob(now, committed)
+		return
+	}
+	for key, task := range committed.Tasks {
+		d.setTask(now, &statemachine.TaskUpdate{Job: committed.ID, Key: key, Task: *task, EndReason: taskrun.Stopped})
+	}
+	d.setJobState(&statemachine.JobStateUpdate{Job: committed.ID, State: committed.State}, false)
+}
+
+// setJob applies the complete state of a job that this dispatcher owns. It replaces what is known of the job.
 func (d *Dispatcher) setJob(now time.Duration, committed *job.Job) {
+	committed.RecountDone()
 	owned := d.jobs[committed.ID]
 	if owned != nil && d.confirmProvisionalJob(now, owned, committed) {
 		return
@@ -120,7 +135,8 @@
 	clear(owned.runs)
 }
 
-// setJobState applies an update of a job's state. In a snapshot, a job that has ended is represented by this update alone.
+// setJobState applies an update of a job's state, unless it is older than the known state: states follow each other in their
+// order, and a terminal one is final. In a snapshot, a job that has ended is represented by this update alone.
 func (d *Dispatcher) setJobState(update *statemachine.JobStateUpdate, inSnapshot bool) {
 	owned := d.jobs[update.Job]
 	if owned == nil {
@@ -130,6 +146,9 @@
 	if inSnapshot {
 		d.dropRuns(owned)
 	}
+	if owned.State.Terminal() || update.State <= owned.State {
+		return
+	}
 	owned.State = update.State
 	d.logger.Debug().Str("job", update.Job).Stringer("state", update.State).Dur("age", d.now()-owned.ownedSince).Msg("job")
 	if owned.State.Terminal() {
@@ -137,16 +156,18 @@
 	}
 }
 
-// setTask applies the state of one task.
+// setTask applies the state of one task, unless it is older than the known state.
 func (d *Dispatcher) setTask(now time.Duration, update *statemachine.TaskUpdate) {
 	owned := d.jobs[update.Job]
 	if owned == nil || !owned.HasTask(update.Key) {
 		return
 	}
-	task := update.Task
-	wasDone := owned.EnsureTask(update.Key).Done
+	task, known := update.Task, owned.committedTask(update.Key)
+	if task.OlderThan(&known) {
+		return
+	}
 	*owned.EnsureTask(update.Key) = task
-	if task.Done && !wasDone {
+	if task.Done && !known.Done {
 		owned.EnsureTask(update.Key).Done = false // so that MarkDone counts it
 		owned.MarkDone(update.Key)
 	}
@@ -154,6 +175,18 @@
 	d.jobsToEnqueue[update.Job] = true
 }
 
+// committedTask returns a task as the replicated state has it, as far as known. The job's own entry may show the worker of
+// a proposal that has no outcome yet.
+func (j *ownedJob) committedTask(key job.TaskKey) job.Task {
+	task := j.Tasks[key]
+	if task == nil {
+		return job.Task{}
+	}
+	committed := *task
+	committed.Worker = j.runs[key].worker
+	return committed
+}
+
 // trackRun updates the scheduler's count of placed tasks from the state of one task, and records how its former run has
 // ended. Reason is the end reason of the former run, if the state shows that it has ended.
 func (d *Dispatcher) trackRun(now time.Duration, owned *ownedJob, key job.TaskKey, task *job.Task,
--- a/internal/dispatcher/updates.go
+++ b/internal/dispatcher/updates.go
@@ -26,7 +26,9 @@
 	}
 }
 
-// receiveUpdate applies one update. Snapshot is nil for updates that are not part of a snapshot.
+// receiveUpdate applies one update. Snapshot is nil for updates that are not part of a snapshot. A snapshot replaces what is
+// known. Any other update of a job or task that is older than what is known changes nothing: a control machine of an
+// earlier build may send a job's newer state before older states of its tasks.
 func (d *Dispatcher) receiveUpdate(now time.Duration, update *statemachine.Update, snapshot *snapshotDiff) {
 	switch {
 	case update.Sessions != nil:
@@ -44,7 +46,11 @@
 		d.setUsage(update.Usage)
 	case update.Job != nil:
 		snapshot.markJobSeen(update.Job.ID)
-		d.setJob(now, update.Job)
+		if snapshot == nil {
+			d.mergeJob(now, update.Job)
+		} else {
+			d.setJob(now, update.Job)
+		}
 	case update.JobRemoved != "":
 		d.removeJob(update.JobRemoved)
 	case update.Task != nil:
--- a/internal/dispatcher/workers.go
+++ b/internal/dispatcher/workers.go
@@ -12,8 +12,12 @@
 // if this dispatcher owned the worker before.
 func (d *Dispatcher) setWorker(now time.Duration, worker *statemachine.Worker) {
 	former := d.workers[worker.ID]
+	if former != nil && worker.Token < former.Token {
+		return // an older state: the token only increases
+	}
 	d.logDrain(former, worker)
 	worker.Draining = worker.Draining || former != nil && former.Draining // a drain may arrive before older updates
+	worker.Ended = worker.Ended || former != nil && former.Ended
 	d.workers[worker.ID] = worker
 	d.scheduler(worker.Service).SetWorker(worker.ID, worker.Labels, worker.Capacity, worker.Used, worker.Unschedulable())
 	owned := d.ownedWorkers[worker.ID]
--- a/scheduling/job/job.go
+++ b/scheduling/job/job.go
@@ -6,7 +6,10 @@
 // requests, commands, updates and snapshots; the names and numbers in their tags never change.
 package job
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // State is the state of a job as clients see it.
 type State uint8
@@ -54,6 +57,34 @@
 	GangFailedRuns map[StepKey][]uint64 `cbor:"18,keyasint,omitempty"`
 }
 
+// Clone returns a copy that shares only the request, which never changes once the job is accepted.
+func (j *Job) Clone() *Job {
+	clone := *j
+	clone.Tasks = make(map[TaskKey]*Task, len(j.Tasks))
+	for key, task := range j.Tasks {
+		copied := task.Clone()
+		clone.Tasks[key] = &copied
+	}
+	clone.DoneTasks = maps.Clone(j.DoneTasks)
+	clone.GangFailures = maps.Clone(j.GangFailures)
+	clone.LastFailedGangRun = maps.Clone(j.LastFailedGangRun)
+	clone.GangFailedRuns = maps.Clone(j.GangFailedRuns)
+	for key, runs := range clone.GangFailedRuns {
+		clone.GangFailedRuns[key] = slices.Clone(runs)
+	}
+	return &clone
+}
+
+// RecountDone derives DoneTasks from the tasks.
+func (j *Job) RecountDone() {
+	j.DoneTasks = map[StepKey]int{}
+	for key, task := range j.Tasks {
+		if task.Done {
+			j.DoneTasks[StepKey{key.Repetition, key.Step}]++
+		}
+	}
+}
+
 // HasPlacedTask reports whether a task of the job is placed at a worker.
 func (j *Job) HasPlacedTask() bool {
 	for _, task := range j.Tasks {
--- a/scheduling/job/task.go
+++ b/scheduling/job/task.go
@@ -16,6 +16,29 @@
 	FailedRuns []uint64 `cbor:"8,keyasint,omitempty"`
 }
 
+// Clone returns a copy that shares nothing with the task.
+func (t *Task) Clone() Task {
+	clone := *t
+	clone.FailedRuns = slices.Clone(t.FailedRuns)
+	return clone
+}
+
+// OlderThan reports whether t is an older state than other of the same task. Runs are numbered in their order, a run that
+// has ended is not placed again, a stop is not taken back, and a task that is done stays done.
+func (t *Task) OlderThan(other *Task) bool {
+	switch {
+	case t.Run != other.Run:
+		return t.Run < other.Run
+	case t.Done != other.Done:
+		return other.Done
+	case (t.Worker == "") != (other.Worker == ""):
+		return t.Worker != ""
+	case t.Stopping != other.Stopping:
+		return other.Stopping
+	}
+	return t.FailedAttempts < other.FailedAttempts
+}
+
 // CountFailure counts a run that ended failed. It is idempotent, because an end may be reported more than once. It
 // returns the number of failed runs counted so far, and whether this call counted the run.
 func (t *Task) CountFailure(run uint64) (attempts int, counted bool) {
--- a/scheduling/worker/owner.go
+++ b/scheduling/worker/owner.go
@@ -105,6 +105,15 @@
 	}
 }
 
+// PlacedRuns returns the numbers of the runs that are placed at the worker, by task.
+func (o *Owner) PlacedRuns() map[string]uint64 {
+	placed := make(map[string]uint64, len(o.runs))
+	for task, known := range o.runs {
+		placed[task] = known.Run
+	}
+	return placed
+}
+
 // Tick applies timeouts; the caller calls it about every 100 ms. No lease is renewed unless mayRenew is set: a dispatcher
 // that has had no contact with the control machines for a long time stops renewing leases, and the next owner may rely on
 // that.
