--- a/internal/dispatcher/jobs.go
+++ b/internal/dispatcher/jobs.go
@@ -7,6 +7,7 @@
 
 	"yardflow/internal/control/statemachine"
 	"yardflow/scheduling/job"
+	"yardflow/scheduling/placement"
 	"yardflow/scheduling/taskrun"
 )
 
@@ -108,7 +109,7 @@
 	before := owned.Job
 	owned.Job = committed
 	if before != nil {
-		d.scheduler(committed.Service).RemoveJob(committed.ID)
+		d.scheduler(committed.Service).RemoveJob(committed)
 		owned.enqueued = map[job.TaskKey]bool{}
 	}
 	for key, task := range committed.Tasks {
@@ -122,7 +123,7 @@
 	if owned == nil {
 		return
 	}
-	d.scheduler(owned.Service).RemoveJob(id)
+	d.scheduler(owned.Service).RemoveJob(owned.Job)
 	d.dropRuns(owned)
 	delete(d.jobs, id)
 }
@@ -152,7 +153,7 @@
 	owned.State = update.State
 	d.logger.Debug().Str("job", update.Job).Stringer("state", update.State).Dur("age", d.now()-owned.ownedSince).Msg("job")
 	if owned.State.Terminal() {
-		d.scheduler(owned.Service).RemoveJob(owned.ID)
+		d.scheduler(owned.Service).RemoveJob(owned.Job)
 	}
 }
 
@@ -166,12 +167,16 @@
 	if task.OlderThan(&known) {
 		return
 	}
+	reason := update.EndReason
+	if reason == taskrun.NotStarted && known.Stopping {
+		reason = taskrun.Stopped // it was not to start any more, which is no fault of its worker
+	}
 	*owned.EnsureTask(update.Key) = task
 	if task.Done && !known.Done {
 		owned.EnsureTask(update.Key).Done = false // so that MarkDone counts it
 		owned.MarkDone(update.Key)
 	}
-	d.trackRun(now, owned, update.Key, &task, update.EndReason)
+	d.trackRun(now, owned, update.Key, &task, reason)
 	d.jobsToEnqueue[update.Job] = true
 }
 
@@ -217,8 +222,10 @@
 	reason taskrun.EndReason) {
 	scheduler := d.scheduler(owned.Service)
 	step := &owned.Request.Steps[key.Step]
+	fault := placement.RunFault{RunRef: placement.RunRef{Job: owned.ID, Step: key.Step}, Weight: lostRunFaultWeight}
 	switch reason {
 	case taskrun.Done:
+		scheduler.RecordRunDone(now, run.worker, fault.RunRef, step.Count > 1)
 		worker := d.workers[run.worker]
 		local := worker != nil && (step.Affinity == "" || len(worker.Labels) > 1 && worker.Labels[1] == step.Affinity)
 		if local && !step.Gang && !step.LongRunning {
@@ -226,12 +233,14 @@
 		}
 	case taskrun.Failed:
 		if !step.LongRunning {
-			scheduler.RecordFault(now, run.worker, failedRunFaultWeight)
+			fault.Weight, fault.TaskFailedBefore = failedRunFaultWeight, owned.EnsureTask(key).FailedAttempts > 1
+			scheduler.RecordRunFault(now, run.worker, fault)
 		}
 	case taskrun.NotStarted:
-		scheduler.RecordFault(now, run.worker, notStartedRunFaultWeight)
+		fault.Weight = notStartedRunFaultWeight
+		scheduler.RecordRunFault(now, run.worker, fault)
 	case taskrun.Lost, taskrun.LeaseExpired, taskrun.GangIncomplete:
-		scheduler.RecordFault(now, run.worker, lostRunFaultWeight)
+		scheduler.RecordRunFault(now, run.worker, fault)
 	}
 }
 
--- a/internal/dispatcher/ownedworker.go
+++ b/internal/dispatcher/ownedworker.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"yardflow/internal/control/statemachine"
+	"yardflow/scheduling/job"
+	"yardflow/scheduling/placement"
 	"yardflow/scheduling/taskrun"
 	"yardflow/scheduling/worker"
 )
@@ -73,6 +75,16 @@
 	for _, weight := range actions.FaultWeights {
 		d.scheduler(w.service).RecordFault(now, w.id, weight)
 	}
+	for _, fault := range actions.RunFaults {
+		w.recordRunFault(now, fault)
+	}
+}
+
+func (w *ownedWorker) recordRunFault(now time.Duration, fault worker.RunFault) {
+	if id, key, ok := job.ParseTaskName(fault.Task); ok {
+		w.dispatcher.scheduler(w.service).RecordRunFault(now, w.id,
+			placement.RunFault{RunRef: placement.RunRef{Job: id, Step: key.Step}, Weight: fault.Weight})
+	}
 }
 
 func (w *ownedWorker) reportIncarnationEnded() {
--- /dev/null
+++ b/scheduling/placement/evidence.go
@@ -0,0 +1,232 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// A run that goes wrong may be the fault of its worker or of its job. What tells them apart is how the job's step does at
+// other workers: a step that fails wherever it runs speaks against the job, a worker that fails steps which do well elsewhere
+// speaks against the worker. As long as a step has run nowhere else, its job is one witness, however many of its runs
+// fail.
+
+const (
+	// maxRecordedWorkers bounds the workers that a step record names of each kind.
+	maxRecordedWorkers = 8
+	// maxStepRecords is the number of step records beyond which outdated ones are dropped, and then all.
+	maxStepRecords = 4096
+	// evidenceLifetime is how long the outcomes of a step, and unconfirmed blame, count after the newest outcome.
+	evidenceLifetime = 30 * time.Second
+	// failsEverywhereWorkers is the number of workers at which a step must have failed, and at none done well, to count as
+	// one that fails everywhere.
+	failsEverywhereWorkers = 2
+)
+
+// RunRef names the step of a run. All repetitions of a step count as one.
+type RunRef struct {
+	Job  string
+	Step int
+}
+
+// RunFault describes a run that went wrong.
+type RunFault struct {
+	RunRef
+	// Weight, from 0 to 1, is how strongly the run counts against its worker.
+	Weight float64
+	// TaskFailedBefore is set if an earlier run of the same task has failed too.
+	TaskFailedBefore bool
+}
+
+// stepRecord holds the workers at which runs of a step have ended. A worker is in one of the lists, by its newest outcome.
+type stepRecord struct {
+	failedAt, doneAt []string
+	updatedAt        time.Duration
+}
+
+// record moves a worker to the list of its newest outcome.
+func (r *stepRecord) record(now time.Duration, worker string, done bool) {
+	r.updatedAt = now
+	into, other := &r.failedAt, &r.doneAt
+	if done {
+		into, other = other, into
+	}
+	*other = slices.DeleteFunc(*other, func(id string) bool { return id == worker })
+	if !slices.Contains(*into, worker) && len(*into) < maxRecordedWorkers {
+		*into = append(*into, worker)
+	}
+}
+
+// elsewhere returns the numbers of other workers at which the step has failed and done well.
+func (r *stepRecord) elsewhere(worker string) (failed, done int) {
+	return countOthers(r.failedAt, worker), countOthers(r.doneAt, worker)
+}
+
+func countOthers(workers []string, worker string) int {
+	if slices.Contains(workers, worker) {
+		return len(workers) - 1
+	}
+	return len(workers)
+}
+
+// failsEverywhere reports whether the step has failed at several workers and done well at none.
+func (r *stepRecord) failsEverywhere() bool {
+	return len(r.failedAt) >= failsEverywhereWorkers && len(r.doneAt) == 0
+}
+
+// evidence holds the records of the steps whose runs have ended lately.
+type evidence struct {
+	records map[RunRef]*stepRecord
+	// failing are the steps that fail everywhere.
+	failing map[RunRef]bool
+}
+
+func newEvidence() evidence {
+	return evidence{records: map[RunRef]*stepRecord{}, failing: map[RunRef]bool{}}
+}
+
+// record adds an outcome of a step and returns the step's record.
+func (e *evidence) record(now time.Duration, ref RunRef, worker string, done bool) *stepRecord {
+	known := e.records[ref]
+	if known == nil {
+		e.makeRoom(now)
+		known = &stepRecord{}
+		e.records[ref] = known
+	}
+	known.record(now, worker, done)
+	if known.failsEverywhere() {
+		e.failing[ref] = true
+	} else {
+		delete(e.failing, ref)
+	}
+	return known
+}
+
+// makeRoom drops outdated records, or all, if there are too many.
+func (e *evidence) makeRoom(now time.Duration) {
+	if len(e.records) < maxStepRecords {
+		return
+	}
+	for ref, known := range e.records {
+		if now-known.updatedAt > evidenceLifetime {
+			e.forget(ref)
+		}
+	}
+	if len(e.records) >= maxStepRecords {
+		*e = newEvidence()
+	}
+}
+
+func (e *evidence) forget(ref RunRef) {
+	delete(e.records, ref)
+	delete(e.failing, ref)
+}
+
+// forgetJob drops the records of a job that has ended.
+func (e *evidence) forgetJob(id string, steps int) {
+	for step := range steps {
+		e.forget(RunRef{id, step})
+	}
+}
+
+// failsEverywhere reports whether the unit's step has failed at several workers and done well at none.
+func (s *Scheduler) failsEverywhere(unit *Unit) bool {
+	return s.evidence.failing[RunRef{unit.Job.ID, unit.StepKey.Step}]
+}
+
+// RecordRunDone records that a run ended done. It confirms what failed runs of the step at other workers said against those.
+// SeveralTasks is set if the step has further tasks, for which this run is evidence.
+func (s *Scheduler) RecordRunDone(now time.Duration, id string, ref RunRef, severalTasks bool) {
+	if !severalTasks && s.evidence.records[ref] == nil {
+		return
+	}
+	if record := s.evidence.record(now, ref, id, true); len(record.failedAt) == 0 {
+		return
+	}
+	for _, worker := range s.workerList {
+		if worker.id != id {
+			worker.confirmBlame(now, ref)
+		}
+	}
+}
+
+// RecordRunFault records that a run went wrong at a worker. It counts against the worker unless the job is more likely at
+// fault.
+func (s *Scheduler) RecordRunFault(now time.Duration, id string, fault RunFault) {
+	record := s.evidence.record(now, fault.RunRef, id, false)
+	worker := s.workers[id]
+	if worker == nil {
+		return
+	}
+	failed, done := record.elsewhere(id)
+	switch {
+	case done == 0 && failed > 0:
+		s.withdrawBlame(now, fault.RunRef)
+	case fault.TaskFailedBefore:
+	case done == 0:
+		worker.blameUnconfirmed(now, fault)
+	default:
+		worker.recordFault(now, fault.Weight*float64(done)/float64(done+failed))
+	}
+}
+
+// withdrawBlame takes back what runs of a step said against workers, since it fails elsewhere too.
+func (s *Scheduler) withdrawBlame(now time.Duration, ref RunRef) {
+	for _, worker := range s.workerList {
+		worker.withdrawBlame(now, ref)
+	}
+}
+
+// blame is what the failed runs of one job say against a worker while the job's step has run nowhere else.
+type blame struct {
+	RunRef
+	weight   float64
+	added    float64 // to the worker's fault rate
+	at       time.Duration
+	repeated bool // further runs of the job have failed at the worker
+}
+
+// blameUnconfirmed counts a fault against the worker. The runs of one job count once, but further ones lengthen a backoff.
+func (w *workerState) blameUnconfirmed(now time.Duration, fault RunFault) {
+	w.unconfirmed = slices.DeleteFunc(w.unconfirmed, func(b blame) bool { return now-b.at > evidenceLifetime })
+	for i := range w.unconfirmed {
+		if w.unconfirmed[i].Job == fault.Job {
+			w.unconfirmed[i].repeated = true
+			if now < w.backoffUntil { // for which other jobs have given the cause
+				w.faults.recordFault(now, fault.Weight)
+				w.extendBackoff(now)
+			}
+			return
+		}
+	}
+	before := w.faults.rate(now)
+	w.recordFault(now, fault.Weight)
+	w.unconfirmed = append(w.unconfirmed, blame{RunRef: fault.RunRef, weight: fault.Weight, added: w.faults.lastRate - before, at: now})
+}
+
+// confirmBlame makes the blame of a step final, since the step does well elsewhere. If several runs of it have failed at the
+// worker, that counts as one more fault.
+func (w *workerState) confirmBlame(now time.Duration, ref RunRef) {
+	for i, b := range w.unconfirmed {
+		if b.RunRef == ref {
+			w.unconfirmed = slices.Delete(w.unconfirmed, i, i+1)
+			if b.repeated {
+				w.recordFault(now, b.weight)
+			}
+			return
+		}
+	}
+}
+
+// withdrawBlame takes the blame of a step back, and ends the backoff if the rest does not justify one.
+func (w *workerState) withdrawBlame(now time.Duration, ref RunRef) {
+	for i, b := range w.unconfirmed {
+		if b.RunRef == ref {
+			w.unconfirmed = slices.Delete(w.unconfirmed, i, i+1)
+			w.faults.takeBack(now, b.added, b.at)
+			if w.faults.lastRate <= backoffFaultRate {
+				w.backoffUntil = min(w.backoffUntil, now)
+			}
+			return
+		}
+	}
+}
--- a/scheduling/placement/feasibility.go
+++ b/scheduling/placement/feasibility.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"yardflow/scheduling/job"
@@ -11,14 +12,52 @@
 	return !worker.draining && worker.hasLabel(step.RequiredLabel) && worker.capacity.Covers(step.Demand())
 }
 
-// feasible reports whether an eligible worker can take a task of the unit now. Headroom is the fraction of the service's CPU
+// faultRule says what faults of a worker keep a unit from it.
+type faultRule uint8
+
+const (
+	respectFaults faultRule = iota // no worker in backoff, and none on trial that has a task already
+	ignoreTrial                    // no worker in backoff
+	ignoreFaults                   // any worker
+)
+
+// faultRuleFor returns the rule for a unit that has found no worker by respectFaults. Faults say where a unit had better not
+// run; they don't keep a waiting unit from the only workers on which it fits: not from those on trial after trialPatience,
+// and from none once it starves.
+func (s *Scheduler) faultRuleFor(now time.Duration, unit *Unit) faultRule {
+	switch {
+	case !s.anyFaults || now-unit.EnqueuedAt <= trialPatience:
+		return respectFaults
+	case s.isStarving(unit):
+		return ignoreFaults
+	}
+	return ignoreTrial
+}
+
+// admits reports whether a unit may be placed at the worker, whatever its room: by its faults, and if the unit's step fails
+// everywhere, only where no starving unit waits for room.
+func (s *Scheduler) admits(now time.Duration, unit *Unit, worker *workerState, rule faultRule) bool {
+	switch {
+	case rule != ignoreFaults && now < worker.backoffUntil:
+		return false
+	case rule == respectFaults && worker.onTrial(now) && worker.hasOwnTasks():
+		return false
+	}
+	return len(s.starving) == 0 || !s.failsEverywhere(unit) || !s.isAwaited(worker)
+}
+
+// isAwaited reports whether a starving unit could run at the worker if there was room.
+func (s *Scheduler) isAwaited(worker *workerState) bool {
+	return slices.ContainsFunc(s.starving, func(step *job.Step) bool { return eligible(worker, step) })
+}
+
+// feasible reports whether an eligible worker that admits the unit can take a task of it now. Headroom is the fraction of the service's CPU
 // that the unit must leave free; placed has the number of tasks of its step per worker, if the step has an anti-affinity
 // limit.
 func (s *Scheduler) feasible(now time.Duration, unit *Unit, worker *workerState, headroom float64,
 	placed map[string]int) bool {
 	step := unit.Step()
-	if now < worker.backoffUntil || worker.id == unit.avoid && now-unit.EnqueuedAt < initialBackoff ||
-		!s.fits(worker, step.Demand(), headroom) {
+	if worker.id == unit.avoid && now-unit.EnqueuedAt < initialBackoff || !s.fits(worker, step.Demand(), headroom) {
 		return false
 	}
 	limit := step.AntiAffinity
@@ -51,13 +90,14 @@
 // worker's free CPU is scaled by its scarcest resource (see workerState.freeCPU). Workers in backoff count only towards
 // usedCPU and serviceCPU.
 func (s *Scheduler) updateCPUTotals(now time.Duration) {
-	s.freeCPU, s.totalCPU, s.usedCPU, s.serviceCPU = 0, 0, 0, 0
+	s.freeCPU, s.totalCPU, s.usedCPU, s.serviceCPU, s.anyFaults = 0, 0, 0, 0, false
 	for _, worker := range s.workerList {
 		if worker.draining {
 			continue
 		}
 		s.serviceCPU += float64(worker.capacity.CPU)
 		s.usedCPU += float64(worker.capacity.CPU) - worker.freeCPU()
+		s.anyFaults = s.anyFaults || now < worker.backoffUntil || worker.onTrial(now)
 		if now < worker.backoffUntil {
 			continue
 		}
--- a/scheduling/placement/gang.go
+++ b/scheduling/placement/gang.go
@@ -11,14 +11,14 @@
 // findGang returns workers for all members of a gang, or nil: a gang is placed as a whole or not at all. If the step asks
 // for a single rack, or its data is in one rack, placements within one rack come first. A placement over several racks is
 // slower; in that case slower describes the choice between taking it and waiting.
-func (s *Scheduler) findGang(now time.Duration, unit *Unit) (workers []string, slower *slowerChoice) {
+func (s *Scheduler) findGang(now time.Duration, unit *Unit, rule faultRule) (workers []string, slower *slowerChoice) {
 	step := unit.Step()
 	if !step.SameRack && step.Affinity == "" {
-		return s.packGang(now, unit, ""), nil
+		return s.packGang(now, unit, "", rule), nil
 	}
 	var best []string
 	for _, rack := range s.racksFor(step) {
-		packed := s.packGang(now, unit, rack)
+		packed := s.packGang(now, unit, rack, rule)
 		if packed != nil && (best == nil || s.workers[packed[0]].randomPreference < s.workers[best[0]].randomPreference) {
 			best = packed
 		}
@@ -26,7 +26,7 @@
 	if best != nil {
 		return best, nil
 	}
-	if packed := s.packGang(now, unit, ""); packed != nil {
+	if packed := s.packGang(now, unit, "", rule); packed != nil {
 		first := s.workers[packed[0]]
 		slots := float64(len(unit.TaskIndices)) * float64(s.peers)
 		return packed, &slowerChoice{parameters: &first.remote, runtimeRatio: s.remoteFactor, fasterSlots: slots}
@@ -48,11 +48,11 @@
 
 // packGang assigns the members of a gang to the workers of a rack ("" for any rack), filling one worker after the other,
 // the fastest and fullest first. It returns nil if not all members fit.
-func (s *Scheduler) packGang(now time.Duration, unit *Unit, rack string) []string {
+func (s *Scheduler) packGang(now time.Duration, unit *Unit, rack string, rule faultRule) []string {
 	step := unit.Step()
 	candidates := []*workerState{}
 	for _, worker := range s.workerList {
-		if eligible(worker, step) && now >= worker.backoffUntil && (rack == "" || worker.rack == rack) &&
+		if eligible(worker, step) && s.admits(now, unit, worker, rule) && (rack == "" || worker.rack == rack) &&
 			worker.available().Covers(step.Demand()) {
 			candidates = append(candidates, worker)
 		}
@@ -62,7 +62,7 @@
 	for _, worker := range candidates {
 		available := worker.available()
 		for count := 0; len(workers) < len(unit.TaskIndices) && available.Covers(step.Demand()); count++ {
-			if step.AntiAffinity > 0 && count >= step.AntiAffinity {
+			if step.AntiAffinity > 0 && count >= step.AntiAffinity || count > 0 && rule == respectFaults && worker.onTrial(now) {
 				break
 			}
 			workers = append(workers, worker.id)
--- a/scheduling/placement/queue.go
+++ b/scheduling/placement/queue.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"yardflow/scheduling/job"
 )
 
 // queue holds the waiting units in scheduling order: by priority, then units that can still meet their objective before
@@ -17,9 +19,10 @@
 	s.queue.insert(unit)
 }
 
-// RemoveJob removes all units of a job from the queue.
-func (s *Scheduler) RemoveJob(id string) {
-	s.queue = slices.DeleteFunc(s.queue, func(u *Unit) bool { return u.Job.ID == id })
+// RemoveJob removes all units of a job from the queue, and what is known of its steps.
+func (s *Scheduler) RemoveJob(j *job.Job) {
+	s.evidence.forgetJob(j.ID, len(j.Request.Steps))
+	s.queue = slices.DeleteFunc(s.queue, func(u *Unit) bool { return u.Job.ID == j.ID })
 }
 
 // QueueLength returns the number of waiting units.
--- a/scheduling/placement/ranking.go
+++ b/scheduling/placement/ranking.go
@@ -44,7 +44,7 @@
 
 // findWorker returns the best feasible worker for a task. If it is clearly slower than the fastest eligible worker, slower
 // describes the choice between taking it and waiting.
-func (s *Scheduler) findWorker(now time.Duration, unit *Unit) (workers []string, slower *slowerChoice) {
+func (s *Scheduler) findWorker(now time.Duration, unit *Unit, rule faultRule) (workers []string, slower *slowerChoice) {
 	step := unit.Step()
 	s.candidates = s.candidates[:0]
 	remotePenalty := math.Log(s.remoteFactor)
@@ -62,7 +62,7 @@
 		if remote {
 			headroom = remoteHeadroom
 		}
-		if !s.feasible(now, unit, worker, headroom, placed) {
+		if !s.admits(now, unit, worker, rule) || !s.feasible(now, unit, worker, headroom, placed) {
 			continue
 		}
 		score := dominantShare(worker.available().Minus(step.Demand()), worker.capacity) +
--- a/scheduling/placement/scheduler.go
+++ b/scheduling/placement/scheduler.go
@@ -34,6 +34,7 @@
 	kindSlowness map[string]float64 // by kind of worker: ln of the ratio of run times to their estimates
 
 	queue      queue
+	evidence   evidence
 	candidates []candidate // of the unit that was ranked last
 
 	learner     achq.Learner
@@ -45,14 +46,17 @@
 	totalCPU   float64 // capacity of the same workers
 	usedCPU    float64 // used CPU of all workers that are not draining
 	serviceCPU float64 // capacity of the same workers
-	urgent     urgentHeadroom
+	anyFaults  bool    // whether a worker that is not draining is in backoff or on trial
+	// starving are the steps of starving units that found no worker in this cycle, of steps that don't fail everywhere.
+	starving []*job.Step
+	urgent   urgentHeadroom
 }
 
 // New returns a scheduler without workers. RemoteFactor is the ratio of a task's run time outside the rack of its data to
 // that within it.
 func New(remoteFactor float64, seed uint64) *Scheduler {
 	return &Scheduler{remoteFactor: max(remoteFactor, 1), peers: 1, random: rand.New(rand.NewPCG(seed, 1)),
-		workers: map[string]*workerState{}, kindSlowness: map[string]float64{}}
+		workers: map[string]*workerState{}, kindSlowness: map[string]float64{}, evidence: newEvidence()}
 }
 
 // SetPeers sets the number of dispatchers that place on the same workers, including this one.
@@ -70,43 +74,70 @@
 	if len(s.queue) == 0 {
 		return nil
 	}
-	var decisions []Decision
 	s.now = now
 	s.updateCPUTotals(now)
 	s.queue.demoteLate(now)
 	s.endStep(now)
-	unplaceable := map[stepID]bool{} // steps with a task that found no worker in this cycle
-	for i := 0; i < len(s.queue) && len(unplaceable) < maxUnplaceableSteps; {
+	cycle := &cycle{unplaceable: map[stepID]bool{}}
+	s.starving = s.starving[:0]
+	s.placeUnits(now, cycle, func(unit *Unit) bool { return !s.failsEverywhere(unit) })
+	if len(s.evidence.failing) > 0 {
+		s.placeUnits(now, cycle, s.failsEverywhere)
+	}
+	s.beginStep(now)
+	return cycle.decisions
+}
+
+// cycle is the state of a scheduling cycle.
+type cycle struct {
+	decisions   []Decision
+	unplaceable map[stepID]bool // steps with a task that found no worker in this cycle
+}
+
+// placeUnits goes through those units of the queue that included names, in their order. Units whose step fails everywhere
+// come after all others, whatever their priority: their runs are most likely in vain.
+func (s *Scheduler) placeUnits(now time.Duration, cycle *cycle, included func(*Unit) bool) {
+	for i := 0; i < len(s.queue) && len(cycle.unplaceable) < maxUnplaceableSteps; {
 		unit := s.queue[i]
 		step := stepID{unit.Job.ID, unit.StepKey}
-		if unplaceable[step] {
+		if cycle.unplaceable[step] || !included(unit) {
 			i++
 			continue
 		}
 		workers := s.selectWorkers(now, unit)
 		if workers == nil {
-			unplaceable[step] = true
+			cycle.unplaceable[step] = true
+			s.noteStarving(unit)
 			i++
 			continue
 		}
 		s.queue.removeAt(i)
-		decisions = append(decisions, s.reserve(now, unit, workers))
+		cycle.decisions = append(cycle.decisions, s.reserve(now, unit, workers))
 		s.beginStep(now)
 		s.endStep(now)
 	}
-	s.beginStep(now)
-	return decisions
 }
 
 // selectWorkers returns the workers for the unit: one for a single task, or one for each member of a gang. It returns nil if
 // the unit has to wait.
 func (s *Scheduler) selectWorkers(now time.Duration, unit *Unit) []string {
+	workers := s.selectWorkersBy(now, unit, respectFaults)
+	if workers != nil {
+		return workers
+	}
+	if rule := s.faultRuleFor(now, unit); rule != respectFaults {
+		return s.selectWorkersBy(now, unit, rule)
+	}
+	return nil
+}
+
+func (s *Scheduler) selectWorkersBy(now time.Duration, unit *Unit, rule faultRule) []string {
 	var workers []string
 	var slower *slowerChoice
 	if unit.Step().Gang {
-		workers, slower = s.findGang(now, unit)
+		workers, slower = s.findGang(now, unit, rule)
 	} else {
-		workers, slower = s.findWorker(now, unit)
+		workers, slower = s.findWorker(now, unit, rule)
 	}
 	if workers == nil || slower != nil && !s.accepts(now, unit, slower) {
 		return nil
--- a/scheduling/placement/workers.go
+++ b/scheduling/placement/workers.go
@@ -21,12 +21,15 @@
 	draining         bool
 	randomPreference float64 // random, from 0 to 1: makes dispatchers rank similar workers differently; lower is preferred
 	ownShare         float64 // dominant share that tasks of this dispatcher's jobs take
+	ownTasks         int     // number of these tasks
 
 	local  achq.Parameters // for tasks whose data is not in another rack
 	remote achq.Parameters // for tasks that are slower here because their data is in another rack
 
 	slowness float64 // ln of the ratio of its run times to those of its kind
 	faults   faultRecord
+	// unconfirmed is the part of the faults that may be the fault of the jobs.
+	unconfirmed []blame
 	// backoffUntil is the time until which the worker gets no tasks because of faults.
 	backoffUntil time.Duration
 }
@@ -93,6 +96,7 @@
 func (s *Scheduler) countOwnTask(id string, demand job.Resources, sign float64) {
 	s.placedTasks += int(sign)
 	if worker := s.workers[id]; worker != nil {
+		worker.ownTasks = max(0, worker.ownTasks+int(sign))
 		worker.ownShare = max(0, worker.ownShare+sign*dominantShare(demand, worker.capacity))
 	}
 }
--- a/scheduling/worker/dispatch.go
+++ b/scheduling/worker/dispatch.go
@@ -29,6 +29,11 @@
 	o.actions.FaultWeights = append(o.actions.FaultWeights, weight)
 }
 
+// recordRunFault adds a fault of a run to the actions, which may be the job's own.
+func (o *Owner) recordRunFault(r *run, weight float64) {
+	o.actions.RunFaults = append(o.actions.RunFaults, RunFault{r.Task, weight})
+}
+
 // collectActions adds all actions that the present state allows. Every event handler ends with it.
 func (o *Owner) collectActions(now time.Duration) {
 	if o.IncarnationEnded() || now < o.pausedUntil {
@@ -111,9 +116,12 @@
 		o.raiseToken()
 	case NoCapacity:
 		o.conclude(r, taskrun.NotStarted, Rejected)
-	case Unhealthy, Invalid:
+	case Unhealthy:
 		o.recordFault(rejectedStartFault)
 		o.conclude(r, taskrun.NotStarted, Rejected)
+	case Invalid:
+		o.recordRunFault(r, rejectedStartFault)
+		o.conclude(r, taskrun.NotStarted, Rejected)
 	case Unreachable:
 		o.recordFault(rejectedStartFault)
 		o.conclude(r, taskrun.NotStarted, NeverSent)
--- a/scheduling/worker/messages.go
+++ b/scheduling/worker/messages.go
@@ -120,7 +120,16 @@
 	StartedJobs []string // IDs of jobs whose first task has started
 	// FaultWeights are the weights of new faults of the worker, each from 0 to 1, for placement.Scheduler.RecordFault.
 	FaultWeights []float64
+	// RunFaults are new faults of runs that may be the fault of the worker or of the job, for
+	// placement.Scheduler.RecordRunFault.
+	RunFaults []RunFault
 	// IncarnationEnded is set once another incarnation is proven to answer at the address: the owned incarnation and all its
 	// runs have ended.
 	IncarnationEnded bool
 }
+
+// RunFault is a fault of one run.
+type RunFault struct {
+	Task   string  // its wire name
+	Weight float64 // from 0 to 1
+}
