A dispatcher whose picture of its open jobs differs from the state connects again

Control machines now send each dispatcher a digest of its open jobs every 2 s, once all updates are sent: the number of jobs and a sum over job ID, placed tasks, runs and done tasks.

Cost: about 20 bytes in 2 s for each dispatcher, one pass over the jobs in 2 s for each control machine. Earlier builds neither send nor read the field; the bytes of messages without it are unchanged (before-digest/down.golden).

--- a/internal/control/protocol/golden_test.go
+++ b/internal/control/protocol/golden_test.go
@@ -36,6 +36,11 @@
 	wiretest.AssertRecoded(t, "before-rules/peer", encode[PeerMessage], decode[PeerMessage])
 }
 
+// TestMessagesWithoutDigestKeepTheirBytes checks the same for messages of the version before the field OpenJobs.
+func TestMessagesWithoutDigestKeepTheirBytes(t *testing.T) {
+	wiretest.AssertRecoded(t, "before-digest/down", encode[ControlMessage], decode[ControlMessage])
+}
+
 func assertFormerBytes[T any](t *testing.T, name string) {
 	t.Helper()
 	text, err := os.ReadFile(filepath.Join("testdata", "before-instance-list-duty", name+".golden"))
--- a/internal/control/protocol/messages.go
+++ b/internal/control/protocol/messages.go
@@ -13,6 +13,7 @@
 	"yardflow/coordination/chain"
 	"yardflow/coordination/view"
 	"yardflow/internal/control/statemachine"
+	"yardflow/scheduling/job"
 )
 
 // HTTP paths of a control machine at which connections are upgraded to frames.
@@ -82,6 +83,9 @@
 	ControlAddresses []string          `cbor:"4,keyasint,omitempty"` // of all control machines
 	Rejected         bool              `cbor:"5,keyasint,omitempty"` // try another control machine
 	InstanceListDuty InstanceListDuty  `cbor:"6,keyasint,omitempty"`
+	// OpenJobs is the digest of the dispatcher's open jobs after all updates sent so far. A dispatcher whose own digest differs
+	// has missed something, and connects again. Control machines of earlier versions don't send it.
+	OpenJobs *job.Digest `cbor:"7,keyasint,omitempty"`
 }
 
 // PeerMessage goes from one control machine to another. It contains a heartbeat with sessions, or one of the other fields.
--- a/internal/control/server/delivery.go
+++ b/internal/control/server/delivery.go
@@ -5,6 +5,7 @@
 
 	"yardflow/internal/control/protocol"
 	"yardflow/internal/control/statemachine"
+	"yardflow/scheduling/job"
 )
 
 // deliver sends updates to the dispatchers that they concern, followed by outcomes, so that a dispatcher has the effects
@@ -28,6 +29,35 @@
 			d.conn.Close() // the dispatcher attaches again, and a snapshot replaces the backlog
 		}
 	}
+	s.sendDueDigests()
+}
+
+// scheduleDigests makes the digests of open jobs due, every digestTicks.
+func (s *Server) scheduleDigests() {
+	if s.dispatchers.ticks++; s.dispatchers.ticks%digestTicks != 0 {
+		return
+	}
+	for d := range s.dispatchers.attached {
+		d.digestDue = d.session != 0
+	}
+}
+
+// sendDueDigests sends the digest of its open jobs to each dispatcher for which one is due and which was sent all updates. The
+// digests are computed once for all.
+func (s *Server) sendDueDigests() {
+	var digests map[statemachine.SessionID]job.Digest
+	for d := range s.dispatchers.attached {
+		isCurrent := s.dispatchers.owns(d) && s.state.fsm.Sessions[d.session] != nil
+		if !d.digestDue || !isCurrent || d.snapshotDue || !d.outbox.isEmpty() {
+			continue
+		}
+		if digests == nil {
+			digests = s.state.fsm.OpenJobDigests()
+		}
+		d.digestDue = false
+		digest := digests[d.session]
+		d.send(protocol.ControlMessage{OpenJobs: &digest})
+	}
 }
 
 // send sends a message and counts its bytes as in flight.
--- a/internal/control/server/dispatchers.go
+++ b/internal/control/server/dispatchers.go
@@ -24,6 +24,8 @@
 	// dispatcherHeartbeatTicks is the number of ticks without a message to a dispatcher after which it is sent a
 	// heartbeat.
 	dispatcherHeartbeatTicks = 2
+	// digestTicks is the number of ticks between two digests of open jobs for a dispatcher.
+	digestTicks = 20
 )
 
 // dispatcher is a connection from a dispatcher. It is created with the connection, attached by the dispatcher's session
@@ -39,6 +41,7 @@
 	idleTicks      int                       // ticks since the last message to it
 	isShuttingDown bool                      // the dispatcher has announced its shutdown
 	listDuty       protocol.InstanceListDuty // last duty sent to the dispatcher
+	digestDue      bool                      // the digest of its open jobs is sent once all updates are
 }
 
 // dispatcherTable holds the dispatchers that are connected to this machine. It belongs to the engine.
@@ -46,6 +49,7 @@
 	attached  map[*dispatcher]bool
 	bySession map[statemachine.SessionID]*dispatcher
 	waiting   map[*dispatcher]time.Duration // connected while this replica did not serve, with the time of the request
+	ticks     int                           // since the start, by which digests are due
 }
 
 func newDispatcherTable() *dispatcherTable {
--- a/internal/control/server/engine.go
+++ b/internal/control/server/engine.go
@@ -93,6 +93,7 @@
 	}
 	s.readInstanceList(now)
 	s.sendIdleHeartbeats()
+	s.scheduleDigests()
 	s.adjustRules(now)
 	if s.replica.IsHead() && s.replica.IsServing() {
 		s.headTick(now)
--- a/internal/control/server/outbox.go
+++ b/internal/control/server/outbox.go
@@ -111,6 +111,9 @@
 	return o.sentBytes - o.ackedBytes
 }
 
+// isEmpty reports whether everything that was added has been sent.
+func (o *outbox) isEmpty() bool { return len(o.urgent) == 0 && len(o.backlog) == 0 }
+
 // overflows reports whether the backlog exceeds maxBacklogBytes, so that a snapshot would be smaller.
 func (o *outbox) overflows() bool { return o.backlogBytes > maxBacklogBytes }
 
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -64,6 +64,7 @@
 	jobsToEnqueue map[string]bool // jobs that may have ready tasks
 	terminal      terminalStates
 	startedJobs   startedJobs
+	resync        resync
 }
 
 // New returns a dispatcher that is not running yet.
--- a/internal/dispatcher/updates_test.go
+++ b/internal/dispatcher/updates_test.go
@@ -211,6 +211,13 @@
 	return describe(jobs, s.dispatcher.workers, placed)
 }
 
+// checkDigests checks that equal pictures have equal digests of open jobs.
+func (s *updateStream) checkDigests() {
+	if own, state := s.dispatcher.openJobs(), s.fsm.OpenJobDigests()[ownSession]; own != state {
+		s.t.Errorf("the digest of open jobs is %v here, %v in the state", own, state)
+	}
+}
+
 // checkTrackedRuns checks that the runs that count as placed are those that the tasks show, and that the counts of done
 // tasks are those of the tasks.
 func (s *updateStream) checkTrackedRuns(owned *ownedJob) {
@@ -271,6 +278,7 @@
 			if want, got := s.statePicture(), s.dispatcherPicture(); got != want {
 				t.Fatalf("seed %d: the dispatcher has\n%s\nthe state has\n%s", seed, got, want)
 			}
+			s.checkDigests()
 		}
 	}
 }
@@ -288,6 +296,7 @@
 			if want, got := s.statePicture(), s.dispatcherPicture(); got != want {
 				t.Fatalf("seed %d: the dispatcher has\n%s\nthe state has\n%s", seed, got, want)
 			}
+			s.checkDigests()
 		}
 	}
 }
@@ -306,6 +315,7 @@
 			if want, got := s.statePicture(), s.dispatcherPicture(); got != want {
 				t.Fatalf("seed %d: the dispatcher has\n%s\nthe state has\n%s", seed, got, want)
 			}
+			s.checkDigests()
 		}
 	}
 }
--- a/internal/dispatcher/uplink.go
+++ b/internal/dispatcher/uplink.go
@@ -224,6 +224,9 @@
 	for _, outcome := range message.Outcomes {
 		u.receiveOutcome(outcome)
 	}
+	if message.OpenJobs != nil {
+		u.dispatcher.compareOpenJobs(*message.OpenJobs)
+	}
 }
 
 // receiveOutcome handles the outcome of a command. If the session ended before the command was applied (Stale), the command
