Schedules of the emulator: stalls behind bursts of short jobs, hopeless jobs before long ones

A hopeless job that fails at the only eligible worker of its label counts as one that fails everywhere too, so that sound jobs come first there (TestHopelessJobLeavesTheOnlyWorkerOfItsLabel).

--- a/internal/control/server/process.go
+++ b/internal/control/server/process.go
@@ -66,6 +66,14 @@
 	}
 }
 
+// StallEngine makes the engine stand still until resume is closed, while connections are still read: like a machine that was
+// stopped for a moment and wakes with full buffers. Tests with schedules of faults call it.
+func (p *Process) StallEngine(resume <-chan struct{}) {
+	if server := p.server.Load(); server != nil {
+		server.do(func() { <-resume })
+	}
+}
+
 func isClosed(stop <-chan struct{}) bool {
 	select {
 	case <-stop:
--- a/internal/testing/emulator/checker.go
+++ b/internal/testing/emulator/checker.go
@@ -54,6 +54,10 @@
 	cancelledAt time.Time
 	state       string
 	done        map[job.StepKey]int
+	running     int       // runs that are at work
+	exhausted   bool      // a task has failed as often as it may
+	idleSince   time.Time // since when nothing has run beside room; zero: it has not
+	idleNoted   bool
 }
 
 // NewChecker returns a checker without observations. DrainMs is how long after the list has shown a drain tasks may be started
@@ -215,6 +219,7 @@
 		j.violated("LIMIT", "%s brings %s to %v", o.Task, w, j.used[w])
 	}
 	task.runs[w] = true
+	seen.running++
 	takes = time.Duration(step.EstimateMs) * time.Millisecond
 	if isPoison(&seen.request) {
 		return takes, !step.Gang
@@ -281,9 +286,13 @@
 		return
 	}
 	j.used[w] = j.used[w].Minus(seen.request.Steps[key.Step].Demand())
+	if task.runs[w] {
+		seen.running--
+	}
 	delete(task.runs, w)
 	if how == "failed" {
 		task.failures = append(task.failures, failure{worker: w, end: number})
+		seen.exhausted = seen.exhausted || len(task.failures) >= attempts
 	}
 	if how == "done" && !task.done {
 		task.done = true
--- a/internal/testing/emulator/clients.go
+++ b/internal/testing/emulator/clients.go
@@ -55,16 +55,26 @@
 
 // Client hands in one job and follows it to its end, at any dispatcher.
 func (y *Cluster) Client(random *rand.Rand, until time.Time) {
-	id := fmt.Sprintf("%016x", random.Uint64())
 	request := y.randomJob(random)
+	y.follow(random, request, random.IntN(y.Shape.Dispatchers), until)
+}
+
+// follow hands a job in, first at the dispatcher in the place first, and follows it to its end, at any dispatcher.
+func (y *Cluster) follow(random *rand.Rand, request job.Request, first int, until time.Time) {
+	id := fmt.Sprintf("%016x", random.Uint64())
 	y.Checker.Submitted(id, request)
 	body := encodeJob(request)
-	anywhere := func() string {
-		return "http://" + y.Address(fmt.Sprint("front-", 1+random.IntN(y.Shape.Dispatchers))) + route + id
+	at := func(dispatcher int) string {
+		return "http://" + y.Address(fmt.Sprint("front-", 1+dispatcher)) + route + id
 	}
+	anywhere := func() string { return at(random.IntN(y.Shape.Dispatchers)) }
 	accepted := false
-	for range 5 {
-		status, _ := y.call(http.MethodPost, anywhere(), body, 3*time.Second, "")
+	for try := range 5 {
+		address := anywhere()
+		if try == 0 {
+			address = at(first)
+		}
+		status, _ := y.call(http.MethodPost, address, body, 3*time.Second, "")
 		if accepted = status == http.StatusOK; accepted {
 			y.Checker.Accepted(id)
 			y.moments.come(jobAccepted)
--- a/internal/testing/emulator/cluster.go
+++ b/internal/testing/emulator/cluster.go
@@ -57,6 +57,7 @@
 	disruptions []DisruptionRecord // that were played; whoever plays them owns it until the end
 	hurry       atomic.Bool        // operators change the configuration in quick succession
 	moments     moments
+	bursts      sync.WaitGroup // clients of the jobs that disruptions hand in
 	random      *rand.Rand
 	logger      zerolog.Logger
 	emulated    *Network    // the network itself, nil where it is real
--- a/internal/testing/emulator/disruptions_test.go
+++ b/internal/testing/emulator/disruptions_test.go
@@ -274,6 +274,11 @@
 		time.Sleep(span)
 		core.changeBuild(false, random.IntN(2) == 0)
 	}},
+	{"cores stalled for a moment, each behind a burst of short jobs", stallBehindBursts},
+	{"hopeless jobs before long ones of the same label", func(y *Cluster, random *rand.Rand, span time.Duration) {
+		y.sendBurst(random, y.HopelessBurst(random), false)
+		time.Sleep(span)
+	}},
 	{"cores stopped in order, in turn", func(y *Cluster, random *rand.Rand, span time.Duration) {
 		for _, core := range y.Cores() {
 			core.Terminate()
@@ -284,6 +289,19 @@
 	}},
 }
 
+// stallBehindBursts hands bursts of short jobs in at all dispatchers, and stalls each control machine in turn right behind one. What
+// the others commit meanwhile comes to the stalled one as one batch.
+func stallBehindBursts(y *Cluster, random *rand.Rand, _ time.Duration) {
+	for _, core := range y.Cores() {
+		y.sendBurst(random, y.ShortBurst(random), true)
+		time.Sleep(time.Duration(random.Int64N(int64(burstSpan))))
+		resume := core.Stall()
+		time.Sleep(briefStall)
+		resume()
+		time.Sleep(time.Second)
+	}
+}
+
 // Spans of drains.
 const (
 	drainRemaining = 4 * time.Second // that the list names, as the large deployments' DrainMs
--- a/internal/testing/emulator/freeze.go
+++ b/internal/testing/emulator/freeze.go
@@ -81,5 +81,19 @@
 // Freeze stops the control process until the returned function is called.
 func (c *core) Freeze() (thaw func()) { return c.cluster.freeze(c.name, c.disk) }
 
+// Stall lets the control process's engine stand still until the returned function is called. What others send comes to it as
+// one batch then.
+func (c *core) Stall() (resume func()) {
+	if c.run == nil {
+		return func() {}
+	}
+	end, resumed := c.cluster.troubles.begin(c.name), make(chan struct{})
+	go c.run.StallEngine(resumed)
+	return func() {
+		close(resumed)
+		end()
+	}
+}
+
 // Freeze stops the dispatcher until the returned function is called.
 func (d *dispatcherProcess) Freeze() (thaw func()) { return d.cluster.freeze(d.name, nil) }
--- a/internal/testing/emulator/instance_list.go
+++ b/internal/testing/emulator/instance_list.go
@@ -86,7 +86,7 @@
 	machine := workerName(place)
 	address := l.cluster.Address(machine)
 	w := newWorker(l.cluster.Checker, fmt.Sprint("i-", l.number), service, address, fmt.Sprint("z", place%3),
-		[]string{"a", fmt.Sprint("r", place/3)}, job.Resources{CPU: 8000, MemoryMB: 8000})
+		[]string{"a", fmt.Sprint("r", place/3), onlyLabel(place), halfLabel(place)}, job.Resources{CPU: 8000, MemoryMB: 8000})
 	w.machine, w.late, w.planted = machine, l.cluster.late, l.cluster.Shape.Planted
 	if place < len(l.workers) {
 		l.workers[place] = w
--- a/internal/testing/emulator/schedule_test.go
+++ b/internal/testing/emulator/schedule_test.go
@@ -108,11 +108,14 @@
 			time.Sleep(time.Duration(random.IntN(int(l.longestPause.Milliseconds()))) * time.Millisecond)
 		}
 		<-done
+		stopWatch := y.WatchIdle()
 		result.Configurations = <-operators
 		for range clients {
 			<-ended
 		}
+		y.bursts.Wait()
 		<-cancelling
+		stopWatch()
 		y.Operator.ReadBack()
 		result.calls = y.Operator.History.Calls()
 		result.Accepted, result.Completed = y.Checker.Finish()
@@ -316,3 +319,42 @@
 		}
 	}
 }
+
+// playOnly returns troubles that play one kind of disruption again and again.
+func playOnly(play func(y *Cluster, random *rand.Rand, span time.Duration)) troubles {
+	return func(y *Cluster, random *rand.Rand, end time.Time) {
+		for time.Now().Before(end) {
+			play(y, random, time.Second)
+		}
+	}
+}
+
+// TestBriefStallsBehindBurstsLoseNoTask guards against accepted jobs that stand still because a dispatcher gets older states
+// of tasks behind the job's later one (review/6): control machines stand still for 0.18 s right behind bursts of jobs with
+// short tasks.
+func TestBriefStallsBehindBurstsLoseNoTask(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(1); seed <= 3; seed++ {
+		shape := Shape{Cores: 3, Tolerate: 1, Dispatchers: 6, Workers: 9, Guards: true, DrainMs: drainMs}
+		result := play(t, shape, seed, playOnly(stallBehindBursts), io.Discard)
+		for _, broken := range result.Broken {
+			t.Errorf("schedule %d: %s", seed, broken)
+		}
+	}
+}
+
+// TestHopelessJobsKeepNobodyFromIdleWorkers guards against jobs with nothing running beside idle workers, because a hopeless
+// job has put these into backoff (review/7).
+func TestHopelessJobsKeepNobodyFromIdleWorkers(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(1); seed <= 3; seed++ {
+		result := play(t, shapeOf(seed), seed, func(y *Cluster, random *rand.Rand, end time.Time) {
+			time.Sleep(time.Until(end) - time.Second)
+			y.sendBurst(random, y.HopelessBurst(random), false)
+			time.Sleep(time.Second)
+		}, io.Discard)
+		for _, broken := range result.Broken {
+			t.Errorf("schedule %d: %s", seed, broken)
+		}
+	}
+}
--- a/internal/testing/emulator/worker.go
+++ b/internal/testing/emulator/worker.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,6 +59,9 @@
 		began: time.Now(), running: map[string]*workerRun{}, outdated: map[string]uint64{}, changed: make(chan struct{})}
 }
 
+// hasLabel reports whether the worker has the label; every worker has the label "".
+func (w *Worker) hasLabel(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
+
 func (w *Worker) clockMs() int64 { return 5000 + time.Since(w.began).Milliseconds() }
 
 // workerCommand is the body of any order to a worker.
--- a/scheduling/placement/evidence.go
+++ b/scheduling/placement/evidence.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"yardflow/scheduling/job"
 )
 
 // A run that goes wrong may be the fault of its worker or of its job. What tells them apart is how the job's step does at
@@ -18,7 +20,7 @@
 	// evidenceLifetime is how long the outcomes of a step, and unconfirmed blame, count after the newest outcome.
 	evidenceLifetime = 30 * time.Second
 	// failsEverywhereWorkers is the number of workers at which a step must have failed, and at none done well, to count as
-	// one that fails everywhere.
+	// one that fails everywhere though other workers are eligible.
 	failsEverywhereWorkers = 2
 )
 
@@ -68,20 +70,18 @@
 	return len(workers)
 }
 
-// failsEverywhere reports whether the step has failed at several workers and done well at none.
-func (r *stepRecord) failsEverywhere() bool {
-	return len(r.failedAt) >= failsEverywhereWorkers && len(r.doneAt) == 0
-}
+// neverDone reports whether runs of the step have failed, and none has done well.
+func (r *stepRecord) neverDone() bool { return len(r.failedAt) > 0 && len(r.doneAt) == 0 }
 
 // evidence holds the records of the steps whose runs have ended lately.
 type evidence struct {
 	records map[RunRef]*stepRecord
-	// failing are the steps that fail everywhere.
-	failing map[RunRef]bool
+	// neverDone are the steps of which runs have failed, and none has done well.
+	neverDone map[RunRef]bool
 }
 
 func newEvidence() evidence {
-	return evidence{records: map[RunRef]*stepRecord{}, failing: map[RunRef]bool{}}
+	return evidence{records: map[RunRef]*stepRecord{}, neverDone: map[RunRef]bool{}}
 }
 
 // record adds an outcome of a step and returns the step's record.
@@ -93,10 +93,10 @@
 		e.records[ref] = known
 	}
 	known.record(now, worker, done)
-	if known.failsEverywhere() {
-		e.failing[ref] = true
+	if known.neverDone() {
+		e.neverDone[ref] = true
 	} else {
-		delete(e.failing, ref)
+		delete(e.neverDone, ref)
 	}
 	return known
 }
@@ -118,7 +118,7 @@
 
 func (e *evidence) forget(ref RunRef) {
 	delete(e.records, ref)
-	delete(e.failing, ref)
+	delete(e.neverDone, ref)
 }
 
 // forgetJob drops the records of a job that has ended.
@@ -128,9 +128,25 @@
 	}
 }
 
-// failsEverywhere reports whether the unit's step has failed at several workers and done well at none.
+// failsEverywhere reports whether the unit's step has done well nowhere, and has failed at several workers or at all that are
+// eligible.
 func (s *Scheduler) failsEverywhere(unit *Unit) bool {
-	return s.evidence.failing[RunRef{unit.Job.ID, unit.StepKey.Step}]
+	ref := RunRef{unit.Job.ID, unit.StepKey.Step}
+	if !s.evidence.neverDone[ref] {
+		return false
+	}
+	failed := len(s.evidence.records[ref].failedAt)
+	return failed >= failsEverywhereWorkers || failed >= s.countEligible(unit.Step())
+}
+
+func (s *Scheduler) countEligible(step *job.Step) int {
+	count := 0
+	for _, worker := range s.workerList {
+		if eligible(worker, step) {
+			count++
+		}
+	}
+	return count
 }
 
 // RecordRunDone records that a run ended done. It confirms what failed runs of the step at other workers said against those.
--- a/scheduling/placement/evidence_test.go
+++ b/scheduling/placement/evidence_test.go
@@ -83,6 +83,31 @@
 	}
 }
 
+// TestHopelessJobLeavesTheOnlyWorkerOfItsLabel guards against the same where the label has one worker: the hopeless job fails
+// at no other one, and still neither bans the worker nor comes before sound jobs again and again.
+func TestHopelessJobLeavesTheOnlyWorkerOfItsLabel(t *testing.T) {
+	for seed := range uint64(10) {
+		s := newSimulation(seed, 5)
+		s.scheduler.SetWorker(simulatedWorker(0), []string{"a", "r0", "only"}, simulatedCapacity, job.Resources{}, false)
+		s.submit(job.Step{Count: 10, CPU: 4000, RequiredLabel: "only"}, 4*time.Second, true)
+		sound := []*simulatedJob{}
+		s.after(time.Second, func() {
+			for range 4 {
+				sound = append(sound, s.submit(job.Step{Count: 1, CPU: 4000, RequiredLabel: "only"}, 4*time.Second, false))
+			}
+		})
+		s.play(9500 * time.Millisecond) // one round of hopeless runs, and one of sound ones
+		for i, j := range sound {
+			if !j.ended {
+				t.Errorf("seed %d: sound job %d has not ended after the second round", seed, i)
+			}
+		}
+		if s.backoffs > 0 {
+			t.Errorf("seed %d: the worker was in backoff in %d cycles", seed, s.backoffs)
+		}
+	}
+}
+
 // TestSickWorkersAreLeftAsSoonAsBefore guards the other direction: workers that fail all or half of their runs, though they
 // are healthy by all other signs, get no more starts than under the rules before review/7, under which each failed run
 // counted against its worker.
--- a/scheduling/placement/scheduler.go
+++ b/scheduling/placement/scheduler.go
@@ -81,7 +81,7 @@
 	cycle := &cycle{unplaceable: map[stepID]bool{}}
 	s.starving = s.starving[:0]
 	s.placeUnits(now, cycle, func(unit *Unit) bool { return !s.failsEverywhere(unit) })
-	if len(s.evidence.failing) > 0 {
+	if len(s.evidence.neverDone) > 0 {
 		s.placeUnits(now, cycle, s.failsEverywhere)
 	}
 	s.beginStep(now)
--- a/scheduling/placement/starvation.go
+++ b/scheduling/placement/starvation.go
@@ -28,7 +28,7 @@
 // where it could run, so that the room that comes back is left to it; for a gang that takes several of them. It ends after
 // maxReservation, so that a unit that fits nowhere keeps nobody out for good.
 func (s *Scheduler) noteStarving(unit *Unit) {
-	if len(s.evidence.failing) == 0 || len(s.starving) >= maxStarvingSteps || s.failsEverywhere(unit) ||
+	if len(s.evidence.neverDone) == 0 || len(s.starving) >= maxStarvingSteps || s.failsEverywhere(unit) ||
 		s.now-unit.EnqueuedAt > starvationTimeout+maxReservation || !s.isStarving(unit) {
 		return
 	}
