--- a/scheduling/placement/faults.go
+++ b/scheduling/placement/faults.go
@@ -19,7 +19,8 @@
 	faultDecay = 4 * time.Second
 	// successDecay is the factor by which a run that ended done reduces the fault rate.
 	successDecay = 0.9
-	// trialFaultRate is the fault rate above which a worker is on trial: it gets one task at a time.
+	// trialFaultRate is the fault rate above which a worker is on trial: it gets tasks only if no other worker can take them,
+	// and one at a time.
 	trialFaultRate = 0.05
 	// trialPatience is how long a unit waits for another worker than one that is on trial and has a task.
 	trialPatience = 2500 * time.Millisecond
@@ -88,8 +89,8 @@
 	w.backoffUntil = max(w.backoffUntil, now+w.faults.nextBackoff(now))
 }
 
-// onTrial reports whether the worker has had faults lately. It then gets one task at a time, be the faults its own or those of
-// jobs: what is not known yet shows at the cost of one run, and nobody is kept out for long.
+// onTrial reports whether the worker has had faults lately, be they its own or those of jobs. Other workers are preferred then,
+// and where there are none, what is not known yet shows at the cost of one run at a time.
 func (w *workerState) onTrial(now time.Duration) bool { return w.faults.rate(now) > trialFaultRate }
 
 // hasOwnTasks reports whether tasks of this dispatcher's jobs are placed at the worker, or about to be.
--- a/scheduling/placement/feasibility.go
+++ b/scheduling/placement/feasibility.go
@@ -16,22 +16,25 @@
 type faultRule uint8
 
 const (
-	respectFaults faultRule = iota // no worker in backoff, and none on trial that has a task already
-	ignoreTrial                    // no worker in backoff
-	ignoreFaults                   // any worker
+	avoidFaults  faultRule = iota // no worker with recent faults
+	oneOnTrial                    // workers on trial only without a task of this dispatcher, and none in backoff
+	ignoreTrial                   // no worker in backoff
+	ignoreFaults                  // any worker
 )
 
-// faultRuleFor returns the rule for a unit that has found no worker by respectFaults. Faults say where a unit had better not
+// faultRuleFor returns the rule for a unit that has found no worker by avoidFaults. Faults say where a unit had better not
 // run; they don't keep a waiting unit from the only workers on which it fits: not from those on trial after trialPatience,
 // and from none once it starves.
 func (s *Scheduler) faultRuleFor(now time.Duration, unit *Unit) faultRule {
-	switch {
-	case !s.anyFaults || now-unit.EnqueuedAt <= trialPatience:
-		return respectFaults
-	case s.isStarving(unit):
+	switch waited := now - unit.EnqueuedAt; {
+	case !s.anyFaults:
+		return avoidFaults
+	case waited > starvationTimeout && s.isStarving(unit):
 		return ignoreFaults
+	case waited > trialPatience:
+		return ignoreTrial
 	}
-	return ignoreTrial
+	return oneOnTrial
 }
 
 // admits reports whether a unit may be placed at the worker, whatever its room: by its faults, and if the unit's step fails
@@ -40,7 +43,9 @@
 	switch {
 	case rule != ignoreFaults && now < worker.backoffUntil:
 		return false
-	case rule == respectFaults && worker.onTrial(now) && worker.hasOwnTasks():
+	case rule == avoidFaults && worker.onTrial(now):
+		return false
+	case rule == oneOnTrial && worker.onTrial(now) && worker.hasOwnTasks():
 		return false
 	}
 	return len(s.starving) == 0 || !s.failsEverywhere(unit) || !s.isAwaited(worker)
--- a/scheduling/placement/gang.go
+++ b/scheduling/placement/gang.go
@@ -62,7 +62,7 @@
 	for _, worker := range candidates {
 		available := worker.available()
 		for count := 0; len(workers) < len(unit.TaskIndices) && available.Covers(step.Demand()); count++ {
-			if step.AntiAffinity > 0 && count >= step.AntiAffinity || count > 0 && rule == respectFaults && worker.onTrial(now) {
+			if step.AntiAffinity > 0 && count >= step.AntiAffinity || count > 0 && rule == oneOnTrial && worker.onTrial(now) {
 				break
 			}
 			workers = append(workers, worker.id)
--- a/scheduling/placement/scheduler.go
+++ b/scheduling/placement/scheduler.go
@@ -121,11 +121,11 @@
 // selectWorkers returns the workers for the unit: one for a single task, or one for each member of a gang. It returns nil if
 // the unit has to wait.
 func (s *Scheduler) selectWorkers(now time.Duration, unit *Unit) []string {
-	workers := s.selectWorkersBy(now, unit, respectFaults)
+	workers := s.selectWorkersBy(now, unit, avoidFaults)
 	if workers != nil {
 		return workers
 	}
-	if rule := s.faultRuleFor(now, unit); rule != respectFaults {
+	if rule := s.faultRuleFor(now, unit); rule != avoidFaults {
 		return s.selectWorkersBy(now, unit, rule)
 	}
 	return nil
--- a/scheduling/worker/run.go
+++ b/scheduling/worker/run.go
@@ -69,7 +69,7 @@
 	stuckLimit := max(stuckTimeout, time.Duration(stuckFactor*float64(r.EstimateMs))*time.Millisecond/4)
 	if !r.Stopping && !r.UntilStopped && now-r.progressAt > stuckLimit {
 		r.Stopping = true
-		o.recordRunFault(r, stuckRunFault)
+		o.recordFault(stuckRunFault)
 	}
 }
 
