Placement: a job that has run nowhere else makes a worker avoided, not backed off

In its place: a worker that one job speaks against is avoided for as long as it was backed off before, and gets tasks only if no other worker can take them, one at a time; two jobs, or one whose step does well elsewhere, back it off as before. A step speaks against its job once it has failed at three workers, or at all that are eligible, and done well at none: two sick workers at a time don't clear each other.

Soak: bursts of short jobs with brief freezes of control machines, and hopeless jobs before long ones; jobs with nothing running beside room are judged at the end; control processes and dispatchers run on one processor each.

--- a/internal/dispatcher/jobs.go
+++ b/internal/dispatcher/jobs.go
@@ -222,7 +222,8 @@
 	reason taskrun.EndReason) {
 	scheduler := d.scheduler(owned.Service)
 	step := &owned.Request.Steps[key.Step]
-	fault := placement.RunFault{RunRef: placement.RunRef{Job: owned.ID, Step: key.Step}, Weight: lostRunFaultWeight}
+	fault := placement.RunFault{RunRef: placement.RunRef{Job: owned.ID, Step: key.Step}, Step: step,
+		Weight: lostRunFaultWeight}
 	switch reason {
 	case taskrun.Done:
 		scheduler.RecordRunDone(now, run.worker, fault.RunRef, step.Count > 1)
@@ -233,7 +234,7 @@
 		}
 	case taskrun.Failed:
 		if !step.LongRunning {
-			fault.Weight, fault.TaskFailedBefore = failedRunFaultWeight, owned.EnsureTask(key).FailedAttempts > 1
+			fault.Weight = failedRunFaultWeight
 			scheduler.RecordRunFault(now, run.worker, fault)
 		}
 	case taskrun.NotStarted:
--- a/internal/testing/emulator/cancelling.go
+++ b/internal/testing/emulator/cancelling.go
@@ -47,7 +47,7 @@
 	}
 	id := fmt.Sprintf("%016x", random.Uint64())
 	y.Checker.Submitted(id, request)
-	submit := clientCall{http.MethodPost, id, encodeJob(request), lastTry, 1 + random.IntN(y.Shape.Dispatchers)}
+	submit := clientCall{http.MethodPost, id, EncodeJob(request), lastTry, 1 + random.IntN(y.Shape.Dispatchers)}
 	if random.IntN(3) == 0 {
 		submit.within = 3 * time.Second
 	}
--- a/internal/testing/emulator/clients.go
+++ b/internal/testing/emulator/clients.go
@@ -63,7 +63,7 @@
 func (y *Cluster) follow(random *rand.Rand, request job.Request, first int, until time.Time) {
 	id := fmt.Sprintf("%016x", random.Uint64())
 	y.Checker.Submitted(id, request)
-	body := encodeJob(request)
+	body := EncodeJob(request)
 	at := func(dispatcher int) string {
 		return "http://" + y.Address(fmt.Sprint("front-", 1+dispatcher)) + route + id
 	}
@@ -109,7 +109,7 @@
 // RandomJob returns a job to hand in, and the body of the call that does so.
 func (y *Cluster) RandomJob(random *rand.Rand) (job.Request, string) {
 	request := y.randomJob(random)
-	return request, encodeJob(request)
+	return request, EncodeJob(request)
 }
 
 // RouteHost and RoutePrefix name the cluster's only queue.
--- a/internal/testing/emulator/instance_list.go
+++ b/internal/testing/emulator/instance_list.go
@@ -262,8 +262,8 @@
 	return l.stopped
 }
 
-// encodeJob returns the body with which a client hands a job in.
-func encodeJob(request job.Request) string {
+// EncodeJob returns the body with which a client hands a job in.
+func EncodeJob(request job.Request) string {
 	data, err := json.Marshal(request)
 	if err != nil {
 		panic(err) // a job.Request can always be written
--- a/internal/testing/emulator/retention_test.go
+++ b/internal/testing/emulator/retention_test.go
@@ -85,7 +85,7 @@
 	request := job.Request{Spec: "kept", Steps: []job.Step{{Count: 1, CPU: 1000, MemoryMB: 100, EstimateMs: 300}}}
 	y.Checker.Submitted(id, request)
 	url = "http://" + y.Address("front-1") + route + id
-	if status, _ := y.call(http.MethodPost, url, encodeJob(request), 3*time.Second, ""); status != http.StatusOK {
+	if status, _ := y.call(http.MethodPost, url, EncodeJob(request), 3*time.Second, ""); status != http.StatusOK {
 		t.Fatalf("the job is answered %d", status)
 	}
 	y.Checker.Accepted(id)
--- a/lab/soak/scenario/client.go
+++ b/lab/soak/scenario/client.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"yardflow/internal/testing/emulator"
+	"yardflow/scheduling/job"
 )
 
 // Bounds of clients.
@@ -84,6 +85,11 @@
 		}
 		front = fronts[c.random.IntN(len(fronts))]
 	}
+	return c.connectTo(front)
+}
+
+// connectTo opens a connection to a dispatcher.
+func (c *caller) connectTo(front *process) error {
 	conn, err := net.DialTimeout("tcp", c.soak.block.address(front.name), connectWithin)
 	if err != nil {
 		return errors.Trace(err)
@@ -155,9 +161,11 @@
 }
 
 // runJob hands one job in and follows it to its end.
-func (c *caller) runJob() {
+func (c *caller) runJob() { c.followJob(c.soak.cluster.RandomJob(c.random)) }
+
+// followJob hands a job in and follows it to its end.
+func (c *caller) followJob(request job.Request, body string) {
 	id := fmt.Sprintf("%016x", c.random.Uint64())
-	request, body := c.soak.cluster.RandomJob(c.random)
 	c.soak.cluster.Checker.Submitted(id, request)
 	if !c.handIn(id, body) {
 		return
--- a/lab/soak/scenario/process.go
+++ b/lab/soak/scenario/process.go
@@ -83,7 +83,7 @@
 	}
 	defer log.Close()
 	cmd := exec.Command(p.program(), p.role)
-	cmd.Env = []string{settings.PathVariable + "=" + p.settingsPath(), "PATH=/usr/bin:/bin"}
+	cmd.Env = []string{settings.PathVariable + "=" + p.settingsPath(), "PATH=/usr/bin:/bin", "GOMAXPROCS=1"} // as Limits.Cores
 	cmd.Stdout, cmd.Stderr = log, log
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/lab/soak/scenario/series.go
+++ b/lab/soak/scenario/series.go
@@ -144,12 +144,17 @@
 	p.back()
 }
 
-// coreSeries does one thing after the other to control machines; now and then all of them are killed at once.
+// coreSeries does one thing after the other to control machines; now and then all of them are killed at once, or each is
+// frozen for a moment.
 func (s *soak) coreSeries(end time.Time) {
 	random := s.random(coreStream)
 	for time.Now().Before(end) {
 		time.Sleep(between(random, 0, longPause))
-		if random.IntN(8) == 0 {
+		switch random.IntN(8) {
+		case 1, 2:
+			s.freezeBehindBursts(random)
+			continue // no machine was lost
+		case 0:
 			s.count("core kills of all")
 			end := s.cluster.BeginTrouble(s.cores[0].name) // what befalls one befalls the core
 			for _, core := range s.cores {
@@ -159,7 +164,7 @@
 				core.back()
 			}
 			end()
-		} else {
+		default:
 			s.act(s.cores[random.IntN(len(s.cores))], coreActions[random.IntN(len(coreActions))], random)
 		}
 		time.Sleep(coreCatchUp)
@@ -167,13 +172,15 @@
 }
 
 // workerSeries crashes workers, of which some lose their addresses while they are listed, lets orders go without an answer,
-// and lets workers drain.
+// lets workers drain, and hands hopeless jobs in.
 func (s *soak) workerSeries(end time.Time) {
 	random := s.random(workerStream)
 	for time.Now().Before(end) {
 		time.Sleep(between(random, shortPause, 2*longPause))
 		place := random.IntN(s.config.Shape.Workers)
-		switch random.IntN(4) {
+		switch random.IntN(5) {
+		case 4:
+			s.handInHopelessJobs(random)
 		case 0:
 			s.count("worker crashes")
 			s.cluster.RestartWorker(place, between(random, 0, longPause))
@@ -203,8 +210,10 @@
 // be in touch.
 func (s *soak) calm() {
 	s.backAll()
-	s.drainSome(s.random(calmStream))
+	random := s.random(calmStream)
+	s.drainSome(random)
 	time.Sleep(calmSpan)
+	s.handInHopelessJobs(random)
 }
 
 // changes changes the configuration, alone and in races, slowly and in quick succession.
--- a/lab/soak/scenario/soak.go
+++ b/lab/soak/scenario/soak.go
@@ -75,7 +75,8 @@
 	cores     []*process
 	fronts    []*process
 	calls     atomic.Int64
-	stopping  chan struct{} // closed when clients hand nothing in any more
+	stopping  chan struct{}  // closed when clients hand nothing in any more
+	bursts    sync.WaitGroup // clients of jobs that are handed in at once
 	countedMu sync.Mutex
 	counted   map[string]int
 }
@@ -145,7 +146,10 @@
 	s.calm()
 	close(s.stopping)
 	s.backAll()
+	stopWatch := s.cluster.WatchIdle()
 	clients.Wait()
+	s.bursts.Wait()
+	stopWatch()
 	s.cluster.Operator.ReadBack()
 	time.Sleep(confirmAfter)
 	close(over)
--- a/scheduling/placement/evidence.go
+++ b/scheduling/placement/evidence.go
@@ -9,14 +9,21 @@
 
 // A run that goes wrong may be the fault of its worker or of its job. What tells them apart is how the job's step does at
 // other workers: a step that fails wherever it runs speaks against the job, a worker that fails steps which do well elsewhere
-// speaks against the worker. As long as a step has run nowhere else, its job is one witness, however many of its runs
-// fail.
+// speaks against the worker. As long as a step has run nowhere else nothing is known, and its job is one witness, however many
+// of its runs fail: other workers are preferred then, but the worker is not in backoff. Two such jobs put it into backoff.
 
 const (
 	// maxRecordedWorkers bounds the workers that a step record names of each kind.
 	maxRecordedWorkers = 8
 	// maxStepRecords is the number of step records beyond which outdated ones are dropped, and then all.
 	maxStepRecords = 4096
+	// contradictingWorkers is the number of other workers at which a step must have failed, and at none done well, for its
+	// failures to speak against its job: several workers may be sick at a time.
+	contradictingWorkers = 2
+	// backoffWitnesses is the number of jobs whose unconfirmed blame puts a worker into backoff.
+	backoffWitnesses = 2
+	// maxWithdrawnRuns bounds the runs of a job that count against a worker again once the job's step does well elsewhere.
+	maxWithdrawnRuns = 5
 	// evidenceLifetime is how long the outcomes of a step, and unconfirmed blame, count after the newest outcome.
 	evidenceLifetime = 30 * time.Second
 	// failsEverywhereWorkers is the number of workers at which a step must have failed, and at none done well, to count as
@@ -35,8 +42,8 @@
 	RunRef
 	// Weight, from 0 to 1, is how strongly the run counts against its worker.
 	Weight float64
-	// TaskFailedBefore is set if an earlier run of the same task has failed too.
-	TaskFailedBefore bool
+	// Step is the definition of the step, or nil if it is not known.
+	Step *job.Step
 }
 
 // stepRecord holds the workers at which runs of a step have ended. A worker is in one of the lists, by its newest outcome.
@@ -173,18 +180,26 @@
 	if worker == nil {
 		return
 	}
-	failed, done := record.elsewhere(id)
-	switch {
-	case done == 0 && failed > 0:
+	switch failed, done := record.elsewhere(id); {
+	case done > 0:
+		worker.recordFault(now, fault.Weight*float64(done)/float64(done+failed))
+	case failed > 0 && failed >= s.workersToContradict(fault.Step):
 		s.withdrawBlame(now, fault.RunRef)
-	case fault.TaskFailedBefore:
-	case done == 0:
-		worker.blameUnconfirmed(now, fault)
+		worker.holdBack(now, fault)
 	default:
-		worker.recordFault(now, fault.Weight*float64(done)/float64(done+failed))
+		worker.blameUnconfirmed(now, fault)
 	}
 }
 
+// workersToContradict returns at how many other workers a step must have failed, and done well at none, to speak against its
+// job: contradictingWorkers, or all others if fewer are eligible.
+func (s *Scheduler) workersToContradict(step *job.Step) int {
+	if step == nil {
+		return contradictingWorkers
+	}
+	return min(contradictingWorkers, s.countEligible(step)-1)
+}
+
 // withdrawBlame takes back what runs of a step said against workers, since it fails elsewhere too.
 func (s *Scheduler) withdrawBlame(now time.Duration, ref RunRef) {
 	for _, worker := range s.workerList {
@@ -192,57 +207,93 @@
 	}
 }
 
-// blame is what the failed runs of one job say against a worker while the job's step has run nowhere else.
+// blame is what the failed runs of one job say against a worker while the job's step has run nowhere else, or failed there
+// too.
 type blame struct {
 	RunRef
-	weight   float64
-	added    float64 // to the worker's fault rate
-	at       time.Duration
-	repeated bool // further runs of the job have failed at the worker
+	weight    float64
+	runs      int
+	added     float64 // to the worker's fault rate
+	at        time.Duration
+	withdrawn bool // the step has failed elsewhere too
 }
 
-// blameUnconfirmed counts a fault against the worker. The runs of one job count once, but further ones lengthen a backoff.
+// blameUnconfirmed counts a fault against the worker that may be the job's. Once several jobs are witnesses, it counts like
+// any other.
 func (w *workerState) blameUnconfirmed(now time.Duration, fault RunFault) {
+	known := w.blameOf(now, fault)
+	known.runs++
+	if known.withdrawn {
+		return
+	}
+	before := w.faults.rate(now)
+	w.avoid(now, fault.Weight)
+	known.added += w.faults.lastRate - before
+	if w.witnesses() >= backoffWitnesses {
+		w.backoffUntil = max(w.backoffUntil, w.avoidUntil)
+	}
+}
+
+// witnesses returns the number of jobs with unconfirmed blame that is not withdrawn.
+func (w *workerState) witnesses() int {
+	count := 0
+	for i := range w.unconfirmed {
+		if !w.unconfirmed[i].withdrawn {
+			count++
+		}
+	}
+	return count
+}
+
+// holdBack records a fault that does not count unless the step does well elsewhere.
+func (w *workerState) holdBack(now time.Duration, fault RunFault) {
+	known := w.blameOf(now, fault)
+	known.withdrawn = true
+	known.runs++
+}
+
+// blameOf returns the entry of the fault's job, and adds one if there is none. It drops outdated ones.
+func (w *workerState) blameOf(now time.Duration, fault RunFault) *blame {
 	w.unconfirmed = slices.DeleteFunc(w.unconfirmed, func(b blame) bool { return now-b.at > evidenceLifetime })
 	for i := range w.unconfirmed {
 		if w.unconfirmed[i].Job == fault.Job {
-			w.unconfirmed[i].repeated = true
-			if now < w.backoffUntil { // for which other jobs have given the cause
-				w.faults.recordFault(now, fault.Weight)
-				w.extendBackoff(now)
-			}
-			return
+			return &w.unconfirmed[i]
 		}
 	}
-	before := w.faults.rate(now)
-	w.recordFault(now, fault.Weight)
-	w.unconfirmed = append(w.unconfirmed, blame{RunRef: fault.RunRef, weight: fault.Weight, added: w.faults.lastRate - before, at: now})
+	w.unconfirmed = append(w.unconfirmed, blame{RunRef: fault.RunRef, weight: fault.Weight, at: now})
+	return &w.unconfirmed[len(w.unconfirmed)-1]
 }
 
-// confirmBlame makes the blame of a step final, since the step does well elsewhere. If several runs of it have failed at the
-// worker, that counts as one more fault.
+// confirmBlame makes the blame of a step final, since the step does well elsewhere.
 func (w *workerState) confirmBlame(now time.Duration, ref RunRef) {
 	for i, b := range w.unconfirmed {
-		if b.RunRef == ref {
-			w.unconfirmed = slices.Delete(w.unconfirmed, i, i+1)
-			if b.repeated {
+		if b.RunRef != ref {
+			continue
+		}
+		w.unconfirmed = slices.Delete(w.unconfirmed, i, i+1)
+		if b.withdrawn {
+			for range min(b.runs, maxWithdrawnRuns) {
 				w.recordFault(now, b.weight)
 			}
-			return
 		}
+		w.backoffUntil = max(w.backoffUntil, w.avoidUntil)
+		return
 	}
 }
 
 // withdrawBlame takes the blame of a step back, and ends the backoff if the rest does not justify one.
 func (w *workerState) withdrawBlame(now time.Duration, ref RunRef) {
-	for i, b := range w.unconfirmed {
-		if b.RunRef == ref {
-			w.unconfirmed = slices.Delete(w.unconfirmed, i, i+1)
-			w.faults.takeBack(now, b.added, b.at)
-			if w.faults.lastRate <= backoffFaultRate {
-				w.backoffUntil = min(w.backoffUntil, now)
-			}
-			return
+	for i := range w.unconfirmed {
+		b := &w.unconfirmed[i]
+		if b.RunRef != ref || b.withdrawn {
+			continue
 		}
+		b.withdrawn = true
+		w.faults.takeBack(now, b.added, b.at)
+		if w.faults.lastRate <= backoffFaultRate {
+			w.avoidUntil, w.backoffUntil = min(w.avoidUntil, now), min(w.backoffUntil, now)
+			w.faults.backoffs = 0
+		}
+		return
 	}
 }
--- a/scheduling/placement/feasibility.go
+++ b/scheduling/placement/feasibility.go
@@ -12,40 +12,22 @@
 	return !worker.draining && worker.hasLabel(step.RequiredLabel) && worker.capacity.Covers(step.Demand())
 }
 
-// faultRule says what faults of a worker keep a unit from it.
-type faultRule uint8
+// backoffRule says at which workers with faults a unit may be placed.
+type backoffRule uint8
 
 const (
-	avoidFaults  faultRule = iota // no worker with recent faults
-	oneOnTrial                    // workers on trial only without a task of this dispatcher, and none in backoff
-	ignoreTrial                   // no worker in backoff
-	ignoreFaults                  // any worker
+	avoidSuspects backoffRule = iota // no worker that is to be avoided
+	tryOneTask                       // none in backoff, and one that is to be avoided for one task at a time
+	ignoreBackoff                    // any worker
 )
 
-// faultRuleFor returns the rule for a unit that has found no worker by avoidFaults. Faults say where a unit had better not
-// run; they don't keep a waiting unit from the only workers on which it fits: not from those on trial after trialPatience,
-// and from none once it starves.
-func (s *Scheduler) faultRuleFor(now time.Duration, unit *Unit) faultRule {
-	switch waited := now - unit.EnqueuedAt; {
-	case !s.anyFaults:
-		return avoidFaults
-	case waited > starvationTimeout && s.isStarving(unit):
-		return ignoreFaults
-	case waited > trialPatience:
-		return ignoreTrial
-	}
-	return oneOnTrial
-}
-
-// admits reports whether a unit may be placed at the worker, whatever its room: by its faults, and if the unit's step fails
-// everywhere, only where no starving unit waits for room.
-func (s *Scheduler) admits(now time.Duration, unit *Unit, worker *workerState, rule faultRule) bool {
+// admits reports whether a unit may be placed at the worker, whatever its room: the worker's faults allow it, and if the
+// unit's step fails everywhere, no starving unit waits for room there.
+func (s *Scheduler) admits(now time.Duration, unit *Unit, worker *workerState, rule backoffRule) bool {
+	isAvoided := now < worker.avoidUntil
 	switch {
-	case rule != ignoreFaults && now < worker.backoffUntil:
-		return false
-	case rule == avoidFaults && worker.onTrial(now):
-		return false
-	case rule == oneOnTrial && worker.onTrial(now) && worker.hasOwnTasks():
+	case rule == avoidSuspects && isAvoided,
+		rule == tryOneTask && (now < worker.backoffUntil || isAvoided && worker.hasOwnTasks()):
 		return false
 	}
 	return len(s.starving) == 0 || !s.failsEverywhere(unit) || !s.isAwaited(worker)
@@ -95,14 +77,14 @@
 // worker's free CPU is scaled by its scarcest resource (see workerState.freeCPU). Workers in backoff count only towards
 // usedCPU and serviceCPU.
 func (s *Scheduler) updateCPUTotals(now time.Duration) {
-	s.freeCPU, s.totalCPU, s.usedCPU, s.serviceCPU, s.anyFaults = 0, 0, 0, 0, false
+	s.freeCPU, s.totalCPU, s.usedCPU, s.serviceCPU, s.anyAvoided = 0, 0, 0, 0, false
 	for _, worker := range s.workerList {
 		if worker.draining {
 			continue
 		}
 		s.serviceCPU += float64(worker.capacity.CPU)
 		s.usedCPU += float64(worker.capacity.CPU) - worker.freeCPU()
-		s.anyFaults = s.anyFaults || now < worker.backoffUntil || worker.onTrial(now)
+		s.anyAvoided = s.anyAvoided || now < worker.avoidUntil
 		if now < worker.backoffUntil {
 			continue
 		}
--- a/scheduling/placement/gang.go
+++ b/scheduling/placement/gang.go
@@ -11,7 +11,7 @@
 // findGang returns workers for all members of a gang, or nil: a gang is placed as a whole or not at all. If the step asks
 // for a single rack, or its data is in one rack, placements within one rack come first. A placement over several racks is
 // slower; in that case slower describes the choice between taking it and waiting.
-func (s *Scheduler) findGang(now time.Duration, unit *Unit, rule faultRule) (workers []string, slower *slowerChoice) {
+func (s *Scheduler) findGang(now time.Duration, unit *Unit, rule backoffRule) (workers []string, slower *slowerChoice) {
 	step := unit.Step()
 	if !step.SameRack && step.Affinity == "" {
 		return s.packGang(now, unit, "", rule), nil
@@ -48,7 +48,7 @@
 
 // packGang assigns the members of a gang to the workers of a rack ("" for any rack), filling one worker after the other,
 // the fastest and fullest first. It returns nil if not all members fit.
-func (s *Scheduler) packGang(now time.Duration, unit *Unit, rack string, rule faultRule) []string {
+func (s *Scheduler) packGang(now time.Duration, unit *Unit, rack string, rule backoffRule) []string {
 	step := unit.Step()
 	candidates := []*workerState{}
 	for _, worker := range s.workerList {
@@ -62,7 +62,7 @@
 	for _, worker := range candidates {
 		available := worker.available()
 		for count := 0; len(workers) < len(unit.TaskIndices) && available.Covers(step.Demand()); count++ {
-			if step.AntiAffinity > 0 && count >= step.AntiAffinity || count > 0 && rule == oneOnTrial && worker.onTrial(now) {
+			if step.AntiAffinity > 0 && count >= step.AntiAffinity || count > 0 && rule == tryOneTask && now < worker.avoidUntil {
 				break
 			}
 			workers = append(workers, worker.id)
--- a/scheduling/placement/ranking.go
+++ b/scheduling/placement/ranking.go
@@ -44,7 +44,7 @@
 
 // findWorker returns the best feasible worker for a task. If it is clearly slower than the fastest eligible worker, slower
 // describes the choice between taking it and waiting.
-func (s *Scheduler) findWorker(now time.Duration, unit *Unit, rule faultRule) (workers []string, slower *slowerChoice) {
+func (s *Scheduler) findWorker(now time.Duration, unit *Unit, rule backoffRule) (workers []string, slower *slowerChoice) {
 	step := unit.Step()
 	s.candidates = s.candidates[:0]
 	remotePenalty := math.Log(s.remoteFactor)
--- a/scheduling/placement/scheduler.go
+++ b/scheduling/placement/scheduler.go
@@ -46,7 +46,7 @@
 	totalCPU   float64 // capacity of the same workers
 	usedCPU    float64 // used CPU of all workers that are not draining
 	serviceCPU float64 // capacity of the same workers
-	anyFaults  bool    // whether a worker that is not draining is in backoff or on trial
+	anyAvoided bool    // whether a worker that is not draining is to be avoided
 	// starving are the steps of starving units that found no worker in this cycle, of steps that don't fail everywhere.
 	starving []*job.Step
 	urgent   urgentHeadroom
@@ -120,18 +120,21 @@
 
 // selectWorkers returns the workers for the unit: one for a single task, or one for each member of a gang. It returns nil if
 // the unit has to wait.
+//
+// Faults say where a unit had better not run. They don't keep it from the only workers on which it fits: not from a worker
+// that is to be avoided, and once it starves, not from one in backoff.
 func (s *Scheduler) selectWorkers(now time.Duration, unit *Unit) []string {
-	workers := s.selectWorkersBy(now, unit, avoidFaults)
-	if workers != nil {
+	workers := s.selectWorkersBy(now, unit, avoidSuspects)
+	if workers != nil || !s.anyAvoided {
 		return workers
 	}
-	if rule := s.faultRuleFor(now, unit); rule != avoidFaults {
-		return s.selectWorkersBy(now, unit, rule)
+	if s.isStarving(unit) {
+		return s.selectWorkersBy(now, unit, ignoreBackoff)
 	}
-	return nil
+	return s.selectWorkersBy(now, unit, tryOneTask)
 }
 
-func (s *Scheduler) selectWorkersBy(now time.Duration, unit *Unit, rule faultRule) []string {
+func (s *Scheduler) selectWorkersBy(now time.Duration, unit *Unit, rule backoffRule) []string {
 	var workers []string
 	var slower *slowerChoice
 	if unit.Step().Gang {
--- a/scheduling/placement/simulation_test.go
+++ b/scheduling/placement/simulation_test.go
@@ -176,7 +176,7 @@
 	switch {
 	case failed:
 		task.CountFailure(task.Run)
-		s.scheduler.RecordRunFault(s.now, worker, RunFault{RunRef: ref, Weight: 0.2, TaskFailedBefore: task.FailedAttempts > 1})
+		s.scheduler.RecordRunFault(s.now, worker, RunFault{RunRef: ref, Weight: 0.2, Step: step})
 		s.retry(j, index, worker, task)
 		return
 	case j.ended:
--- a/scheduling/placement/workers.go
+++ b/scheduling/placement/workers.go
@@ -30,8 +30,10 @@
 	faults   faultRecord
 	// unconfirmed is the part of the faults that may be the fault of the jobs.
 	unconfirmed []blame
-	// backoffUntil is the time until which the worker gets no tasks because of faults.
+	// backoffUntil is the time until which the worker gets no tasks because of faults, and avoidUntil that until which it gets
+	// tasks only if no other worker can take them. The second is not before the first.
 	backoffUntil time.Duration
+	avoidUntil   time.Duration
 }
 
 // available returns the capacity that is neither in use nor reserved.
@@ -43,6 +45,9 @@
 	return max(1-taken, 0) * float64(w.capacity.CPU)
 }
 
+// hasOwnTasks reports whether tasks of this dispatcher's jobs are placed at the worker, or about to be.
+func (w *workerState) hasOwnTasks() bool { return w.ownTasks > 0 || w.reserved != (job.Resources{}) }
+
 func (w *workerState) hasLabel(label string) bool {
 	return label == "" || slices.Contains(w.labels, label)
 }
