Placement: a unit that waits for a faster worker does not take one that is to be avoided; postmortems

In the second search for a worker, units that had declined a slower worker took the idle worker that was to be avoided. A step counts as failing everywhere from three workers on, for the order too.

--- a/scheduling/placement/evidence.go
+++ b/scheduling/placement/evidence.go
@@ -17,9 +17,6 @@
 	maxRecordedWorkers = 8
 	// maxStepRecords is the number of step records beyond which outdated ones are dropped, and then all.
 	maxStepRecords = 4096
-	// contradictingWorkers is the number of other workers at which a step must have failed, and at none done well, for its
-	// failures to speak against its job: several workers may be sick at a time.
-	contradictingWorkers = 2
 	// backoffWitnesses is the number of jobs whose unconfirmed blame puts a worker into backoff.
 	backoffWitnesses = 2
 	// maxWithdrawnRuns bounds the runs of a job that count against a worker again once the job's step does well elsewhere.
@@ -27,8 +24,8 @@
 	// evidenceLifetime is how long the outcomes of a step, and unconfirmed blame, count after the newest outcome.
 	evidenceLifetime = 30 * time.Second
 	// failsEverywhereWorkers is the number of workers at which a step must have failed, and at none done well, to count as
-	// one that fails everywhere though other workers are eligible.
-	failsEverywhereWorkers = 2
+	// one that fails everywhere though further workers are eligible: two may be sick at a time.
+	failsEverywhereWorkers = 3
 )
 
 // RunRef names the step of a run. All repetitions of a step count as one.
@@ -142,8 +139,16 @@
 	if !s.evidence.neverDone[ref] {
 		return false
 	}
-	failed := len(s.evidence.records[ref].failedAt)
-	return failed >= failsEverywhereWorkers || failed >= s.countEligible(unit.Step())
+	return len(s.evidence.records[ref].failedAt) >= s.workersToFailEverywhere(unit.Step())
+}
+
+// workersToFailEverywhere returns at how many workers a step must have failed, and at none done well, to count as one that
+// fails everywhere. Step is nil if its definition is not known.
+func (s *Scheduler) workersToFailEverywhere(step *job.Step) int {
+	if step == nil {
+		return failsEverywhereWorkers
+	}
+	return min(failsEverywhereWorkers, s.countEligible(step))
 }
 
 func (s *Scheduler) countEligible(step *job.Step) int {
@@ -183,7 +188,7 @@
 	switch failed, done := record.elsewhere(id); {
 	case done > 0:
 		worker.recordFault(now, fault.Weight*float64(done)/float64(done+failed))
-	case failed > 0 && failed >= s.workersToContradict(fault.Step):
+	case failed > 0 && failed+1 >= s.workersToFailEverywhere(fault.Step):
 		s.withdrawBlame(now, fault.RunRef)
 		worker.holdBack(now, fault)
 	default:
@@ -191,15 +196,6 @@
 	}
 }
 
-// workersToContradict returns at how many other workers a step must have failed, and done well at none, to speak against its
-// job: contradictingWorkers, or all others if fewer are eligible.
-func (s *Scheduler) workersToContradict(step *job.Step) int {
-	if step == nil {
-		return contradictingWorkers
-	}
-	return min(contradictingWorkers, s.countEligible(step)-1)
-}
-
 // withdrawBlame takes back what runs of a step said against workers, since it fails elsewhere too.
 func (s *Scheduler) withdrawBlame(now time.Duration, ref RunRef) {
 	for _, worker := range s.workerList {
--- a/scheduling/placement/scheduler.go
+++ b/scheduling/placement/scheduler.go
@@ -122,30 +122,33 @@
 // the unit has to wait.
 //
 // Faults say where a unit had better not run. They don't keep it from the only workers on which it fits: not from a worker
-// that is to be avoided, and once it starves, not from one in backoff.
+// that is to be avoided, and once it starves, not from one in backoff. A unit that waits for a faster worker waits on.
 func (s *Scheduler) selectWorkers(now time.Duration, unit *Unit) []string {
-	workers := s.selectWorkersBy(now, unit, avoidSuspects)
+	workers, waits := s.selectWorkersBy(now, unit, avoidSuspects)
 	if workers != nil || !s.anyAvoided {
 		return workers
 	}
-	if s.isStarving(unit) {
-		return s.selectWorkersBy(now, unit, ignoreBackoff)
+	switch {
+	case s.isStarving(unit):
+		workers, _ = s.selectWorkersBy(now, unit, ignoreBackoff)
+	case !waits:
+		workers, _ = s.selectWorkersBy(now, unit, tryOneTask)
 	}
-	return s.selectWorkersBy(now, unit, tryOneTask)
+	return workers
 }
 
-func (s *Scheduler) selectWorkersBy(now time.Duration, unit *Unit, rule backoffRule) []string {
-	var workers []string
+// selectWorkersBy does so by one rule. Waits is set if the unit had better wait than take the workers that it could have.
+func (s *Scheduler) selectWorkersBy(now time.Duration, unit *Unit, rule backoffRule) (workers []string, waits bool) {
 	var slower *slowerChoice
 	if unit.Step().Gang {
 		workers, slower = s.findGang(now, unit, rule)
 	} else {
 		workers, slower = s.findWorker(now, unit, rule)
 	}
-	if workers == nil || slower != nil && !s.accepts(now, unit, slower) {
-		return nil
+	if workers != nil && slower != nil && !s.accepts(now, unit, slower) {
+		return nil, true
 	}
-	return workers
+	return workers, false
 }
 
 // reserve reserves the unit's demand at the workers, and returns the decision.
