--- a/scheduling/placement/evidence.go
+++ b/scheduling/placement/evidence.go
@@ -62,11 +62,7 @@
 	}
 }
 
-// elsewhere returns the numbers of other workers at which the step has failed and done well.
-func (r *stepRecord) elsewhere(worker string) (failed, done int) {
-	return countOthers(r.failedAt, worker), countOthers(r.doneAt, worker)
-}
-
+// countOthers returns the number of workers in the list but for one.
 func countOthers(workers []string, worker string) int {
 	if slices.Contains(workers, worker) {
 		return len(workers) - 1
@@ -185,10 +181,11 @@
 	if worker == nil {
 		return
 	}
-	switch failed, done := record.elsewhere(id); {
+	done := countOthers(record.doneAt, id)
+	switch {
 	case done > 0:
-		worker.recordFault(now, fault.Weight*float64(done)/float64(done+failed))
-	case failed > 0 && failed+1 >= s.workersToFailEverywhere(fault.Step):
+		worker.recordFault(now, fault.Weight*float64(done)/float64(done+s.soundWorkersFailedAt(now, record, fault.Job, id)))
+	case s.speaksAgainstJob(now, record, &fault, id):
 		s.withdrawBlame(now, fault.RunRef)
 		worker.holdBack(now, fault)
 	default:
@@ -196,6 +193,30 @@
 	}
 }
 
+// speaksAgainstJob reports whether a step that failed at the worker, and has done well nowhere, has failed at so many others
+// that its job is at fault: at failsEverywhereWorkers that no other job speaks against, or at half of all that are eligible.
+func (s *Scheduler) speaksAgainstJob(now time.Duration, record *stepRecord, fault *RunFault, id string) bool {
+	others := countOthers(record.failedAt, id)
+	if others == 0 {
+		return false
+	}
+	if 1+s.soundWorkersFailedAt(now, record, fault.Job, id) >= failsEverywhereWorkers {
+		return true
+	}
+	return fault.Step != nil && 2*(1+others) >= s.countEligible(fault.Step)
+}
+
+// soundWorkersFailedAt returns at how many other workers the step has failed that no other job speaks against.
+func (s *Scheduler) soundWorkersFailedAt(now time.Duration, record *stepRecord, jobID, id string) int {
+	count := 0
+	for _, other := range record.failedAt {
+		if worker := s.workers[other]; other != id && worker != nil && !worker.isSuspectedByOthers(now, jobID) {
+			count++
+		}
+	}
+	return count
+}
+
 // withdrawBlame takes back what runs of a step said against workers, since it fails elsewhere too.
 func (s *Scheduler) withdrawBlame(now time.Duration, ref RunRef) {
 	for _, worker := range s.workerList {
@@ -241,6 +262,14 @@
 	return count
 }
 
+// isSuspectedByOthers reports whether the worker is in backoff, or another job than this one speaks against it.
+func (w *workerState) isSuspectedByOthers(now time.Duration, jobID string) bool {
+	if now < w.backoffUntil {
+		return true
+	}
+	return slices.ContainsFunc(w.unconfirmed, func(b blame) bool { return b.Job != jobID && !b.withdrawn })
+}
+
 // holdBack records a fault that does not count unless the step does well elsewhere.
 func (w *workerState) holdBack(now time.Duration, fault RunFault) {
 	known := w.blameOf(now, fault)
--- a/scheduling/placement/evidence_test.go
+++ b/scheduling/placement/evidence_test.go
@@ -155,7 +155,7 @@
 // Starts at sick workers by the rules of commit c296556, in these same simulations.
 const (
 	// samplingError is by how much the starts of as many other seeds differ by chance.
-	samplingError = 0.03
+	samplingError        = 0.03
 	formerStartsAllFail  = 1941
 	formerStartsHalfFail = 2595
 )
