--- a/internal/dispatcher/updates_test.go
+++ b/internal/dispatcher/updates_test.go
@@ -264,17 +264,19 @@
 	return text.String()
 }
 
-// TestDispatcherPictureEqualsStateForAnyBatching guards against jobs that stand still because their dispatcher has another
-// picture of them than the state (review/6): whatever commands are applied, and however they are cut into batches, the
-// dispatcher's picture after the updates of a batch is the state's own view for the dispatcher's session.
-func TestDispatcherPictureEqualsStateForAnyBatching(t *testing.T) {
-	for seed := range uint64(60) {
-		s := newUpdateStream(t, seed, false)
-		for range 120 {
-			for range 1 + s.random.IntN(12) {
+// checkPictures plays random schedules of commands, cut into batches of up to so many commands, and checks after each batch
+// that the dispatcher's picture is the state's own view for the dispatcher's session.
+func checkPictures(t *testing.T, formerServer bool, longestBatch int, afterBatch func(s *updateStream)) {
+	t.Helper()
+	const seeds, batches = 60, 120
+	for seed := range uint64(seeds) {
+		s := newUpdateStream(t, seed, formerServer)
+		for range batches {
+			for range 1 + s.random.IntN(longestBatch) {
 				s.step()
 			}
 			s.deliver()
+			afterBatch(s)
 			if want, got := s.statePicture(), s.dispatcherPicture(); got != want {
 				t.Fatalf("seed %d: the dispatcher has\n%s\nthe state has\n%s", seed, got, want)
 			}
@@ -283,41 +285,23 @@
 	}
 }
 
+// TestDispatcherPictureEqualsStateForAnyBatching guards against jobs that stand still because their dispatcher has another
+// picture of them than the state (review/6): whatever commands are applied, and however they are cut into batches, the
+// dispatcher's picture after the updates of a batch is the state's own view for the dispatcher's session.
+func TestDispatcherPictureEqualsStateForAnyBatching(t *testing.T) {
+	checkPictures(t, false, 12, func(*updateStream) {})
+}
+
 // TestDispatcherPictureSurvivesUpdatesOfFormerServers guards against jobs that stand still beside control machines of the
 // build before (review/6): those send a job in its state after the batch, and the older states of its tasks behind it.
 func TestDispatcherPictureSurvivesUpdatesOfFormerServers(t *testing.T) {
-	for seed := range uint64(60) {
-		s := newUpdateStream(t, seed, true)
-		for range 120 {
-			for range 1 + s.random.IntN(12) {
-				s.step()
-			}
-			s.deliver()
-			if want, got := s.statePicture(), s.dispatcherPicture(); got != want {
-				t.Fatalf("seed %d: the dispatcher has\n%s\nthe state has\n%s", seed, got, want)
-			}
-			s.checkDigests()
-		}
-	}
+	checkPictures(t, true, 12, func(*updateStream) {})
 }
 
 // TestRepeatedUpdatesChangeNothing guards against jobs that go back to an older state: an update of a job, a job's state or
 // a task that is applied again, late or after a newer one changes nothing.
 func TestRepeatedUpdatesChangeNothing(t *testing.T) {
-	for seed := range uint64(60) {
-		s := newUpdateStream(t, seed, false)
-		for range 120 {
-			for range 1 + s.random.IntN(6) {
-				s.step()
-			}
-			s.deliver()
-			s.repeatTaskUpdates()
-			if want, got := s.statePicture(), s.dispatcherPicture(); got != want {
-				t.Fatalf("seed %d: the dispatcher has\n%s\nthe state has\n%s", seed, got, want)
-			}
-			s.checkDigests()
-		}
-	}
+	checkPictures(t, false, 6, (*updateStream).repeatTaskUpdates)
 }
 
 // TestDoneTaskStaysDoneBehindOlderUpdates is the case of review/6 in short: the job in its state after the batch, then the
