--- a/internal/testing/emulator/idle.go
+++ b/internal/testing/emulator/idle.go
@@ -52,12 +52,12 @@
 }
 
 // sampleIdle takes a sample of which jobs have nothing running beside room.
-func (j *Checker) sampleIdle(workers []*Worker) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	now, underHalf := time.Now(), j.underHalfUsed(workers)
-	for id, seen := range j.jobs {
-		if !underHalf || !seen.isDue() || !j.hasRoomTwice(seen, workers) {
+func (c *Checker) sampleIdle(workers []*Worker) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, underHalf := time.Now(), c.underHalfUsed(workers)
+	for id, seen := range c.jobs {
+		if !underHalf || !seen.isDue() || !c.hasRoomTwice(seen, workers) {
 			seen.idleSince = time.Time{}
 			continue
 		}
@@ -66,7 +66,7 @@
 		}
 		if now.Sub(seen.idleSince) > idleBound && !seen.idleNoted {
 			seen.idleNoted = true
-			j.violated("LOST", "%s has had nothing running for over %v beside room for it twice over", id, idleBound)
+			c.violated("LOST", "%s has had nothing running for over %v beside room for it twice over", id, idleBound)
 		}
 	}
 }
@@ -93,10 +93,10 @@
 	return due
 }
 
-func (j *Checker) underHalfUsed(workers []*Worker) bool {
+func (c *Checker) underHalfUsed(workers []*Worker) bool {
 	used, capacity := int64(0), int64(0)
 	for _, w := range workers {
-		used += j.used[w].CPU
+		used += c.used[w].CPU
 		capacity += w.Capacity.CPU
 	}
 	return 2*used < capacity
@@ -104,7 +104,7 @@
 
 // hasRoomTwice reports whether each due step of the job has room for what it places at once twice over: for a task, or for a
 // gang.
-func (j *Checker) hasRoomTwice(seen *jobSeen, workers []*Worker) bool {
+func (c *Checker) hasRoomTwice(seen *jobSeen, workers []*Worker) bool {
 	for _, step := range seen.dueSteps() {
 		wanted, fits := 2, 0
 		if step.Gang {
@@ -114,7 +114,7 @@
 			if !w.hasLabel(step.RequiredLabel) {
 				continue
 			}
-			free := w.Capacity.Minus(j.used[w])
+			free := w.Capacity.Minus(c.used[w])
 			for here := int64(1); fits < wanted && free.Covers(step.Demand().Times(here)); here++ {
 				fits++
 			}
