--- a/internal/testing/emulator/bursts.go
+++ b/internal/testing/emulator/bursts.go
@@ -13,7 +13,7 @@
 	shortJobs     = 40                     // in a burst
 	burstSpan     = 16 * time.Millisecond  // after a burst was sent, in which a machine stalls
 	briefStall    = 180 * time.Millisecond // of a control machine, longer than a short task and shorter than a lost heartbeat
-	longRunMs     = 4700
+	longRunMs     = 2000
 	hopelessTasks = 12
 	longJobs      = 6
 	longSteps     = 3
