Soak: no disk is wiped while another control machine is out of the chain

That is one loss more than the deployment bears; the control processes stand still then rather than go on without what was committed, as they must. A goroutine dump of core-1 showed its engine idle in its select. The soak asks all control machines now whether the chain has all of them, kills without wiping otherwise, and counts that.

--- a/lab/soak/scenario/series.go
+++ b/lab/soak/scenario/series.go
@@ -108,8 +108,13 @@
 		time.Sleep(between(random, 0, longPause))
 	}},
 	{"core disks lost", func(p *process, random *rand.Rand) {
+		hasAll := p.soak.chainHasAll()
 		p.kill()
-		p.wipe()
+		if hasAll { // else the host's own disk holds one up, and two would be lost at once
+			p.wipe()
+		} else {
+			p.soak.count("core disks kept, as another is out of the chain")
+		}
 		time.Sleep(between(random, 0, longPause))
 	}},
 	{"core freezes", func(p *process, random *rand.Rand) {
