--- a/review/stand3/case11.go
+++ b/review/stand3/firststart.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-func init() { cases["11"], shapes["11"] = playCase11, [2]int{3, 1} }
+func init() { cases["9"], shapes["9"] = playFirstStart, [2]int{3, 1} }
 
-// Spans of case 11.
+// Spans of case 9.
 const (
 	startSpread   = 300 * time.Millisecond // within which all machines start
 	lossAt        = 200 * time.Millisecond // when the machine that has started first loses its disk
@@ -17,9 +17,9 @@
 	startPatience = 60 * time.Second // five times RecoveryS
 )
 
-// playCase11 starts the whole system for the first time. The core machine that starts first loses its disk before the others
+// playFirstStart starts the whole system for the first time. The core machine that starts first loses its disk before the others
 // start, and comes back with an empty disk.
-func playCase11(c *cluster, trouble bool) int {
+func playFirstStart(c *cluster, trouble bool) int {
 	if _, err := c.addWorker("i-"+newID()[:8], "roundmaker", "z1", []string{"a", "r1-1"}, resources{16000, 65536, 0}, nil); err != nil {
 		return couldNot
 	}
