--- a/review/stand3/firststart.go
+++ b/review/stand3/firststart.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-func init() { cases["9"], shapes["9"] = playFirstStart, [2]int{3, 1} }
+func init() { cases["10"], shapes["10"] = playFirstStart, [2]int{3, 1} }
 
-// Spans of case 9.
+// Spans of case 10.
 const (
 	startSpread   = 300 * time.Millisecond // within which all machines start
 	lossAt        = 200 * time.Millisecond // when the machine that has started first loses its disk
