Review: the stand-in has addresses of its own and records why a case could not run

The stand-in chose free ports of 127.0.0.1 and let go of them before the processes listened, so another process could take one; now each process has an address of its own in the loopback range. Judgement and disruption are unchanged.

--- a/review/stand3/cluster.go
+++ b/review/stand3/cluster.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -33,15 +34,17 @@
 
 // cluster is a small deployment on loopback: core machines, front machines, workers and the platform's list.
 type cluster struct {
-	record   *record
-	folder   string
-	program  string
-	platform *platform
-	cores    []*node
-	fronts   []*node
-	workers  []*worker
-	http     *http.Client
-	bounds   string
+	record    *record
+	folder    string
+	program   string
+	platform  *platform
+	cores     []*node
+	fronts    []*node
+	workers   []*worker
+	http      *http.Client
+	bounds    string
+	block     [2]int // of the loopback range, for the addresses of processes
+	addresses int
 }
 
 // bounds are those of the site bula-yard.
@@ -80,7 +83,8 @@
 		return nil, err
 	}
 	c := &cluster{record: record, folder: folder, program: program, platform: p, bounds: bounds,
-		http: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+		block: [2]int{1 + rand.IntN(254), rand.IntN(256)},
+		http:  &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
 	for i := range cores {
 		c.cores = append(c.cores, c.newNode(fmt.Sprint("core-", i+1), "control", i))
 	}
@@ -91,18 +95,21 @@
 }
 
 func (c *cluster) newNode(name, role string, i int) *node {
-	n := &node{cluster: c, name: name, role: role, zone: fmt.Sprint("z", i%3+1), listen: freeAddress(),
+	n := &node{cluster: c, name: name, role: role, zone: fmt.Sprint("z", i%3+1), listen: c.freeAddress(),
 		folder: filepath.Join(c.folder, name), bootstrap: true}
 	if role == "dispatcher" {
-		n.ready = freeAddress()
+		n.ready = c.freeAddress()
 	}
 	return n
 }
 
-// freeAddress returns a loopback address with a port that is free now.
-func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// freeAddress returns an address with a port that is free now. Each has an IP address of its own in the loopback range, so that
+// nothing else on the machine takes the port until the process listens, or while it is down.
+func (c *cluster) freeAddress() string {
+	c.addresses++
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", c.block[0], c.block[1], c.addresses))
 	if err != nil {
+		c.record.printf("no address: %v", err)
 		return "127.0.0.1:0"
 	}
 	defer listener.Close()
--- a/review/stand3/firststart.go
+++ b/review/stand3/firststart.go
@@ -21,30 +21,30 @@
 // start, and comes back with an empty disk.
 func playFirstStart(c *cluster, trouble bool) int {
 	if _, err := c.addWorker("i-"+newID()[:8], "roundmaker", "z1", []string{"a", "r1-1"}, resources{16000, 65536, 0}, nil); err != nil {
-		return couldNot
+		return c.couldNotRun("a worker can't be started")
 	}
 	began := time.Now()
 	first := c.cores[0]
 	if first.start() != nil {
-		return couldNot
+		return c.couldNotRun("a process can't be started")
 	}
 	time.Sleep(time.Until(began.Add(lossAt)))
 	if trouble {
 		first.kill()
 		if first.wipe() != nil {
-			return couldNot
+			return c.couldNotRun("the disk can't be emptied")
 		}
 	}
 	time.Sleep(time.Until(began.Add(startSpread)))
 	for _, n := range []*node{c.cores[1], c.cores[2], c.fronts[0]} {
 		if n.start() != nil {
-			return couldNot
+			return c.couldNotRun("a process can't be started")
 		}
 	}
 	if trouble {
 		time.Sleep(comesBack)
 		if first.start() != nil {
-			return couldNot
+			return c.couldNotRun("a process can't be started")
 		}
 	}
 	c.record.printf("all machines run")
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -61,3 +61,9 @@
 	c.stop()
 	os.Exit(verdict)
 }
+
+// couldNotRun records why a case could not run.
+func (c *cluster) couldNotRun(why string) int {
+	c.record.printf("could not run: %s", why)
+	return couldNot
+}
--- a/review/stand3/writerlost.go
+++ b/review/stand3/writerlost.go
@@ -96,34 +96,34 @@
 // second later; the third machine runs all the time. Where the system serves again, the same comes once more, CatchUpS later.
 func playWriterLost(c *cluster, trouble bool) int {
 	if _, err := c.addWorker("i-"+newID()[:8], "roundmaker", "z1", []string{"a", "r1-1"}, resources{16000, 65536, 0}, nil); err != nil {
-		return couldNot
+		return c.couldNotRun("a worker can't be started")
 	}
 	for _, n := range append(append([]*node{}, c.cores...), c.fronts...) {
 		if n.start() != nil {
-			return couldNot
+			return c.couldNotRun("a process can't be started")
 		}
 	}
 	q := queue{"r-1", "/board/", "roundmaker", 0, 250, 1.5}
 	if !c.configure(1, 0, configBody(1, q), 20*time.Second) || !c.awaitReady(20*time.Second) {
-		return couldNot
+		return c.couldNotRun("the system is not up after its start")
 	}
 	time.Sleep(5 * time.Second)
 	kept := newID()
 	if !c.handIn(c.fronts[0], q, kept, jobBody(300, 1000, "")) {
-		return couldNot
+		return c.couldNotRun("the first job is not accepted")
 	}
 	time.Sleep(2 * time.Second)
 	if before := c.served(q, 3*time.Second); before < 0.25 {
-		return couldNot
+		return c.couldNotRun("too little is served before the disruption")
 	}
 	for round := 1; round <= rounds; round++ {
 		names := c.awaitChain()
 		c.record.printf("round %d, chain: %s", round, strings.Join(names, ", "))
 		if len(names) != len(c.cores) {
-			return couldNot
+			return c.couldNotRun("not all core machines are in the chain")
 		}
 		if trouble && !c.loseTwo(c.core(names[1]), c.core(names[0])) {
-			return couldNot
+			return c.couldNotRun("a process can't be stopped or started")
 		}
 		c.record.printf("all machines are back")
 		if !c.configRead(recovery) {
