A replica confirms nothing in a view in which its completeness is not recorded

A member that had agreed to view e+1, whose record was still being written, could become complete in view e: MarkComplete refused to record it, since another view was in force, but the replica was told that the record was durable. It then confirmed entries in e, and its disk says that it was never complete in e.

MarkComplete reports whether the completeness is recorded, and the replica is told of a record only then.

TestUnrecordedCompletenessConfirmsNothing failed before the change.

--- a/coordination/view/consensus.go
+++ b/coordination/view/consensus.go
@@ -59,13 +59,14 @@
 	return position >= 0 && position < view.WriterCount() && c.hardState.CompleteEpoch >= view.Chain[position].WriterSince
 }
 
-// MarkComplete records that this member has the complete log of the view of the given epoch. It has no effect if another
-// view is in force.
-func (c *Consensus) MarkComplete(epoch uint64) {
+// MarkComplete records that this member has the complete log of the view of the given epoch, and reports whether that is
+// recorded. It is not if another view is in force: the member must not confirm anything then.
+func (c *Consensus) MarkComplete(epoch uint64) bool {
 	if epoch == c.hardState.View.Epoch && epoch > c.hardState.CompleteEpoch {
 		c.hardState.CompleteEpoch = epoch
 		c.changed = true
 	}
+	return epoch == c.hardState.CompleteEpoch
 }
 
 // Bootstrap sets the electors that decide the first view. It has no effect once a view has been decided or electors are
--- a/internal/control/server/replication.go
+++ b/internal/control/server/replication.go
@@ -97,11 +97,16 @@
 }
 
 // persistCompleteness records on disk that this member has the whole log of the view in force, and notifies the replica
-// once the record is durable. From then on this member may become the head of a later view.
+// once the record is durable. From then on this member may become the head of a later view. If the completeness can't be
+// recorded, since another view was agreed on, the replica confirms nothing in its view.
 func (s *Server) persistCompleteness() {
 	epoch := s.replica.Epoch()
-	s.membership.consensus.MarkComplete(epoch)
-	s.processConsensusReady(s.membership.consensus.Ready(), func() { s.replica.CompletenessPersisted(epoch) })
+	isRecorded := s.membership.consensus.MarkComplete(epoch)
+	s.processConsensusReady(s.membership.consensus.Ready(), func() {
+		if isRecorded {
+			s.replica.CompletenessPersisted(epoch)
+		}
+	})
 }
 
 // apply applies a committed entry, and completes its command if it was proposed here.
--- a/internal/control/server/replication_test.go
+++ b/internal/control/server/replication_test.go
@@ -93,3 +93,19 @@
 		t.Error("the entry is not committed although the disk has synced")
 	}
 }
+
+// TestUnrecordedCompletenessConfirmsNothing guards against a replica that confirms entries in a view although the record of
+// its completeness was refused, since the member had agreed to another view: it would later deny that it ever was complete.
+func TestUnrecordedCompletenessConfirmsNothing(t *testing.T) {
+	s := newIdleServer(t)
+	self, other := s.membership.self(), view.Member{ID: 1, Address: "core-other:1"}
+	members := []view.Member{self, other}
+	s.membership.consensus = view.NewConsensus(view.HardState{Self: self, View: view.View{Epoch: 4, Chain: members, Electors: members}})
+	s.replica.SetView(chain.View{Epoch: 4, Members: []chain.MemberID{self.ID, other.ID}})
+	s.membership.consensus.Receive(1, &view.Message{Decided: &view.View{Epoch: 5, Chain: members, Electors: members}})
+	s.flushConsensus() // the disk writes the new view, which is not installed yet
+	s.persistCompleteness()
+	if s.replica.IsComplete() {
+		t.Error("the replica is complete in a view in which its completeness is not recorded")
+	}
+}
