--- a/coordination/chain/receive.go
+++ b/coordination/chain/receive.go
@@ -17,7 +17,7 @@
 		}
 	case message.Snapshot != nil:
 		if from == r.predecessorID() && message.Snapshot.Epoch == r.view.Epoch {
-			r.restore(message.Snapshot)
+			r.receiveSnapshot(message.Snapshot)
 		}
 	}
 }
@@ -98,6 +98,19 @@
 	r.advance()
 }
 
+// receiveSnapshot handles a snapshot of the predecessor. A log that has the entry at the snapshot's index is equal up to it,
+// and keeps the entries after it: some may be committed, and this replica may be the only one left that has them.
+func (r *Replica) receiveSnapshot(snapshot *Snapshot) {
+	if !r.log.has(snapshot.Index, snapshot.IndexEpoch) {
+		r.restore(snapshot)
+		return
+	}
+	r.viewLog.received = max(r.viewLog.received, snapshot.Index)
+	r.ackDue = true
+	r.commit(snapshot.Index)
+	r.advance()
+}
+
 // restore replaces the log and the state by a snapshot whose index is higher than the commit index of this replica. The
 // entry at the snapshot's index is committed, so no committed entry is lost.
 func (r *Replica) restore(snapshot *Snapshot) {
