A view that never became active is given up for the configuration before it

Cause: the head of the next view had to be a writer of the view in force that has been complete. The view that followed the kill had one such writer, the machine that lost its disk. The other writer had not become complete, so the view had committed nothing; the killed machine had all that was committed, but was no writer of that view, and no rule led back to it.

Change, as in Vertical Paxos: a view carries the configurations before it that may have committed entries (View.History), back to the last one known to be active. A member heads the next view if it was a writer of each of them since it was complete. A configuration drops out once a writer of it proves that it never was complete there. For the view in force, that proof is a sealed promise: the member never becomes complete in that view afterwards, recorded before the promise is sent, and its replica leaves the view, reads included. A seal is asked for only after a proposal has found no head. A sealed member asks for another view as a restarted one does. Promises of earlier builds prove nothing, nor does a record that such a build may have written (ExactSince). A silent elector keeps its vote until the view in force is active. Failed proposals show in the log, the status and the metrics.

--- a/coordination/chain/replica.go
+++ b/coordination/chain/replica.go
@@ -127,6 +127,18 @@
 	r.advance()
 }
 
+// Withdraw ends this replica's part in the current view, which must have the given epoch, as a restart would: from now on it
+// confirms nothing, passes no reads and sends no message in that view. The next view ends the withdrawal.
+func (r *Replica) Withdraw(epoch uint64) {
+	if epoch != r.view.Epoch {
+		return
+	}
+	r.position = -1
+	r.viewLog = viewLog{}
+	r.reads = readQueues{}
+	r.ready.Messages, r.ready.PersistCompleteness = nil, false
+}
+
 // Propose appends new entries to the log at the head, and starts reads, in the order given. It returns false and does
 // nothing if this replica is not the head or has diverged.
 func (r *Replica) Propose(proposals []Proposal) bool {
--- a/coordination/view/acceptor.go
+++ b/coordination/view/acceptor.go
@@ -10,13 +10,25 @@
 	if m.Ballot.less(c.hardState.PromisedBallot) {
 		answer.Rejected, answer.Ballot = true, c.hardState.PromisedBallot
 	} else {
+		if m.Seal {
+			c.seal()
+		}
 		c.hardState.PromisedBallot, c.changed = m.Ballot, true
 		answer.AcceptedBallot, answer.AcceptedView = c.hardState.AcceptedBallot, c.hardState.AcceptedView
 		answer.EligibleAsHead = c.EligibleAsHead()
+		answer.Completeness = &Completeness{CompleteEpoch: c.hardState.CompleteEpoch, ExactSince: c.hardState.ExactSince,
+			Sealed: c.IsSealed(), ActiveEpoch: c.activeEpoch}
 	}
 	c.send(from, Message{Promise: answer})
 }
 
+// seal prevents this member from becoming complete in the view in force, unless it is complete already.
+func (c *Consensus) seal() {
+	if epoch := c.View().Epoch; c.hardState.CompleteEpoch < epoch {
+		c.hardState.SealedEpoch = epoch
+	}
+}
+
 // adopt puts the base view of a message in force if it is newer, sends the view in force to a sender with an older one, and
 // reports whether both sides have the same view in force. Before the first view it bootstraps with the sender's electors.
 func (c *Consensus) adopt(from MemberID, base *View) bool {
--- a/coordination/view/consensus.go
+++ b/coordination/view/consensus.go
@@ -15,6 +15,11 @@
 	// LastRound is the highest round of this member's own ballots. It is durable before the ballot is sent, so that no
 	// later incarnation of the member uses the same ballot for another view.
 	LastRound uint64 `cbor:"8,keyasint,omitempty"`
+	// SealedEpoch is the last epoch in which this member has promised never to become complete.
+	SealedEpoch uint64 `cbor:"9,keyasint,omitempty"`
+	// ExactSince is the first epoch for which CompleteEpoch is exact: in this and later epochs, the member has confirmed
+	// nothing before its completeness was recorded. It is 0 on a disk that an earlier build has written.
+	ExactSince uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Ready lists the host's pending work: it makes HardState durable if that is set, and then sends Messages.
@@ -31,12 +36,19 @@
 	// rejectedRound is the highest round that a rejection has named. The next ballot uses a higher one, so that a member
 	// that has missed rounds does not retry them one by one.
 	rejectedRound uint64
+	obstacle      *Obstacle // why the last proposal for the next view has failed, or nil
+	activeEpoch   uint64    // a view of this or a later epoch is known to have been active
 	ready         Ready
 	changed       bool // hardState has changed since the last Ready
 }
 
 // NewConsensus returns the Paxos state of a member whose disk holds the given hard state.
-func NewConsensus(hardState HardState) *Consensus { return &Consensus{hardState: hardState} }
+func NewConsensus(hardState HardState) *Consensus {
+	if hardState.ExactSince == 0 {
+		hardState.ExactSince = hardState.View.Epoch + 1
+	}
+	return &Consensus{hardState: hardState}
+}
 
 // View returns the view in force.
 func (c *Consensus) View() *View { return &c.hardState.View }
@@ -60,15 +72,27 @@
 }
 
 // MarkComplete records that this member has the complete log of the view of the given epoch, and reports whether that is
-// recorded. It is not if another view is in force: the member must not confirm anything then.
+// recorded. It is not if another view is in force or this member is sealed: the member must not confirm anything then.
 func (c *Consensus) MarkComplete(epoch uint64) bool {
-	if epoch == c.hardState.View.Epoch && epoch > c.hardState.CompleteEpoch {
+	if epoch == c.hardState.View.Epoch && epoch > c.hardState.CompleteEpoch && !c.IsSealed() {
 		c.hardState.CompleteEpoch = epoch
 		c.changed = true
 	}
 	return epoch == c.hardState.CompleteEpoch
 }
 
+// IsSealed reports whether this member has promised to take no further part in the view in force, in which it was not
+// complete. The host must keep its replica out of that view before it sends the promise.
+func (c *Consensus) IsSealed() bool {
+	return c.hardState.SealedEpoch > 0 && c.hardState.SealedEpoch == c.hardState.View.Epoch
+}
+
+// RecordActive records that a view of an epoch, or a later view, is known to have been active.
+func (c *Consensus) RecordActive(epoch uint64) { c.activeEpoch = max(c.activeEpoch, epoch) }
+
+// Obstacle returns why the last proposal of this member for the next view has failed, or nil.
+func (c *Consensus) Obstacle() *Obstacle { return c.obstacle }
+
 // Bootstrap sets the electors that decide the first view. It has no effect once a view has been decided or electors are
 // set, nor on a disk that was not formatted at the system's first start: a machine with an empty disk must not found a
 // second system.
@@ -87,6 +111,7 @@
 	}
 	c.proposal.ticks++
 	if c.proposal.ticks >= proposalTicks {
+		c.obstacle = c.proposal.obstacle(c.View())
 		c.proposal = nil
 		return
 	}
@@ -140,7 +165,7 @@
 	if view.IsElector(c.hardState.Self.ID) {
 		c.hardState.InitialMember = false
 	}
-	c.proposal = nil
+	c.proposal, c.obstacle = nil, nil
 	c.changed, c.ready.Decided = true, true
 }
 
--- a/coordination/view/desired.go
+++ b/coordination/view/desired.go
@@ -21,7 +21,8 @@
 // DesiredView returns the next view to propose, and the electors whose promises are expected. The view is nil if the
 // present one needs no change, if this member may not propose, or while members of lower rank have time to propose first.
 //
-// Restarted and unhealthy are this member's own state, as in its Heartbeat. CommitIndex is the index of the newest entry
+// Restarted and unhealthy are this member's own state, as in its Heartbeat: a member is restarted if it takes no part in the
+// view in force. CommitIndex is the index of the newest entry
 // known to be committed: other members join the chain once they lack at most maxLag entries up to it.
 func (d *Detector) DesiredView(now time.Duration, view *View, restarted, unhealthy bool, commitIndex uint64) (*View, []MemberID) {
 	expected := d.aliveElectors(now, view)
@@ -124,7 +125,8 @@
 
 // replaceElectors makes newcomers electors. A newcomer at the address of an elector is the same machine with an empty disk
 // and replaces that elector at once. An initial member is added to the electors. Any other newcomer replaces an elector
-// that is leaving or has been silent for replacementTimeout, preferably in its own zone. Except for initial members,
+// that is leaving or has been silent for replacementTimeout, preferably in its own zone. A silent elector keeps its vote
+// until the present view is active: it may be the only one that can head the next view. Except for initial members,
 // electors are replaced one for one and never added, so that a majority stays reachable.
 func (p *viewPlan) replaceElectors() {
 	for _, id := range sortedIDs(p.peers) {
@@ -149,7 +151,8 @@
 		if elector.Address == newcomer.From.Address {
 			return i
 		}
-		isGone := p.silentFor(p.now, elector.ID) >= replacementTimeout || p.mayHandOver(elector.ID, newcomer)
+		isGone := p.isActive(p.present) && p.silentFor(p.now, elector.ID) >= replacementTimeout ||
+			p.mayHandOver(elector.ID, newcomer)
 		if newcomer.InitialMember || !isGone {
 			continue
 		}
--- a/coordination/view/detector.go
+++ b/coordination/view/detector.go
@@ -12,10 +12,12 @@
 	// InitialMember is true if the sender was formatted at the system's first start and has not been an elector yet.
 	InitialMember bool       `cbor:"3,keyasint,omitempty"`
 	Unhealthy     bool       `cbor:"4,keyasint,omitempty"` // the chain should exclude the sender, as with a slow disk
-	Restarted     bool       `cbor:"5,keyasint,omitempty"` // this incarnation has not taken part in the view of Epoch
+	Restarted     bool       `cbor:"5,keyasint,omitempty"` // the sender takes no part in the view of Epoch
 	LastIndex     uint64     `cbor:"7,keyasint,omitempty"` // index of the newest entry of the sender's log
 	HeardFrom     []MemberID `cbor:"6,keyasint,omitempty"` // within heartbeatTimeout
 	Leaving       bool       `cbor:"8,keyasint,omitempty"` // the sender is shutting down and hands its position over
+	// CompleteEpoch is the last epoch in which the sender had the chain's complete log, as in HardState.
+	CompleteEpoch uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Timeouts of the failure detector.
@@ -46,6 +48,8 @@
 	peers      map[MemberID]*peerState
 	minMembers int // members that a chain needs to commit anything
 	startedAt  time.Duration
+	// activeEpoch is an epoch of which it is known that a view of this or a later epoch was active.
+	activeEpoch uint64
 	// desiredSince is the time since which a change of the view has been desired without a break, or noTime.
 	desiredSince time.Duration
 }
@@ -95,6 +99,40 @@
 	return now-d.peers[id].heardAt <= heartbeatTimeout
 }
 
+// RecordActive records that a view of an epoch, or a later view, is known to have been active.
+func (d *Detector) RecordActive(epoch uint64) { d.activeEpoch = max(d.activeEpoch, epoch) }
+
+// IncompleteWriters returns the writers of a view that are not known to be complete in it. This member was last complete in
+// the given epoch. If there are none, the view is recorded as active.
+func (d *Detector) IncompleteWriters(view *View, ownCompleteEpoch uint64) []Member {
+	var incomplete []Member
+	if d.isActive(view) {
+		return nil
+	}
+	for _, writer := range view.Chain[:view.WriterCount()] {
+		completeEpoch := ownCompleteEpoch
+		if writer.ID != d.self.ID {
+			completeEpoch = 0
+			if p := d.peers[writer.ID]; p != nil {
+				completeEpoch = p.heartbeat.CompleteEpoch
+			}
+		}
+		if completeEpoch < view.Epoch {
+			incomplete = append(incomplete, writer)
+		}
+	}
+	if len(incomplete) == 0 {
+		d.RecordActive(view.Epoch)
+	}
+	return incomplete
+}
+
+// ActiveEpoch returns the highest epoch that is known to have had an active view, or to be lower than that of one.
+func (d *Detector) ActiveEpoch() uint64 { return d.activeEpoch }
+
+// isActive reports whether a view is known to be active.
+func (d *Detector) isActive(view *View) bool { return d.activeEpoch >= view.Epoch }
+
 // IsAlive reports whether a member and this one hear each other and the member is healthy.
 func (d *Detector) IsAlive(now time.Duration, id MemberID) bool { return d.suspicion(now, id) == "" }
 
--- a/coordination/view/message.go
+++ b/coordination/view/message.go
@@ -14,6 +14,9 @@
 type Prepare struct {
 	BaseView View   `cbor:"1,keyasint"`
 	Ballot   Ballot `cbor:"2,keyasint"`
+	// Seal asks a member that is not complete in the base view never to become so, and to take no further part in that view.
+	// A proposal asks for it once an earlier one has found no member that may head the next view.
+	Seal bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Promise answers a Prepare: phase 1b. Unless it is a rejection, its sender no longer accepts views under lower ballots.
@@ -24,6 +27,8 @@
 	AcceptedView   *View  `cbor:"4,keyasint,omitempty"` // accepted under AcceptedBallot, or nil
 	EligibleAsHead bool   `cbor:"5,keyasint,omitempty"` // see Consensus.EligibleAsHead
 	Rejected       bool   `cbor:"6,keyasint,omitempty"` // no promise: Ballot is the higher one already promised
+	// Completeness is nil if the sender is of an earlier build, which neither seals nor records its completeness exactly.
+	Completeness *Completeness `cbor:"7,keyasint,omitempty"`
 }
 
 // Accept asks an elector to accept a view: phase 2a.
--- a/coordination/view/proposer.go
+++ b/coordination/view/proposer.go
@@ -22,6 +22,7 @@
 	desired    View
 	minMembers int        // number of members that a chain needs to commit anything
 	expected   []MemberID // electors that are expected to promise
+	seal       bool       // members that are not complete in the base view are asked never to become so
 	promises   map[MemberID]*Promise
 	accepted   map[MemberID]bool
 	view       *View // the view of phase 2, or nil in phase 1
@@ -34,7 +35,8 @@
 // Propose starts a proposal for the next view, and abandons an earlier one. Desired holds the chain and the electors to
 // propose; members of the present chain that don't promise are left out of it. The proposal waits for the promises of the
 // expected electors up to a time limit. If the chain would have fewer than minMembers members, members of the present chain
-// that promise are kept even if they are not in desired.
+// that promise are kept even if they are not in desired. If the last proposal has found no member that may head the next
+// view, this one seals the present view at the members that are not complete in it.
 func (c *Consensus) Propose(desired View, expected []MemberID, minMembers int) {
 	c.hardState.LastRound = max(c.hardState.LastRound, c.rejectedRound, c.hardState.PromisedBallot.Round) + 1
 	c.changed = true
@@ -43,10 +45,11 @@
 		desired:    desired,
 		minMembers: minMembers,
 		expected:   expected,
+		seal:       c.obstacle != nil && c.obstacle.Reason == NoEligibleHead,
 		promises:   map[MemberID]*Promise{},
 		accepted:   map[MemberID]bool{},
 	}
-	c.sendToElectors(Message{Prepare: &Prepare{c.hardState.View, c.proposal.ballot}})
+	c.sendToElectors(Message{Prepare: &Prepare{c.hardState.View, c.proposal.ballot, c.proposal.seal}})
 }
 
 func (c *Consensus) receivePromise(from MemberID, m *Promise) {
@@ -123,7 +126,7 @@
 }
 
 // nextView returns the desired view without members of the present chain that haven't promised, headed by a member that has
-// every acknowledged entry. It is nil if no such member has promised: a chain without one could lose acknowledged entries.
+// every acknowledged entry. It is nil if no such member is known: a chain without one could lose acknowledged entries.
 func (p *proposal) nextView(base *View) *View {
 	next := &View{Epoch: base.Epoch + 1, Electors: p.desired.Electors,
 		ReplicationFactor: replicationFactor(p.minMembers, len(p.desired.Electors))}
@@ -133,14 +136,23 @@
 		}
 		next.Chain = append(next.Chain, member)
 	}
-	if base.Epoch > 0 {
-		p.keepMinimum(next, base)
-		if !p.moveEligibleToHead(next) {
-			return nil
-		}
+	if base.Epoch == 0 {
+		next.setWriterSince(base)
+		return next
+	}
+	p.keepMinimum(next, base)
+	next.History = historyAfter(base, p.promises)
+	if p.moveEligibleToHead(next) {
+		next.setWriterSince(base)
+		return next
 	}
-	next.setWriterSince(base)
-	return next
+	if p.moveCoveredToHead(next, base) {
+		next.setWriterSince(base)
+		head := &next.Chain[0]
+		head.WriterSince = p.promises[head.ID].Completeness.CompleteEpoch
+		return next
+	}
+	return nil
 }
 
 // keepMinimum adds members of the present chain that have promised while the next chain is too short to commit anything.
@@ -160,11 +172,26 @@
 	if position < 0 {
 		return false
 	}
-	head := next.Chain[position]
-	next.Chain = slices.Insert(slices.Delete(next.Chain, position, position+1), 0, head)
+	next.moveToHead(next.Chain[position])
 	return true
 }
 
+// moveCoveredToHead moves a member that has every committed entry by the history to the head, and reports whether there is
+// one: preferably a member of the next chain, else any elector that has promised.
+func (p *proposal) moveCoveredToHead(next, base *View) bool {
+	for _, candidates := range [][]Member{next.Chain, base.Electors} {
+		for _, member := range candidates {
+			promise := p.promises[member.ID]
+			if promise != nil && promise.Completeness != nil &&
+				next.History.covers(member.ID, promise.Completeness.CompleteEpoch) {
+				next.moveToHead(member)
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // receiveAccepted decides the proposed view once a majority has accepted it, and sends it to the electors of the
 // present and the new view and to the new chain.
 func (c *Consensus) receiveAccepted(from MemberID, m *Accepted) {
--- a/coordination/view/view.go
+++ b/coordination/view/view.go
@@ -10,8 +10,14 @@
 //   - No two members put different views in force under one epoch.
 //   - No two different views are proposed in Accept messages under one ballot of an epoch, not even by two incarnations of
 //     a member.
-//   - The head of each view after the first was a writer of the previous view and has had the complete log in some epoch
-//     since it became a writer. So it has every acknowledged entry.
+//   - The head of each view after the first has had the complete log in some epoch, and has been a writer of each view
+//     since then that has committed entries. So it has every acknowledged entry.
+//   - A member that has promised, by a sealed promise, not to become complete in a view never becomes complete in it.
+//
+// A view becomes active once all its writers are complete in it; before that it commits nothing. If the machines that could
+// head the next view are lost before the present one is active, a writer of an earlier configuration heads it, as in Vertical
+// Paxos (Lamport, Malkhi and Zhou, "Vertical Paxos and Primary-Backup Replication", 2009). History has the configurations
+// back to the last active one, and a proposal with Prepare.Seal obtains the proof that those between are not active.
 //
 // Safety rests on Paxos and on the durability of HardState, never on the detector: a wrong suspicion costs only a change of
 // view. The package has no I/O, clock or randomness. It never moves log entries; package chain does. The safety argument is
@@ -29,7 +35,7 @@
 	Node    string   `cbor:"2,keyasint"` // the machine's name
 	Address string   `cbor:"3,keyasint"`
 	Zone    string   `cbor:"4,keyasint"` // its failure domain
-	// WriterSince is the epoch since which the member has been one of the chain's writers without a break.
+	// WriterSince is the epoch since which the member has been a writer of each view that has committed entries.
 	WriterSince uint64 `cbor:"5,keyasint,omitempty"`
 }
 
@@ -41,6 +47,9 @@
 	// ReplicationFactor is the number of writers: members at the front of the chain that must have an entry durable before
 	// it is committed. The members behind them are followers, which take part in everything else. 0 means all.
 	ReplicationFactor int `cbor:"4,keyasint,omitempty"`
+	// History lists the earlier configurations that may have committed entries. It is nil for the first view and for a view
+	// that an earlier build proposed.
+	History *History `cbor:"5,keyasint,omitempty"`
 }
 
 // WriterCount returns the number of members at the front of the chain that must have an entry durable before it is
@@ -63,6 +72,15 @@
 	return slices.IndexFunc(v.Chain, func(m Member) bool { return m.ID == id })
 }
 
+// writerIDs returns the IDs of the writers.
+func (v *View) writerIDs() []MemberID {
+	ids := make([]MemberID, v.WriterCount())
+	for position := range ids {
+		ids[position] = v.Chain[position].ID
+	}
+	return ids
+}
+
 // IsElector reports whether the member takes part in deciding the next view.
 func (v *View) IsElector(id MemberID) bool {
 	return slices.ContainsFunc(v.Electors, func(m Member) bool { return m.ID == id })
@@ -87,6 +105,12 @@
 	}
 }
 
+// moveToHead makes a member the head of the chain, whether or not it is in the chain already.
+func (v *View) moveToHead(member Member) {
+	others := slices.DeleteFunc(slices.Clone(v.Chain), func(m Member) bool { return m.ID == member.ID })
+	v.Chain = slices.Insert(others, 0, member)
+}
+
 func sameMembers(a, b []Member) bool {
 	return slices.EqualFunc(a, b, func(x, y Member) bool { return x.ID == y.ID })
 }
--- a/internal/control/protocol/golden_test.go
+++ b/internal/control/protocol/golden_test.go
@@ -41,6 +41,12 @@
 	wiretest.AssertRecoded(t, "before-digest/down", encode[ControlMessage], decode[ControlMessage])
 }
 
+// TestMessagesWithoutHistoryKeepTheirBytes checks the same for messages between control machines of the version before views
+// had a history.
+func TestMessagesWithoutHistoryKeepTheirBytes(t *testing.T) {
+	wiretest.AssertRecoded(t, "before-history/peer", encode[PeerMessage], decode[PeerMessage])
+}
+
 func assertFormerBytes[T any](t *testing.T, name string) {
 	t.Helper()
 	text, err := os.ReadFile(filepath.Join("testdata", "before-instance-list-duty", name+".golden"))
--- a/internal/control/server/catchup.go
+++ b/internal/control/server/catchup.go
@@ -33,7 +33,7 @@
 // in force and no request is in flight.
 func (s *Server) requestCatchUp(member view.MemberID) {
 	request, outside := s.replica.NextCatchUpRequest()
-	if !outside || s.membership.view().Epoch == 0 || s.membership.hasRestartedInView() || !s.catchUp.tryStart(s.now()) {
+	if !outside || s.membership.view().Epoch == 0 || s.membership.takesNoPartInView() || !s.catchUp.tryStart(s.now()) {
 		return
 	}
 	s.peers.send(member, &protocol.PeerMessage{CatchUpRequest: &request})
--- a/internal/control/server/engine.go
+++ b/internal/control/server/engine.go
@@ -85,7 +85,9 @@
 	s.commands.repropose(resubmitAfter)
 	s.sendHeartbeat()
 	s.logDivergence()
+	s.trackCompleteness()
 	s.proposeView()
+	s.logObstacle(now)
 	s.requestCatchUpFromChain()
 	if !s.isMemberWithQuorum() {
 		s.disconnectDispatchers()
--- a/internal/control/server/heartbeat.go
+++ b/internal/control/server/heartbeat.go
@@ -94,6 +94,6 @@
 	m := &s.membership
 	return &protocol.PeerMessage{ConnectedSessions: s.dispatchers.sessions(), SupportedRules: s.rules.tracker.Own(), Heartbeat: &view.Heartbeat{
 		From: m.self(), Epoch: m.view().Epoch, InitialMember: m.consensus.IsInitialMember(), Unhealthy: s.isUnhealthy(),
-		Restarted: m.hasRestartedInView(), LastIndex: s.replica.LastIndex(), HeardFrom: m.detector.HeardFrom(s.now()),
-		Leaving: m.leaving}}
+		Restarted: m.takesNoPartInView(), LastIndex: s.replica.LastIndex(), HeardFrom: m.detector.HeardFrom(s.now()),
+		Leaving: m.leaving, CompleteEpoch: m.consensus.HardState().CompleteEpoch}}
 }
--- a/internal/control/server/leave.go
+++ b/internal/control/server/leave.go
@@ -54,7 +54,7 @@
 // hasLeftChain reports whether this member is not in the chain of the view in force, or the engine has ended.
 func (s *Server) hasLeftChain() bool {
 	answer := make(chan bool, 1)
-	s.do(func() { answer <- !s.replica.IsMember() })
+	s.do(func() { answer <- !s.replica.IsMember() && !s.membership.consensus.IsSealed() })
 	select {
 	case left := <-answer:
 		return left
--- a/internal/control/server/membership.go
+++ b/internal/control/server/membership.go
@@ -15,6 +15,9 @@
 	epochAtStart    uint64        // epoch of the view on disk when this incarnation started
 	leaving         bool          // this machine has announced a graceful shutdown
 	viewInstalledAt time.Duration // when the view in force was installed; 0: no view was installed in this incarnation
+	// incompleteWriters are the writers of the view in force that were not known to be complete in it at the last tick.
+	incompleteWriters []view.Member
+	obstacle          obstacleMonitor
 }
 
 // self returns this machine as a member.
@@ -30,11 +33,21 @@
 	return !m.consensus.IsInitialMember() && m.view().ChainPosition(m.self().ID) < 0
 }
 
-// hasRestartedInView reports whether the previous incarnation of this machine was a member of the view in force, in which
-// this incarnation takes no part: a replica starts outside every view, and joins with the next one.
-func (m *membership) hasRestartedInView() bool {
+// takesNoPartInView reports whether this machine is a member of the view in force, but takes no part in it: it is sealed,
+// or its previous incarnation was the member. A replica starts outside every view, and joins with the next one.
+func (m *membership) takesNoPartInView() bool {
 	epoch := m.view().Epoch
-	return epoch > 0 && epoch == m.epochAtStart && m.view().ChainPosition(m.self().ID) >= 0
+	hasLeft := epoch == m.epochAtStart || m.consensus.IsSealed()
+	return epoch > 0 && hasLeft && m.view().ChainPosition(m.self().ID) >= 0
+}
+
+// trackCompleteness records which views are known to be active: those in which all writers are complete, and those whose
+// entries are committed.
+func (s *Server) trackCompleteness() {
+	m := &s.membership
+	m.detector.RecordActive(s.replica.EpochAt(s.replica.CommitIndex()))
+	m.incompleteWriters = m.detector.IncompleteWriters(m.view(), m.consensus.HardState().CompleteEpoch)
+	m.consensus.RecordActive(m.detector.ActiveEpoch())
 }
 
 // hasQuorum reports whether this member and more than half of the electors hear each other.
@@ -107,6 +120,7 @@
 		Int("copies", v.ReplicationFactor).Msg("view installed")
 	s.membership.viewInstalledAt = s.now()
 	s.replica.SetView(chain.View{Epoch: v.Epoch, Members: members, WriterCount: v.ReplicationFactor})
+	s.withdrawIfSealed()
 	s.peers.add(addressesOf(v.Chain))
 	s.peers.add(addressesOf(v.Electors))
 	s.commands.dropHeadCommands(v.Epoch)
@@ -117,6 +131,14 @@
 	}
 }
 
+// withdrawIfSealed keeps the replica out of the view in force if this member has promised to take no further part in it. It
+// is called before the promise is sent.
+func (s *Server) withdrawIfSealed() {
+	if s.membership.consensus.IsSealed() {
+		s.replica.Withdraw(s.membership.view().Epoch)
+	}
+}
+
 // proposeView proposes another view if the detector desires one. Before the very first view, it first passes the electors
 // to the consensus, once all seeds have been heard.
 func (s *Server) proposeView() {
@@ -130,7 +152,7 @@
 	if m.consensus.IsProposing() {
 		return
 	}
-	desired, expected := m.detector.DesiredView(now, m.view(), m.hasRestartedInView(), s.isUnhealthy(),
+	desired, expected := m.detector.DesiredView(now, m.view(), m.takesNoPartInView(), s.isUnhealthy(),
 		s.replica.CommitIndex())
 	if desired == nil {
 		return
--- a/internal/control/server/membership_test.go
+++ b/internal/control/server/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"yardflow/coordination/view"
 )
@@ -93,3 +94,45 @@
 		}
 	}
 }
+
+// TestSealedMemberTakesNoPartInItsView checks that a member which is asked for a sealed promise leaves its view before the
+// promise is sent, also if the view is installed only then, and requests another view.
+func TestSealedMemberTakesNoPartInItsView(t *testing.T) {
+	for name, isInstalled := range map[string]bool{"in an installed view": true, "in a view that is not installed yet": false} {
+		s := serverInView(t, true, true)
+		if isInstalled {
+			s.installView(*s.membership.view())
+		}
+		s.membership.consensus.Receive(1, &view.Message{Prepare: &view.Prepare{BaseView: *s.membership.view(),
+			Ballot: view.Ballot{Round: 1, Proposer: 1}, Seal: true}})
+		s.flushConsensus()
+		s.installView(*s.membership.view())
+		if s.replica.IsMember() || !s.membership.takesNoPartInView() || !s.heartbeatMessage().Heartbeat.Restarted {
+			t.Errorf("%s: member %v, takes no part %v", name, s.replica.IsMember(), s.membership.takesNoPartInView())
+		}
+		s.persistCompleteness()
+		if s.replica.IsComplete() || s.membership.consensus.HardState().CompleteEpoch == 4 {
+			t.Errorf("%s: a sealed member becomes complete", name)
+		}
+	}
+}
+
+// TestObstacleIsReported checks that the status shows why no further view can be made, while that holds.
+func TestObstacleIsReported(t *testing.T) {
+	s := serverInView(t, true, true)
+	missing := []view.Member{{ID: 1, Node: "core-1"}}
+	monitor := &s.membership.obstacle
+	obstacle := &view.Obstacle{Reason: view.NoEligibleHead, Missing: missing}
+	if !monitor.observe(time.Second, obstacle) || !monitor.isLogDue(time.Second) || monitor.observe(2*time.Second, obstacle) {
+		t.Error("an obstacle does not count as new exactly once")
+	}
+	if want := string(view.NoEligibleHead) + "; no answer from core-1"; monitor.text(2*time.Second) != want {
+		t.Errorf("the status shows %q, want %q", monitor.text(2*time.Second), want)
+	}
+	if monitor.isLogDue(2 * time.Second) {
+		t.Error("a second log line is due after a second")
+	}
+	if text := monitor.text(time.Second + 2*obstacleLifetime); text != "" {
+		t.Errorf("the status still shows %q", text)
+	}
+}
--- a/internal/control/server/operator_status.go
+++ b/internal/control/server/operator_status.go
@@ -37,6 +37,11 @@
 	LogDiverged bool `json:"Diverged,omitempty"` // whether another member's log contradicts an entry committed here
 	// RulesVersion is the version of the state machine's rules in force.
 	RulesVersion statemachine.RulesVersion `json:",omitempty"`
+	// IncompleteWriters are the machines that are not known to have the complete log of the view in force; until they have,
+	// nothing is committed.
+	IncompleteWriters []string `json:"Incomplete,omitempty"`
+	// ViewObstacle is why this machine's proposals for another view have failed lately.
+	ViewObstacle string `json:",omitempty"`
 }
 
 // currentStatus returns the server's status. The engine calls it.
@@ -60,6 +65,8 @@
 		ConnectedDispatchers: len(s.dispatchers.attached),
 		RulesVersion:         fsm.Rules,
 		LogDiverged:          s.replica.Divergence() != nil,
+		IncompleteWriters:    nodesOf(s.membership.incompleteWriters),
+		ViewObstacle:         s.membership.obstacle.text(s.now()),
 	}
 	for _, known := range fsm.Jobs {
 		if !known.State.Terminal() {
@@ -128,6 +135,8 @@
 		{"yardflow_dispatchers_connected", int64(status.ConnectedDispatchers)},
 		{"yardflow_dispatchers_behind", int64(status.DispatchersBehind)},
 		{"yardflow_rules_version", int64(status.RulesVersion)},
+		{"yardflow_view_incomplete_writers", int64(len(status.IncompleteWriters))},
+		{"yardflow_view_obstructed", boolMetric(status.ViewObstacle != "")},
 	}
 	for _, metric := range metrics {
 		io.WriteString(w, metric.name+" "+strconv.FormatInt(metric.value, 10)+"\n")
--- a/internal/control/server/replication.go
+++ b/internal/control/server/replication.go
@@ -17,6 +17,7 @@
 	if ready.HardState == nil && len(ready.Messages) == 0 {
 		return false
 	}
+	s.withdrawIfSealed()
 	s.processConsensusReady(ready, func() {})
 	return true
 }
@@ -98,10 +99,11 @@
 
 // persistCompleteness records on disk that this member has the whole log of the view in force, and notifies the replica
 // once the record is durable. From then on this member may become the head of a later view. If the completeness can't be
-// recorded, since another view was agreed on, the replica confirms nothing in its view.
+// recorded, since another view was agreed on or this member is sealed, the replica confirms nothing in its view.
 func (s *Server) persistCompleteness() {
 	epoch := s.replica.Epoch()
 	isRecorded := s.membership.consensus.MarkComplete(epoch)
+	s.withdrawIfSealed()
 	s.processConsensusReady(s.membership.consensus.Ready(), func() {
 		if isRecorded {
 			s.replica.CompletenessPersisted(epoch)
--- a/internal/control/server/server.go
+++ b/internal/control/server/server.go
@@ -109,7 +109,7 @@
 		return hardState, nil
 	}
 	hardState.Self = view.Member{ID: rand.Uint64() | 1, Node: s.Node, Address: s.Listen.Control, Zone: s.Zone}
-	hardState.InitialMember = s.Bootstrap
+	hardState.InitialMember, hardState.ExactSince = s.Bootstrap, 1
 	return hardState, errors.Trace(store.SaveMetadata(protocol.Encode(hardState)))
 }
 
--- a/internal/testing/emulator/disruptions_test.go
+++ b/internal/testing/emulator/disruptions_test.go
@@ -279,6 +279,7 @@
 		y.sendBurst(random, y.HopelessBurst(random), false)
 		time.Sleep(span)
 	}},
+	{"disk lost before the next view is active", loseDiskOfNewView},
 	{"cores stopped in order, in turn", func(y *Cluster, random *rand.Rand, span time.Duration) {
 		for _, core := range y.Cores() {
 			core.Terminate()
--- a/internal/testing/emulator/norace_test.go
+++ b/internal/testing/emulator/norace_test.go
@@ -13,6 +13,8 @@
 	addressesInTest = 2
 	// finalFaultsInTest is how many seeds of each final fault a test run plays with each shape.
 	finalFaultsInTest = 1
+	// inactiveViewsInTest is how many seeds of a loss before a view is active a test run plays with each shape.
+	inactiveViewsInTest = 4
 	// faultShapesInTest is with how many shapes a test run plays final faults; PROVE_SCHEDULES plays them with all.
 	faultShapesInTest = 2
 )
