A member announces that it has installed a view, so nothing waits for the head's next tick

Cause: the head's first message of a view often reaches its successor before the view is durable there; it was dropped, and sent again with the head's next tick. Until then the view was not complete and committed nothing, for up to 100 ms.

Change: a member that installs a view says so to its predecessor (Ack.Installed), which begins anew unless it knows better. Earlier builds ignore the field, and their successors wait for the tick as before.

--- a/coordination/chain/messages.go
+++ b/coordination/chain/messages.go
@@ -51,6 +51,7 @@
 	// ConfirmedReads are reads that have passed all writers, on the way back to their origins.
 	ConfirmedReads []Read `cbor:"5,keyasint,omitempty"`
 	Diverged       bool   `cbor:"7,keyasint,omitempty"` // the sender does not take part in the view, see Divergence
+	Installed      bool   `cbor:"8,keyasint,omitempty"` // the sender has just installed the view
 }
 
 // Snapshot is the state after the entry at Index. A member sends it if its own log no longer has the next entry that its
--- a/coordination/chain/receive.go
+++ b/coordination/chain/receive.go
@@ -66,6 +66,14 @@
 		Rejected: true, RejectedIndex: m.PrevIndex, CommitIndex: r.log.commitIndex}})
 }
 
+// announceView notifies the predecessor that this replica has installed the view. The predecessor may have installed it
+// earlier, and what it has sent since was dropped here.
+func (r *Replica) announceView() {
+	if r.predecessorID() != 0 && r.divergence == nil {
+		r.send(r.predecessorID(), Message{Ack: &Ack{Epoch: r.view.Epoch, CommitIndex: r.log.commitIndex, Installed: true}})
+	}
+}
+
 // lastCommonIndex returns the highest index up to which this log may be equal to the predecessor's, given that this log
 // lacks the predecessor's entry at index. It skips a whole epoch at once, so that a long differing suffix costs one message
 // per epoch.
@@ -85,6 +93,10 @@
 		r.successor.diverged = true
 		return
 	}
+	if m.Installed && r.successor.acked == 0 {
+		r.successor = successorProgress{next: r.log.lastIndex() + 1}
+		r.sendDue = true
+	}
 	if m.Rejected {
 		if r.successor.rewind(m) {
 			r.sendDue = true
--- a/coordination/chain/replica.go
+++ b/coordination/chain/replica.go
@@ -124,6 +124,7 @@
 		r.viewLog = viewLog{received: r.log.lastIndex(), start: r.log.lastIndex(), startKnown: true}
 		r.sendDue = true
 	}
+	r.announceView()
 	r.advance()
 }
 
--- a/internal/testing/emulator/inactiveview_test.go
+++ b/internal/testing/emulator/inactiveview_test.go
@@ -13,7 +13,7 @@
 const (
 	newViewWait     = 4 * time.Second       // in which a view without the missing writer has to begin
 	viewPoll        = time.Millisecond      // between two looks for it
-	longestViewAge  = 60 * time.Millisecond // of the new view when a disk is lost
+	longestViewAge  = 30 * time.Millisecond // of the new view when a disk is lost
 	shortestAbsence = 700 * time.Millisecond
 	longestAbsence  = 2 * time.Second
 	secondKillPause = 400 * time.Millisecond
