Soak: disks are lost as the view after a kill or a freeze begins

A writer is killed or frozen; as soon as the others have another view, its first members lose their disks, as many as are tolerated, and in a third of the cases the other control machines are killed in the same moment. All come back.

--- a/lab/soak/scenario/process.go
+++ b/lab/soak/scenario/process.go
@@ -1,7 +1,6 @@
 package scenario
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -15,7 +14,6 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"yardflow/internal/control/server"
 	"yardflow/internal/platform/settings"
 )
 
@@ -277,16 +275,8 @@
 
 // chainHasAll reports whether every control machine says that all of them are in the chain.
 func (s *soak) chainHasAll() bool {
-	client := http.Client{Timeout: askWithin, Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, core := range s.cores {
-		response, err := client.Get("http://" + s.block.address(core.name) + "/-/status")
-		if err != nil {
-			return false
-		}
-		status := server.Status{}
-		err = json.NewDecoder(response.Body).Decode(&status)
-		response.Body.Close()
-		if err != nil || len(status.Chain) != len(s.cores) {
+		if status, ok := s.status(core); !ok || len(status.Chain) != len(s.cores) {
 			return false
 		}
 	}
--- a/lab/soak/scenario/series.go
+++ b/lab/soak/scenario/series.go
@@ -149,8 +149,8 @@
 	p.back()
 }
 
-// coreSeries does one thing after the other to control machines; now and then all of them are killed at once, or each is
-// frozen for a moment.
+// coreSeries does one thing after the other to control machines; now and then all of them are killed at once, each is frozen
+// for a moment, or disks are lost as a view begins.
 func (s *soak) coreSeries(end time.Time) {
 	random := s.random(coreStream)
 	for time.Now().Before(end) {
@@ -159,6 +159,8 @@
 		case 1, 2:
 			s.freezeBehindBursts(random)
 			continue // no machine was lost
+		case 3:
+			s.loseDiskOfNewView(random)
 		case 0:
 			s.count("core kills of all")
 			end := s.cluster.BeginTrouble(s.cores[0].name) // what befalls one befalls the core
